--- /dev/null
+++ b/blobs/blobs.go
@@ -0,0 +1,58 @@
+// Package blobs speaks with the platform's object store.
+package blobs
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"citronbridge/httpc"
+	"citronbridge/retry"
+)
+
+const callTimeout = 10 * time.Second
+
+// Client calls the object store.
+type Client struct {
+	http  *httpc.Client
+	guard *retry.Guard
+}
+
+// NewClient returns a Client of the store at base.
+func NewClient(base string, g *retry.Guard) *Client {
+	return &Client{http: httpc.New(base), guard: g}
+}
+
+// Get returns the whole object of that name.
+func (c *Client) Get(ctx context.Context, name string) ([]byte, error) {
+	var b []byte
+	err := c.guard.Retry(ctx, func(x context.Context) error {
+		x, cancel := context.WithTimeout(x, callTimeout)
+		defer cancel()
+		var err error
+		_, b, err = c.http.Raw(x, http.MethodGet, "/objects/"+url.PathEscape(name), nil)
+		if httpc.Status(err) == http.StatusNotFound {
+			return retry.Permanent(err)
+		}
+		return err
+	})
+	if err != nil {
+		return nil, fmt.Errorf("get object %s: %w", name, err)
+	}
+	return b, nil
+}
+
+// Put stores data under name. Storing the same data again is harmless.
+func (c *Client) Put(ctx context.Context, name string, data []byte) error {
+	err := c.guard.Retry(ctx, func(x context.Context) error {
+		x, cancel := context.WithTimeout(x, callTimeout)
+		defer cancel()
+		return c.http.Do(x, http.MethodPut, "/objects/"+url.PathEscape(name), data, nil)
+	})
+	if err != nil {
+		return fmt.Errorf("put object %s: %w", name, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/cells/config.go
@@ -0,0 +1,131 @@
+// Package cells decides for the targets of a data centre: it owns a cell under
+// an epoch, holds its jobs in memory, places them and watches their tasks.
+package cells
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"citronbridge/fleet"
+	"citronbridge/jobs"
+	"citronbridge/ledger"
+	"citronbridge/meter"
+	"citronbridge/place"
+	"citronbridge/rules"
+	"citronbridge/target"
+	"citronbridge/timer"
+	"citronbridge/wire"
+)
+
+// records keeps the rows of jobs and cells.
+type records interface {
+	Owner(ctx context.Context, cell string) (ledger.Owner, error)
+	Take(ctx context.Context, cell, host string, seen ledger.Owner) (ledger.Hold, error)
+	Open(ctx context.Context, cell string) ([]jobs.Key, error)
+	LoadAll(ctx context.Context, keys []jobs.Key) ([]ledger.Entry, int, error)
+	Load(ctx context.Context, k jobs.Key) (ledger.Entry, error)
+	Update(ctx context.Context, h ledger.Hold, e ledger.Entry) (int64, error)
+	Move(ctx context.Context, h ledger.Hold, e ledger.Entry, cell string) (int64, error)
+}
+
+// hosts lists the targets.
+type hosts interface {
+	Targets(cell string) []fleet.Host
+	Cells() []string
+	Hosts(r fleet.Role) []fleet.Host
+}
+
+// conn is the conversation with one target.
+type conn interface {
+	Fence(ctx context.Context, epoch int64) (target.Report, error)
+	Watch(ctx context.Context, epoch, since int64, wait time.Duration) (target.Report, error)
+	Send(ctx context.Context, epoch int64, orders []target.Order) ([]target.Refusal, error)
+}
+
+var (
+	_ records = (*ledger.Ledger)(nil)
+	_ hosts   = (*fleet.View)(nil)
+	_ conn    = (*target.Client)(nil)
+)
+
+// Config is what a Keeper needs.
+type Config struct {
+	Host       string
+	DataCentre string
+	Records    records
+	Hosts      hosts
+	Book       *rules.Book
+	Timer      *timer.Service
+	Meter      *meter.Set
+	Log        zerolog.Logger
+	// Live returns the heartbeats of the other hosts that live.
+	Live func() []*wire.Heartbeat
+	// Connect returns the conversation with a target.
+	Connect func(h fleet.Host, lease time.Duration) conn
+	// Offered tells another cell's decider of a job that was moved to it.
+	Offered func(cell string, k jobs.Key)
+	Policy  place.Policy
+	Bounds  Bounds
+}
+
+// Bounds are the times that a decider works by.
+type Bounds struct {
+	// Lease is how long a target keeps tasks without a renewal.
+	Lease time.Duration
+	// Start bounds the time until every member of a gang runs.
+	Start time.Duration
+	// Checkpoint and Stop bound the steps of making room.
+	Checkpoint time.Duration
+	Stop       time.Duration
+	// Confirm is how long the manifest may go unconfirmed before nothing is
+	// started any more.
+	Confirm time.Duration
+	// Offer is how long a job waits before another cell is tried.
+	Offer time.Duration
+	// Probe is how long a target that fails everything gets no work.
+	Probe time.Duration
+}
+
+// Defaults of Bounds.
+const (
+	DefaultLease      = 10 * time.Second
+	DefaultStart      = time.Second
+	DefaultCheckpoint = 2 * time.Second
+	DefaultStop       = 2 * time.Second
+	DefaultConfirm    = 5 * time.Second
+	DefaultOffer      = 3 * time.Second
+	DefaultProbe      = 15 * time.Second
+)
+
+// withDefaults returns b with zeroes replaced.
+func (b Bounds) withDefaults() Bounds {
+	set := func(v *time.Duration, d time.Duration) {
+		if *v == 0 {
+			*v = d
+		}
+	}
+	set(&b.Lease, DefaultLease)
+	set(&b.Start, DefaultStart)
+	set(&b.Checkpoint, DefaultCheckpoint)
+	set(&b.Stop, DefaultStop)
+	set(&b.Confirm, DefaultConfirm)
+	set(&b.Offer, DefaultOffer)
+	set(&b.Probe, DefaultProbe)
+	return b
+}
+
+// check returns an error if something needed is missing.
+func (c *Config) check() error {
+	if c.Records == nil || c.Hosts == nil || c.Book == nil || c.Timer == nil || c.Meter == nil || c.Live == nil || c.Connect == nil {
+		return errors.New("cells: Records, Hosts, Book, Timer, Meter, Live and Connect are needed")
+	}
+	return nil
+}
+
+// ConnectHTTP connects to a target by its address.
+func ConnectHTTP(h fleet.Host, lease time.Duration) conn {
+	return target.NewClient("http://"+h.Address, lease)
+}
--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,202 @@
+// Package client calls the API of the hosts. It tries the next host when one
+// doesn't answer.
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"citronbridge/cells"
+	"citronbridge/entry"
+	"citronbridge/httpc"
+	"citronbridge/jobs"
+	"citronbridge/rules"
+)
+
+// Bounds of a call.
+const (
+	callTimeout = 10 * time.Second
+	pollWait    = 10 * time.Second
+	retryWait   = 200 * time.Millisecond
+)
+
+// Client calls several hosts.
+type Client struct {
+	hosts []*httpc.Client
+	// Account is the account that an operator's calls are about.
+	Account string
+}
+
+// New returns a Client of hosts, each an IP number and a port.
+func New(hosts []string, token string) (*Client, error) {
+	if len(hosts) == 0 {
+		return nil, errors.New("no host given")
+	}
+	c := &Client{}
+	for _, h := range hosts {
+		k := httpc.New("http://" + h)
+		k.Token = token
+		c.hosts = append(c.hosts, k)
+	}
+	return c, nil
+}
+
+// ProblemOf returns the problem by which a host refused a call, or nil.
+func ProblemOf(err error) *entry.Problem {
+	var e *httpc.StatusError
+	if !errors.As(err, &e) {
+		return nil
+	}
+	p := &entry.Problem{}
+	if json.Unmarshal(e.Body, p) != nil || p.Status == 0 {
+		return nil
+	}
+	return p
+}
+
+// do makes a call at one host after the other until one answers. A host that
+// isn't available is passed over.
+func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
+	var err error
+	for _, h := range c.hosts {
+		err = c.once(ctx, h, method, path, in, out)
+		if s := httpc.Status(err); err == nil || s != 0 && s != http.StatusServiceUnavailable && s != http.StatusBadGateway {
+			return err
+		}
+		if ctx.Err() != nil {
+			return err
+		}
+	}
+	return err
+}
+
+func (c *Client) once(ctx context.Context, h *httpc.Client, method, path string, in, out any) error {
+	x, cancel := context.WithTimeout(ctx, callTimeout+pollWait)
+	defer cancel()
+	return h.Do(x, method, path, in, out)
+}
+
+// job returns the path of a job, with the account for operators.
+func (c *Client) job(id, rest string, q url.Values) string {
+	if q == nil {
+		q = url.Values{}
+	}
+	if c.Account != "" {
+		q.Set("Account", c.Account)
+	}
+	p := "/v1/jobs/" + url.PathEscape(id) + rest
+	if len(q) > 0 {
+		p += "?" + q.Encode()
+	}
+	return p
+}
+
+// Submit sends a request. Sending it again is harmless.
+func (c *Client) Submit(ctx context.Context, s *jobs.Spec) (entry.Status, error) {
+	var v entry.Status
+	return v, c.do(ctx, http.MethodPost, "/v1/jobs", s, &v)
+}
+
+// Status tells where a job stands.
+func (c *Client) Status(ctx context.Context, id string) (entry.Status, error) {
+	var v entry.Status
+	return v, c.do(ctx, http.MethodGet, c.job(id, "", nil), nil, &v)
+}
+
+// Cancel asks for a job to be stopped.
+func (c *Client) Cancel(ctx context.Context, id string) (entry.Status, error) {
+	var v entry.Status
+	return v, c.do(ctx, http.MethodDelete, c.job(id, "", nil), nil, &v)
+}
+
+// Explain tells why a job waits or what became of it.
+func (c *Client) Explain(ctx context.Context, id string) (cells.Explanation, error) {
+	var v cells.Explanation
+	return v, c.do(ctx, http.MethodGet, c.job(id, "/explanation", nil), nil, &v)
+}
+
+// Answer returns a job's answer. It waits up to wait for the job to end, and
+// rides out hosts that don't answer meanwhile.
+func (c *Client) Answer(ctx context.Context, id string, wait time.Duration) (entry.Answer, error) {
+	end := time.Now().Add(wait)
+	for {
+		left := min(max(time.Until(end), 0), pollWait)
+		var v entry.Answer
+		err := c.do(ctx, http.MethodGet, c.job(id, "/answer", url.Values{"Wait": {left.String()}}), nil, &v)
+		s := httpc.Status(err)
+		over := !time.Now().Before(end)
+		switch {
+		case err == nil && (v.State == jobs.Finished || over):
+			return v, nil
+		case err != nil && (over || ctx.Err() != nil || s/100 == 4):
+			return v, err
+		case err != nil || left == 0:
+			time.Sleep(retryWait)
+		}
+	}
+}
+
+// List lists jobs behind the ID after.
+func (c *Client) List(ctx context.Context, after string, limit int) (entry.Page, error) {
+	q := url.Values{"Limit": {strconv.Itoa(limit)}}
+	if after != "" {
+		q.Set("After", after)
+	}
+	if c.Account != "" {
+		q.Set("Account", c.Account)
+	}
+	var v entry.Page
+	return v, c.do(ctx, http.MethodGet, "/v1/jobs?"+q.Encode(), nil, &v)
+}
+
+// Hosts lists the live hosts.
+func (c *Client) Hosts(ctx context.Context) ([]entry.HostView, error) {
+	var v []entry.HostView
+	return v, c.do(ctx, http.MethodGet, "/v1/hosts", nil, &v)
+}
+
+// Targets lists the targets.
+func (c *Client) Targets(ctx context.Context) ([]cells.TargetView, error) {
+	var v []cells.TargetView
+	return v, c.do(ctx, http.MethodGet, "/v1/targets", nil, &v)
+}
+
+// Accounts lists what the accounts hold.
+func (c *Client) Accounts(ctx context.Context) ([]cells.AccountView, error) {
+	var v []cells.AccountView
+	return v, c.do(ctx, http.MethodGet, "/v1/accounts", nil, &v)
+}
+
+// Manifest returns the revision in force.
+func (c *Client) Manifest(ctx context.Context) (rules.Revision, error) {
+	var v rules.Revision
+	return v, c.do(ctx, http.MethodGet, "/v1/manifest", nil, &v)
+}
+
+// Propose proposes a manifest. Sending the same proposal again is harmless.
+func (c *Client) Propose(ctx context.Context, p *entry.Proposal) (rules.Revision, error) {
+	var v rules.Revision
+	return v, c.do(ctx, http.MethodPost, "/v1/manifest", p, &v)
+}
+
+// History lists the accepted revisions behind the number after.
+func (c *Client) History(ctx context.Context, after int64) ([]rules.Revision, error) {
+	var v []rules.Revision
+	return v, c.do(ctx, http.MethodGet, fmt.Sprintf("/v1/manifest/history?After=%d", after), nil, &v)
+}
+
+// Drain begins a planned stop of the first host.
+func (c *Client) Drain(ctx context.Context) error {
+	return c.once(ctx, c.hosts[0], http.MethodPost, "/v1/drain", nil, nil)
+}
+
+// Ready reports whether the first host is ready.
+func (c *Client) Ready(ctx context.Context) error {
+	return c.once(ctx, c.hosts[0], http.MethodGet, "/readyz", nil, nil)
+}
--- /dev/null
+++ b/cmds/local.go
@@ -0,0 +1,110 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"citronbridge/config"
+	"citronbridge/fault"
+	"citronbridge/host"
+	"citronbridge/rules"
+)
+
+var errNoCommand = errors.New("name a command")
+
+// runServe runs one host until it is told to stop. A second signal doesn't
+// shorten the planned stop.
+func (a *app) runServe() error {
+	if a.settings == "" {
+		return &exitError{ExitInvalid, errors.New("serve needs --settings FILE")}
+	}
+	s, err := config.Load(a.settings)
+	if err != nil {
+		return inputError(err)
+	}
+	level, err := zerolog.ParseLevel(s.LogLevel)
+	if err != nil {
+		return &exitError{ExitInvalid, err}
+	}
+	h, err := host.New(s, zerolog.New(a.err).Level(level).With().Timestamp().Logger())
+	if err != nil {
+		return &exitError{ExitFailed, err}
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	go func() {
+		for range signals {
+			h.Drain()
+		}
+	}()
+	if err := h.Run(context.Background()); err != nil {
+		return &exitError{ExitFailed, err}
+	}
+	return nil
+}
+
+// inputError is an error about a file: its faults, or that it can't be read.
+func inputError(err error) error {
+	var l fault.List
+	if errors.As(err, &l) {
+		return err
+	}
+	return &exitError{ExitInvalid, err}
+}
+
+// runCheck checks files and tells every fault.
+func (a *app) runCheck() error {
+	if a.settings == "" && a.manifest == "" {
+		return &exitError{ExitInvalid, errors.New("check needs --settings FILE or --manifest FILE")}
+	}
+	var all fault.List
+	for _, f := range []struct {
+		file string
+		load func(string) error
+	}{{a.settings, checkSettings}, {a.manifest, checkManifest}} {
+		if f.file == "" {
+			continue
+		}
+		err := f.load(f.file)
+		var l fault.List
+		switch {
+		case errors.As(err, &l):
+			all = append(all, l...)
+		case err != nil:
+			return inputError(err)
+		default:
+			fmt.Fprintf(a.out, "%s: no faults\n", f.file)
+		}
+	}
+	return all.Err()
+}
+
+func checkSettings(file string) error {
+	_, err := config.Load(file)
+	return err
+}
+
+func checkManifest(file string) error {
+	_, err := loadManifest(file)
+	return err
+}
+
+// loadManifest reads and checks a manifest file.
+func loadManifest(file string) (*rules.Manifest, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("read manifest: %w", err)
+	}
+	m := &rules.Manifest{}
+	if err := fault.DecodeYAML(file, b, m); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
--- /dev/null
+++ b/cmds/remote.go
@@ -0,0 +1,287 @@
+package cmds
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"gopkg.in/yaml.v3"
+
+	"citronbridge/cells"
+	"citronbridge/client"
+	"citronbridge/entry"
+	"citronbridge/fault"
+	"citronbridge/jobs"
+)
+
+// call runs f with a client and a context.
+func (a *app) call(f func(ctx context.Context, c *client.Client) error) error {
+	c, err := a.client()
+	if err != nil {
+		return err
+	}
+	return f(context.Background(), c)
+}
+
+// readSpec reads a request from a JSON or YAML file.
+func readSpec(file string) (*jobs.Spec, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("read request: %w", err)
+	}
+	var v any
+	if err := yaml.Unmarshal(b, &v); err != nil {
+		return nil, fault.List{{File: file, Line: 1, Field: "document", Value: err.Error(), Allowed: "well-formed JSON or YAML"}}
+	}
+	if b, err = json.Marshal(v); err != nil {
+		return nil, fmt.Errorf("read request: %w", err)
+	}
+	s := &jobs.Spec{}
+	return s, fault.DecodeJSON(bytes.NewReader(b), s)
+}
+
+func (a *app) runSubmit() error {
+	s, err := readSpec(a.file)
+	if err != nil {
+		return inputError(err)
+	}
+	return a.call(func(ctx context.Context, c *client.Client) error {
+		v, err := c.Submit(ctx, s)
+		if err != nil {
+			return err
+		}
+		return a.printStatus(v)
+	})
+}
+
+func (a *app) printStatus(v entry.Status) error {
+	return a.print(v, func(w io.Writer) {
+		fmt.Fprintf(w, "%s/%s: %s %s in cell %s %s\n", v.Account, v.ID, v.State, v.Outcome, v.Cell, v.Detail)
+	})
+}
+
+func (a *app) runStatus() error {
+	return a.call(func(ctx context.Context, c *client.Client) error {
+		v, err := c.Status(ctx, a.id)
+		if err != nil {
+			return err
+		}
+		return a.printStatus(v)
+	})
+}
+
+func (a *app) runCancel() error {
+	return a.call(func(ctx context.Context, c *client.Client) error {
+		v, err := c.Cancel(ctx, a.id)
+		if err != nil {
+			return err
+		}
+		return a.printStatus(v)
+	})
+}
+
+func (a *app) runAnswer() error {
+	return a.call(func(ctx context.Context, c *client.Client) error {
+		v, err := c.Answer(ctx, a.id, a.wait)
+		if err != nil {
+			return err
+		}
+		if err := a.print(v, func(w io.Writer) { printAnswer(w, &v) }); err != nil {
+			return err
+		}
+		if v.Outcome != jobs.Done {
+			return &exitError{ExitNotDone, fmt.Errorf("job %s: %s %s %s", v.ID, v.State, v.Outcome, v.Detail)}
+		}
+		return nil
+	})
+}
+
+func printAnswer(w io.Writer, v *entry.Answer) {
+	for _, p := range v.Parts {
+		w.Write(p.Data)
+	}
+}
+
+func (a *app) runExplain() error {
+	return a.call(func(ctx context.Context, c *client.Client) error {
+		v, err := c.Explain(ctx, a.id)
+		if err != nil {
+			return err
+		}
+		return a.print(v, func(w io.Writer) { printExplanation(w, &v) })
+	})
+}
+
+func printExplanation(w io.Writer, v *cells.Explanation) {
+	fmt.Fprintf(w, "%s/%s: %s %s %s\n", v.Account, v.ID, v.State, v.Outcome, v.Detail)
+	fmt.Fprintf(w, "  cell %s, revision %d, guarantee %q, targets %v\n", v.Cell, v.Revision, v.Guarantee, v.Targets)
+	if v.Reason != "" {
+		fmt.Fprintf(w, "  waits: %s (%d arrived before)\n  to change that: %s\n", v.Reason, v.Ahead, v.Hint)
+	}
+	for _, e := range v.Events {
+		fmt.Fprintf(w, "  %s %-18s host %s epoch %d revision %d %s\n", e.Time.Format(time.TimeOnly+".000"), e.What, e.Host, e.Epoch, e.Revision, e.Detail)
+	}
+}
+
+// table prints rows in columns.
+func table(w io.Writer, rows func(t io.Writer)) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	rows(t)
+	t.Flush()
+}
+
+func (a *app) runJobs() error {
+	return a.call(func(ctx context.Context, c *client.Client) error {
+		var all []entry.Status
+		for after := ""; ; {
+			p, err := c.List(ctx, after, 1000)
+			if err != nil {
+				return err
+			}
+			all = append(all, p.Jobs...)
+			if after = p.After; after == "" {
+				break
+			}
+		}
+		return a.print(all, func(w io.Writer) {
+			table(w, func(t io.Writer) {
+				fmt.Fprintln(t, "ID\tState\tOutcome\tCell\tAccepted")
+				for _, j := range all {
+					fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\n", j.ID, j.State, j.Outcome, j.Cell, j.Accepted.Format(time.RFC3339))
+				}
+			})
+		})
+	})
+}
+
+func (a *app) runHosts() error {
+	return a.call(func(ctx context.Context, c *client.Client) error {
+		l, err := c.Hosts(ctx)
+		if err != nil {
+			return err
+		}
+		return a.print(l, func(w io.Writer) {
+			table(w, func(t io.Writer) {
+				fmt.Fprintln(t, "Host\tData centre\tAddress\tRevision\tLeaving\tCells")
+				for _, h := range l {
+					fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%t\t%v\n", h.ID, h.DataCentre, h.Address, h.Revision, h.Leaving, h.Cells)
+				}
+			})
+		})
+	})
+}
+
+func (a *app) runTargets() error {
+	return a.call(func(ctx context.Context, c *client.Client) error {
+		l, err := c.Targets(ctx)
+		if err != nil {
+			return err
+		}
+		return a.print(l, func(w io.Writer) {
+			table(w, func(t io.Writer) {
+				fmt.Fprintln(t, "Target\tCell\tRack\tState\tAccelerators free\tGuarantees\tJobs")
+				for _, x := range l {
+					fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d/%d\t%v\t%v\n", x.ID, x.Cell, x.Rack, x.State, x.Free.Accelerators, x.Room.Accelerators, x.Guarantees, x.Jobs)
+				}
+			})
+		})
+	})
+}
+
+func (a *app) runAccounts() error {
+	return a.call(func(ctx context.Context, c *client.Client) error {
+		l, err := c.Accounts(ctx)
+		if err != nil {
+			return err
+		}
+		return a.print(l, func(w io.Writer) {
+			table(w, func(t io.Writer) {
+				fmt.Fprintln(t, "Account\tCell\tGuaranteed\tUsed\tBorrowed\tLent\tWaiting\tPlaced\tUnseated")
+				for _, x := range l {
+					fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%v\n", x.Account, x.Cell, x.Guaranteed, x.Used, x.Borrowed, x.Lent, x.Waiting, x.Placed, x.Unseated)
+				}
+			})
+		})
+	})
+}
+
+func (a *app) runDrain() error {
+	return a.call(func(ctx context.Context, c *client.Client) error { return c.Drain(ctx) })
+}
+
+func (a *app) runPropose() error {
+	m, err := loadManifest(a.file)
+	if err != nil {
+		return inputError(err)
+	}
+	return a.call(func(ctx context.Context, c *client.Client) error {
+		base := int64(a.base)
+		if base < 0 {
+			if base, err = inForce(ctx, c); err != nil {
+				return err
+			}
+		}
+		if a.key == "" {
+			b, err := json.Marshal(m)
+			if err != nil {
+				return fmt.Errorf("encode manifest: %w", err)
+			}
+			h := sha256.Sum256(fmt.Appendf(b, "%d", base))
+			a.key = hex.EncodeToString(h[:16])
+		}
+		v, err := c.Propose(ctx, &entry.Proposal{ID: a.key, Base: base, Manifest: *m})
+		if err != nil {
+			return err
+		}
+		return a.print(v, func(w io.Writer) { fmt.Fprintf(w, "accepted as revision %d\n", v.Number) })
+	})
+}
+
+// inForce returns the number of the revision in force, 0 if there is none.
+func inForce(ctx context.Context, c *client.Client) (int64, error) {
+	v, err := c.Manifest(ctx)
+	if p := client.ProblemOf(err); p != nil && p.Status == 404 {
+		return 0, nil
+	}
+	return v.Number, err
+}
+
+func (a *app) runShow() error {
+	return a.call(func(ctx context.Context, c *client.Client) error {
+		v, err := c.Manifest(ctx)
+		if err != nil {
+			return err
+		}
+		return a.print(v, func(w io.Writer) {
+			fmt.Fprintf(w, "# revision %d, proposal %s\n", v.Number, v.Proposal)
+			if err := yaml.NewEncoder(w).Encode(v.Manifest); err != nil {
+				fmt.Fprintln(a.err, err)
+			}
+		})
+	})
+}
+
+func (a *app) runHistory() error {
+	if a.after < 0 {
+		return &exitError{ExitInvalid, errors.New("--after takes the number of a revision")}
+	}
+	return a.call(func(ctx context.Context, c *client.Client) error {
+		l, err := c.History(ctx, int64(a.after))
+		if err != nil {
+			return err
+		}
+		return a.print(l, func(w io.Writer) {
+			for _, v := range l {
+				fmt.Fprintf(w, "revision %d, proposal %s, %d accounts\n", v.Number, v.Proposal, len(v.Manifest.Accounts))
+			}
+		})
+	})
+}
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,178 @@
+// Package config reads the settings of a host.
+package config
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"citronbridge/cells"
+	"citronbridge/entry"
+	"citronbridge/fault"
+	"citronbridge/jobs"
+	"citronbridge/rules"
+	"citronbridge/units"
+)
+
+// Settings is what an operator says about one host.
+type Settings struct {
+	// Host is the host's name, unique in the deployment.
+	Host       string `yaml:"Host"`
+	DataCentre string `yaml:"DataCentre"`
+	// HTTPAddress serves callers and operators, PeerAddress the other hosts.
+	// Both are an IP number and a port.
+	HTTPAddress string   `yaml:"HTTPAddress"`
+	PeerAddress string   `yaml:"PeerAddress"`
+	Platform    Platform `yaml:"Platform"`
+	// OperatorTokenHash is the SHA-256 of the operators' token.
+	OperatorTokenHash string `yaml:"OperatorTokenHash"`
+	// PlainTCP allows unencrypted connections beyond loopback addresses.
+	PlainTCP bool   `yaml:"PlainTCP"`
+	LogLevel string `yaml:"LogLevel"`
+	Bounds   Bounds `yaml:"Bounds"`
+	Store    Store  `yaml:"Store"`
+}
+
+// Platform names the base URLs of the platform's services.
+type Platform struct {
+	Table   string `yaml:"Table"`
+	Objects string `yaml:"Objects"`
+	Hosts   string `yaml:"Hosts"`
+}
+
+// Store bounds this host's calls of the table service.
+type Store struct {
+	CallsPerSecond int `yaml:"CallsPerSecond"`
+}
+
+// Bounds are the times that a host works by.
+type Bounds struct {
+	Lease            units.Duration `yaml:"Lease"`
+	Start            units.Duration `yaml:"Start"`
+	Checkpoint       units.Duration `yaml:"Checkpoint"`
+	Stop             units.Duration `yaml:"Stop"`
+	Confirm          units.Duration `yaml:"Confirm"`
+	Offer            units.Duration `yaml:"Offer"`
+	Probe            units.Duration `yaml:"Probe"`
+	Heartbeat        units.Duration `yaml:"Heartbeat"`
+	HeartbeatTimeout units.Duration `yaml:"HeartbeatTimeout"`
+	LongPoll         units.Duration `yaml:"LongPoll"`
+	ManifestPoll     units.Duration `yaml:"ManifestPoll"`
+	HostListPoll     units.Duration `yaml:"HostListPoll"`
+	// DrainGrace is how long a leaving host still takes new connections.
+	DrainGrace units.Duration `yaml:"DrainGrace"`
+	// DrainLimit bounds the whole of a planned stop.
+	DrainLimit units.Duration `yaml:"DrainLimit"`
+}
+
+// Defaults returns settings in which only what the operator knows is missing.
+func Defaults() Settings {
+	d := func(t time.Duration) units.Duration { return units.Duration(t) }
+	return Settings{
+		LogLevel: "info",
+		Store:    Store{CallsPerSecond: 200},
+		Bounds: Bounds{
+			Lease: d(cells.DefaultLease), Start: d(cells.DefaultStart), Checkpoint: d(cells.DefaultCheckpoint),
+			Stop: d(cells.DefaultStop), Confirm: d(cells.DefaultConfirm), Offer: d(cells.DefaultOffer), Probe: d(cells.DefaultProbe),
+			Heartbeat: d(400 * time.Millisecond), HeartbeatTimeout: d(1500 * time.Millisecond),
+			LongPoll: d(entry.DefaultMaxWait), ManifestPoll: d(2 * time.Second), HostListPoll: d(500 * time.Millisecond),
+			DrainGrace: d(time.Second), DrainLimit: d(30 * time.Second),
+		},
+	}
+}
+
+var _ fault.Checker = (*Settings)(nil)
+
+// Load reads and checks a settings file.
+func Load(file string) (*Settings, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	return Decode(file, b)
+}
+
+// Decode reads settings over the defaults and checks them.
+func Decode(file string, b []byte) (*Settings, error) {
+	s := Defaults()
+	if err := fault.DecodeYAML(file, b, &s); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+// Check returns every fault of the settings.
+func (s *Settings) Check() fault.List {
+	var l fault.List
+	l.Check(jobs.ValidName(s.Host), "Host", s.Host, jobs.NameRule)
+	l.Check(jobs.ValidName(s.DataCentre), "DataCentre", s.DataCentre, jobs.NameRule)
+	s.checkAddress(&l, "HTTPAddress", s.HTTPAddress)
+	s.checkAddress(&l, "PeerAddress", s.PeerAddress)
+	l.Check(s.HTTPAddress == "" || s.HTTPAddress != s.PeerAddress || s.zeroPort(), "PeerAddress", s.PeerAddress, "another address than HTTPAddress")
+	checkURL(&l, "Platform.Table", s.Platform.Table)
+	checkURL(&l, "Platform.Objects", s.Platform.Objects)
+	checkURL(&l, "Platform.Hosts", s.Platform.Hosts)
+	l.Check(rules.ValidHash(s.OperatorTokenHash), "OperatorTokenHash", s.OperatorTokenHash, rules.HashRule)
+	_, err := zerolog.ParseLevel(s.LogLevel)
+	l.Check(err == nil && s.LogLevel != "", "LogLevel", s.LogLevel, "trace, debug, info, warn, error or disabled")
+	l.Range("Store.CallsPerSecond", int64(s.Store.CallsPerSecond), 1, 100000)
+	return append(l, s.Bounds.check().Within("Bounds.")...)
+}
+
+func (s *Settings) zeroPort() bool {
+	a, err := netip.ParseAddrPort(s.HTTPAddress)
+	return err == nil && a.Port() == 0
+}
+
+func (s *Settings) checkAddress(l *fault.List, field, v string) {
+	a, err := netip.ParseAddrPort(v)
+	if err != nil {
+		l.Add(field, v, "an IP number and a port, such as 10.0.0.1:8080")
+		return
+	}
+	l.Check(a.Addr().IsLoopback() || s.PlainTCP, field, v, "a loopback address, unless PlainTCP is true")
+}
+
+func checkURL(l *fault.List, field, v string) {
+	u, err := url.Parse(v)
+	ok := err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Path == "" && net.ParseIP(u.Hostname()) != nil
+	l.Check(ok, field, v, "a URL of scheme http or https, an IP number and a port")
+}
+
+// Limits of the bounds.
+const (
+	minBound = 10 * time.Millisecond
+	maxBound = 10 * time.Minute
+)
+
+func (b *Bounds) check() fault.List {
+	var l fault.List
+	for _, f := range []struct {
+		name string
+		v    units.Duration
+	}{
+		{"Lease", b.Lease}, {"Start", b.Start}, {"Checkpoint", b.Checkpoint}, {"Stop", b.Stop}, {"Confirm", b.Confirm},
+		{"Offer", b.Offer}, {"Probe", b.Probe}, {"Heartbeat", b.Heartbeat}, {"HeartbeatTimeout", b.HeartbeatTimeout},
+		{"LongPoll", b.LongPoll}, {"ManifestPoll", b.ManifestPoll}, {"HostListPoll", b.HostListPoll},
+		{"DrainGrace", b.DrainGrace}, {"DrainLimit", b.DrainLimit},
+	} {
+		l.Check(f.v.D() >= minBound && f.v.D() <= maxBound, f.name, f.v, fmt.Sprintf("a duration from %s to %s", minBound, maxBound))
+	}
+	l.Check(b.HeartbeatTimeout >= 2*b.Heartbeat, "HeartbeatTimeout", b.HeartbeatTimeout, "twice Heartbeat or more")
+	l.Check(b.Confirm > b.ManifestPoll, "Confirm", b.Confirm, "more than ManifestPoll")
+	l.Check(b.Lease >= 3*b.Start, "Lease", b.Lease, "three times Start or more")
+	return l
+}
+
+// Cells returns the bounds of a decider.
+func (b *Bounds) Cells() cells.Bounds {
+	return cells.Bounds{
+		Lease: b.Lease.D(), Start: b.Start.D(), Checkpoint: b.Checkpoint.D(), Stop: b.Stop.D(),
+		Confirm: b.Confirm.D(), Offer: b.Offer.D(), Probe: b.Probe.D(),
+	}
+}
--- /dev/null
+++ b/entry/admin.go
@@ -0,0 +1,211 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"citronbridge/cells"
+	"citronbridge/fault"
+	"citronbridge/jobs"
+	"citronbridge/place"
+	"citronbridge/rules"
+	"citronbridge/wire"
+)
+
+// maxManifest bounds the body of a proposal.
+const maxManifest = 4 << 20
+
+// HostView is a host as this one sees it.
+type HostView struct {
+	ID, DataCentre string
+	Address        string
+	Revision       int64
+	Leaving        bool
+	Cells          []CellView
+}
+
+// CellView is a cell that a host decides for.
+type CellView struct {
+	Cell  string
+	Epoch int64
+	Free  int64
+}
+
+// hosts lists the live hosts, this one first.
+func (s *Server) hosts(w http.ResponseWriter, _ *http.Request, _ identity) {
+	l := []HostView{}
+	for _, b := range append([]*wire.Heartbeat{s.c.Self()}, s.c.Live()...) {
+		v := HostView{ID: b.Host, DataCentre: b.DataCentre, Address: b.HttpAddress, Revision: b.Revision, Leaving: b.Leaving, Cells: []CellView{}}
+		for _, h := range b.Holds {
+			v.Cells = append(v.Cells, CellView{h.Cell, h.Epoch, h.Free})
+		}
+		l = append(l, v)
+	}
+	reply(w, http.StatusOK, l)
+}
+
+// targets lists the targets of all cells.
+func (s *Server) targets(w http.ResponseWriter, r *http.Request, _ identity) {
+	l := []cells.TargetView{}
+	for _, c := range s.c.View.Cells() {
+		t, err := s.c.Deciders.Targets(r.Context(), c)
+		if err != nil {
+			problem(w, http.StatusServiceUnavailable, "decider of "+c+": "+err.Error())
+			return
+		}
+		l = append(l, t...)
+	}
+	reply(w, http.StatusOK, l)
+}
+
+// accounts lists the accounts in all cells: an account sees itself alone.
+func (s *Server) accounts(w http.ResponseWriter, r *http.Request, id identity) {
+	all, err := s.allAccounts(r.Context())
+	if err != nil {
+		problem(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	l := []cells.AccountView{}
+	for _, v := range all {
+		if id.operator || v.Account == id.account {
+			l = append(l, v)
+		}
+	}
+	reply(w, http.StatusOK, l)
+}
+
+func (s *Server) allAccounts(ctx context.Context) ([]cells.AccountView, error) {
+	var l []cells.AccountView
+	for _, c := range s.c.View.Cells() {
+		v, err := s.c.Deciders.Accounts(ctx, c)
+		if err != nil {
+			return nil, fmt.Errorf("decider of %s: %w", c, err)
+		}
+		l = append(l, v...)
+	}
+	return l, nil
+}
+
+// manifest returns the revision in force.
+func (s *Server) manifest(w http.ResponseWriter, _ *http.Request, _ identity) {
+	v := s.c.Book.Current()
+	if v == nil {
+		problem(w, http.StatusNotFound, "no manifest was accepted yet")
+		return
+	}
+	reply(w, http.StatusOK, v)
+}
+
+// Proposal is a manifest that is to follow the revision Base.
+type Proposal struct {
+	// ID names the proposal, so that it can be sent again.
+	ID       string
+	Base     int64
+	Manifest rules.Manifest
+}
+
+// Check returns the faults of the proposal.
+func (p *Proposal) Check() fault.List {
+	var l fault.List
+	l.Check(jobs.ValidID(p.ID), "ID", p.ID, jobs.IDRule)
+	l.Check(p.Base >= 0, "Base", p.Base, "the number of a revision, or 0 for the first")
+	return append(l, p.Manifest.Check().Within("Manifest.")...)
+}
+
+// propose accepts a manifest if it can be honoured and no other came first.
+func (s *Server) propose(w http.ResponseWriter, r *http.Request, _ identity) {
+	var p Proposal
+	if err := fault.DecodeJSON(http.MaxBytesReader(w, r.Body, maxManifest), &p); err != nil {
+		badInput(w, err)
+		return
+	}
+	if l := s.unfeasible(&p.Manifest); len(l) > 0 {
+		(&Problem{Status: http.StatusUnprocessableEntity, Title: "Manifest can't be honoured", Faults: l}).write(w)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), insertTimeout)
+	defer cancel()
+	v, err := s.c.Register.Propose(ctx, p.ID, p.Base, &p.Manifest)
+	switch {
+	case errors.Is(err, rules.ErrSuperseded):
+		reply(w, http.StatusConflict, Superseded{"about:blank", "Superseded", http.StatusConflict, err.Error(), number(v)})
+	case err != nil:
+		(&Problem{Status: http.StatusServiceUnavailable, Detail: "send the proposal again under the same ID: " + err.Error(), RetryAfter: storeRetryAfter}).write(w)
+	default:
+		s.c.Adopted(v)
+		s.c.Log.Info().Int64("revision", v.Number).Str("proposal", p.ID).Msg("manifest accepted")
+		reply(w, http.StatusOK, v)
+	}
+}
+
+// Superseded is the problem of a proposal whose base is not in force.
+type Superseded struct {
+	Type     string `json:"type"`
+	Title    string `json:"title"`
+	Status   int    `json:"status"`
+	Detail   string `json:"detail"`
+	Revision int64
+}
+
+func number(v *rules.Revision) int64 {
+	if v == nil {
+		return 0
+	}
+	return v.Number
+}
+
+// unfeasible packs the guarantees onto the targets that are listed.
+func (s *Server) unfeasible(m *rules.Manifest) fault.List {
+	in := map[string][]place.Target{}
+	for _, h := range s.c.View.Hosts("Target") {
+		if !h.Leaving {
+			in[h.DataCentre] = append(in[h.DataCentre], place.Target{ID: h.ID, Rack: h.Rack, Room: h.Room, Open: true})
+		}
+	}
+	var l fault.List
+	for _, g := range place.Feasible(m, in) {
+		a, i, _ := strings.Cut(g, "/")
+		n, err := strconv.Atoi(i)
+		if err != nil {
+			continue
+		}
+		for k := range m.Accounts {
+			if m.Accounts[k].Name == a {
+				q := m.Accounts[k].Guarantees[n]
+				l.Add(fmt.Sprintf("Manifest.Accounts[%d].Guarantees[%d]", k, n), describe(q.Shape)+" in "+q.DataCentre,
+					"guarantees that the data centre's targets can hold all at once")
+			}
+		}
+	}
+	return l
+}
+
+// history lists accepted revisions.
+func (s *Server) history(w http.ResponseWriter, r *http.Request, _ identity) {
+	after := int64(0)
+	if v := r.URL.Query().Get("After"); v != "" {
+		n, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || n < 0 {
+			badInput(w, fault.List{{Field: "After", Value: v, Allowed: "the number of a revision"}})
+			return
+		}
+		after = n
+	}
+	l, err := s.c.Register.History(r.Context(), after, defaultPage)
+	if err != nil {
+		(&Problem{Status: http.StatusServiceUnavailable, Detail: err.Error(), RetryAfter: time.Second}).write(w)
+		return
+	}
+	reply(w, http.StatusOK, l)
+}
+
+// drain begins a planned stop of this host.
+func (s *Server) drain(w http.ResponseWriter, _ *http.Request, _ identity) {
+	s.c.Drain()
+	reply(w, http.StatusAccepted, Health{State: "Draining"})
+}
--- /dev/null
+++ b/entry/auth.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"citronbridge/fault"
+	"citronbridge/jobs"
+)
+
+// identity is who makes a call.
+type identity struct {
+	// account is empty for an operator.
+	account  string
+	operator bool
+}
+
+// HashToken returns the form in which a token stands in manifest and settings.
+func HashToken(token string) string {
+	h := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(h[:])
+}
+
+// identify finds out who holds the token of a call. Every known hash is
+// compared, each in constant time.
+func (s *Server) identify(r *http.Request) (identity, bool) {
+	t, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return identity{}, false
+	}
+	h := []byte(HashToken(t))
+	id := identity{operator: subtle.ConstantTimeCompare(h, []byte(s.c.OperatorHash)) == 1}
+	if v := s.c.Book.Current(); v != nil {
+		for i := range v.Manifest.Accounts {
+			a := &v.Manifest.Accounts[i]
+			if subtle.ConstantTimeCompare(h, []byte(a.TokenHash)) == 1 {
+				id.account = a.Name
+			}
+		}
+	}
+	return id, id.operator || id.account != ""
+}
+
+// handler serves a call of a known identity.
+type handler func(w http.ResponseWriter, r *http.Request, id identity)
+
+// caller lets client accounts in, and operators.
+func (s *Server) caller(h handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		id, ok := s.identify(r)
+		if !ok {
+			s.refuse("", "Unauthorized")
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			problem(w, http.StatusUnauthorized, "a bearer token of a client account or an operator is needed")
+			return
+		}
+		h(w, r, id)
+	}
+}
+
+// operator lets operators in.
+func (s *Server) operator(h handler) http.HandlerFunc {
+	return s.caller(func(w http.ResponseWriter, r *http.Request, id identity) {
+		if !id.operator {
+			s.refuse(id.account, "Forbidden")
+			problem(w, http.StatusForbidden, "an operator's token is needed")
+			return
+		}
+		h(w, r, id)
+	})
+}
+
+func (s *Server) refuse(account, reason string) {
+	s.c.Meter.Refusals.WithLabelValues(account, reason).Inc()
+}
+
+// key returns the job that a call names. An operator names the account by the
+// query parameter Account.
+func (s *Server) key(w http.ResponseWriter, r *http.Request, id identity) (jobs.Key, bool) {
+	k := jobs.Key{Account: id.account, ID: r.PathValue("id")}
+	if id.operator {
+		k.Account = r.URL.Query().Get("Account")
+	}
+	var l fault.List
+	l.Check(jobs.ValidName(k.Account), "Account", k.Account, "the name of a client account, as a query parameter")
+	l.Check(jobs.ValidID(k.ID), "ID", k.ID, jobs.IDRule)
+	if len(l) > 0 {
+		badInput(w, l)
+		return k, false
+	}
+	return k, true
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,168 @@
+// Package entry serves callers and operators over HTTP. Any host answers for
+// any request.
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/alexedwards/flow"
+	"github.com/rs/zerolog"
+
+	"citronbridge/cells"
+	"citronbridge/fleet"
+	"citronbridge/jobs"
+	"citronbridge/ledger"
+	"citronbridge/limit"
+	"citronbridge/meter"
+	"citronbridge/route"
+	"citronbridge/rules"
+	"citronbridge/wire"
+)
+
+// records reads and inserts jobs.
+type records interface {
+	Insert(ctx context.Context, r *jobs.Record) (ledger.Entry, bool, error)
+	Load(ctx context.Context, k jobs.Key) (ledger.Entry, error)
+	List(ctx context.Context, account, after string, limit int) ([]*jobs.Record, bool, error)
+}
+
+// deciders are asked about jobs that have not ended.
+type deciders interface {
+	Submit(ctx context.Context, cell string, k jobs.Key) error
+	Cancel(ctx context.Context, cell string, k jobs.Key) error
+	Wait(ctx context.Context, cell string, k jobs.Key, wait time.Duration) (*jobs.Record, error)
+	Explain(ctx context.Context, cell string, k jobs.Key) (cells.Explanation, error)
+	Targets(ctx context.Context, cell string) ([]cells.TargetView, error)
+	Accounts(ctx context.Context, cell string) ([]cells.AccountView, error)
+}
+
+// register keeps the accepted manifests.
+type register interface {
+	Propose(ctx context.Context, proposal string, base int64, m *rules.Manifest) (*rules.Revision, error)
+	History(ctx context.Context, after int64, limit int) ([]rules.Revision, error)
+}
+
+// objects holds large outputs.
+type objects interface {
+	Get(ctx context.Context, name string) ([]byte, error)
+}
+
+var (
+	_ records  = (*ledger.Ledger)(nil)
+	_ deciders = (*route.Router)(nil)
+	_ register = (*rules.Register)(nil)
+)
+
+// Config is what a Server needs.
+type Config struct {
+	Host     string
+	Records  records
+	Deciders deciders
+	Register register
+	Objects  objects
+	Book     *rules.Book
+	View     *fleet.View
+	Meter    *meter.Set
+	Log      zerolog.Logger
+	Now      func() time.Time
+	// Live returns the heartbeats of the other hosts, Self this one's.
+	Live         func() []*wire.Heartbeat
+	Self         func() *wire.Heartbeat
+	OperatorHash string
+	// Adopted is told of a manifest that this host accepted.
+	Adopted func(r *rules.Revision)
+	// Drain begins a planned stop.
+	Drain func()
+	// Ready reports why the host can't serve yet, or "".
+	Ready func() string
+	// MaxWait bounds a long poll.
+	MaxWait time.Duration
+}
+
+// DefaultMaxWait is the default bound of a long poll.
+const DefaultMaxWait = 20 * time.Second
+
+// Server serves the API.
+type Server struct {
+	c    Config
+	door *limit.Door
+	// drained is closed when a planned stop begins, so that long polls end.
+	drained chan struct{}
+	once    sync.Once
+	open    openJobs
+	wg      sync.WaitGroup
+	ctx     context.Context
+	cancel  context.CancelFunc
+}
+
+// New returns a Server.
+func New(c Config) (*Server, error) {
+	if c.Records == nil || c.Deciders == nil || c.Register == nil || c.Book == nil || c.View == nil || c.Meter == nil || c.Live == nil || c.Self == nil {
+		return nil, errors.New("entry: Records, Deciders, Register, Book, View, Meter, Live and Self are needed")
+	}
+	if c.MaxWait == 0 {
+		c.MaxWait = DefaultMaxWait
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	s := &Server{c: c, door: limit.New(), drained: make(chan struct{})}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	return s, nil
+}
+
+// EndPolls makes long polls answer at once, now and from now on.
+func (s *Server) EndPolls() { s.once.Do(func() { close(s.drained) }) }
+
+// Close ends what goes on behind answered requests.
+func (s *Server) Close() {
+	s.EndPolls()
+	s.cancel()
+	s.wg.Wait()
+}
+
+// Handler returns the API.
+func (s *Server) Handler() http.Handler {
+	m := flow.New()
+	m.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		problem(w, http.StatusNotFound, "no such resource: "+r.URL.Path)
+	})
+	m.MethodNotAllowed = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		problem(w, http.StatusMethodNotAllowed, r.Method+" is not served here")
+	})
+	m.HandleFunc("/v1/jobs", s.caller(s.submit), http.MethodPost)
+	m.HandleFunc("/v1/jobs", s.caller(s.list), http.MethodGet)
+	m.HandleFunc("/v1/jobs/:id", s.caller(s.status), http.MethodGet)
+	m.HandleFunc("/v1/jobs/:id", s.caller(s.cancelJob), http.MethodDelete)
+	m.HandleFunc("/v1/jobs/:id/answer", s.caller(s.answer), http.MethodGet)
+	m.HandleFunc("/v1/jobs/:id/explanation", s.caller(s.explain), http.MethodGet)
+	m.HandleFunc("/v1/accounts", s.caller(s.accounts), http.MethodGet)
+	m.HandleFunc("/v1/targets", s.operator(s.targets), http.MethodGet)
+	m.HandleFunc("/v1/hosts", s.operator(s.hosts), http.MethodGet)
+	m.HandleFunc("/v1/manifest", s.operator(s.manifest), http.MethodGet)
+	m.HandleFunc("/v1/manifest", s.operator(s.propose), http.MethodPost)
+	m.HandleFunc("/v1/manifest/history", s.operator(s.history), http.MethodGet)
+	m.HandleFunc("/v1/drain", s.operator(s.drain), http.MethodPost)
+	m.Handle("/metrics", s.c.Meter.Handler(), http.MethodGet)
+	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, Health{State: "Live"}) }, http.MethodGet)
+	m.HandleFunc("/readyz", s.ready, http.MethodGet)
+	return m
+}
+
+// Health is the answer of /healthz and /readyz.
+type Health struct {
+	State  string
+	Reason string `json:",omitempty"`
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if why := s.c.Ready(); why != "" {
+		reply(w, http.StatusServiceUnavailable, Health{"NotReady", why})
+		return
+	}
+	reply(w, http.StatusOK, Health{State: "Ready"})
+}
--- /dev/null
+++ b/entry/jobs.go
@@ -0,0 +1,279 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"citronbridge/cells"
+	"citronbridge/fault"
+	"citronbridge/jobs"
+)
+
+// Bounds of reading jobs.
+const (
+	defaultPage = 100
+	maxPage     = 1000
+	pollWait    = 300 * time.Millisecond
+	// maxInlineAnswer is the largest answer, in bytes, whose parts come along
+	// in JSON.
+	maxInlineAnswer = 16 << 20
+)
+
+// load reads a job, and answers the call itself if there is none.
+func (s *Server) load(w http.ResponseWriter, r *http.Request, k jobs.Key) *jobs.Record {
+	e, err := s.c.Records.Load(r.Context(), k)
+	switch {
+	case err != nil:
+		(&Problem{Status: http.StatusServiceUnavailable, Detail: "the table service is not available", RetryAfter: storeRetryAfter}).write(w)
+	case e.Record == nil:
+		problem(w, http.StatusNotFound, "no such job: "+k.ID)
+	default:
+		return e.Record
+	}
+	return nil
+}
+
+// current returns what the decider knows of a job that is open.
+func (s *Server) current(ctx context.Context, rec *jobs.Record) *jobs.Record {
+	if rec.Final() {
+		return rec
+	}
+	n, err := s.c.Deciders.Wait(ctx, rec.Cell, rec.Spec.Key(), 0)
+	if err != nil {
+		return rec
+	}
+	return n
+}
+
+// status tells where a job stands.
+func (s *Server) status(w http.ResponseWriter, r *http.Request, id identity) {
+	k, ok := s.key(w, r, id)
+	if !ok {
+		return
+	}
+	if rec := s.load(w, r, k); rec != nil {
+		reply(w, http.StatusOK, statusOf(s.current(r.Context(), rec)))
+	}
+}
+
+// Page is a part of the list of an account's jobs.
+type Page struct {
+	Jobs []Status
+	// After, if set, is to be sent along to get the next page.
+	After string `json:",omitempty"`
+}
+
+// list lists an account's jobs by their IDs.
+func (s *Server) list(w http.ResponseWriter, r *http.Request, id identity) {
+	q := r.URL.Query()
+	account := id.account
+	if id.operator {
+		account = q.Get("Account")
+	}
+	n, l := defaultPage, fault.List{}
+	if v := q.Get("Limit"); v != "" {
+		i, err := strconv.Atoi(v)
+		l.Check(err == nil && i >= 1 && i <= maxPage, "Limit", v, fmt.Sprintf("a whole number from 1 to %d", maxPage))
+		n = i
+	}
+	after := q.Get("After")
+	l.Check(after == "" || jobs.ValidID(after), "After", after, jobs.IDRule)
+	l.Check(jobs.ValidName(account), "Account", account, "the name of a client account")
+	if len(l) > 0 {
+		badInput(w, l)
+		return
+	}
+	recs, more, err := s.c.Records.List(r.Context(), account, after, n)
+	if err != nil {
+		(&Problem{Status: http.StatusServiceUnavailable, Detail: "the table service is not available", RetryAfter: storeRetryAfter}).write(w)
+		return
+	}
+	p := Page{Jobs: []Status{}}
+	for _, rec := range recs {
+		p.Jobs = append(p.Jobs, statusOf(rec))
+		if more {
+			p.After = rec.Spec.ID
+		}
+	}
+	reply(w, http.StatusOK, p)
+}
+
+// cancelJob asks for a job to be stopped.
+func (s *Server) cancelJob(w http.ResponseWriter, r *http.Request, id identity) {
+	k, ok := s.key(w, r, id)
+	if !ok {
+		return
+	}
+	rec := s.load(w, r, k)
+	if rec == nil {
+		return
+	}
+	if rec.Final() {
+		reply(w, http.StatusOK, statusOf(rec))
+		return
+	}
+	if err := s.c.Deciders.Cancel(r.Context(), rec.Cell, k); err != nil {
+		(&Problem{Status: http.StatusServiceUnavailable, Detail: "the job's decider doesn't answer: " + err.Error(), RetryAfter: storeRetryAfter}).write(w)
+		return
+	}
+	reply(w, http.StatusAccepted, statusOf(s.current(r.Context(), rec)))
+}
+
+// explain tells why a job waits, or what became of it.
+func (s *Server) explain(w http.ResponseWriter, r *http.Request, id identity) {
+	k, ok := s.key(w, r, id)
+	if !ok {
+		return
+	}
+	rec := s.load(w, r, k)
+	if rec == nil {
+		return
+	}
+	if !rec.Final() {
+		e, err := s.c.Deciders.Explain(r.Context(), rec.Cell, k)
+		if err == nil {
+			reply(w, http.StatusOK, e)
+			return
+		}
+	}
+	reply(w, http.StatusOK, cells.Explain(rec))
+}
+
+// Answer is the outcome of a job, with the whole output of each member if it
+// is Done.
+type Answer struct {
+	Status
+	Parts []jobs.Part `json:",omitempty"`
+}
+
+// answer returns a job's answer once it has ended. It waits for that as long
+// as the query parameter Wait says, and else answers 202.
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, id identity) {
+	k, ok := s.key(w, r, id)
+	if !ok {
+		return
+	}
+	wait, member, err := s.answerQuery(r)
+	if err != nil {
+		badInput(w, err)
+		return
+	}
+	rec := s.load(w, r, k)
+	if rec == nil {
+		return
+	}
+	rec = s.await(r.Context(), rec, wait)
+	switch {
+	case !rec.Final():
+		reply(w, http.StatusAccepted, Answer{Status: statusOf(rec)})
+	case member >= 0:
+		s.part(w, r, rec, member)
+	default:
+		s.whole(w, r, rec)
+	}
+}
+
+func (s *Server) answerQuery(r *http.Request) (wait time.Duration, member int, err error) {
+	q, l := r.URL.Query(), fault.List{}
+	if v := q.Get("Wait"); v != "" {
+		wait, err = time.ParseDuration(v)
+		l.Check(err == nil && wait >= 0 && wait <= s.c.MaxWait, "Wait", v, "a duration from 0s to "+s.c.MaxWait.String())
+	}
+	member = -1
+	if v := q.Get("Member"); v != "" {
+		member, err = strconv.Atoi(v)
+		l.Check(err == nil && member >= 0 && member < jobs.MaxMembers, "Member", v, "a member's number")
+	}
+	return wait, member, l.Err()
+}
+
+// await returns the job's record when it has ended or wait is over. The
+// decider tells of the end; without one the row is read again and again.
+func (s *Server) await(ctx context.Context, rec *jobs.Record, wait time.Duration) *jobs.Record {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	go func() {
+		select {
+		case <-s.drained:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	end := time.Now().Add(wait)
+	for !rec.Final() && ctx.Err() == nil {
+		n, err := s.c.Deciders.Wait(ctx, rec.Cell, rec.Spec.Key(), time.Until(end))
+		if err == nil && n.Final() {
+			return n
+		}
+		e, err := s.c.Records.Load(ctx, rec.Spec.Key())
+		if err == nil && e.Record != nil {
+			rec = e.Record
+		}
+		if rec.Final() {
+			break
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pollWait):
+		}
+	}
+	return rec
+}
+
+// whole answers with all parts. Each part's length and checksum are those of
+// the target, and a part that doesn't match is never sent.
+func (s *Server) whole(w http.ResponseWriter, r *http.Request, rec *jobs.Record) {
+	a := Answer{Status: statusOf(rec)}
+	total := int64(0)
+	for i := range rec.Answer {
+		total += rec.Answer[i].Length
+	}
+	for _, p := range rec.Answer {
+		if total <= maxInlineAnswer {
+			b, err := s.data(r.Context(), &p)
+			if err != nil {
+				(&Problem{Status: http.StatusBadGateway, Title: "Answer not available", Detail: err.Error(), Outcome: rec.Outcome, RetryAfter: storeRetryAfter}).write(w)
+				return
+			}
+			p.Data = b
+		}
+		a.Parts = append(a.Parts, p)
+	}
+	reply(w, http.StatusOK, a)
+}
+
+// part answers with the output of one member as it is.
+func (s *Server) part(w http.ResponseWriter, r *http.Request, rec *jobs.Record, member int) {
+	if member >= len(rec.Answer) {
+		problem(w, http.StatusNotFound, "the answer has no such part")
+		return
+	}
+	p := &rec.Answer[member]
+	b, err := s.data(r.Context(), p)
+	if err != nil {
+		(&Problem{Status: http.StatusBadGateway, Title: "Answer not available", Detail: err.Error(), Outcome: rec.Outcome, RetryAfter: storeRetryAfter}).write(w)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	w.Header().Set("Repr-Digest", "sha-256=:"+p.Checksum+":")
+	w.Write(b)
+}
+
+// data returns the verified output of a member.
+func (s *Server) data(ctx context.Context, p *jobs.Part) ([]byte, error) {
+	b := p.Data
+	if p.Object != "" {
+		var err error
+		if b, err = s.c.Objects.Get(ctx, p.Object); err != nil {
+			return nil, err
+		}
+	}
+	if !p.Verify(b) {
+		return nil, fmt.Errorf("output of member %d is not whole", p.Member)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/entry/submit.go
@@ -0,0 +1,287 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"citronbridge/cells"
+	"citronbridge/fault"
+	"citronbridge/jobs"
+	"citronbridge/rules"
+	"citronbridge/table"
+)
+
+// Bounds of a submission.
+const (
+	maxBody       = 512 << 10
+	insertTimeout = 5 * time.Second
+	tellTimeout   = 5 * time.Second
+	tellWait      = 100 * time.Millisecond
+	// storeRetryAfter is what a caller is told to wait for the store.
+	storeRetryAfter = time.Second
+)
+
+// Status tells where a job stands.
+type Status struct {
+	ID       string
+	Account  string
+	Cell     string
+	State    jobs.State
+	Outcome  jobs.Outcome `json:",omitempty"`
+	Detail   string       `json:",omitempty"`
+	Accepted time.Time
+	Started  time.Time `json:",omitzero"`
+	Finished time.Time `json:",omitzero"`
+}
+
+func statusOf(r *jobs.Record) Status {
+	return Status{r.Spec.ID, r.Spec.Account, r.Cell, r.State, r.Outcome, r.Detail, r.Accepted, r.Started, r.Finished}
+}
+
+// submit takes a job.
+func (s *Server) submit(w http.ResponseWriter, r *http.Request, id identity) {
+	if id.account == "" {
+		problem(w, http.StatusForbidden, "a client account's token is needed")
+		return
+	}
+	spec, err := readSpec(w, r, id)
+	if err != nil {
+		s.refuse(id.account, "Invalid")
+		badInput(w, err)
+		return
+	}
+	rev := s.c.Book.Current()
+	if rev == nil {
+		s.refuse(id.account, "NotReady")
+		(&Problem{Status: http.StatusServiceUnavailable, Detail: "no manifest yet", RetryAfter: storeRetryAfter}).write(w)
+		return
+	}
+	if err := checkKind(spec, &rev.Manifest); err != nil {
+		s.refuse(id.account, "Invalid")
+		badInput(w, err)
+		return
+	}
+	if p := s.admit(spec, rev); p != nil {
+		s.turnAway(w, r, spec, p)
+		return
+	}
+	cell := s.chooseCell(spec, &rev.Manifest)
+	if cell == "" {
+		s.refuse(id.account, "NeverFits")
+		l := fault.List{{Field: "Shape", Value: describe(spec.Shape), Allowed: "a shape that a data centre's targets could hold"}}
+		(&Problem{Status: http.StatusUnprocessableEntity, Title: "Shape never fits", Faults: l}).write(w)
+		return
+	}
+	s.insert(w, r, spec, cell, rev.Number)
+}
+
+func describe(s jobs.Shape) string {
+	return fmt.Sprintf("%d x %d accelerators in one %s", s.Members, s.Each.Accelerators, s.Adjacency)
+}
+
+// readSpec reads the body. The request ID may come in the header instead.
+func readSpec(w http.ResponseWriter, r *http.Request, id identity) (*jobs.Spec, error) {
+	h := strings.Trim(r.Header.Get("Idempotency-Key"), `"`)
+	spec := &submission{Spec: jobs.Spec{}, header: h, account: id.account}
+	if err := fault.DecodeJSON(http.MaxBytesReader(w, r.Body, maxBody), spec); err != nil {
+		return nil, err
+	}
+	return &spec.Spec, nil
+}
+
+// submission is a Spec as a caller sends it.
+type submission struct {
+	jobs.Spec
+	header, account string
+}
+
+// Check fills in what the call says besides its body, and checks the whole.
+func (s *submission) Check() fault.List {
+	var l fault.List
+	l.Check(s.header == "" || s.ID == "" || s.ID == s.header, "ID", s.ID, "the same as the header Idempotency-Key, or left out")
+	l.Check(s.Account == "" || s.Account == s.account, "Account", s.Account, "the token's account, or left out")
+	if s.ID == "" {
+		s.ID = s.header
+	}
+	s.Account = s.account
+	return append(l, s.Spec.Check()...)
+}
+
+func checkKind(s *jobs.Spec, m *rules.Manifest) error {
+	if m.Urgency(s.Kind) >= 0 {
+		return nil
+	}
+	names := make([]string, 0, len(m.Kinds))
+	for _, k := range m.Kinds {
+		names = append(names, k.Name)
+	}
+	return fault.List{{Field: "Kind", Value: s.Kind, Allowed: "one of " + strings.Join(names, ", ")}}
+}
+
+// admit checks the limits of account and caller.
+func (s *Server) admit(spec *jobs.Spec, rev *rules.Revision) *Problem {
+	l := rev.Manifest.Account(spec.Account).Limits
+	if s.open.full(spec.Account, l.WithDefaults().OpenJobs) {
+		s.refuse(spec.Account, "OpenJobs")
+		return &Problem{Status: http.StatusTooManyRequests, Title: "Too many open jobs", RetryAfter: openRefresh}
+	}
+	if f := s.door.Take(spec, l, 1+len(s.c.Live()), s.c.Now()); f != nil {
+		s.refuse(spec.Account, f.Reason)
+		return &Problem{Status: http.StatusTooManyRequests, Title: "Too many requests", Detail: f.Reason, RetryAfter: f.RetryAfter}
+	}
+	return nil
+}
+
+// turnAway answers a call beyond the limits. A request that was accepted
+// before is still answered with its status.
+func (s *Server) turnAway(w http.ResponseWriter, r *http.Request, spec *jobs.Spec, p *Problem) {
+	e, err := s.c.Records.Load(r.Context(), spec.Key())
+	if err == nil && e.Record != nil {
+		s.repeated(w, spec, e.Record)
+		return
+	}
+	if err == nil {
+		p.Outcome = jobs.NotRun
+	}
+	p.write(w)
+}
+
+// chooseCell returns the cell for a job: one that holds a guarantee of the
+// account that the job fits, or else the one with the most free accelerators.
+func (s *Server) chooseCell(spec *jobs.Spec, m *rules.Manifest) string {
+	free := map[string]int64{}
+	for _, b := range append(s.c.Live(), s.c.Self()) {
+		for _, h := range b.GetHolds() {
+			free[h.Cell] = h.Free
+		}
+	}
+	best := ""
+	for _, cell := range s.c.View.Cells() {
+		if !cells.Holds(s.c.View, cell, spec) {
+			continue
+		}
+		if guaranteed(m, spec, cell) {
+			return cell
+		}
+		if best == "" || free[cell] > free[best] {
+			best = cell
+		}
+	}
+	return best
+}
+
+func guaranteed(m *rules.Manifest, spec *jobs.Spec, cell string) bool {
+	for _, g := range m.Account(spec.Account).Guarantees {
+		if g.DataCentre == cell && spec.Shape.Accelerators() <= g.Shape.Accelerators() && spec.Shape.Each.Accelerators <= g.Shape.Each.Accelerators {
+			return true
+		}
+	}
+	return false
+}
+
+// insert records the job, and tells its decider.
+func (s *Server) insert(w http.ResponseWriter, r *http.Request, spec *jobs.Spec, cell string, revision int64) {
+	digest, err := spec.Digest()
+	if err != nil {
+		problem(w, http.StatusInternalServerError, err.Error())
+		return
+	}
+	rec := &jobs.Record{Spec: *spec, Digest: digest, Cell: cell, State: jobs.Waiting, Accepted: s.c.Now().UTC(), Revision: revision}
+	rec.Log(jobs.Event{Time: rec.Accepted, What: "Accepted", Host: s.c.Host, Revision: revision})
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), insertTimeout)
+	defer cancel()
+	e, fresh, err := s.c.Records.Insert(ctx, rec)
+	switch {
+	case errors.Is(err, table.ErrUncertain):
+		s.refuse(spec.Account, "Uncertain")
+		(&Problem{Status: http.StatusServiceUnavailable, Outcome: jobs.Unknown, RetryAfter: storeRetryAfter,
+			Detail: "it is not known whether the request was recorded: send it again under the same ID"}).write(w)
+	case err != nil:
+		s.refuse(spec.Account, "Store")
+		(&Problem{Status: http.StatusServiceUnavailable, RetryAfter: storeRetryAfter, Detail: "nothing was recorded: the table service is not available"}).write(w)
+	case !fresh:
+		s.repeated(w, spec, e.Record)
+	default:
+		s.open.add(spec.Account)
+		s.tell(cell, spec.Key())
+		w.Header().Set("Location", "/v1/jobs/"+spec.ID)
+		reply(w, http.StatusAccepted, statusOf(rec))
+	}
+}
+
+// repeated answers a request whose ID was taken before.
+func (s *Server) repeated(w http.ResponseWriter, spec *jobs.Spec, rec *jobs.Record) {
+	digest, err := spec.Digest()
+	if err != nil || rec == nil || digest != rec.Digest {
+		s.refuse(spec.Account, "Conflict")
+		problem(w, http.StatusConflict, "another request has the ID "+spec.ID)
+		return
+	}
+	reply(w, http.StatusOK, statusOf(rec))
+}
+
+// tell gives a new job to its decider. If that fails for long, the decider
+// finds the job among the open rows.
+func (s *Server) tell(cell string, k jobs.Key) {
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		ctx, cancel := context.WithTimeout(s.ctx, tellTimeout)
+		defer cancel()
+		for s.c.Deciders.Submit(ctx, cell, k) != nil {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(tellWait):
+			}
+		}
+	}()
+}
+
+// openRefresh is how often the number of open jobs is learned anew.
+const openRefresh = time.Second
+
+// openJobs counts the open jobs of each account.
+type openJobs struct {
+	mu    sync.Mutex
+	known map[string]int
+}
+
+func (o *openJobs) full(account string, limit int) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.known[account] >= limit
+}
+
+func (o *openJobs) add(account string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.known == nil {
+		o.known = map[string]int{}
+	}
+	o.known[account]++
+}
+
+func (o *openJobs) set(m map[string]int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.known = m
+}
+
+// Refresh learns how many jobs each account has open.
+func (s *Server) Refresh(ctx context.Context) {
+	l, err := s.allAccounts(ctx)
+	if err != nil {
+		return
+	}
+	m := map[string]int{}
+	for _, v := range l {
+		m[v.Account] += v.Waiting + v.Placed
+	}
+	s.open.set(m)
+}
--- /dev/null
+++ b/fakes/fakes.go
@@ -0,0 +1,54 @@
+// Package fakes holds small stand-ins for the platform: table service, object
+// store, host list and targets. Tests and the demo run against them.
+package fakes
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+// maxBody bounds what a stand-in reads of a request.
+const maxBody = 64 << 20
+
+// Server is a stand-in that listens.
+type Server struct {
+	// Address is the IP number and port that it listens on.
+	Address string
+	http    *http.Server
+}
+
+// Listen serves h on address. Port 0 takes a free one.
+func Listen(address string, h http.Handler) (*Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	s := &Server{Address: l.Addr().String(), http: &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}}
+	go s.http.Serve(l)
+	return s, nil
+}
+
+// URL returns the base URL of the server.
+func (s *Server) URL() string { return "http://" + s.Address }
+
+// Close cuts all connections.
+func (s *Server) Close() error { return s.http.Close() }
+
+// read decodes the request body into v and answers 400 if it can't.
+func read(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// write answers v as JSON.
+func write(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/fakes/hosts.go
@@ -0,0 +1,98 @@
+package fakes
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"citronbridge/fleet"
+)
+
+// Hosts is a list of hosts that lags.
+type Hosts struct {
+	lag time.Duration
+
+	mu      sync.Mutex
+	hosts   map[string]fleet.Host
+	history []snapshot
+	outage  bool
+}
+
+type snapshot struct {
+	at   time.Time
+	list []fleet.Host
+}
+
+// NewHosts returns an empty list that shows changes after lag.
+func NewHosts(lag time.Duration) *Hosts {
+	return &Hosts{lag: lag, hosts: map[string]fleet.Host{}}
+}
+
+// Handler serves GET /hosts, and for tests PUT and DELETE of /hosts/ID and
+// PUT of /outage.
+func (h *Hosts) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /hosts", h.get)
+	m.HandleFunc("PUT /hosts/{id}", func(w http.ResponseWriter, r *http.Request) {
+		var v fleet.Host
+		if read(w, r, &v) {
+			h.Set(v)
+		}
+	})
+	m.HandleFunc("DELETE /hosts/{id}", func(_ http.ResponseWriter, r *http.Request) { h.Remove(r.PathValue("id")) })
+	m.HandleFunc("PUT /outage", func(w http.ResponseWriter, r *http.Request) {
+		var b bool
+		if read(w, r, &b) {
+			h.mu.Lock()
+			h.outage = b
+			h.mu.Unlock()
+		}
+	})
+	return m
+}
+
+// Set adds or replaces an entry.
+func (h *Hosts) Set(v fleet.Host) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.hosts[v.ID] = v
+	h.note()
+}
+
+// Remove takes an entry out.
+func (h *Hosts) Remove(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.hosts, id)
+	h.note()
+}
+
+// note records the list as it is now. The lock is held.
+func (h *Hosts) note() {
+	s := snapshot{at: time.Now()}
+	for _, v := range h.hosts {
+		s.list = append(s.list, v)
+	}
+	slices.SortFunc(s.list, func(a, b fleet.Host) int { return strings.Compare(a.ID, b.ID) })
+	h.history = append(h.history, s)
+}
+
+func (h *Hosts) get(w http.ResponseWriter, _ *http.Request) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.outage {
+		http.Error(w, "outage", http.StatusServiceUnavailable)
+		return
+	}
+	list := []fleet.Host{}
+	cut := time.Now().Add(-h.lag)
+	for len(h.history) > 1 && !h.history[1].at.After(cut) {
+		h.history = h.history[1:]
+	}
+	if len(h.history) > 0 && !h.history[0].at.After(cut) {
+		list = h.history[0].list
+	}
+	write(w, list)
+}
--- /dev/null
+++ b/fakes/table.go
@@ -0,0 +1,204 @@
+package fakes
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/tidwall/btree"
+	"golang.org/x/time/rate"
+
+	"citronbridge/table"
+	"citronbridge/units"
+)
+
+// TableFaults are the faults that a Table shows until they are replaced.
+type TableFaults struct {
+	// Outage refuses every call.
+	Outage bool
+	// Delay is how long every call takes.
+	Delay units.Duration
+	// LosePercent is the share of commits that take effect, but whose answer
+	// is cut off.
+	LosePercent int
+	// Seed draws the commits that lose their answer.
+	Seed uint64
+}
+
+// Table is a table service that keeps the platform's limits.
+type Table struct {
+	mu     sync.Mutex
+	rows   btree.Map[string, table.Row]
+	faults TableFaults
+	random *rand.Rand
+	counts TableCounts
+
+	writes, reads *rate.Limiter
+}
+
+// TableCounts is what a Table has served.
+type TableCounts struct {
+	Reads, Writes, Rows, Refused, Lost int
+}
+
+// NewTable returns an empty Table that takes so many calls a second.
+func NewTable(writes, reads int) *Table {
+	return &Table{
+		writes: rate.NewLimiter(rate.Limit(writes), writes),
+		reads:  rate.NewLimiter(rate.Limit(reads), reads),
+		random: rand.New(rand.NewPCG(1, 1)),
+	}
+}
+
+// Handler serves /get, /scan, /commit, and /faults and /counts for tests.
+func (t *Table) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("POST /get", t.guard(t.reads, t.get))
+	m.HandleFunc("GET /scan", t.guard(t.reads, t.scan))
+	m.HandleFunc("POST /commit", t.guard(t.writes, t.commit))
+	m.HandleFunc("PUT /faults", t.setFaults)
+	m.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { write(w, t.Counts()) })
+	return m
+}
+
+// Counts returns what the table has served.
+func (t *Table) Counts() TableCounts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.counts
+	c.Rows = t.rows.Len()
+	return c
+}
+
+// SetFaults replaces the faults.
+func (t *Table) SetFaults(f TableFaults) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = f
+	t.random = rand.New(rand.NewPCG(f.Seed, 1))
+}
+
+func (t *Table) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f TableFaults
+	if read(w, r, &f) {
+		t.SetFaults(f)
+		write(w, f)
+	}
+}
+
+// guard applies outage, delay and the limit before h.
+func (t *Table) guard(l *rate.Limiter, h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		t.mu.Lock()
+		f := t.faults
+		t.mu.Unlock()
+		time.Sleep(f.Delay.D())
+		if f.Outage || !l.Allow() {
+			t.mu.Lock()
+			t.counts.Refused++
+			t.mu.Unlock()
+			http.Error(w, "not served", http.StatusServiceUnavailable)
+			return
+		}
+		h(w, r)
+	}
+}
+
+func (t *Table) get(w http.ResponseWriter, r *http.Request) {
+	var keys []string
+	if !read(w, r, &keys) {
+		return
+	}
+	t.mu.Lock()
+	t.counts.Reads++
+	rows := []table.Row{}
+	for _, k := range keys {
+		if v, ok := t.rows.Get(k); ok {
+			rows = append(rows, v)
+		}
+	}
+	t.mu.Unlock()
+	write(w, rows)
+}
+
+func (t *Table) scan(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	n, err := strconv.Atoi(q.Get("Limit"))
+	if err != nil || n < 1 || n > table.MaxPage {
+		http.Error(w, "bad Limit", http.StatusBadRequest)
+		return
+	}
+	prefix, after := q.Get("Prefix"), q.Get("After")
+	p := table.Page{Rows: []table.Row{}}
+	t.mu.Lock()
+	t.counts.Reads++
+	t.rows.Ascend(max(prefix, after), func(k string, v table.Row) bool {
+		if !strings.HasPrefix(k, prefix) {
+			return false
+		}
+		if k == after {
+			return true
+		}
+		if len(p.Rows) == n {
+			p.More = true
+			return false
+		}
+		p.Rows = append(p.Rows, v)
+		return true
+	})
+	t.mu.Unlock()
+	write(w, p)
+}
+
+func (t *Table) commit(w http.ResponseWriter, r *http.Request) {
+	var x table.Transaction
+	if !read(w, r, &x) {
+		return
+	}
+	if err := x.Check().Err(); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	res, lost := t.Apply(x)
+	if lost {
+		// The connection is cut without an answer, though the writes stand.
+		panic(http.ErrAbortHandler)
+	}
+	write(w, res)
+}
+
+// Apply commits x, and tells whether the answer gets lost.
+func (t *Table) Apply(x table.Transaction) (r table.Result, lost bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Writes++
+	for _, c := range x.Conditions {
+		if v, _ := t.rows.Get(c.Key); v.Version != c.Version {
+			r.Conflicts = append(r.Conflicts, c.Key)
+		}
+	}
+	if len(r.Conflicts) == 0 {
+		for _, w := range x.Writes {
+			r.Versions = append(r.Versions, t.apply(w, x.Writer))
+		}
+	}
+	lost = t.random.IntN(100) < t.faults.LosePercent
+	if lost {
+		t.counts.Lost++
+	}
+	return r, lost
+}
+
+func (t *Table) apply(w table.Write, writer string) int64 {
+	if w.Delete {
+		t.rows.Delete(w.Key)
+		return 0
+	}
+	v, _ := t.rows.Get(w.Key)
+	n := v.Version + 1
+	t.rows.Set(w.Key, table.Row{Key: w.Key, Value: w.Value, Version: n, Writer: writer})
+	return n
+}
--- /dev/null
+++ b/fakes/target.go
@@ -0,0 +1,371 @@
+package fakes
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/xid"
+
+	"citronbridge/blobs"
+	"citronbridge/jobs"
+	"citronbridge/retry"
+	"citronbridge/target"
+)
+
+// inlineOutput is the largest output, in bytes, that goes with the report.
+const inlineOutput = 8 << 10
+
+// TargetFaults are the faults that a Target shows until they are replaced.
+type TargetFaults struct {
+	// FailAll breaks every task right after its start.
+	FailAll bool
+	// RefuseReserve and RefuseStart refuse these orders.
+	RefuseReserve bool
+	RefuseStart   bool
+	// IgnoreStop and IgnoreCheckpoint accept these orders and do nothing.
+	IgnoreStop       bool
+	IgnoreCheckpoint bool
+	// TruncateOutput cuts the last byte off each output without saying so.
+	TruncateOutput bool
+	// RepeatReports sends every known task with each report, not just changes.
+	RepeatReports bool
+}
+
+// LogEntry is one thing that happened at a Target.
+type LogEntry struct {
+	Time  time.Time
+	Event string
+	Task  target.TaskID
+}
+
+// Target runs pretended tasks under leases.
+type Target struct {
+	id      string
+	room    jobs.Room
+	objects *blobs.Client
+
+	mu          sync.Mutex
+	incarnation string
+	epoch       int64
+	sequence    int64
+	changed     chan struct{}
+	tasks       map[target.TaskID]*task
+	faults      TargetFaults
+	log         []LogEntry
+}
+
+type task struct {
+	target.Task
+	sequence int64
+	expires  time.Time
+	program  program
+	ends     *time.Timer
+	began    time.Time
+	// resumed is the run time that a checkpoint saved.
+	resumed time.Duration
+}
+
+// NewTarget returns a Target with room that puts large outputs into the
+// object store at objects.
+func NewTarget(id string, room jobs.Room, objects string) *Target {
+	return &Target{
+		id: id, room: room, incarnation: xid.New().String(),
+		objects: blobs.NewClient(objects, retry.New(retry.Config{Name: "objects"})),
+		changed: make(chan struct{}), tasks: map[target.TaskID]*task{},
+	}
+}
+
+// Handler serves /fence, /watch and /orders, and for tests /faults and /log.
+func (t *Target) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("POST /fence", t.fence)
+	m.HandleFunc("POST /watch", t.watch)
+	m.HandleFunc("POST /orders", t.orders)
+	m.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
+		var f TargetFaults
+		if read(w, r, &f) {
+			t.mu.Lock()
+			t.faults = f
+			t.mu.Unlock()
+		}
+	})
+	m.HandleFunc("GET /log", func(w http.ResponseWriter, _ *http.Request) { write(w, t.Log()) })
+	return m
+}
+
+// Log returns what happened so far.
+func (t *Target) Log() []LogEntry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.log)
+}
+
+// take raises the epoch and reports whether it isn't stale.
+func (t *Target) take(w http.ResponseWriter, epoch int64) bool {
+	if epoch < t.epoch {
+		http.Error(w, "fenced by a newer epoch", http.StatusConflict)
+		return false
+	}
+	t.epoch = epoch
+	return true
+}
+
+func (t *Target) fence(w http.ResponseWriter, r *http.Request) {
+	var q target.FenceRequest
+	if !read(w, r, &q) {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.take(w, q.Epoch) {
+		return
+	}
+	t.expire()
+	t.renew(q.Lease.D())
+	write(w, t.report(-1))
+}
+
+func (t *Target) watch(w http.ResponseWriter, r *http.Request) {
+	var q target.Watch
+	if !read(w, r, &q) {
+		return
+	}
+	deadline := time.NewTimer(q.Wait.D())
+	defer deadline.Stop()
+	for over := false; ; {
+		t.mu.Lock()
+		if !t.take(w, q.Epoch) {
+			t.mu.Unlock()
+			return
+		}
+		t.expire()
+		t.renew(q.Lease.D())
+		if over || t.sequence > q.Since || t.faults.RepeatReports {
+			since := q.Since
+			if t.faults.RepeatReports {
+				since = -1
+			}
+			write(w, t.report(since))
+			t.mu.Unlock()
+			return
+		}
+		c := t.changed
+		t.mu.Unlock()
+		select {
+		case <-c:
+		case <-deadline.C:
+			over = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// report lists the tasks that changed after since. The lock is held.
+func (t *Target) report(since int64) target.Report {
+	p := target.Report{Incarnation: t.incarnation, Epoch: t.epoch, Sequence: t.sequence, Room: t.room, Tasks: []target.Task{}}
+	for _, k := range t.tasks {
+		if k.sequence > since {
+			p.Tasks = append(p.Tasks, k.Task)
+		}
+	}
+	return p
+}
+
+// renew extends the leases of all tasks. The lock is held.
+func (t *Target) renew(d time.Duration) {
+	e := time.Now().Add(d)
+	for _, k := range t.tasks {
+		k.expires = e
+	}
+}
+
+// expire ends the tasks whose lease ran out. The lock is held.
+func (t *Target) expire() {
+	n := time.Now()
+	for _, k := range t.tasks {
+		if !k.State.Ended() && n.After(k.expires) {
+			t.end(k, target.Lapsed, "lease ran out")
+		}
+	}
+}
+
+// Expire ends tasks whose lease ran out, until ctx ends.
+func (t *Target) Expire(ctx context.Context) {
+	for ctx.Err() == nil {
+		t.mu.Lock()
+		t.expire()
+		t.mu.Unlock()
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (t *Target) orders(w http.ResponseWriter, r *http.Request) {
+	var b target.Batch
+	if !read(w, r, &b) {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.take(w, b.Epoch) {
+		return
+	}
+	t.expire()
+	answers := make([]target.Refusal, 0, len(b.Orders))
+	for _, o := range b.Orders {
+		answers = append(answers, t.obey(&o, b.Lease.D()))
+	}
+	write(w, answers)
+}
+
+// obey carries out one order. The lock is held.
+func (t *Target) obey(o *target.Order, lease time.Duration) target.Refusal {
+	k := t.tasks[o.Task]
+	if o.Action == target.Reserve {
+		return t.reserve(k, o, lease)
+	}
+	if k == nil {
+		return target.NoSuchTask
+	}
+	switch o.Action {
+	case target.Start:
+		return t.start(k)
+	case target.Throttle:
+		t.note("Throttle", k)
+	case target.Checkpoint:
+		if !t.faults.IgnoreCheckpoint && !k.State.Ended() {
+			t.save(k)
+			t.end(k, target.Saved, "checkpointed")
+		}
+	case target.Stop:
+		if !t.faults.IgnoreStop && !k.State.Ended() {
+			t.end(k, target.Halted, "stopped")
+		}
+	case target.Forget:
+		if !k.State.Ended() {
+			return target.WrongState
+		}
+		delete(t.tasks, o.Task)
+	default:
+		return target.Malformed
+	}
+	return target.Accepted
+}
+
+func (t *Target) reserve(k *task, o *target.Order, lease time.Duration) target.Refusal {
+	if k != nil {
+		if k.State == target.Reserved {
+			return target.Accepted
+		}
+		return target.WrongState
+	}
+	free := t.room
+	for _, x := range t.tasks {
+		if !x.State.Ended() {
+			free = free.Minus(x.Room)
+		}
+	}
+	if t.faults.RefuseReserve || !o.Room.Fits(free) {
+		return target.NoRoom
+	}
+	k = &task{Task: target.Task{ID: o.Task, State: target.Reserved, Room: o.Room, Guarantee: o.Guarantee, Targets: o.Targets}}
+	k.expires = time.Now().Add(lease)
+	k.program = parse(o)
+	t.tasks[o.Task] = k
+	t.change(k, "Reserve")
+	return target.Accepted
+}
+
+func (t *Target) start(k *task) target.Refusal {
+	switch {
+	case k.State == target.Active:
+		return target.Accepted
+	case k.State != target.Reserved || t.faults.RefuseStart:
+		return target.WrongState
+	}
+	k.State, k.Started, k.began = target.Active, true, time.Now()
+	t.change(k, "Start")
+	if k.program.resumes {
+		go t.resume(k)
+		return target.Accepted
+	}
+	t.run(k)
+	return target.Accepted
+}
+
+// run lets the task end when its run time is over. The lock is held.
+func (t *Target) run(k *task) {
+	k.ends = time.AfterFunc(t.remaining(k), func() { t.complete(k) })
+}
+
+// resume runs the task from its checkpoint on, if there is one.
+func (t *Target) resume(k *task) {
+	d := t.saved(k.ID)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if k.State == target.Active {
+		k.resumed = d
+		t.run(k)
+	}
+}
+
+// end moves a task to a state that takes no room. The lock is held.
+func (t *Target) end(k *task, s target.TaskState, detail string) {
+	if k.ends != nil {
+		k.ends.Stop()
+	}
+	ran := k.State == target.Active
+	k.State, k.Detail = s, detail
+	if ran {
+		t.change(k, "End")
+		return
+	}
+	t.change(k, "Release")
+}
+
+// change notes an event and wakes the watches. The lock is held.
+func (t *Target) change(k *task, event string) {
+	t.sequence++
+	k.sequence = t.sequence
+	t.note(event, k)
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+func (t *Target) note(event string, k *task) {
+	t.log = append(t.log, LogEntry{time.Now(), event, k.ID})
+}
+
+// complete ends a task whose run time is over.
+func (t *Target) complete(k *task) {
+	out := k.program.output(k.ID.Member)
+	part := jobs.Part{Member: k.ID.Member, Target: t.id, Length: int64(len(out)), Checksum: jobs.Checksum(out)}
+	t.mu.Lock()
+	f := t.faults
+	t.mu.Unlock()
+	if f.TruncateOutput && len(out) > 0 {
+		out = out[:len(out)-1]
+	}
+	part.Data = out
+	detail := ""
+	if len(out) > inlineOutput {
+		part.Data, part.Object = nil, "output~"+strings.ReplaceAll(k.ID.String(), "/", "~")
+		if err := t.objects.Put(context.Background(), part.Object, out); err != nil {
+			detail = "output not stored"
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case k.State != target.Active:
+	case f.FailAll || k.program.fail || detail != "":
+		t.end(k, target.Broken, "task failed "+detail)
+	default:
+		k.Output = part
+		t.end(k, target.Complete, "")
+	}
+}
--- /dev/null
+++ b/fakesd/main.go
@@ -0,0 +1,103 @@
+// Command fakesd runs stand-ins for the platform as processes of their own:
+// fakesd platform runs table service, object store and host list, fakesd
+// target runs one target. Each address is printed as a line of JSON.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"citronbridge/fakes"
+	"citronbridge/fleet"
+	"citronbridge/jobs"
+)
+
+// Listening is the line that tells where a stand-in listens.
+type Listening struct {
+	Name    string
+	Address string
+}
+
+// options is what the command line says.
+type options struct {
+	table, objects, hosts, address string
+	id, centre, rack               string
+	lag                            time.Duration
+	writes, reads, accelerators    int
+	processors                     int
+}
+
+func main() {
+	o := options{
+		table: "127.0.0.1:0", objects: "127.0.0.1:0", hosts: "127.0.0.1:0", address: "127.0.0.1:0",
+		lag: time.Second, writes: 400, reads: 2000, accelerators: 8, processors: 64,
+	}
+	p := flaggy.NewSubcommand("platform")
+	p.String(&o.table, "", "table", "Address of the table service.")
+	p.String(&o.objects, "", "objects", "Address of the object store.")
+	p.String(&o.hosts, "", "hosts", "Address of the host list.")
+	p.Duration(&o.lag, "", "lag", "How far the host list lags.")
+	p.Int(&o.writes, "", "writes", "Writes a second that the table service takes.")
+	p.Int(&o.reads, "", "reads", "Reads a second that the table service takes.")
+	t := flaggy.NewSubcommand("target")
+	t.String(&o.address, "", "address", "Address of the target.")
+	t.String(&o.id, "", "id", "Name of the target.")
+	t.String(&o.centre, "", "centre", "Data centre of the target.")
+	t.String(&o.rack, "", "rack", "Rack of the target.")
+	t.String(&o.objects, "", "objects", "URL of the object store.")
+	t.Int(&o.accelerators, "", "accelerators", "Accelerators of the target.")
+	t.Int(&o.processors, "", "processors", "Processors of the target.")
+	flaggy.AttachSubcommand(p, 1)
+	flaggy.AttachSubcommand(t, 1)
+	flaggy.Parse()
+	var err error
+	switch {
+	case p.Used:
+		err = o.platform()
+	case t.Used:
+		err = o.target()
+	default:
+		err = fmt.Errorf("name platform or target")
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "fakesd:", err)
+		os.Exit(1)
+	}
+	select {}
+}
+
+// listen serves h and prints where.
+func listen(name, address string, h http.Handler) error {
+	s, err := fakes.Listen(address, h)
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(os.Stdout).Encode(Listening{name, s.Address})
+}
+
+func (o *options) platform() error {
+	if err := listen("Table", o.table, fakes.NewTable(o.writes, o.reads).Handler()); err != nil {
+		return err
+	}
+	if err := listen("Objects", o.objects, fakes.NewObjects().Handler()); err != nil {
+		return err
+	}
+	return listen("Hosts", o.hosts, fakes.NewHosts(o.lag).Handler())
+}
+
+func (o *options) target() error {
+	h := fleet.Host{ID: o.id, Role: fleet.Target, Address: o.address, DataCentre: o.centre, Rack: o.rack}
+	h.Room = jobs.Room{Accelerators: o.accelerators, Processors: o.processors, Memory: 256 << 30, Slots: 8}
+	if err := h.Check().Err(); err != nil {
+		return err
+	}
+	t := fakes.NewTarget(h.ID, h.Room, o.objects)
+	go t.Expire(context.Background())
+	return listen("Target", o.address, t.Handler())
+}
--- /dev/null
+++ b/jobs/record.go
@@ -0,0 +1,136 @@
+package jobs
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"citronbridge/fault"
+)
+
+// State is where a job stands.
+type State string
+
+// The states of a job. Finished is the only final one.
+const (
+	Waiting  State = "Waiting"
+	Starting State = "Starting"
+	Running  State = "Running"
+	Stopping State = "Stopping"
+	Settling State = "Settling"
+	Finished State = "Finished"
+)
+
+// Outcome is how a job ended.
+type Outcome string
+
+// The outcomes. NotRun is said only when the job can't run from then on.
+// Unknown is said when a target that may have run the job is gone for good.
+const (
+	Done    Outcome = "Done"
+	Failed  Outcome = "Failed"
+	Stopped Outcome = "Stopped"
+	NotRun  Outcome = "NotRun"
+	Unknown Outcome = "Unknown"
+)
+
+// Valid reports whether o is a known outcome.
+func (o Outcome) Valid() bool {
+	switch o {
+	case Done, Failed, Stopped, NotRun, Unknown:
+		return true
+	}
+	return false
+}
+
+// Attempt identifies one try at running a gang. Epoch is the decider's, and
+// Number counts that decider's tries, so no two attempts are ever equal.
+type Attempt struct {
+	Epoch  int64
+	Number int64
+}
+
+// String returns Epoch.Number.
+func (a Attempt) String() string { return fmt.Sprintf("%d.%d", a.Epoch, a.Number) }
+
+// Part is the output of one member of a gang.
+type Part struct {
+	Member   int
+	Target   string
+	Length   int64
+	Checksum string
+	// Data holds a small output, Object names a large one in the object store.
+	Data   []byte `json:",omitempty"`
+	Object string `json:",omitempty"`
+}
+
+// Verify reports whether data is the whole of the part.
+func (p *Part) Verify(data []byte) bool {
+	return int64(len(data)) == p.Length && Checksum(data) == p.Checksum
+}
+
+// Checksum returns the SHA-256 of data in hexadecimal.
+func Checksum(data []byte) string {
+	h := sha256.Sum256(data)
+	return hex.EncodeToString(h[:])
+}
+
+// Event is one entry of a job's explanation.
+type Event struct {
+	Time     time.Time
+	What     string
+	Detail   string `json:",omitempty"`
+	Host     string `json:",omitempty"`
+	Epoch    int64  `json:",omitempty"`
+	Revision int64  `json:",omitempty"`
+}
+
+// MaxEvents bounds the events that a record keeps.
+const MaxEvents = 40
+
+// Record is the durable row of a job.
+type Record struct {
+	Spec   Spec
+	Digest string
+	// Cell is the data centre whose decider owns the job.
+	Cell     string
+	State    State
+	Outcome  Outcome `json:",omitempty"`
+	Detail   string  `json:",omitempty"`
+	Accepted time.Time
+	Started  time.Time `json:",omitzero"`
+	Finished time.Time `json:",omitzero"`
+	Revision int64
+	// Attempt and Targets are the intent of a non-idempotent job, written
+	// before its first start order, or the last attempt of a finished job.
+	Attempt Attempt
+	Targets []string `json:",omitempty"`
+	// Incarnations are those of Targets when the intent was written. A target
+	// that restarted since can't tell whether it ran the job.
+	Incarnations []string `json:",omitempty"`
+	// Answer has one part for each member if Outcome is Done.
+	Answer []Part  `json:",omitempty"`
+	Events []Event `json:",omitempty"`
+}
+
+// Check returns the faults of a decoded record.
+func (r *Record) Check() fault.List {
+	l := r.Spec.Check().Within("Spec.")
+	l.Check(ValidName(r.Cell), "Cell", r.Cell, NameRule)
+	l.Check(r.State != Finished || r.Outcome.Valid(), "Outcome", r.Outcome, "a known outcome")
+	l.Check(r.Outcome != Done || len(r.Answer) == r.Spec.Shape.Members, "Answer", len(r.Answer), "one part for each member")
+	return l
+}
+
+// Final reports whether the job has ended.
+func (r *Record) Final() bool { return r.State == Finished }
+
+// Log appends an event. It drops the oldest but the first once there are
+// MaxEvents.
+func (r *Record) Log(e Event) {
+	if len(r.Events) >= MaxEvents {
+		r.Events = append(r.Events[:1], r.Events[2:]...)
+	}
+	r.Events = append(r.Events, e)
+}
--- /dev/null
+++ b/ledger/ledger.go
@@ -0,0 +1,303 @@
+// Package ledger keeps the rows of jobs and cells in the table service.
+//
+// Jobs/ACCOUNT/ID holds a jobs.Record. Open/CELL/ACCOUNT/ID marks a job that
+// has not ended, and is written in the same transactions. Cells/CELL holds the
+// Owner of a cell; its version fences every write that a decider makes.
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+
+	"citronbridge/fault"
+	"citronbridge/jobs"
+	"citronbridge/table"
+)
+
+// store is what the ledger needs of the table service.
+type store interface {
+	Get(ctx context.Context, keys ...string) (map[string]table.Row, error)
+	Scan(ctx context.Context, prefix, after string, limit int) (table.Page, error)
+}
+
+// committer commits transactions, perhaps in groups.
+type committer interface {
+	Commit(ctx context.Context, t table.Transaction) (table.Result, error)
+}
+
+var (
+	_ store     = (*table.Client)(nil)
+	_ committer = (*table.Batcher)(nil)
+)
+
+// Outcomes of writes that are not faults of the store.
+var (
+	// ErrFenced says that another decider has taken the cell.
+	ErrFenced = errors.New("cell was taken by another decider")
+	// ErrChanged says that the row has changed since it was read.
+	ErrChanged = errors.New("row has changed")
+	// ErrMalformed says that a row can't be decoded.
+	ErrMalformed = errors.New("malformed row")
+)
+
+// Ledger reads and writes the rows.
+type Ledger struct {
+	store  store
+	commit committer
+}
+
+// New returns a Ledger over s that writes through c.
+func New(s store, c committer) *Ledger { return &Ledger{s, c} }
+
+func jobRow(k jobs.Key) string               { return "Jobs/" + k.String() }
+func openRow(cell string, k jobs.Key) string { return "Open/" + cell + "/" + k.String() }
+func cellRow(cell string) string             { return "Cells/" + cell }
+
+// Entry is a record with the version of its row.
+type Entry struct {
+	Record  *jobs.Record
+	Version int64
+}
+
+// Insert writes a new job. If there is one of that key already it returns it
+// and false.
+func (l *Ledger) Insert(ctx context.Context, r *jobs.Record) (Entry, bool, error) {
+	k := r.Spec.Key()
+	w, err := table.Put(jobRow(k), r)
+	if err != nil {
+		return Entry{}, false, err
+	}
+	t := table.Transaction{
+		Conditions: []table.Condition{{Key: jobRow(k)}},
+		Writes:     []table.Write{w, {Key: openRow(r.Cell, k), Value: json.RawMessage("{}")}},
+	}
+	res, err := l.commit.Commit(ctx, t)
+	if err != nil {
+		return Entry{}, false, fmt.Errorf("insert job %s: %w", k, err)
+	}
+	if len(res.Conflicts) == 0 {
+		return Entry{r, res.Versions[0]}, true, nil
+	}
+	e, err := l.Load(ctx, k)
+	return e, false, err
+}
+
+// Load reads a job. The record is nil if there is none.
+func (l *Ledger) Load(ctx context.Context, k jobs.Key) (Entry, error) {
+	m, err := l.store.Get(ctx, jobRow(k))
+	if err != nil {
+		return Entry{}, fmt.Errorf("load job %s: %w", k, err)
+	}
+	row, ok := m[jobRow(k)]
+	if !ok {
+		return Entry{}, nil
+	}
+	return decode(row)
+}
+
+// LoadAll reads jobs in groups. Those that are missing or malformed are left
+// out; malformed counts the latter.
+func (l *Ledger) LoadAll(ctx context.Context, keys []jobs.Key) (entries []Entry, malformed int, err error) {
+	for len(keys) > 0 {
+		n := min(len(keys), table.MaxKeys)
+		rows := make([]string, 0, n)
+		for _, k := range keys[:n] {
+			rows = append(rows, jobRow(k))
+		}
+		m, err := l.store.Get(ctx, rows...)
+		if err != nil {
+			return nil, malformed, fmt.Errorf("load %d jobs: %w", n, err)
+		}
+		for _, r := range rows {
+			row, ok := m[r]
+			if !ok {
+				continue
+			}
+			e, err := decode(row)
+			if err != nil {
+				malformed++
+				continue
+			}
+			entries = append(entries, e)
+		}
+		keys = keys[n:]
+	}
+	return entries, malformed, nil
+}
+
+func decode(row table.Row) (Entry, error) {
+	var r jobs.Record
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return Entry{}, fmt.Errorf("%w %s: %w", ErrMalformed, row.Key, err)
+	}
+	if err := r.Check().Err(); err != nil {
+		return Entry{}, fmt.Errorf("%w %s: %w", ErrMalformed, row.Key, err)
+	}
+	return Entry{&r, row.Version}, nil
+}
+
+// Open lists the keys of the jobs of a cell that have not ended.
+func (l *Ledger) Open(ctx context.Context, cell string) ([]jobs.Key, error) {
+	prefix := openRow(cell, jobs.Key{})
+	prefix = strings.TrimSuffix(prefix, "/")
+	var keys []jobs.Key
+	for after := ""; ; {
+		p, err := l.store.Scan(ctx, prefix, after, table.MaxPage)
+		if err != nil {
+			return nil, fmt.Errorf("list open jobs of %s: %w", cell, err)
+		}
+		for _, r := range p.Rows {
+			after = r.Key
+			a, id, ok := strings.Cut(strings.TrimPrefix(r.Key, prefix), "/")
+			if ok {
+				keys = append(keys, jobs.Key{Account: a, ID: id})
+			}
+		}
+		if !p.More {
+			return keys, nil
+		}
+	}
+}
+
+// List returns up to limit records of an account behind the ID after.
+func (l *Ledger) List(ctx context.Context, account, after string, limit int) (list []*jobs.Record, more bool, err error) {
+	prefix := jobRow(jobs.Key{Account: account})
+	from := ""
+	if after != "" {
+		from = prefix + after
+	}
+	p, err := l.store.Scan(ctx, prefix, from, limit)
+	if err != nil {
+		return nil, false, fmt.Errorf("list jobs of %s: %w", account, err)
+	}
+	for _, row := range p.Rows {
+		e, err := decode(row)
+		if err == nil {
+			list = append(list, e.Record)
+		}
+	}
+	return list, p.More, nil
+}
+
+// Owner is who decides for a cell.
+type Owner struct {
+	Host  string
+	Epoch int64
+}
+
+// Check returns the faults of a decoded owner.
+func (o *Owner) Check() fault.List {
+	var l fault.List
+	l.Check(jobs.ValidName(o.Host), "Host", o.Host, jobs.NameRule)
+	l.Check(o.Epoch > 0, "Epoch", o.Epoch, "1 or more")
+	return l
+}
+
+// Hold is the right to decide for a cell: no write under it succeeds once
+// another host has taken the cell.
+type Hold struct {
+	Cell    string
+	Epoch   int64
+	version int64
+}
+
+// Owner reads who decides for a cell. The host is empty if nobody ever did.
+func (l *Ledger) Owner(ctx context.Context, cell string) (Owner, error) {
+	o, _, err := l.owner(ctx, cell)
+	return o, err
+}
+
+func (l *Ledger) owner(ctx context.Context, cell string) (Owner, int64, error) {
+	m, err := l.store.Get(ctx, cellRow(cell))
+	if err != nil {
+		return Owner{}, 0, fmt.Errorf("read owner of %s: %w", cell, err)
+	}
+	row, ok := m[cellRow(cell)]
+	if !ok {
+		return Owner{}, 0, nil
+	}
+	var o Owner
+	if err := json.Unmarshal(row.Value, &o); err != nil || len(o.Check()) > 0 {
+		return Owner{}, 0, fmt.Errorf("%w %s", ErrMalformed, row.Key)
+	}
+	return o, row.Version, nil
+}
+
+// Take makes host the decider of a cell under the next epoch, unless the
+// owner is no longer the one that the caller saw.
+func (l *Ledger) Take(ctx context.Context, cell, host string, seen Owner) (Hold, error) {
+	o, v, err := l.owner(ctx, cell)
+	if err != nil {
+		return Hold{}, err
+	}
+	if o.Epoch > seen.Epoch && seen.Epoch > 0 {
+		return Hold{}, fmt.Errorf("take cell %s: %w", cell, ErrChanged)
+	}
+	n := Owner{host, o.Epoch + 1}
+	w, err := table.Put(cellRow(cell), n)
+	if err != nil {
+		return Hold{}, err
+	}
+	r, err := l.commit.Commit(ctx, table.Transaction{Conditions: []table.Condition{{Key: cellRow(cell), Version: v}}, Writes: []table.Write{w}})
+	if err != nil {
+		return Hold{}, fmt.Errorf("take cell %s: %w", cell, err)
+	}
+	if len(r.Conflicts) > 0 {
+		return Hold{}, fmt.Errorf("take cell %s: %w", cell, ErrChanged)
+	}
+	return Hold{cell, n.Epoch, r.Versions[0]}, nil
+}
+
+// Update writes a record under h, and returns the new version of its row. The
+// job is no longer open once its record is final.
+func (l *Ledger) Update(ctx context.Context, h Hold, e Entry) (int64, error) {
+	k := e.Record.Spec.Key()
+	w, err := table.Put(jobRow(k), e.Record)
+	if err != nil {
+		return 0, err
+	}
+	t := table.Transaction{Conditions: l.fence(h, e), Writes: []table.Write{w}}
+	if e.Record.Final() {
+		t.Writes = append(t.Writes, table.Remove(openRow(h.Cell, k)))
+	}
+	return l.write(ctx, h, t)
+}
+
+// Move hands a job to another cell.
+func (l *Ledger) Move(ctx context.Context, h Hold, e Entry, cell string) (int64, error) {
+	k := e.Record.Spec.Key()
+	r := *e.Record
+	r.Cell = cell
+	w, err := table.Put(jobRow(k), &r)
+	if err != nil {
+		return 0, err
+	}
+	return l.write(ctx, h, table.Transaction{
+		Conditions: l.fence(h, e),
+		Writes:     []table.Write{w, {Key: openRow(cell, k), Value: json.RawMessage("{}")}, table.Remove(openRow(h.Cell, k))},
+	})
+}
+
+func (l *Ledger) fence(h Hold, e Entry) []table.Condition {
+	return []table.Condition{{Key: cellRow(h.Cell), Version: h.version}, {Key: jobRow(e.Record.Spec.Key()), Version: e.Version}}
+}
+
+// write commits t and returns the version of its first row.
+func (l *Ledger) write(ctx context.Context, h Hold, t table.Transaction) (int64, error) {
+	r, err := l.commit.Commit(ctx, t)
+	if err != nil {
+		return 0, fmt.Errorf("write %s: %w", t.Writes[0].Key, err)
+	}
+	for _, c := range r.Conflicts {
+		if c == cellRow(h.Cell) {
+			return 0, fmt.Errorf("write %s: %w", t.Writes[0].Key, ErrFenced)
+		}
+	}
+	if len(r.Conflicts) > 0 {
+		return 0, fmt.Errorf("write %s: %w", t.Writes[0].Key, ErrChanged)
+	}
+	return r.Versions[0], nil
+}
--- /dev/null
+++ b/limit/limit.go
@@ -0,0 +1,148 @@
+// Package limit turns requests away that go beyond what an account or one of
+// its callers may ask for, before they cost a write.
+package limit
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/time/rate"
+
+	"citronbridge/jobs"
+	"citronbridge/rules"
+)
+
+const (
+	shardCount = 16
+	// maxCallers bounds the callers that a shard remembers.
+	maxCallers = 4096
+	// costAccelerators is how many accelerators cost as much as one request.
+	costAccelerators = 8
+)
+
+// Door holds a token bucket for each account and each caller.
+type Door struct {
+	shards [shardCount]shard
+}
+
+type shard struct {
+	mu       sync.Mutex
+	accounts map[string]*bucket
+	callers  map[callerKey]*bucket
+}
+
+type callerKey struct{ account, caller string }
+
+type bucket struct {
+	*rate.Limiter
+	used time.Time
+}
+
+// New returns a Door whose buckets are full.
+func New() *Door {
+	d := &Door{}
+	for i := range d.shards {
+		d.shards[i].accounts = map[string]*bucket{}
+		d.shards[i].callers = map[callerKey]*bucket{}
+	}
+	return d
+}
+
+// Cost returns the tokens that a request takes.
+func Cost(s *jobs.Spec) int { return 1 + s.Shape.Accelerators()/costAccelerators }
+
+// Refusal tells who asked too much, and when a retry can succeed.
+type Refusal struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Take takes the tokens of a request, or returns a Refusal and takes none.
+// Each of hosts gets an equal part of the limits.
+func (d *Door) Take(s *jobs.Spec, l rules.Limits, hosts int, now time.Time) *Refusal {
+	l = l.WithDefaults()
+	h := &d.shards[xxhash.Sum64String(s.Account)%shardCount]
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a := h.account(s.Account)
+	a.set(l.RequestsPerSecond, l.Burst, hosts, now)
+	c := h.caller(callerKey{s.Account, s.Caller}, now)
+	c.set(l.CallerRequestsPerSecond, l.CallerBurst, hosts, now)
+	n := Cost(s)
+	if w := c.wait(n, now); w > 0 {
+		return &Refusal{"CallerRate", w}
+	}
+	if w := a.wait(n, now); w > 0 {
+		return &Refusal{"AccountRate", w}
+	}
+	c.AllowN(now, min(n, c.Burst()))
+	a.AllowN(now, min(n, a.Burst()))
+	return nil
+}
+
+func (h *shard) account(name string) *bucket {
+	b := h.accounts[name]
+	if b == nil {
+		b = &bucket{}
+		h.accounts[name] = b
+	}
+	return b
+}
+
+func (h *shard) caller(k callerKey, now time.Time) *bucket {
+	b := h.callers[k]
+	if b == nil {
+		if len(h.callers) >= maxCallers {
+			h.evict(now)
+		}
+		b = &bucket{}
+		h.callers[k] = b
+	}
+	b.used = now
+	return b
+}
+
+// evict forgets callers whose bucket is full again, or the one idle longest.
+func (h *shard) evict(now time.Time) {
+	var oldest callerKey
+	var at time.Time
+	for k, b := range h.callers {
+		if b.TokensAt(now) >= float64(b.Burst()) {
+			delete(h.callers, k)
+			continue
+		}
+		if at.IsZero() || b.used.Before(at) {
+			oldest, at = k, b.used
+		}
+	}
+	if len(h.callers) >= maxCallers {
+		delete(h.callers, oldest)
+	}
+}
+
+// set gives the bucket its part of a limit.
+func (b *bucket) set(perSecond, burst, hosts int, now time.Time) {
+	hosts = max(hosts, 1)
+	r, n := rate.Limit(float64(perSecond)/float64(hosts)), max(burst/hosts, 1)
+	if b.Limiter == nil {
+		b.Limiter = rate.NewLimiter(r, n)
+		return
+	}
+	if b.Limit() != r {
+		b.SetLimitAt(now, r)
+	}
+	if b.Burst() != n {
+		b.SetBurstAt(now, n)
+	}
+}
+
+// wait returns how long it takes until n tokens are there. A request that
+// costs more than the bucket holds waits for a full bucket.
+func (b *bucket) wait(n int, now time.Time) time.Duration {
+	missing := float64(min(n, b.Burst())) - b.TokensAt(now)
+	if missing <= 0 {
+		return 0
+	}
+	return time.Duration(missing / float64(b.Limit()) * float64(time.Second))
+}
--- /dev/null
+++ b/retry/retry.go
@@ -0,0 +1,180 @@
+// Package retry guards calls to a service that may be slow or away: a breaker
+// stops calls while it is, and a budget bounds what retries add to the load.
+package retry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sony/gobreaker/v2"
+	"golang.org/x/time/rate"
+)
+
+// Config bounds the calls to one service.
+type Config struct {
+	Name string
+	// CallsPerSecond bounds all calls of this host, retries included.
+	CallsPerSecond int
+	// Tries bounds the calls that one operation makes.
+	Tries int
+	// Base and Max bound the jittered wait before a retry.
+	Base, Max time.Duration
+	// BudgetRatio is the number of retries earned by each first call.
+	BudgetRatio float64
+	// OpenFor is how long the breaker stays open before it probes.
+	OpenFor time.Duration
+	// Failures is how many failures in a row open the breaker.
+	Failures uint32
+	// Changed is told the breaker's state when it changes.
+	Changed func(name, state string)
+}
+
+// Defaults of Config.
+const (
+	defaultCalls    = 400
+	defaultTries    = 4
+	defaultBase     = 20 * time.Millisecond
+	defaultMax      = time.Second
+	defaultRatio    = 0.2
+	defaultOpenFor  = 500 * time.Millisecond
+	defaultFailures = 5
+	maxBudget       = 50
+)
+
+// Guard guards calls. Several goroutines may use it at once.
+type Guard struct {
+	c       Config
+	breaker *gobreaker.CircuitBreaker[struct{}]
+	limiter *rate.Limiter
+
+	mu     sync.Mutex
+	budget float64
+}
+
+// New returns a Guard with zero fields of c replaced by defaults.
+func New(c Config) *Guard {
+	c = withDefaults(c)
+	g := &Guard{c: c, budget: maxBudget, limiter: rate.NewLimiter(rate.Limit(c.CallsPerSecond), max(c.CallsPerSecond/4, 1))}
+	g.breaker = gobreaker.NewCircuitBreaker[struct{}](gobreaker.Settings{
+		Name:        c.Name,
+		MaxRequests: 1,
+		Timeout:     c.OpenFor,
+		ReadyToTrip: func(n gobreaker.Counts) bool { return n.ConsecutiveFailures >= c.Failures },
+		IsSuccessful: func(err error) bool {
+			return err == nil || errors.As(err, new(*permanent))
+		},
+		IsExcluded: func(err error) bool { return errors.Is(err, context.Canceled) },
+		OnStateChange: func(name string, _, to gobreaker.State) {
+			c.Changed(name, to.String())
+		},
+	})
+	return g
+}
+
+func withDefaults(c Config) Config {
+	if c.CallsPerSecond == 0 {
+		c.CallsPerSecond = defaultCalls
+	}
+	if c.Tries == 0 {
+		c.Tries = defaultTries
+	}
+	if c.Base == 0 {
+		c.Base = defaultBase
+	}
+	if c.Max == 0 {
+		c.Max = defaultMax
+	}
+	if c.BudgetRatio == 0 {
+		c.BudgetRatio = defaultRatio
+	}
+	if c.OpenFor == 0 {
+		c.OpenFor = defaultOpenFor
+	}
+	if c.Failures == 0 {
+		c.Failures = defaultFailures
+	}
+	if c.Changed == nil {
+		c.Changed = func(string, string) {}
+	}
+	return c
+}
+
+// permanent is an error by which a service that works refuses a call.
+type permanent struct{ error }
+
+// Unwrap returns the error itself.
+func (p *permanent) Unwrap() error { return p.error }
+
+// Permanent marks err as one that another try wouldn't mend, and that says
+// nothing against the service.
+func Permanent(err error) error { return &permanent{err} }
+
+// Do calls f once, unless the breaker is open.
+func (g *Guard) Do(ctx context.Context, f func(context.Context) error) error {
+	if err := g.limiter.Wait(ctx); err != nil {
+		return err
+	}
+	g.earn()
+	_, err := g.breaker.Execute(func() (struct{}, error) { return struct{}{}, f(ctx) })
+	return err
+}
+
+// Retry calls f until it succeeds, the tries or the budget run out, or ctx
+// ends. f must be idempotent.
+func (g *Guard) Retry(ctx context.Context, f func(context.Context) error) error {
+	for i := 0; ; i++ {
+		err := g.Do(ctx, f)
+		if err == nil || i+1 >= g.c.Tries || errors.As(err, new(*permanent)) {
+			return err
+		}
+		if g.Wait(ctx, i) != nil {
+			return err
+		}
+	}
+}
+
+// ErrBudget says that the retry budget is used up.
+var ErrBudget = errors.New("retry budget used up")
+
+// Wait takes a retry from the budget and sleeps before try i+1.
+func (g *Guard) Wait(ctx context.Context, i int) error {
+	if !g.spend() {
+		return ErrBudget
+	}
+	t := time.NewTimer(g.delay(i))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// delay returns a wait between half and all of the exponential backoff.
+func (g *Guard) delay(i int) time.Duration {
+	d := min(g.c.Base<<min(i, 16), g.c.Max)
+	return d/2 + rand.N(d/2+1)
+}
+
+func (g *Guard) earn() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget = min(g.budget+g.c.BudgetRatio, maxBudget)
+}
+
+func (g *Guard) spend() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.budget < 1 {
+		return false
+	}
+	g.budget--
+	return true
+}
+
+// Open reports whether the breaker keeps calls back.
+func (g *Guard) Open() bool { return g.breaker.State() == gobreaker.StateOpen }
--- /dev/null
+++ b/route/handle.go
@@ -0,0 +1,97 @@
+package route
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"citronbridge/cells"
+	"citronbridge/rules"
+	"citronbridge/wire"
+)
+
+// maxWait bounds how long a call may wait here.
+const maxWait = time.Minute
+
+// Handle answers a call of another host.
+func (r *Router) Handle(ctx context.Context, q *wire.Request) *wire.Response {
+	switch b := q.Body.(type) {
+	case *wire.Request_Submit:
+		return r.submit(ctx, b.Submit)
+	case *wire.Request_Cancel:
+		return r.inCell(b.Cancel.GetCell(), func(c *cells.Cell) (any, bool) { return nil, c.Cancel(keyOf(b.Cancel)) })
+	case *wire.Request_Wait:
+		return r.wait(ctx, b.Wait)
+	case *wire.Request_Explain:
+		return r.inCell(b.Explain.GetCell(), func(c *cells.Cell) (any, bool) { return c.Explain(keyOf(b.Explain)) })
+	case *wire.Request_Targets:
+		return r.inCell(b.Targets.GetCell(), func(c *cells.Cell) (any, bool) { return c.Targets(), true })
+	case *wire.Request_Accounts:
+		return r.inCell(b.Accounts.GetCell(), func(c *cells.Cell) (any, bool) { return c.Accounts(), true })
+	case *wire.Request_Rules:
+		return r.rules(b.Rules)
+	}
+	return &wire.Response{Refusal: "Malformed"}
+}
+
+// inCell answers with what f returns for a cell of this host.
+func (r *Router) inCell(name string, f func(*cells.Cell) (any, bool)) *wire.Response {
+	c := r.Keeper.Cell(name)
+	if c == nil {
+		return &wire.Response{Refusal: refusalNotHere}
+	}
+	v, ok := f(c)
+	if !ok {
+		return &wire.Response{Refusal: refusalNotHere}
+	}
+	return respond(v)
+}
+
+func respond(v any) *wire.Response {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return &wire.Response{Refusal: err.Error()}
+	}
+	return &wire.Response{Body: b}
+}
+
+// submit reads a job's row and gives it to its cell.
+func (r *Router) submit(ctx context.Context, q *wire.JobRequest) *wire.Response {
+	c := r.Keeper.Cell(q.GetCell())
+	if c == nil {
+		return &wire.Response{Refusal: refusalNotHere}
+	}
+	e, err := r.Jobs.Load(ctx, keyOf(q))
+	if err != nil || e.Record == nil {
+		return &wire.Response{Refusal: "job not read"}
+	}
+	c.Submit(e)
+	return &wire.Response{}
+}
+
+func (r *Router) wait(ctx context.Context, q *wire.WaitRequest) *wire.Response {
+	d := min(time.Duration(q.GetWaitMilliseconds())*time.Millisecond, maxWait)
+	return r.inCell(q.GetJob().GetCell(), func(c *cells.Cell) (any, bool) {
+		rec, ok := c.Wait(ctx, keyOf(q.GetJob()), max(d, 0))
+		return &rec, ok
+	})
+}
+
+// rules takes a pushed revision, or answers with the one in force.
+func (r *Router) rules(q *wire.RulesRequest) *wire.Response {
+	if len(q.GetRevision()) == 0 {
+		cur := r.Book.Current()
+		if cur == nil {
+			return &wire.Response{Refusal: "no revision"}
+		}
+		return respond(cur)
+	}
+	v, err := rules.DecodeRevision(q.GetRevision())
+	if err != nil {
+		return &wire.Response{Refusal: "Malformed"}
+	}
+	if r.Book.Adopt(v, r.Now()) {
+		r.Keeper.Poke()
+	}
+	return &wire.Response{}
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,161 @@
+// Package route brings calls to the host that decides for a cell, be it this
+// one or another.
+package route
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"citronbridge/cells"
+	"citronbridge/jobs"
+	"citronbridge/ledger"
+	"citronbridge/rules"
+	"citronbridge/wire"
+)
+
+// callTimeout bounds a call of another host, beyond what it may wait.
+const callTimeout = time.Second
+
+// Outcomes of calls.
+var (
+	// ErrNoDecider says that no host is known to decide for the cell.
+	ErrNoDecider = errors.New("no decider known for the cell")
+	// ErrNotHere says that the decider doesn't have the job.
+	ErrNotHere = errors.New("job is not with the decider")
+)
+
+// caller calls other hosts.
+type caller interface {
+	Call(ctx context.Context, host string, q *wire.Request) (*wire.Response, error)
+}
+
+// keeper knows the cells of this host.
+type keeper interface {
+	Cell(name string) *cells.Cell
+	Holder(cell string) string
+	Poke()
+}
+
+var _ keeper = (*cells.Keeper)(nil)
+
+// loader reads jobs and takes revisions.
+type loader interface {
+	Load(ctx context.Context, k jobs.Key) (ledger.Entry, error)
+}
+
+// Router calls deciders, and answers the calls of other hosts.
+type Router struct {
+	Keeper keeper
+	Peers  caller
+	Jobs   loader
+	Book   *rules.Book
+	Now    func() time.Time
+}
+
+// refusalNotHere is the refusal that stands for ErrNotHere.
+const refusalNotHere = "NotHere"
+
+func request(cell string, k jobs.Key) *wire.JobRequest {
+	return &wire.JobRequest{Cell: cell, Account: k.Account, Id: k.ID}
+}
+
+func keyOf(q *wire.JobRequest) jobs.Key { return jobs.Key{Account: q.GetAccount(), ID: q.GetId()} }
+
+// Submit tells the decider of a new job.
+func (r *Router) Submit(ctx context.Context, cell string, k jobs.Key) error {
+	return r.call(ctx, cell, &wire.Request{Body: &wire.Request_Submit{Submit: request(cell, k)}}, 0, nil)
+}
+
+// Cancel asks the decider to stop a job.
+func (r *Router) Cancel(ctx context.Context, cell string, k jobs.Key) error {
+	return r.call(ctx, cell, &wire.Request{Body: &wire.Request_Cancel{Cancel: request(cell, k)}}, 0, nil)
+}
+
+// Wait returns a job's record once it has ended or wait is over.
+func (r *Router) Wait(ctx context.Context, cell string, k jobs.Key, wait time.Duration) (*jobs.Record, error) {
+	q := &wire.WaitRequest{Job: request(cell, k), WaitMilliseconds: wait.Milliseconds()}
+	var rec jobs.Record
+	if err := r.call(ctx, cell, &wire.Request{Body: &wire.Request_Wait{Wait: q}}, wait, &rec); err != nil {
+		return nil, err
+	}
+	return &rec, nil
+}
+
+// Explain returns the decider's explanation of a job.
+func (r *Router) Explain(ctx context.Context, cell string, k jobs.Key) (cells.Explanation, error) {
+	var e cells.Explanation
+	err := r.call(ctx, cell, &wire.Request{Body: &wire.Request_Explain{Explain: request(cell, k)}}, 0, &e)
+	return e, err
+}
+
+// Targets returns the decider's view of a cell's targets.
+func (r *Router) Targets(ctx context.Context, cell string) ([]cells.TargetView, error) {
+	var l []cells.TargetView
+	err := r.call(ctx, cell, &wire.Request{Body: &wire.Request_Targets{Targets: &wire.CellRequest{Cell: cell}}}, 0, &l)
+	return l, err
+}
+
+// Accounts returns the decider's view of the accounts in a cell.
+func (r *Router) Accounts(ctx context.Context, cell string) ([]cells.AccountView, error) {
+	var l []cells.AccountView
+	err := r.call(ctx, cell, &wire.Request{Body: &wire.Request_Accounts{Accounts: &wire.CellRequest{Cell: cell}}}, 0, &l)
+	return l, err
+}
+
+// Push gives another host a revision.
+func (r *Router) Push(ctx context.Context, host string, v *rules.Revision) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("encode revision: %w", err)
+	}
+	x, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err = r.Peers.Call(x, host, &wire.Request{Body: &wire.Request_Rules{Rules: &wire.RulesRequest{Revision: b}}})
+	return err
+}
+
+// Pull asks another host for its revision.
+func (r *Router) Pull(ctx context.Context, host string) (*rules.Revision, error) {
+	x, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	p, err := r.Peers.Call(x, host, &wire.Request{Body: &wire.Request_Rules{Rules: &wire.RulesRequest{}}})
+	if err != nil {
+		return nil, err
+	}
+	return rules.DecodeRevision(p.Body)
+}
+
+// call brings a request to the decider of a cell and decodes the answer.
+func (r *Router) call(ctx context.Context, cell string, q *wire.Request, wait time.Duration, out any) error {
+	host := r.Keeper.Holder(cell)
+	if host == "" {
+		return ErrNoDecider
+	}
+	x, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	p, err := r.ask(x, cell, host, q)
+	switch {
+	case err != nil:
+		return err
+	case p.Refusal == refusalNotHere:
+		return ErrNotHere
+	case p.Refusal != "":
+		return fmt.Errorf("decider of %s: %s", cell, p.Refusal)
+	case out == nil:
+		return nil
+	}
+	if err := json.Unmarshal(p.Body, out); err != nil {
+		return fmt.Errorf("decode answer of %s: %w", host, err)
+	}
+	return nil
+}
+
+func (r *Router) ask(ctx context.Context, cell, host string, q *wire.Request) (*wire.Response, error) {
+	if r.Keeper.Cell(cell) != nil {
+		return r.Handle(ctx, q), nil
+	}
+	return r.Peers.Call(ctx, host, q)
+}
--- /dev/null
+++ b/rules/store.go
@@ -0,0 +1,142 @@
+package rules
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"citronbridge/table"
+)
+
+// store is what the revisions need of the table service.
+type store interface {
+	Get(ctx context.Context, keys ...string) (map[string]table.Row, error)
+	Scan(ctx context.Context, prefix, after string, limit int) (table.Page, error)
+	Commit(ctx context.Context, t table.Transaction) (table.Result, error)
+}
+
+var _ store = (*table.Client)(nil)
+
+// Register keeps the accepted revisions in the table service.
+// Manifest/Current holds the one in force, Manifest/History/NUMBER each one.
+type Register struct{ store store }
+
+// NewRegister returns a Register in s.
+func NewRegister(s store) *Register { return &Register{s} }
+
+const currentRow = "Manifest/Current"
+
+const historyPrefix = "Manifest/History/"
+
+func historyRow(n int64) string { return fmt.Sprintf("%s%012d", historyPrefix, n) }
+
+// ErrSuperseded says that another manifest was accepted first.
+var ErrSuperseded = errors.New("superseded")
+
+// Read returns the revision in force, or nil if there is none.
+func (g *Register) Read(ctx context.Context) (*Revision, error) {
+	r, _, err := g.read(ctx)
+	return r, err
+}
+
+func (g *Register) read(ctx context.Context) (*Revision, int64, error) {
+	m, err := g.store.Get(ctx, currentRow)
+	if err != nil {
+		return nil, 0, fmt.Errorf("read manifest: %w", err)
+	}
+	row, ok := m[currentRow]
+	if !ok {
+		return nil, 0, nil
+	}
+	r, err := DecodeRevision(row.Value)
+	return r, row.Version, err
+}
+
+// DecodeRevision reads a revision and checks it.
+func DecodeRevision(b []byte) (*Revision, error) {
+	var r Revision
+	if err := json.Unmarshal(b, &r); err != nil {
+		return nil, fmt.Errorf("decode revision: %w", err)
+	}
+	if err := r.Check().Err(); err != nil {
+		return nil, fmt.Errorf("decode revision: %w", err)
+	}
+	return &r, nil
+}
+
+// Propose accepts m as the revision behind base. If another one was accepted
+// in the meantime it returns that and ErrSuperseded. Proposing the same again
+// under the same name returns what was accepted.
+func (g *Register) Propose(ctx context.Context, proposal string, base int64, m *Manifest) (*Revision, error) {
+	cur, v, err := g.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if cur != nil && cur.Proposal == proposal {
+		return cur, nil
+	}
+	if n := number(cur); n != base {
+		return cur, fmt.Errorf("propose on revision %d: %w by revision %d", base, ErrSuperseded, n)
+	}
+	r := &Revision{Number: base + 1, Manifest: *m, Proposal: proposal}
+	t, err := acceptance(r, v)
+	if err != nil {
+		return nil, err
+	}
+	res, err := g.store.Commit(ctx, t)
+	if err != nil {
+		return nil, fmt.Errorf("accept manifest: %w", err)
+	}
+	if len(res.Conflicts) == 0 {
+		return r, nil
+	}
+	cur, _, err = g.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if cur != nil && cur.Proposal == proposal {
+		return cur, nil
+	}
+	return cur, fmt.Errorf("propose on revision %d: %w by revision %d", base, ErrSuperseded, number(cur))
+}
+
+// acceptance is the transaction that puts r in force.
+func acceptance(r *Revision, version int64) (table.Transaction, error) {
+	c, err := table.Put(currentRow, r)
+	if err != nil {
+		return table.Transaction{}, err
+	}
+	h, err := table.Put(historyRow(r.Number), r)
+	if err != nil {
+		return table.Transaction{}, err
+	}
+	return table.Transaction{
+		Conditions: []table.Condition{{Key: currentRow, Version: version}},
+		Writes:     []table.Write{c, h},
+	}, nil
+}
+
+func number(r *Revision) int64 {
+	if r == nil {
+		return 0
+	}
+	return r.Number
+}
+
+// History returns up to limit accepted revisions behind the number after.
+func (g *Register) History(ctx context.Context, after int64, limit int) ([]Revision, error) {
+	p, err := g.store.Scan(ctx, historyPrefix, historyRow(after), limit)
+	if err != nil {
+		return nil, fmt.Errorf("read manifest history: %w", err)
+	}
+	l := make([]Revision, 0, len(p.Rows))
+	for _, row := range p.Rows {
+		r, err := DecodeRevision(row.Value)
+		if err != nil {
+			return nil, err
+		}
+		l = append(l, *r)
+	}
+	return l, nil
+}
--- /dev/null
+++ b/timer/timer.go
@@ -0,0 +1,179 @@
+// Package timer is the one source of time that parts subscribe to.
+package timer
+
+import (
+	"container/heap"
+	"context"
+	"sync"
+	"time"
+)
+
+// Service calls its subscribers when their time has come. Each call runs in a
+// goroutine of its own; a periodic subscriber whose last call hasn't returned
+// skips a turn.
+type Service struct {
+	now func() time.Time
+
+	mu    sync.Mutex
+	queue subscriptions
+	wake  chan struct{}
+}
+
+// Subscription is one subscriber's place at a Service.
+type Subscription struct {
+	s       *Service
+	f       func(time.Time)
+	at      time.Time
+	period  time.Duration
+	index   int
+	running bool
+}
+
+// New returns a Service on the machine's clock. Run drives it.
+func New() *Service {
+	return &Service{now: time.Now, wake: make(chan struct{}, 1)}
+}
+
+// Now returns the service's time.
+func (s *Service) Now() time.Time { return s.now() }
+
+// Every calls f each period until the subscription is cancelled.
+func (s *Service) Every(period time.Duration, f func(time.Time)) *Subscription {
+	return s.add(&Subscription{s: s, f: f, at: s.now().Add(period), period: period})
+}
+
+// After calls f once when d has passed.
+func (s *Service) After(d time.Duration, f func(time.Time)) *Subscription {
+	return s.add(&Subscription{s: s, f: f, at: s.now().Add(d)})
+}
+
+func (s *Service) add(u *Subscription) *Subscription {
+	s.mu.Lock()
+	heap.Push(&s.queue, u)
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+	return u
+}
+
+// Cancel ends the subscription. A call under way goes on.
+func (u *Subscription) Cancel() {
+	u.s.mu.Lock()
+	defer u.s.mu.Unlock()
+	if u.index >= 0 {
+		heap.Remove(&u.s.queue, u.index)
+	}
+	u.period = 0
+}
+
+// Run calls subscribers until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+		case <-t.C:
+		}
+		t.Reset(s.fire(func(f func()) { go f() }))
+	}
+}
+
+// idleWait is how long Run sleeps when nobody has subscribed.
+const idleWait = time.Hour
+
+// fire starts every call that is due and returns the time until the next.
+func (s *Service) fire(start func(func())) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.queue) > 0 {
+		u := s.queue[0]
+		n := s.now()
+		if u.at.After(n) {
+			return u.at.Sub(n)
+		}
+		if u.period > 0 {
+			u.at = n.Add(u.period)
+			heap.Fix(&s.queue, 0)
+		} else {
+			heap.Pop(&s.queue)
+		}
+		if !u.running {
+			u.running = true
+			start(func() { s.call(u, n) })
+		}
+	}
+	return idleWait
+}
+
+func (s *Service) call(u *Subscription, n time.Time) {
+	u.f(n)
+	s.mu.Lock()
+	u.running = false
+	s.mu.Unlock()
+}
+
+// Manual is a Service whose time moves only when it is told to.
+type Manual struct {
+	*Service
+	mu sync.Mutex
+	t  time.Time
+}
+
+// NewManual returns a Manual that stands at t.
+func NewManual(t time.Time) *Manual {
+	m := &Manual{t: t}
+	m.Service = &Service{now: m.read, wake: make(chan struct{}, 1)}
+	return m
+}
+
+func (m *Manual) read() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.t
+}
+
+// Advance moves the time by d and makes every call that is due, one after the
+// other, before it returns.
+func (m *Manual) Advance(d time.Duration) {
+	m.mu.Lock()
+	m.t = m.t.Add(d)
+	m.mu.Unlock()
+	var due []func()
+	m.fire(func(f func()) { due = append(due, f) })
+	for _, f := range due {
+		f()
+	}
+}
+
+// subscriptions is a heap, the earliest first.
+type subscriptions []*Subscription
+
+var _ heap.Interface = (*subscriptions)(nil)
+
+func (q subscriptions) Len() int           { return len(q) }
+func (q subscriptions) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+func (q subscriptions) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index, q[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (q *subscriptions) Push(x any) {
+	u := x.(*Subscription)
+	u.index = len(*q)
+	*q = append(*q, u)
+}
+
+// Pop implements heap.Interface.
+func (q *subscriptions) Pop() any {
+	n := len(*q) - 1
+	u := (*q)[n]
+	u.index = -1
+	*q = (*q)[:n]
+	return u
+}
