--- a/cells/keeper.go
+++ b/cells/keeper.go
@@ -256,7 +256,7 @@
 		return
 	}
 	c := newCell(&k.c, h, began)
-	c.deposed = func(why string) { k.lose(c, why) }
+	c.deposed = func(why string) { k.drop(c, why) }
 	if err := c.recover(x); err != nil {
 		k.c.Log.Warn().Str("cell", cell).Int64("epoch", h.Epoch).Err(err).Msg("cell not recovered")
 		c.close()
@@ -285,17 +285,10 @@
 	}
 }
 
-// lose gives up a cell from which this host was fenced.
-func (k *Keeper) lose(c *Cell, why string) {
-	k.mu.Lock()
-	k.keepOff[c.Name] = k.c.Timer.Now().Add(fencedWait)
-	k.mu.Unlock()
-	k.drop(c, why)
-}
-
-// drop gives up a cell.
+// drop gives up a cell that another host has taken.
 func (k *Keeper) drop(c *Cell, why string) {
 	k.mu.Lock()
+	k.keepOff[c.Name] = k.c.Timer.Now().Add(fencedWait)
 	mine := k.cells[c.Name] == c
 	if mine {
 		delete(k.cells, c.Name)
--- /dev/null
+++ b/itest/harness_test.go
@@ -0,0 +1,547 @@
+package itest
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"gopkg.in/yaml.v3"
+
+	"citronbridge/client"
+	"citronbridge/config"
+	"citronbridge/entry"
+	"citronbridge/fakes"
+	"citronbridge/fleet"
+	"citronbridge/httpc"
+	"citronbridge/jobs"
+	"citronbridge/rules"
+	"citronbridge/units"
+)
+
+const (
+	operatorToken = "operator-token"
+	// patience bounds how long an awaited event may take. It is no measure.
+	patience = 60 * time.Second
+)
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "citronbridge")
+	if err != nil {
+		panic(err)
+	}
+	binaries = dir
+	args := []string{"build", "-o", dir + string(filepath.Separator)}
+	if raceEnabled {
+		args = append(args, "-race")
+	}
+	b := exec.Command("go", append(args, "citronbridge", "citronbridge/fakesd")...)
+	b.Stderr = os.Stderr
+	if err := b.Run(); err != nil {
+		panic(err)
+	}
+	status := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(status)
+}
+
+// process is a program under test.
+type process struct {
+	cmd   *exec.Cmd
+	ended chan struct{}
+	log   string
+}
+
+// start runs a program until the test ends. Each line that it prints goes to
+// line first.
+func start(t testing.TB, line func(string), name string, args ...string) *process {
+	t.Helper()
+	p := &process{cmd: exec.Command(filepath.Join(binaries, name), args...), ended: make(chan struct{})}
+	r, w, err := os.Pipe()
+	must(t, err)
+	p.cmd.Stdout, p.cmd.Stderr = w, w
+	f, err := os.CreateTemp(t.TempDir(), name)
+	must(t, err)
+	p.log = f.Name()
+	must(t, p.cmd.Start())
+	w.Close()
+	go func() {
+		defer f.Close()
+		s := bufio.NewScanner(r)
+		for s.Scan() {
+			fmt.Fprintln(f, s.Text())
+			line(s.Text())
+		}
+	}()
+	go func() {
+		p.cmd.Wait()
+		close(p.ended)
+	}()
+	t.Cleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.kill()
+	})
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) {
+	select {
+	case <-p.ended:
+	default:
+		p.cmd.Process.Signal(s)
+	}
+}
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+func must(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// eventually waits until f holds.
+func eventually(t testing.TB, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !f(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %s: %s", patience, what)
+		}
+	}
+}
+
+// spec of a cluster.
+type layout struct {
+	hosts    []string // data centre of each
+	centres  []string
+	racks    int
+	perRack  int
+	settings func(*config.Settings)
+	lag      time.Duration
+}
+
+// cluster is a deployment of processes. Each connection goes through a proxy.
+type cluster struct {
+	t       testing.TB
+	l       layout
+	server  *toxiproxy.ApiServer
+	table   string
+	objects string
+	hosts   []*member
+	targets []*worker
+
+	mu      sync.Mutex
+	proxies map[link]*toxiproxy.Proxy
+}
+
+// link is a direction of calls, from a host to what it calls.
+type link struct{ from, to string }
+
+// member is a host of the system.
+type member struct {
+	*process
+	name, centre string
+	http, peer   string
+	list         *fakes.Hosts
+	settings     config.Settings
+}
+
+// worker is a target.
+type worker struct {
+	*process
+	host    fleet.Host
+	control *httpc.Client
+}
+
+// newCluster starts a deployment, without a manifest.
+func newCluster(t testing.TB, l layout) *cluster {
+	c := &cluster{t: t, l: l, proxies: map[link]*toxiproxy.Proxy{}}
+	c.server = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
+	at := c.fakes("platform")
+	c.table, c.objects = at["Table"], at["Objects"]
+	for _, dc := range l.centres {
+		for i := range l.racks * l.perRack {
+			c.addTarget(dc, fmt.Sprintf("%s-r%d", dc, i/l.perRack), fmt.Sprintf("%s-t%02d", dc, i))
+		}
+	}
+	for i, dc := range l.hosts {
+		c.hosts = append(c.hosts, &member{name: fmt.Sprintf("h%d", i), centre: dc})
+	}
+	for _, h := range c.hosts {
+		c.startHost(h)
+	}
+	for _, h := range c.hosts {
+		c.awaitReady(h)
+	}
+	t.Cleanup(c.close)
+	return c
+}
+
+func (c *cluster) close() {
+	if c.t.Failed() {
+		for _, h := range c.hosts {
+			b, _ := os.ReadFile(h.log)
+			c.t.Logf("%s:\n%s", h.name, b)
+		}
+	}
+	for _, p := range c.proxies {
+		p.Stop()
+	}
+}
+
+// fakes starts stand-ins and returns their addresses by name.
+func (c *cluster) fakes(args ...string) map[string]string {
+	c.t.Helper()
+	_, at := c.startFakes(args...)
+	return at
+}
+
+func (c *cluster) startFakes(args ...string) (*process, map[string]string) {
+	lines := make(chan string, 16)
+	p := start(c.t, func(s string) { lines <- s }, "fakesd", args...)
+	n := 1
+	if args[0] == "platform" {
+		n = 3
+	}
+	at := map[string]string{}
+	for range n {
+		var v struct{ Name, Address string }
+		must(c.t, json.Unmarshal([]byte(<-lines), &v))
+		at[v.Name] = v.Address
+	}
+	return p, at
+}
+
+func (c *cluster) addTarget(dc, rack, id string) *worker {
+	w := &worker{host: fleet.Host{ID: id, Role: fleet.Target, DataCentre: dc, Rack: rack, Room: jobs.Room{Accelerators: 8, Processors: 64, Memory: 256 << 30, Slots: 8}}}
+	c.startTarget(w)
+	c.targets = append(c.targets, w)
+	return w
+}
+
+func (c *cluster) startTarget(w *worker) {
+	p, at := c.startFakes("target", "--id", w.host.ID, "--centre", w.host.DataCentre, "--rack", w.host.Rack, "--objects", "http://"+c.objects)
+	w.process, w.host.Address = p, at["Target"]
+	w.control = httpc.New("http://" + w.host.Address)
+}
+
+// proxy returns the address by which a host reaches something.
+func (c *cluster) proxy(from, to, upstream string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := link{from, to}
+	p := c.proxies[k]
+	if p != nil {
+		must(c.t, p.Update(&toxiproxy.Proxy{Listen: p.Listen, Upstream: upstream, Enabled: true}))
+		return p.Listen
+	}
+	p = toxiproxy.NewProxy(c.server, from+"-"+to, "127.0.0.1:0", upstream)
+	must(c.t, p.Start())
+	c.proxies[k] = p
+	return p.Listen
+}
+
+// cut breaks all connections from a host to something, and lets no new ones.
+func (c *cluster) cut(from, to string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.proxies[link{from, to}]; p != nil {
+		p.Stop()
+	}
+}
+
+// join undoes cut.
+func (c *cluster) join(from, to string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.proxies[link{from, to}]; p != nil && !p.Enabled {
+		must(c.t, p.Start())
+	}
+}
+
+// toxic drops ("timeout") or delays ("latency") what flows over a link, in the
+// direction upstream or downstream, until the returned function is called.
+func (c *cluster) toxic(k link, direction, kind, attributes string) (undo func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.proxies[k]
+	x, err := p.Toxics.AddToxicJson(strings.NewReader(fmt.Sprintf(`{"type":%q,"stream":%q,"attributes":%s}`, kind, direction, attributes)))
+	must(c.t, err)
+	return func() { p.Toxics.RemoveToxic(context.Background(), x.Name) }
+}
+
+// startHost runs a host that sees the others through proxies.
+func (c *cluster) startHost(h *member) {
+	t := c.t
+	if h.list == nil {
+		h.list = fakes.NewHosts(c.l.lag)
+		list, err := fakes.Listen("127.0.0.1:0", h.list.Handler())
+		must(t, err)
+		t.Cleanup(func() { list.Close() })
+		h.settings = config.Defaults()
+		s := &h.settings
+		s.Host, s.DataCentre, s.HTTPAddress, s.PeerAddress = h.name, h.centre, "127.0.0.1:0", "127.0.0.1:0"
+		s.OperatorTokenHash = entry.HashToken(operatorToken)
+		s.Bounds.DrainGrace = units.Duration(200 * time.Millisecond)
+		s.Platform = config.Platform{
+			Table:   "http://" + c.proxy(h.name, "table", c.table),
+			Objects: "http://" + c.proxy(h.name, "objects", c.objects),
+			Hosts:   "http://" + c.proxy(h.name, "list", list.Address),
+		}
+		if c.l.settings != nil {
+			c.l.settings(s)
+		}
+	}
+	b, err := yaml.Marshal(h.settings)
+	must(t, err)
+	file := filepath.Join(t.TempDir(), "settings.yaml")
+	must(t, os.WriteFile(file, b, 0o600))
+	type started struct{ Message, HTTP, Peer string }
+	up := make(chan started, 1)
+	h.process = start(t, func(s string) {
+		var v started
+		if json.Unmarshal([]byte(s), &v) == nil && v.Message == "host started" {
+			up <- v
+		}
+	}, "citronbridge", "serve", "--settings", file)
+	select {
+	case v := <-up:
+		h.http, h.peer = v.HTTP, v.Peer
+	case <-h.ended:
+		b, _ := os.ReadFile(h.log)
+		t.Fatalf("host %s ended at its start: %s", h.name, b)
+	}
+	c.relist()
+}
+
+// relist tells every host of all hosts and targets, at its own proxies.
+func (c *cluster) relist() {
+	for _, h := range c.hosts {
+		if h.list == nil {
+			continue
+		}
+		for _, o := range c.hosts {
+			if o.peer == "" || o == h {
+				continue
+			}
+			h.list.Set(fleet.Host{ID: o.name, Role: fleet.Entry, DataCentre: o.centre, Address: c.proxy(h.name, o.name, o.peer)})
+		}
+		for _, w := range c.targets {
+			e := w.host
+			e.Address = c.proxy(h.name, e.ID, e.Address)
+			h.list.Set(e)
+		}
+	}
+}
+
+func (c *cluster) awaitReady(h *member) {
+	k := c.client(operatorToken, h)
+	eventually(c.t, h.name+" is ready", func() bool { return k.Ready(context.Background()) == nil })
+}
+
+// client returns a client of hosts, in their order; of all without any.
+func (c *cluster) client(token string, hosts ...*member) *client.Client {
+	if len(hosts) == 0 {
+		hosts = c.hosts
+	}
+	var l []string
+	for _, h := range hosts {
+		l = append(l, h.http)
+	}
+	k, err := client.New(l, token)
+	must(c.t, err)
+	return k
+}
+
+// propose puts a manifest in force, and waits until all hosts have it.
+func (c *cluster) propose(m rules.Manifest) int64 {
+	c.t.Helper()
+	k := c.client(operatorToken)
+	var n int64
+	eventually(c.t, "manifest accepted", func() bool {
+		cur, _ := k.Manifest(context.Background())
+		v, err := k.Propose(context.Background(), &entry.Proposal{ID: fmt.Sprintf("p%d", cur.Number), Base: cur.Number, Manifest: m})
+		n = v.Number
+		return err == nil
+	})
+	c.awaitRevision(n)
+	return n
+}
+
+func (c *cluster) awaitRevision(n int64) {
+	c.t.Helper()
+	for _, h := range c.hosts {
+		k := c.client(operatorToken, h)
+		eventually(c.t, fmt.Sprintf("revision %d at %s", n, h.name), func() bool {
+			v, err := k.Manifest(context.Background())
+			return err == nil && v.Number >= n
+		})
+	}
+}
+
+// awaitDeciders waits until every cell has a decider that all hosts know.
+func (c *cluster) awaitDeciders() {
+	c.t.Helper()
+	for _, h := range c.hosts {
+		k := c.client(operatorToken, h)
+		eventually(c.t, "every cell has a decider known to "+h.name, func() bool {
+			l, err := k.Targets(context.Background())
+			if err != nil {
+				return false
+			}
+			open := 0
+			for _, x := range l {
+				if x.State == "Open" {
+					open++
+				}
+			}
+			return open == len(c.targets)
+		})
+	}
+}
+
+// decider returns the host that decides for a cell.
+func (c *cluster) decider(cell string) *member {
+	var found *member
+	eventually(c.t, "decider of "+cell, func() bool {
+		for _, h := range c.hosts {
+			l, err := c.client(operatorToken, h).Hosts(context.Background())
+			if err != nil || len(l) == 0 {
+				continue
+			}
+			for _, x := range l[0].Cells {
+				if x.Cell == cell {
+					found = h
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// faults sets the faults of the table service.
+func (c *cluster) faults(f fakes.TableFaults) {
+	c.t.Helper()
+	must(c.t, httpc.New("http://"+c.table).Do(context.Background(), http.MethodPut, "/faults", f, nil))
+}
+
+// faults sets the faults of a target.
+func (w *worker) faults(t testing.TB, f fakes.TargetFaults) {
+	t.Helper()
+	must(t, w.control.Do(context.Background(), http.MethodPut, "/faults", f, nil))
+}
+
+// events returns what happened at the targets that still run, by job.
+func (c *cluster) events() map[jobs.Key][]event {
+	m := map[jobs.Key][]event{}
+	for _, w := range c.targets {
+		var l []fakes.LogEntry
+		if w.control.Do(context.Background(), http.MethodGet, "/log", nil, &l) != nil {
+			continue
+		}
+		for _, e := range l {
+			m[e.Task.Job] = append(m[e.Task.Job], event{w.host.ID, e})
+		}
+	}
+	return m
+}
+
+type event struct {
+	target string
+	fakes.LogEntry
+}
+
+// Accounts of the tests. Each token is the name with -token behind it.
+const (
+	kelani = "kelani"
+	agency = "agency"
+)
+
+// shape returns a gang of n members of a accelerators.
+func shape(n, a int, j jobs.Adjacency) jobs.Shape {
+	return jobs.Shape{Members: n, Each: jobs.Room{Accelerators: a, Processors: a, Memory: 1 << 30}, Adjacency: j}
+}
+
+// manifest returns rules with guarantees for both accounts.
+func manifest(k, a []rules.Guarantee) rules.Manifest {
+	return rules.Manifest{
+		Kinds:       []rules.Kind{{Name: "urgent", FloorPercent: 20}, {Name: "routine", FloorPercent: 20}},
+		CastingVote: kelani,
+		Accounts: []rules.Account{
+			{Name: kelani, TokenHash: entry.HashToken(kelani + "-token"), Guarantees: k},
+			{Name: agency, TokenHash: entry.HashToken(agency + "-token"), Guarantees: a},
+		},
+	}
+}
+
+// job returns a request of two members in one rack.
+func job(id string, run time.Duration, change ...func(*jobs.Spec)) *jobs.Spec {
+	s := &jobs.Spec{
+		ID: id, Caller: "c1", Kind: "routine", RunTime: units.Duration(run + time.Millisecond),
+		Shape: shape(2, 4, jobs.AdjacentRack), Arguments: []string{"Run=" + run.String(), "Output=" + id},
+	}
+	for _, f := range change {
+		f(s)
+	}
+	return s
+}
+
+func nonIdempotent(s *jobs.Spec) { s.NonIdempotent = true }
+
+// submit sends a request until it is accepted.
+func (c *cluster) submit(k *client.Client, s *jobs.Spec) {
+	c.t.Helper()
+	var err error
+	eventually(c.t, "accepted "+s.ID, func() bool {
+		_, err = k.Submit(context.Background(), s)
+		if p := client.ProblemOf(err); p != nil && p.Status/100 == 4 && p.Status != http.StatusTooManyRequests {
+			c.t.Fatalf("submit %s: %v", s.ID, err)
+		}
+		return err == nil
+	})
+}
+
+// done waits for an answer and checks that it is whole.
+func (c *cluster) done(k *client.Client, s *jobs.Spec) {
+	c.t.Helper()
+	v, err := k.Answer(context.Background(), s.ID, patience)
+	must(c.t, err)
+	if v.Outcome != jobs.Done {
+		x, _ := k.Explain(context.Background(), s.ID)
+		c.t.Fatalf("job %s: %s %s %s; %+v", s.ID, v.State, v.Outcome, v.Detail, x)
+	}
+	whole(c.t, s, &v)
+}
+
+// whole checks that an answer has the output of each member of its own job.
+func whole(t testing.TB, s *jobs.Spec, v *entry.Answer) {
+	t.Helper()
+	if len(v.Parts) != s.Shape.Members {
+		t.Fatalf("job %s: %d parts of %d", s.ID, len(v.Parts), s.Shape.Members)
+	}
+	for i, p := range v.Parts {
+		if want := fmt.Sprintf("%s#%d\n", s.ID, i); string(p.Data) != want {
+			t.Fatalf("job %s: member %d put out %q, want %q", s.ID, i, p.Data, want)
+		}
+	}
+}
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -133,6 +133,9 @@
 	defer m.mu.Unlock()
 	for h, a := range hosts {
 		m.meet(h, a, now)
+		if p := m.peers[h]; p != nil {
+			p.listed = now
+		}
 	}
 	for h, p := range m.peers {
 		if hosts[h] == "" && now.Sub(p.listed) > forgetAfter && now.Sub(p.heard) > forgetAfter {
@@ -149,14 +152,13 @@
 	}
 	p := m.peers[host]
 	if p != nil && p.address == address {
-		p.listed = now
 		return
 	}
 	if p != nil {
 		p.cancel()
 	}
 	ctx, cancel := context.WithCancel(m.ctx)
-	n := &peer{host: host, address: address, listed: now, cancel: cancel}
+	n := &peer{host: host, address: address, cancel: cancel}
 	if p != nil {
 		n.beat, n.heard, n.inbound = p.beat, p.heard, p.inbound
 	}
--- a/peers/serve.go
+++ b/peers/serve.go
@@ -107,8 +107,13 @@
 func (m *Mesh) heard(s *yamux.Session, b *wire.Heartbeat) {
 	now := time.Now()
 	m.mu.Lock()
-	m.meet(b.Host, b.PeerAddress, now)
 	p := m.peers[b.Host]
+	if p == nil || p.listed.IsZero() {
+		// The list of hosts lags, so a new host's own word for its address
+		// serves until it is listed.
+		m.meet(b.Host, b.PeerAddress, now)
+		p = m.peers[b.Host]
+	}
 	if p == nil {
 		m.mu.Unlock()
 		return
--- a/table/batch.go
+++ b/table/batch.go
@@ -116,14 +116,7 @@
 			return
 		}
 		n := len(g)
-		g = slices.DeleteFunc(g, func(e *entry) bool {
-			for _, c := range e.t.Conditions {
-				if slices.Contains(r.Conflicts, c.Key) {
-					e.r.Conflicts = append(e.r.Conflicts, c.Key)
-				}
-			}
-			return len(e.r.Conflicts) > 0
-		})
+		g = withoutConflicts(g, r.Conflicts)
 		if len(g) == n {
 			deliver(g, r, ErrUncertain)
 			return
@@ -131,6 +124,23 @@
 	}
 }
 
+// withoutConflicts returns the entries that no conflict touches, and tells the
+// others.
+func withoutConflicts(g []*entry, conflicts []string) []*entry {
+	var rest []*entry
+	for _, e := range g {
+		for _, c := range e.t.Conditions {
+			if slices.Contains(conflicts, c.Key) {
+				e.r.Conflicts = append(e.r.Conflicts, c.Key)
+			}
+		}
+		if len(e.r.Conflicts) == 0 {
+			rest = append(rest, e)
+		}
+	}
+	return rest
+}
+
 // merge joins the transactions of a group. A condition that several share
 // goes along once.
 func merge(g []*entry) Transaction {
