--- a/blobs/blobs.go
+++ b/blobs/blobs.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -14,6 +15,9 @@
 
 const callTimeout = 10 * time.Second
 
+// ErrNotFound says that there is no object of that name.
+var ErrNotFound = errors.New("no such object")
+
 // Client calls the object store.
 type Client struct {
 	http  *httpc.Client
@@ -34,7 +38,7 @@
 		var err error
 		_, b, err = c.http.Raw(x, http.MethodGet, "/objects/"+url.PathEscape(name), nil)
 		if httpc.Status(err) == http.StatusNotFound {
-			return retry.Permanent(err)
+			return retry.Permanent(fmt.Errorf("%w: %w", ErrNotFound, err))
 		}
 		return err
 	})
--- a/cells/advance.go
+++ b/cells/advance.go
@@ -13,7 +13,13 @@
 
 // advance takes the next step that a job's members allow. The lock is held.
 func (c *Cell) advance(j *job) {
-	if j.saving || j.moving {
+	if j.saving || j.moving || j.verifying {
+		return
+	}
+	if j.all(complete) && !j.all(func(m *member) bool { return m.verified }) {
+		j.verifying = true
+		c.wg.Add(1)
+		go c.verify(j, j.attempt)
 		return
 	}
 	switch j.Record.State {
@@ -35,7 +41,7 @@
 	switch {
 	case j.cancelled:
 		c.finish(j, jobs.NotRun, "cancelled")
-	case !s.StartBy.IsZero() && c.now().After(s.StartBy):
+	case !s.StartBy.IsZero() && c.now().After(s.StartBy.Time):
 		c.finish(j, jobs.NotRun, "not started by "+s.StartBy.Format(time.RFC3339))
 	case c.c.Book.Current() != nil && c.c.Book.Current().Manifest.Account(s.Account) == nil:
 		c.finish(j, jobs.NotRun, "client account is no longer in the manifest")
@@ -284,6 +290,6 @@
 func (c *Cell) forget(j *job) {
 	delete(c.jobs, j.key())
 	delete(c.waits, j.key())
-	c.recent[j.key()] = c.now()
+	c.recent[j.key()] = departure{c.now(), j.Version}
 	close(j.done)
 }
--- a/cells/cell.go
+++ b/cells/cell.go
@@ -49,9 +49,9 @@
 	attempts int64
 	declared map[string]float64
 	unseated map[string]bool
-	// recent holds when jobs ended or moved, so that a scan that read their
+	// recent holds the jobs that ended or moved, so that a scan that read their
 	// rows before doesn't bring them back.
-	recent map[jobs.Key]time.Time
+	recent map[jobs.Key]departure
 	// quiet says that nothing new is started before a planned handover.
 	quiet bool
 }
@@ -82,6 +82,8 @@
 	cancelled bool
 	// saving says that its outcome is being written.
 	saving bool
+	// verifying says that large outputs are being read.
+	verifying bool
 	// moving says that it is being handed to another cell.
 	moving bool
 	done   chan struct{}
@@ -97,6 +99,8 @@
 	asked  bool
 	detail string
 	output jobs.Part
+	// verified says that the output was read and is whole.
+	verified bool
 }
 
 // ended reports whether the member is known to run no more.
@@ -106,12 +110,21 @@
 // the task a broken one.
 func (m *member) take(t *target.Task) {
 	o := t.Output
-	whole := o.Object != "" || o.Verify(o.Data)
-	if !whole || o.Member != t.ID.Member {
-		m.state, m.detail = target.Broken, "output is not whole"
+	m.output = o
+	if o.Member != t.ID.Member || o.Object == "" && !o.Verify(o.Data) {
+		m.spoil()
 		return
 	}
-	m.output = o
+	m.verified = o.Object == ""
+}
+
+// spoil makes a complete task a broken one, because its output isn't whole.
+func (m *member) spoil() { m.state, m.detail = target.Broken, "output is not whole" }
+
+// departure is when a job left the cell, and the version of its row before.
+type departure struct {
+	at      time.Time
+	version int64
 }
 
 // haltReason is why a gang is stopped.
@@ -143,7 +156,7 @@
 		dirty: make(chan struct{}, 1),
 		jobs:  map[jobs.Key]*job{}, nodes: map[string]*node{}, seats: place.Seats{},
 		waits: map[jobs.Key]place.Wait{}, declared: map[string]float64{}, unseated: map[string]bool{},
-		recent: map[jobs.Key]time.Time{},
+		recent: map[jobs.Key]departure{},
 	}
 	x.ctx, x.cancel = context.WithCancel(context.Background())
 	return x
@@ -213,7 +226,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := e.Record.Spec.Key()
-	if _, gone := c.recent[k]; gone || c.jobs[k] != nil || e.Record.Final() || e.Record.Cell != c.Name {
+	if d, gone := c.recent[k]; gone && e.Version <= d.version {
+		return
+	}
+	if c.jobs[k] != nil || e.Record.Final() || e.Record.Cell != c.Name {
 		return
 	}
 	if e.Record.State != jobs.Waiting || e.Record.Attempt.Epoch > 0 {
--- a/cells/config.go
+++ b/cells/config.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"citronbridge/blobs"
 	"citronbridge/fleet"
 	"citronbridge/jobs"
 	"citronbridge/ledger"
@@ -45,7 +46,13 @@
 	Send(ctx context.Context, epoch int64, orders []target.Order) ([]target.Refusal, error)
 }
 
+// objects holds large outputs.
+type objects interface {
+	Get(ctx context.Context, name string) ([]byte, error)
+}
+
 var (
+	_ objects = (*blobs.Client)(nil)
 	_ records = (*ledger.Ledger)(nil)
 	_ hosts   = (*fleet.View)(nil)
 	_ conn    = (*target.Client)(nil)
@@ -56,6 +63,7 @@
 	Host       string
 	DataCentre string
 	Records    records
+	Objects    objects
 	Hosts      hosts
 	Book       *rules.Book
 	Timer      *timer.Service
@@ -125,8 +133,8 @@
 
 // check returns an error if something needed is missing.
 func (c *Config) check() error {
-	if c.Records == nil || c.Hosts == nil || c.Book == nil || c.Timer == nil || c.Meter == nil || c.Live == nil || c.Connect == nil {
-		return errors.New("cells: Records, Hosts, Book, Timer, Meter, Live and Connect are needed")
+	if c.Records == nil || c.Objects == nil || c.Hosts == nil || c.Book == nil || c.Timer == nil || c.Meter == nil || c.Live == nil || c.Connect == nil {
+		return errors.New("cells: Records, Objects, Hosts, Book, Timer, Meter, Live and Connect are needed")
 	}
 	return nil
 }
--- a/cells/gang.go
+++ b/cells/gang.go
@@ -76,6 +76,7 @@
 	c.event(j, "Running", j.attempt.String())
 	c.observeStart(j)
 	c.advance(j)
+	c.wake()
 }
 
 // startAll orders every member to start. If they are on several targets, each
--- a/cells/node.go
+++ b/cells/node.go
@@ -14,6 +14,9 @@
 const (
 	redialWait = 100 * time.Millisecond
 	maxWatch   = 3 * time.Second
+	// silentCalls is how many calls in a row a target leaves unanswered before
+	// it gets no new work.
+	silentCalls = 2
 )
 
 // node is a target as its decider knows it.
@@ -29,12 +32,14 @@
 	// strays is the room of tasks that belong to no current attempt.
 	strays map[target.TaskID]jobs.Room
 	health health
-	cancel context.CancelFunc
+	// unanswered counts the calls in a row that the target didn't answer.
+	unanswered int
+	cancel     context.CancelFunc
 }
 
 // open reports whether a target may get new work. The cell's lock is held.
 func (x *node) open() bool {
-	return x.listed && x.fenced && !x.host.Leaving && !x.health.suspect
+	return x.listed && x.fenced && !x.host.Leaving && !x.health.suspect && x.unanswered < silentCalls
 }
 
 // room returns what the target has for jobs of the cell.
@@ -76,6 +81,7 @@
 			c.lost("target " + x.host.ID + " has a newer epoch")
 			return
 		case err != nil:
+			c.silent(x)
 			select {
 			case <-ctx.Done():
 			case <-time.After(redialWait):
@@ -86,6 +92,16 @@
 	}
 }
 
+// silent counts a call that a target didn't answer.
+func (c *Cell) silent(x *node) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x.unanswered++
+	if x.unanswered == silentCalls {
+		c.wake()
+	}
+}
+
 // ask fences the target the first time, and then waits for changes.
 func (c *Cell) ask(ctx context.Context, x *node, wait time.Duration) (r target.Report, full bool, err error) {
 	c.mu.Lock()
@@ -108,7 +124,7 @@
 func (c *Cell) report(x *node, r target.Report, sent time.Time, full bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	x.contact = sent
+	x.contact, x.unanswered = sent, 0
 	restarted := x.incarnation != "" && x.incarnation != r.Incarnation
 	x.incarnation, x.sequence = r.Incarnation, r.Sequence
 	touched := map[*job]bool{}
--- a/cells/views.go
+++ b/cells/views.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"strings"
-	"time"
 
 	"citronbridge/jobs"
 	"citronbridge/place"
@@ -42,6 +41,7 @@
 	place.NoRoom:     "add targets, or a guarantee of this shape for the account",
 	place.Behind:     "nothing: a larger job has waited longer and holds a reservation",
 	place.Reclaiming: "nothing: borrowers are being stopped",
+	place.Held:       "nothing: the last attempt ended just now",
 	place.NeverFits:  "add a rack or targets that hold the shape, or submit a smaller shape",
 }
 
@@ -79,8 +79,6 @@
 		e.Reason, e.Hint = string(w.Reason)+": "+w.Detail, hints[w.Reason]
 	case !c.c.Book.Fresh(c.now(), c.c.Bounds.Confirm):
 		e.Reason, e.Hint = "RulesUnconfirmed: nothing starts until the manifest is confirmed", "bring back the table service, or the connection to another data centre"
-	case c.now().Before(j.notBefore):
-		e.Reason = "Backoff: the last attempt ended, next one at " + j.notBefore.Format(time.TimeOnly)
 	default:
 		e.Reason = "Pending: not decided yet"
 	}
@@ -139,7 +137,7 @@
 		return "Unlisted"
 	case x.host.Leaving:
 		return "Leaving"
-	case !x.fenced || c.now().Sub(x.contact) > c.c.Bounds.Lease:
+	case !x.fenced || x.unanswered >= silentCalls || c.now().Sub(x.contact) > c.c.Bounds.Lease:
 		return "Silent"
 	case x.health.suspect:
 		return "Suspect"
--- /dev/null
+++ b/certs/certs.go
@@ -0,0 +1,140 @@
+// Package certs holds certificates from PEM files, and reads them again when
+// they change.
+package certs
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// Files names the PEM files. Authority signs the certificates of all hosts.
+type Files struct {
+	Certificate string `yaml:"Certificate"`
+	Key         string `yaml:"Key"`
+	Authority   string `yaml:"Authority"`
+}
+
+// Store holds what the files said last.
+type Store struct {
+	files Files
+
+	mu      sync.Mutex
+	pair    *tls.Certificate
+	roots   *x509.CertPool
+	changed time.Time
+}
+
+// Load reads the files.
+func Load(f Files) (*Store, error) {
+	s := &Store{files: f}
+	if _, err := s.Refresh(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Refresh reads the files again if one has changed, and reports whether it
+// did. Files that can't be used leave the old certificates in force.
+func (s *Store) Refresh() (bool, error) {
+	at, err := s.modified()
+	if err != nil {
+		return false, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at.Equal(s.changed) {
+		return false, nil
+	}
+	pair, err := tls.LoadX509KeyPair(s.files.Certificate, s.files.Key)
+	if err != nil {
+		return false, fmt.Errorf("load certificate: %w", err)
+	}
+	b, err := os.ReadFile(s.files.Authority)
+	if err != nil {
+		return false, fmt.Errorf("load authority: %w", err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(b) {
+		return false, errors.New("load authority: no certificate in " + s.files.Authority)
+	}
+	s.pair, s.roots, s.changed = &pair, roots, at
+	return true, nil
+}
+
+// modified returns when the newest of the files was written.
+func (s *Store) modified() (time.Time, error) {
+	var at time.Time
+	for _, f := range []string{s.files.Certificate, s.files.Key, s.files.Authority} {
+		i, err := os.Stat(f)
+		if err != nil {
+			return at, fmt.Errorf("look at certificate file: %w", err)
+		}
+		if i.ModTime().After(at) {
+			at = i.ModTime()
+		}
+	}
+	return at, nil
+}
+
+func (s *Store) current() (*tls.Certificate, *x509.CertPool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pair, s.roots
+}
+
+// Server returns the configuration for callers, who need no certificate.
+func (s *Store) Server() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			p, _ := s.current()
+			return p, nil
+		},
+	}
+}
+
+// PeerServer returns the configuration for other hosts, who need a certificate
+// of the authority.
+func (s *Store) PeerServer() *tls.Config {
+	c := s.Server()
+	c.ClientAuth = tls.RequireAnyClientCert
+	c.VerifyConnection = func(x tls.ConnectionState) error { return s.verify(x, x509.ExtKeyUsageClientAuth) }
+	return c
+}
+
+// PeerClient returns the configuration to dial other hosts. A host is known by
+// the authority that signed its certificate and not by its address, since
+// hosts are replaced at any time.
+func (s *Store) PeerClient() *tls.Config {
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		InsecureSkipVerify: true,
+		VerifyConnection:   func(x tls.ConnectionState) error { return s.verify(x, x509.ExtKeyUsageServerAuth) },
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			p, _ := s.current()
+			return p, nil
+		},
+	}
+}
+
+// verify checks a peer's certificate against the authority in force.
+func (s *Store) verify(x tls.ConnectionState, use x509.ExtKeyUsage) error {
+	if len(x.PeerCertificates) == 0 {
+		return errors.New("peer has no certificate")
+	}
+	_, roots := s.current()
+	between := x509.NewCertPool()
+	for _, c := range x.PeerCertificates[1:] {
+		between.AddCert(c)
+	}
+	_, err := x.PeerCertificates[0].Verify(x509.VerifyOptions{Roots: roots, Intermediates: between, KeyUsages: []x509.ExtKeyUsage{use}})
+	if err != nil {
+		return fmt.Errorf("peer's certificate: %w", err)
+	}
+	return nil
+}
--- a/client/client.go
+++ b/client/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -33,14 +34,18 @@
 	Account string
 }
 
-// New returns a Client of hosts, each an IP number and a port.
-func New(hosts []string, token string) (*Client, error) {
+// New returns a Client of hosts, each an IP number and a port. With a TLS
+// configuration the connections are encrypted.
+func New(hosts []string, token string, t *tls.Config) (*Client, error) {
 	if len(hosts) == 0 {
 		return nil, errors.New("no host given")
 	}
 	c := &Client{}
 	for _, h := range hosts {
 		k := httpc.New("http://" + h)
+		if t != nil {
+			k = httpc.NewTLS("https://"+h, t)
+		}
 		k.Token = token
 		c.hosts = append(c.hosts, k)
 	}
--- a/cmds/cmds.go
+++ b/cmds/cmds.go
@@ -2,6 +2,8 @@
 package cmds
 
 import (
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -44,6 +46,7 @@
 	file, id, key      string
 	hosts              []string
 	token, account     string
+	authority          string
 	asJSON, keep       bool
 	wait               time.Duration
 	base, after        int
@@ -127,12 +130,32 @@
 	return e.Encode(v)
 }
 
+// tls returns how to trust hosts, or nil for unencrypted connections.
+func (a *app) tls() (*tls.Config, error) {
+	if a.authority == "" {
+		return nil, nil
+	}
+	b, err := os.ReadFile(a.authority)
+	if err != nil {
+		return nil, fmt.Errorf("read authority: %w", err)
+	}
+	p := x509.NewCertPool()
+	if !p.AppendCertsFromPEM(b) {
+		return nil, errors.New("no certificate in " + a.authority)
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: p}, nil
+}
+
 // client returns a client of the hosts named on the command line.
 func (a *app) client() (*client.Client, error) {
 	if len(a.hosts) == 0 {
 		return nil, &exitError{ExitInvalid, errors.New("name a host with --host, such as --host 127.0.0.1:8080")}
 	}
-	c, err := client.New(a.hosts, a.token)
+	t, err := a.tls()
+	if err != nil {
+		return nil, &exitError{ExitInvalid, err}
+	}
+	c, err := client.New(a.hosts, a.token, t)
 	if err != nil {
 		return nil, err
 	}
--- a/cmds/demo.go
+++ b/cmds/demo.go
@@ -155,7 +155,7 @@
 	for i := range d.hosts {
 		l = append(l, d.hosts[(first+i)%len(d.hosts)].HTTPAddress())
 	}
-	return client.New(l, token)
+	return client.New(l, token, nil)
 }
 
 // play proposes the manifest and runs a gang of each account.
--- a/cmds/parse.go
+++ b/cmds/parse.go
@@ -50,6 +50,7 @@
 	s.StringSlice(&a.hosts, "", "host", "A host's IP number and port; repeat it, and the next is tried when one doesn't answer.")
 	s.String(&a.token, "", "token", "Bearer token; the default is the environment's CITRONBRIDGE_TOKEN.")
 	s.String(&a.account, "", "account", "The client account, with an operator's token.")
+	s.String(&a.authority, "", "authority", "PEM file of the authority that signed the hosts' certificates; without it connections aren't encrypted.")
 	s.Bool(&a.asJSON, "", "json", "Print JSON.")
 	for _, f := range more {
 		f(s)
--- a/config/config.go
+++ b/config/config.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"citronbridge/cells"
+	"citronbridge/certs"
 	"citronbridge/entry"
 	"citronbridge/fault"
 	"citronbridge/jobs"
@@ -32,10 +33,13 @@
 	// OperatorTokenHash is the SHA-256 of the operators' token.
 	OperatorTokenHash string `yaml:"OperatorTokenHash"`
 	// PlainTCP allows unencrypted connections beyond loopback addresses.
-	PlainTCP bool   `yaml:"PlainTCP"`
-	LogLevel string `yaml:"LogLevel"`
-	Bounds   Bounds `yaml:"Bounds"`
-	Store    Store  `yaml:"Store"`
+	PlainTCP bool `yaml:"PlainTCP"`
+	// TLS, if its files are named, encrypts the connections of callers and
+	// those between hosts.
+	TLS      certs.Files `yaml:"TLS"`
+	LogLevel string      `yaml:"LogLevel"`
+	Bounds   Bounds      `yaml:"Bounds"`
+	Store    Store       `yaml:"Store"`
 }
 
 // Platform names the base URLs of the platform's services.
@@ -115,6 +119,7 @@
 	s.checkAddress(&l, "HTTPAddress", s.HTTPAddress)
 	s.checkAddress(&l, "PeerAddress", s.PeerAddress)
 	l.Check(s.HTTPAddress == "" || s.HTTPAddress != s.PeerAddress || s.zeroPort(), "PeerAddress", s.PeerAddress, "another address than HTTPAddress")
+	s.checkTLS(&l)
 	checkURL(&l, "Platform.Table", s.Platform.Table)
 	checkURL(&l, "Platform.Objects", s.Platform.Objects)
 	checkURL(&l, "Platform.Hosts", s.Platform.Hosts)
@@ -125,6 +130,19 @@
 	return append(l, s.Bounds.check().Within("Bounds.")...)
 }
 
+// Secure reports whether connections are encrypted.
+func (s *Settings) Secure() bool { return s.TLS != certs.Files{} }
+
+func (s *Settings) checkTLS(l *fault.List) {
+	if !s.Secure() {
+		return
+	}
+	for _, f := range [][2]string{{"TLS.Certificate", s.TLS.Certificate}, {"TLS.Key", s.TLS.Key}, {"TLS.Authority", s.TLS.Authority}} {
+		i, err := os.Stat(f[1])
+		l.Check(err == nil && i.Mode().IsRegular(), f[0], f[1], "a PEM file that can be read")
+	}
+}
+
 func (s *Settings) zeroPort() bool {
 	a, err := netip.ParseAddrPort(s.HTTPAddress)
 	return err == nil && a.Port() == 0
@@ -136,7 +154,7 @@
 		l.Add(field, v, "an IP number and a port, such as 10.0.0.1:8080")
 		return
 	}
-	l.Check(a.Addr().IsLoopback() || s.PlainTCP, field, v, "a loopback address, unless PlainTCP is true")
+	l.Check(a.Addr().IsLoopback() || s.PlainTCP || s.Secure(), field, v, "a loopback address, unless TLS names files or PlainTCP is true")
 }
 
 func checkURL(l *fault.List, field, v string) {
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,247 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"citronbridge/cells"
+	"citronbridge/fleet"
+	"citronbridge/jobs"
+	"citronbridge/ledger"
+	"citronbridge/meter"
+	"citronbridge/rules"
+	"citronbridge/wire"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+// fakeRecords holds jobs in memory and counts the inserts.
+type fakeRecords struct {
+	rows    map[jobs.Key]*jobs.Record
+	inserts int
+}
+
+func (f *fakeRecords) Insert(_ context.Context, r *jobs.Record) (ledger.Entry, bool, error) {
+	f.inserts++
+	if o := f.rows[r.Spec.Key()]; o != nil {
+		return ledger.Entry{Record: o, Version: 1}, false, nil
+	}
+	f.rows[r.Spec.Key()] = r
+	return ledger.Entry{Record: r, Version: 1}, true, nil
+}
+
+func (f *fakeRecords) Load(_ context.Context, k jobs.Key) (ledger.Entry, error) {
+	return ledger.Entry{Record: f.rows[k], Version: 1}, nil
+}
+
+func (f *fakeRecords) List(context.Context, string, string, int) ([]*jobs.Record, bool, error) {
+	return nil, false, nil
+}
+
+// fakeDeciders knows of no job.
+type fakeDeciders struct{}
+
+var errNoDecider = errors.New("no decider")
+
+func (fakeDeciders) Submit(context.Context, string, jobs.Key) error { return nil }
+func (fakeDeciders) Cancel(context.Context, string, jobs.Key) error { return errNoDecider }
+func (fakeDeciders) Wait(context.Context, string, jobs.Key, time.Duration) (*jobs.Record, error) {
+	return nil, errNoDecider
+}
+func (fakeDeciders) Explain(context.Context, string, jobs.Key) (cells.Explanation, error) {
+	return cells.Explanation{}, errNoDecider
+}
+func (fakeDeciders) Targets(context.Context, string) ([]cells.TargetView, error) { return nil, nil }
+func (fakeDeciders) Accounts(context.Context, string) ([]cells.AccountView, error) {
+	return nil, nil
+}
+
+type fakeRegister struct{}
+
+func (fakeRegister) Propose(_ context.Context, id string, base int64, m *rules.Manifest) (*rules.Revision, error) {
+	return &rules.Revision{Number: base + 1, Manifest: *m, Proposal: id}, nil
+}
+func (fakeRegister) History(context.Context, int64, int) ([]rules.Revision, error) { return nil, nil }
+
+type fakeList []fleet.Host
+
+func (f fakeList) List(context.Context) ([]fleet.Host, int, error) { return f, 0, nil }
+
+// newServer returns a server with one target of 8 accelerators, and two
+// accounts, one of which may send 2 requests.
+func newServer(t *testing.T) (*Server, *fakeRecords) {
+	t.Helper()
+	now := time.Unix(1800000000, 0)
+	b := rules.NewBook()
+	b.Adopt(&rules.Revision{Number: 1, Manifest: rules.Manifest{
+		Kinds: []rules.Kind{{Name: "urgent"}, {Name: "routine"}}, CastingVote: "one",
+		Accounts: []rules.Account{
+			{Name: "one", TokenHash: HashToken("one-token")},
+			{Name: "two", TokenHash: HashToken("two-token"), Limits: rules.Limits{RequestsPerSecond: 1, Burst: 2}},
+		},
+	}}, now)
+	v := fleet.NewView(fakeList{{ID: "t", Role: fleet.Target, DataCentre: "dc", Rack: "r", Address: "127.0.0.1:1", Room: jobs.Room{Accelerators: 8, Processors: 64, Memory: 1 << 38, Slots: 8}}})
+	if err := v.Refresh(t.Context(), now); err != nil {
+		t.Fatal(err)
+	}
+	f := &fakeRecords{rows: map[jobs.Key]*jobs.Record{}}
+	s, err := New(Config{
+		Host: "h", Records: f, Deciders: fakeDeciders{}, Register: fakeRegister{}, Book: b, View: v, Meter: meter.New(),
+		Now: func() time.Time { return now }, Live: func() []*wire.Heartbeat { return nil }, Self: func() *wire.Heartbeat { return &wire.Heartbeat{} },
+		OperatorHash: HashToken("operator-token"), Adopted: func(*rules.Revision) {}, Drain: func() {}, Ready: func() string { return "" },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s, f
+}
+
+const goodJob = `{"ID":"a","Caller":"c","Kind":"routine","Shape":{"Members":1,"Each":{"Accelerators":8,"Processors":1,"Memory":"1 GiB"},"Adjacency":"Host"},"RunTime":"1m"}`
+
+// with returns the good job with a part replaced.
+func with(from, to string) string { return strings.Replace(goodJob, from, to, 1) }
+
+// TestBadInput sends what can't be taken. Each answer names the field, and
+// nothing is recorded.
+func TestBadInput(t *testing.T) {
+	s, f := newServer(t)
+	var got bytes.Buffer
+	for _, x := range []struct {
+		name, token, method, path, body string
+	}{
+		{"no token", "", "POST", "/v1/jobs", goodJob},
+		{"wrong token", "three-token", "POST", "/v1/jobs", goodJob},
+		{"operator submits", "operator-token", "POST", "/v1/jobs", goodJob},
+		{"no JSON", "one-token", "POST", "/v1/jobs", "{"},
+		{"two values", "one-token", "POST", "/v1/jobs", goodJob + goodJob},
+		{"unknown field", "one-token", "POST", "/v1/jobs", with(`"ID"`, `"Colour":"red","ID"`)},
+		{"wrong type", "one-token", "POST", "/v1/jobs", with(`"Members":1`, `"Members":"many"`)},
+		{"number too large", "one-token", "POST", "/v1/jobs", with(`"Members":1`, `"Members":99999999999999999999`)},
+		{"fraction", "one-token", "POST", "/v1/jobs", with(`"Members":1`, `"Members":1.5`)},
+		{"out of range", "one-token", "POST", "/v1/jobs", with(`"Members":1`, `"Members":257`)},
+		{"bad duration", "one-token", "POST", "/v1/jobs", with(`"1m"`, `"soon"`)},
+		{"too long", "one-token", "POST", "/v1/jobs", with(`"1m"`, `"9000h"`)},
+		{"bad memory", "one-token", "POST", "/v1/jobs", with(`"1 GiB"`, `"lots"`)},
+		{"bad time", "one-token", "POST", "/v1/jobs", with(`"1m"`, `"1m","StartBy":"tomorrow"`)},
+		{"several faults", "one-token", "POST", "/v1/jobs", `{"ID":"a b","Caller":"","Kind":"routine","Shape":{"Members":0,"Adjacency":"Street"},"RunTime":"0s"}`},
+		{"retries of a non-idempotent job", "one-token", "POST", "/v1/jobs", with(`"1m"`, `"1m","NonIdempotent":true,"Retries":1`)},
+		{"unknown kind", "one-token", "POST", "/v1/jobs", with(`"routine"`, `"leisure"`)},
+		{"another account", "one-token", "POST", "/v1/jobs", with(`"ID"`, `"Account":"two","ID"`)},
+		{"never fits", "one-token", "POST", "/v1/jobs", with(`"Accelerators":8`, `"Accelerators":9`)},
+		{"deep nesting", "one-token", "POST", "/v1/jobs", strings.Repeat(`{"Shape":`, 20000)},
+		{"large body", "one-token", "POST", "/v1/jobs", `{"ID":"` + strings.Repeat("a", maxBody) + `"}`},
+		{"bad ID", "one-token", "GET", "/v1/jobs/a%20b", ""},
+		{"no such job", "one-token", "GET", "/v1/jobs/none", ""},
+		{"bad wait", "one-token", "GET", "/v1/jobs/a/answer?Wait=1h", ""},
+		{"bad member", "one-token", "GET", "/v1/jobs/a/answer?Member=-1", ""},
+		{"bad limit", "one-token", "GET", "/v1/jobs?Limit=0", ""},
+		{"operator without account", "operator-token", "GET", "/v1/jobs/a", ""},
+		{"account as operator", "one-token", "GET", "/v1/targets", ""},
+		{"no such resource", "one-token", "GET", "/v2", ""},
+		{"wrong method", "one-token", "PUT", "/v1/jobs", ""},
+		{"bad manifest", "operator-token", "POST", "/v1/manifest", `{"ID":"p","Base":-1,"Manifest":{}}`},
+		{"guarantee that can't be honoured", "operator-token", "POST", "/v1/manifest", `{"ID":"p","Base":1,"Manifest":{"Kinds":[{"Name":"k"}],"CastingVote":"a","Accounts":[{"Name":"a","TokenHash":"` + HashToken("a") + `","Guarantees":[{"DataCentre":"dc","Shape":{"Members":2,"Each":{"Accelerators":8,"Processors":1,"Memory":"1 GiB"},"Adjacency":"Rack"}}]}]}}`},
+	} {
+		w := send(s, x.token, x.method, x.path, x.body)
+		fmt.Fprintf(&got, "%s: %d %s", x.name, w.Code, w.Body)
+		if w.Code/100 != 4 {
+			t.Errorf("%s: status %d", x.name, w.Code)
+		}
+	}
+	if f.inserts != 0 {
+		t.Errorf("%d inserts", f.inserts)
+	}
+	golden(t, "testdata/bad.golden", got.String())
+}
+
+func send(s *Server, token, method, path, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, r)
+	return w
+}
+
+// TestRepeat sends the same request again, another one under its ID, and the
+// same ID for another account.
+func TestRepeat(t *testing.T) {
+	s, _ := newServer(t)
+	for _, x := range []struct {
+		name, token, body string
+		status            int
+	}{
+		{"first", "one-token", goodJob, http.StatusAccepted},
+		{"again", "one-token", goodJob, http.StatusOK},
+		{"conflict", "one-token", with("1m", "2m"), http.StatusConflict},
+		{"another account", "two-token", goodJob, http.StatusAccepted},
+	} {
+		if w := send(s, x.token, "POST", "/v1/jobs", x.body); w.Code != x.status {
+			t.Errorf("%s: status %d, want %d: %s", x.name, w.Code, x.status, w.Body)
+		}
+	}
+	if w := send(s, "two-token", "GET", "/v1/jobs/a", ""); !strings.Contains(w.Body.String(), `"Account":"two"`) {
+		t.Errorf("another account's job shows: %s", w.Body)
+	}
+}
+
+// TestLimit sends more than an account may. What is refused is not recorded,
+// and what was accepted before is still answered.
+func TestLimit(t *testing.T) {
+	s, f := newServer(t)
+	for i, status := range []int{http.StatusAccepted, http.StatusTooManyRequests} {
+		w := send(s, "two-token", "POST", "/v1/jobs", with(`"ID":"a"`, fmt.Sprintf(`"ID":"a%d"`, i)))
+		if w.Code != status {
+			t.Fatalf("request %d: status %d, want %d", i, w.Code, status)
+		}
+		if w.Code == http.StatusTooManyRequests && (w.Header().Get("Retry-After") != "2" || !strings.Contains(w.Body.String(), `"Outcome":"NotRun"`)) {
+			t.Errorf("Retry-After %q: %s", w.Header().Get("Retry-After"), w.Body)
+		}
+	}
+	if w := send(s, "two-token", "POST", "/v1/jobs", with(`"ID":"a"`, `"ID":"a0"`)); w.Code != http.StatusOK {
+		t.Errorf("repeated request beyond the limit: status %d", w.Code)
+	}
+	if f.inserts != 1 {
+		t.Errorf("%d inserts", f.inserts)
+	}
+}
+
+// FuzzSubmission feeds the decoder of requests anything.
+func FuzzSubmission(f *testing.F) {
+	f.Add(goodJob)
+	f.Add(with(`"1m"`, `"1m","StartBy":"2030-01-01T00:00:00Z","Input":"AA=="`))
+	f.Fuzz(func(t *testing.T, body string) {
+		r := httptest.NewRequest("POST", "/v1/jobs", strings.NewReader(body))
+		s, err := readSpec(httptest.NewRecorder(), r, identity{account: "one"})
+		if err == nil && (len(s.Check()) > 0 || s.Account != "one") {
+			t.Errorf("accepted a request with faults: %+v", s)
+		}
+	})
+}
+
+func golden(t *testing.T, file, got string) {
+	t.Helper()
+	if *update {
+		if err := os.WriteFile(file, []byte(got), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("%s: got\n%s\nwant\n%s", file, got, want)
+	}
+}
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -86,30 +86,20 @@
 
 // readSpec reads the body. The request ID may come in the header instead.
 func readSpec(w http.ResponseWriter, r *http.Request, id identity) (*jobs.Spec, error) {
-	h := strings.Trim(r.Header.Get("Idempotency-Key"), `"`)
-	spec := &submission{Spec: jobs.Spec{}, header: h, account: id.account}
-	if err := fault.DecodeJSON(http.MaxBytesReader(w, r.Body, maxBody), spec); err != nil {
+	s := &jobs.Spec{}
+	if err := fault.ReadJSON(http.MaxBytesReader(w, r.Body, maxBody), s); err != nil {
 		return nil, err
 	}
-	return &spec.Spec, nil
-}
-
-// submission is a Spec as a caller sends it.
-type submission struct {
-	jobs.Spec
-	header, account string
-}
-
-// Check fills in what the call says besides its body, and checks the whole.
-func (s *submission) Check() fault.List {
+	h := strings.Trim(r.Header.Get("Idempotency-Key"), `"`)
 	var l fault.List
-	l.Check(s.header == "" || s.ID == "" || s.ID == s.header, "ID", s.ID, "the same as the header Idempotency-Key, or left out")
-	l.Check(s.Account == "" || s.Account == s.account, "Account", s.Account, "the token's account, or left out")
+	l.Check(h == "" || s.ID == "" || s.ID == h, "ID", s.ID, "the same as the header Idempotency-Key, or left out")
+	l.Check(s.Account == "" || s.Account == id.account, "Account", s.Account, "the token's account, or left out")
 	if s.ID == "" {
-		s.ID = s.header
+		s.ID = h
 	}
-	s.Account = s.account
-	return append(l, s.Spec.Check()...)
+	s.Account = id.account
+	l = append(l, s.Check()...)
+	return s, l.Err()
 }
 
 func checkKind(s *jobs.Spec, m *rules.Manifest) error {
--- a/fakes/target.go
+++ b/fakes/target.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -56,6 +58,8 @@
 	tasks       map[target.TaskID]*task
 	faults      TargetFaults
 	log         []LogEntry
+	// sink, if set, gets each entry of the log as a line of JSON.
+	sink *json.Encoder
 }
 
 type task struct {
@@ -95,10 +99,26 @@
 			t.mu.Unlock()
 		}
 	})
+	m.HandleFunc("GET /tasks", func(w http.ResponseWriter, _ *http.Request) { write(w, t.Tasks()) })
 	m.HandleFunc("GET /log", func(w http.ResponseWriter, _ *http.Request) { write(w, t.Log()) })
 	return m
 }
 
+// LogTo writes what happens from now on to w, a line of JSON each, so that it
+// outlives the process.
+func (t *Target) LogTo(w io.Writer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sink = json.NewEncoder(w)
+}
+
+// Tasks returns the tasks that the target knows.
+func (t *Target) Tasks() []target.Task {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.report(-1).Tasks
+}
+
 // Log returns what happened so far.
 func (t *Target) Log() []LogEntry {
 	t.mu.Lock()
@@ -357,7 +377,12 @@
 }
 
 func (t *Target) note(event string, k *task) {
-	t.log = append(t.log, LogEntry{time.Now(), event, k.ID})
+	e := LogEntry{time.Now(), event, k.ID}
+	if t.sink == nil {
+		t.log = append(t.log, e)
+		return
+	}
+	t.sink.Encode(e)
 }
 
 // complete ends a task whose run time is over.
--- a/fakesd/main.go
+++ b/fakesd/main.go
@@ -27,7 +27,7 @@
 // options is what the command line says.
 type options struct {
 	table, objects, hosts, address string
-	id, centre, rack               string
+	id, centre, rack, log          string
 	lag                            time.Duration
 	writes, reads, accelerators    int
 	processors                     int
@@ -51,6 +51,7 @@
 	t.String(&o.centre, "", "centre", "Data centre of the target.")
 	t.String(&o.rack, "", "rack", "Rack of the target.")
 	t.String(&o.objects, "", "objects", "URL of the object store.")
+	t.String(&o.log, "", "log", "File to append what happens to.")
 	t.Int(&o.accelerators, "", "accelerators", "Accelerators of the target.")
 	t.Int(&o.processors, "", "processors", "Processors of the target.")
 	flaggy.AttachSubcommand(p, 1)
@@ -98,6 +99,13 @@
 		return err
 	}
 	t := fakes.NewTarget(h.ID, h.Room, o.objects)
+	if o.log != "" {
+		f, err := os.OpenFile(o.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+		if err != nil {
+			return err
+		}
+		t.LogTo(f)
+	}
 	go t.Expire(context.Background())
 	return listen("Target", o.address, t.Handler())
 }
--- a/fault/json.go
+++ b/fault/json.go
@@ -5,12 +5,21 @@
 	"errors"
 	"fmt"
 	"io"
+	"reflect"
 	"strings"
 )
 
-// DecodeJSON reads one JSON value from r into v and checks it. Unknown fields
-// and anything behind the value are faults.
+// DecodeJSON reads one JSON value from r into v and checks it.
 func DecodeJSON(r io.Reader, v Checker) error {
+	if err := ReadJSON(r, v); err != nil {
+		return err
+	}
+	return v.Check().Err()
+}
+
+// ReadJSON reads one JSON value from r into v. Unknown fields and anything
+// behind the value are faults.
+func ReadJSON(r io.Reader, v any) error {
 	d := json.NewDecoder(r)
 	d.DisallowUnknownFields()
 	if err := d.Decode(v); err != nil {
@@ -19,7 +28,7 @@
 	if _, err := d.Token(); !errors.Is(err, io.EOF) {
 		return List{{Field: "body", Value: "more than one value", Allowed: "one JSON value"}}
 	}
-	return v.Check().Err()
+	return nil
 }
 
 // jsonFault names the field of a decoding error.
@@ -30,14 +39,34 @@
 		if f == "" {
 			f = "body"
 		}
-		return List{{Field: f, Value: te.Value, Allowed: fmt.Sprintf("a value of type %s", te.Type)}}
+		return List{{Field: f, Value: te.Value, Allowed: "a value of type " + typeName(te.Type)}}
 	}
 	if s, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
 		return List{{Field: strings.Trim(s, `"`), Value: "present", Allowed: "a known field name"}}
 	}
-	var l List
-	if errors.As(err, &l) {
-		return l
-	}
 	return fmt.Errorf("decode body: %w", err)
 }
+
+// Former is a type with a text form of its own.
+type Former interface {
+	// Form says what the text form looks like.
+	Form() string
+}
+
+// typeName names a type by its text form, if it has one.
+func typeName(t reflect.Type) string {
+	if f, ok := reflect.Zero(t).Interface().(Former); ok {
+		return f.Form()
+	}
+	return t.String()
+}
+
+// ReadText reads a JSON string by read. The error is one to which the decoder
+// adds the field.
+func ReadText(b []byte, v Former, read func([]byte) error) error {
+	var s string
+	if json.Unmarshal(b, &s) != nil || read([]byte(s)) != nil {
+		return &json.UnmarshalTypeError{Value: string(b), Type: reflect.TypeOf(v)}
+	}
+	return nil
+}
--- a/fault/yaml.go
+++ b/fault/yaml.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -25,7 +26,7 @@
 	if err := yaml.Unmarshal(data, &n); err != nil {
 		return List{{File: file, Line: lineOf(err.Error()), Field: "document", Value: err.Error(), Allowed: "well-formed YAML"}}
 	}
-	lines := map[string]int{}
+	lines := map[string]place{}
 	if len(n.Content) > 0 {
 		index(n.Content[0], "", lines)
 	}
@@ -46,7 +47,7 @@
 	}
 	for _, f := range v.Check() {
 		f.Line = nearestLine(f.Field, lines)
-		if !hasLine(l, f.Line) {
+		if !hasField(l, f.Field) {
 			l = append(l, f)
 		}
 	}
@@ -56,10 +57,16 @@
 	return l.Err()
 }
 
-// index records the line of each path below n.
-func index(n *yaml.Node, path string, lines map[string]int) {
+// place is where a field stands in a file, and its value if that is a scalar.
+type place struct {
+	line  int
+	value string
+}
+
+// index records the place of each path below n.
+func index(n *yaml.Node, path string, lines map[string]place) {
 	if path != "" {
-		lines[path] = n.Line
+		lines[path] = place{n.Line, n.Value}
 	}
 	switch n.Kind {
 	case yaml.MappingNode:
@@ -70,7 +77,7 @@
 				p = path + "." + p
 			}
 			index(n.Content[i+1], p, lines)
-			lines[p] = k.Line
+			lines[p] = place{k.Line, n.Content[i+1].Value}
 		}
 	case yaml.SequenceNode:
 		for i, c := range n.Content {
@@ -80,10 +87,10 @@
 }
 
 // nearestLine returns the line of path, or of its closest parent in the file.
-func nearestLine(path string, lines map[string]int) int {
+func nearestLine(path string, lines map[string]place) int {
 	for path != "" {
-		if n, ok := lines[path]; ok {
-			return n
+		if p, ok := lines[path]; ok {
+			return p.line
 		}
 		i := strings.LastIndexAny(path, ".[")
 		if i < 0 {
@@ -94,21 +101,16 @@
 	return 1
 }
 
-// hasLine reports whether a fault of the line is known already. A value of a
+// hasField reports whether a fault of the field is known already. A value of a
 // wrong type decodes to zero, whose own fault would only repeat the first.
-func hasLine(l List, line int) bool {
-	for _, f := range l {
-		if f.Line == line && line > 1 {
-			return true
-		}
-	}
-	return false
+func hasField(l List, field string) bool {
+	return slices.ContainsFunc(l, func(f Fault) bool { return f.Field == field })
 }
 
 var (
 	linePattern    = regexp.MustCompile(`line (\d+)`)
 	unknownPattern = regexp.MustCompile(`field (\S+) not found`)
-	valuePattern   = regexp.MustCompile("cannot unmarshal \\S+ `([^`]*)` into (\\S+)")
+	valuePattern   = regexp.MustCompile("cannot unmarshal \\S+ `([^`]*)` into (.+)")
 )
 
 // lineOf finds the line number in an error text of the YAML library.
@@ -125,18 +127,21 @@
 }
 
 // typeFault turns one error text of the YAML library into a Fault.
-func typeFault(s string, lines map[string]int) Fault {
+func typeFault(s string, lines map[string]place) Fault {
 	f := Fault{Line: lineOf(s), Value: s, Allowed: "a value of the documented type"}
-	for p, n := range lines {
-		if n == f.Line && len(p) > len(f.Field) {
-			f.Field = p
-		}
-	}
+	match := func(string, place) bool { return true }
 	if m := unknownPattern.FindStringSubmatch(s); m != nil {
 		f.Value, f.Allowed = m[1], "a known field name"
+		match = func(path string, _ place) bool { return path == m[1] || strings.HasSuffix(path, "."+m[1]) }
 	}
 	if m := valuePattern.FindStringSubmatch(s); m != nil {
 		f.Value, f.Allowed = m[1], "a value of type "+m[2]
+		match = func(_ string, p place) bool { return p.value == m[1] }
+	}
+	for path, p := range lines {
+		if p.line == f.Line && match(path, p) && (len(path) > len(f.Field) || len(path) == len(f.Field) && path < f.Field) {
+			f.Field = path
+		}
 	}
 	return f
 }
--- a/host/follow.go
+++ b/host/follow.go
@@ -14,6 +14,9 @@
 // pollTimeout bounds what a periodic task may take.
 const pollTimeout = 3 * time.Second
 
+// certificatePoll is how often the certificate files are looked at.
+const certificatePoll = 5 * time.Second
+
 // openJobsPoll is how often the number of open jobs is learned.
 const openJobsPoll = time.Second
 
@@ -32,6 +35,9 @@
 	poll(h.s.Bounds.ManifestPoll.D(), h.followManifest)
 	poll(h.s.Bounds.Heartbeat.D(), func(context.Context) { h.confirmByPeers() })
 	poll(openJobsPoll, h.api.Refresh)
+	if h.certs != nil {
+		poll(certificatePoll, func(context.Context) { h.followCertificates() })
+	}
 }
 
 // followHosts reads the list of hosts.
@@ -109,3 +115,14 @@
 		}
 	}
 }
+
+// followCertificates reads certificates that have changed.
+func (h *Host) followCertificates() {
+	changed, err := h.certs.Refresh()
+	switch {
+	case err != nil:
+		h.log.Warn().Err(err).Msg("certificates not read, the old ones stay in force")
+	case changed:
+		h.log.Info().Msg("certificates read")
+	}
+}
--- a/host/host.go
+++ b/host/host.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -15,6 +16,7 @@
 
 	"citronbridge/blobs"
 	"citronbridge/cells"
+	"citronbridge/certs"
 	"citronbridge/config"
 	"citronbridge/entry"
 	"citronbridge/fleet"
@@ -35,6 +37,7 @@
 	readHeaderTimeout = 5 * time.Second
 	readTimeout       = 15 * time.Second
 	idleTimeout       = 2 * time.Minute
+	dialTimeout       = time.Second
 )
 
 // Host is one host of the system.
@@ -55,8 +58,10 @@
 	peer  net.Listener
 
 	// polled says that the table service has answered about the manifest.
-	polled   atomic.Bool
-	leaving  atomic.Bool
+	polled  atomic.Bool
+	leaving atomic.Bool
+	// certs is nil if connections aren't encrypted.
+	certs    *certs.Store
 	draining chan struct{}
 	once     sync.Once
 	stopped  chan struct{}
@@ -76,6 +81,11 @@
 		h.web.Close()
 		return nil, fmt.Errorf("listen for hosts: %w", err)
 	}
+	if err := h.secure(); err != nil {
+		h.web.Close()
+		h.peer.Close()
+		return nil, err
+	}
 	if err := h.build(); err != nil {
 		h.web.Close()
 		h.peer.Close()
@@ -84,6 +94,30 @@
 	return h, nil
 }
 
+// secure puts the listeners behind TLS if the settings name certificates.
+func (h *Host) secure() error {
+	if !h.s.Secure() {
+		return nil
+	}
+	var err error
+	if h.certs, err = certs.Load(h.s.TLS); err != nil {
+		return err
+	}
+	h.web = tls.NewListener(h.web, h.certs.Server())
+	h.peer = tls.NewListener(h.peer, h.certs.PeerServer())
+	return nil
+}
+
+// dial connects to another host.
+func (h *Host) dial(ctx context.Context, address string) (net.Conn, error) {
+	d := &net.Dialer{Timeout: dialTimeout}
+	if h.certs == nil {
+		return d.DialContext(ctx, "tcp", address)
+	}
+	t := &tls.Dialer{NetDialer: d, Config: h.certs.PeerClient()}
+	return t.DialContext(ctx, "tcp", address)
+}
+
 // HTTPAddress returns where callers are served.
 func (h *Host) HTTPAddress() string { return h.web.Addr().String() }
 
@@ -109,11 +143,12 @@
 	})
 	rows := ledger.New(store, table.NewBatcher(store))
 	h.reg = rules.NewRegister(store)
+	objects := blobs.NewClient(h.s.Platform.Objects, h.guard("objects", 0))
 	h.view = fleet.NewView(fleet.NewClient(h.s.Platform.Hosts, h.guard("hosts", 0)))
 	h.view.Malformed = func(n int) { h.meter.Malformed.WithLabelValues("HostList").Add(float64(n)) }
 	var err error
 	h.keep, err = cells.NewKeeper(cells.Config{
-		Host: h.s.Host, DataCentre: h.s.DataCentre, Records: rows, Hosts: h.view, Book: h.book, Timer: h.timer,
+		Host: h.s.Host, DataCentre: h.s.DataCentre, Records: rows, Objects: objects, Hosts: h.view, Book: h.book, Timer: h.timer,
 		Meter: h.meter, Log: h.log, Live: h.live, Connect: cells.ConnectHTTP, Offered: h.offered, Bounds: h.s.Bounds.Cells(),
 	})
 	if err != nil {
@@ -121,7 +156,7 @@
 	}
 	h.route = &route.Router{Keeper: h.keep, Jobs: rows, Book: h.book, Now: h.timer.Now}
 	h.mesh, err = peers.New(peers.Config{
-		Host: h.s.Host, Listener: h.peer, Beat: h.beat, Handler: h.route.Handle, Changed: h.heard,
+		Host: h.s.Host, Listener: h.peer, Dial: h.dial, Beat: h.beat, Handler: h.route.Handle, Changed: h.heard,
 		Period: h.s.Bounds.Heartbeat.D(), Timeout: h.s.Bounds.HeartbeatTimeout.D(),
 		Malformed: func() { h.meter.Malformed.WithLabelValues("Peer").Inc() },
 		Called:    func(call, result string) { h.meter.PeerCalls.WithLabelValues(call, result).Inc() },
@@ -132,7 +167,7 @@
 	h.route.Peers = h.mesh
 	h.api, err = entry.New(entry.Config{
 		Host: h.s.Host, Records: rows, Deciders: h.route, Register: h.reg, Book: h.book, View: h.view, Meter: h.meter, Log: h.log,
-		Objects: blobs.NewClient(h.s.Platform.Objects, h.guard("objects", 0)),
+		Objects: objects,
 		Now:     h.timer.Now, Live: h.live, Self: h.beat, OperatorHash: h.s.OperatorTokenHash,
 		Adopted: h.accepted, Drain: h.Drain, Ready: h.ready, MaxWait: h.s.Bounds.LongPoll.D(),
 	})
--- a/httpc/httpc.go
+++ b/httpc/httpc.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -51,6 +52,13 @@
 	return &Client{Base: base, HTTP: &http.Client{Transport: t}}
 }
 
+// NewTLS returns a Client of the service at base, a URL of scheme https.
+func NewTLS(base string, t *tls.Config) *Client {
+	c := New(base)
+	c.HTTP.Transport.(*http.Transport).TLSClientConfig = t
+	return c
+}
+
 // Do sends in as JSON, unless it is nil, and decodes the answer into out,
 // unless that is nil. A status other than 2xx is a StatusError.
 func (c *Client) Do(ctx context.Context, method, path string, in, out any) error {
--- a/itest/audit_test.go
+++ b/itest/audit_test.go
@@ -45,9 +45,7 @@
 	return m
 }
 
-// audit checks the outcome of every request against the targets' logs. Logs of
-// targets that were killed are gone, so a job that ran there is checked as far
-// as the others tell.
+// audit checks the outcome of every request against the targets' logs.
 func (c *cluster) audit(k *client.Client, l []*jobs.Spec) verdict {
 	t := c.t
 	t.Helper()
--- /dev/null
+++ b/itest/chaos_test.go
@@ -0,0 +1,348 @@
+package itest
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"citronbridge/client"
+	"citronbridge/entry"
+	"citronbridge/fakes"
+	"citronbridge/httpc"
+	"citronbridge/jobs"
+	"citronbridge/rules"
+	"citronbridge/table"
+	"citronbridge/target"
+)
+
+var (
+	seed  = flag.Uint64("seed", 11, "seed of the faults and the load")
+	steps = flag.Int("steps", 24, "faults that TestChaos brings about")
+)
+
+// chaos is a run of everything at once.
+type chaos struct {
+	*cluster
+	r *rand.Rand
+	// mending counts the faults that are not over yet.
+	mending sync.WaitGroup
+	busy    map[string]bool
+	mu      sync.Mutex
+
+	manifests, revisions history
+}
+
+// TestChaos runs load on 8 hosts and 48 targets while hosts and targets are
+// killed, frozen and cut off, the table service fails and operators race, at
+// times twice and together. Afterwards every request has one outcome that the
+// targets' logs bear out, and nothing is left behind.
+func TestChaos(t *testing.T) {
+	t.Logf("seed %d, %d faults", *seed, *steps)
+	centres := []string{"dc1", "dc2", "dc3", "dc4"}
+	var hosts []string
+	for i := range 8 {
+		hosts = append(hosts, centres[i%4])
+	}
+	c := &chaos{cluster: newCluster(t, layout{hosts: hosts, centres: centres, racks: 2, perRack: 6}), r: rand.New(rand.NewPCG(*seed, 1)), busy: map[string]bool{}}
+	c.manifests = history{name: "proposals", model: manifestModel}
+	c.revisions = history{name: "revisions", model: growModel}
+	c.propose(chaosManifest())
+	c.manifests.add(proposeInput{0}, int64(1), 0, 1)
+	c.awaitDeciders()
+	var stop atomic.Bool
+	var wg sync.WaitGroup
+	loads := make([]*load, len(chaosAccounts))
+	for i, a := range chaosAccounts {
+		loads[i] = &load{c: c, account: a, r: rand.New(rand.NewPCG(*seed, uint64(100+i)))}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			loads[i].run(&stop)
+		}()
+	}
+	for range *steps {
+		c.strike()
+		time.Sleep(time.Duration(100+c.r.IntN(500)) * time.Millisecond)
+	}
+	c.mending.Wait()
+	c.faults(fakes.TableFaults{})
+	stop.Store(true)
+	wg.Wait()
+	c.judge(loads)
+	c.settle()
+}
+
+var chaosAccounts = []string{"one", "two", "three", "four"}
+
+func chaosManifest() rules.Manifest {
+	m := manifest(nil, nil)
+	m.Accounts = nil
+	m.CastingVote = "one"
+	for i, a := range chaosAccounts {
+		m.Accounts = append(m.Accounts, rules.Account{Name: a, TokenHash: entry.HashToken(a + "-token"), Guarantees: []rules.Guarantee{guarantee(fmt.Sprintf("dc%d", i+1), 4, 8)}})
+	}
+	return m
+}
+
+// claim marks something as faulty, unless it is already or too much is.
+func (c *chaos) claim(what string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	hosts := 0
+	for k := range c.busy {
+		if strings.HasPrefix(k, "h") {
+			hosts++
+		}
+	}
+	if c.busy[what] || strings.HasPrefix(what, "h") && hosts >= 3 {
+		return false
+	}
+	c.busy[what] = true
+	return true
+}
+
+// later mends a fault after a while that the seed draws.
+func (c *chaos) later(what string, mend func()) {
+	d := time.Duration(300+c.r.IntN(2500)) * time.Millisecond
+	c.mending.Add(1)
+	time.AfterFunc(d, func() {
+		defer c.mending.Done()
+		mend()
+		c.mu.Lock()
+		delete(c.busy, what)
+		c.mu.Unlock()
+	})
+}
+
+// strike brings about one fault.
+func (c *chaos) strike() {
+	h := c.hosts[c.r.IntN(len(c.hosts))]
+	o := c.hosts[c.r.IntN(len(c.hosts))]
+	w := c.targets[c.r.IntN(len(c.targets))]
+	switch n := c.r.IntN(9); {
+	case n == 0 && c.claim(h.name):
+		h.kill()
+		c.later(h.name, func() { c.restart(h) })
+	case n == 1 && c.claim(h.name):
+		h.signal(syscall.SIGSTOP)
+		c.later(h.name, func() { h.signal(syscall.SIGCONT) })
+	case n == 2 && c.claim(h.name):
+		h.signal(syscall.SIGTERM)
+		c.later(h.name, func() { <-h.ended; c.restart(h) })
+	case n == 3 && c.claim("cut"+h.name+o.name) && h != o:
+		c.cut(h.name, o.name)
+		c.later("cut"+h.name+o.name, func() { c.join(h.name, o.name) })
+	case n == 4 && c.claim("drop"+h.name):
+		undo := c.toxic(link{h.name, "table"}, "downstream", "timeout", `{"timeout":0}`)
+		c.later("drop"+h.name, undo)
+	case n == 5 && c.claim("table"):
+		f := fakes.TableFaults{Outage: c.r.IntN(2) == 0, LosePercent: 30, Seed: *seed}
+		c.faults(f)
+		c.later("table", func() { c.faults(fakes.TableFaults{}) })
+	case n == 6 && c.claim(w.host.ID):
+		c.killTarget(w)
+		c.later(w.host.ID, func() { c.startTarget(w); c.relist() })
+	case n == 7 && c.claim(w.host.ID):
+		w.signal(syscall.SIGSTOP)
+		c.later(w.host.ID, func() { w.signal(syscall.SIGCONT) })
+	case n == 8 && h != o:
+		go c.raceAt(h)
+		c.raceAt(o)
+	}
+}
+
+// raceAt proposes on the revision that a host has.
+func (c *chaos) raceAt(h *member) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	k := c.client(operatorToken, h)
+	call := time.Now().UnixNano()
+	cur, err := k.Manifest(ctx)
+	if err != nil {
+		return
+	}
+	c.record(func() { c.revisions.add(growInput{h.name}, cur.Number, call, time.Now().UnixNano()) })
+	id := fmt.Sprintf("%s-%d", h.name, call)
+	call = time.Now().UnixNano()
+	for {
+		v, err := k.Propose(ctx, &entry.Proposal{ID: id, Base: cur.Number, Manifest: chaosManifest()})
+		p := client.ProblemOf(err)
+		switch {
+		case err == nil:
+			c.record(func() { c.manifests.add(proposeInput{cur.Number}, v.Number, call, time.Now().UnixNano()) })
+		case p != nil && p.Status == http.StatusConflict:
+			c.record(func() { c.manifests.add(proposeInput{cur.Number}, int64(0), call, time.Now().UnixNano()) })
+		case ctx.Err() == nil:
+			time.Sleep(50 * time.Millisecond)
+			continue
+		default:
+			// Whether this one was accepted shows in the history of revisions.
+			c.record(func() { c.manifests.name = "proposals (some undecided)" })
+		}
+		return
+	}
+}
+
+func (c *chaos) record(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f()
+}
+
+// load is the requests of one account.
+type load struct {
+	c       *chaos
+	account string
+	r       *rand.Rand
+	specs   []*jobs.Spec
+}
+
+// run sends requests until told to stop, and waits for some of the answers.
+func (l *load) run(stop *atomic.Bool) {
+	for n := 0; !stop.Load(); n++ {
+		s := job(fmt.Sprintf("%s-%d", l.account, n), time.Duration(20+l.r.IntN(600))*time.Millisecond, gangOf(1+l.r.IntN(6), 1+l.r.IntN(8)))
+		s.NonIdempotent = l.r.IntN(2) == 0
+		s.Checkpoints = !s.NonIdempotent && l.r.IntN(2) == 0
+		k := l.client()
+		l.c.submit(k, s)
+		l.specs = append(l.specs, s)
+		if l.r.IntN(6) == 0 {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			k.Cancel(ctx, s.ID)
+			cancel()
+		}
+		time.Sleep(time.Duration(l.r.IntN(150)) * time.Millisecond)
+	}
+}
+
+// client returns a client of all hosts in an order that the seed draws.
+func (l *load) client() *client.Client {
+	h := append([]*member(nil), l.c.hosts...)
+	l.r.Shuffle(len(h), func(i, j int) { h[i], h[j] = h[j], h[i] })
+	return l.c.cluster.client(l.account+"-token", h...)
+}
+
+// judge checks every request, and the histories.
+func (c *chaos) judge(loads []*load) {
+	requests := history{name: "requests", model: requestModel}
+	epochs := history{name: "epochs at targets", model: growModel}
+	var total verdict
+	specs := map[jobs.Key]*jobs.Spec{}
+	for _, l := range loads {
+		began := time.Now().UnixNano()
+		v := c.audit(l.client(), l.specs)
+		total.jobs, total.done, total.notRun = total.jobs+v.jobs, total.done+v.done, total.notRun+v.notRun
+		total.unknown, total.other, total.partial = total.unknown+v.unknown, total.other+v.other, total.partial+v.partial
+		total.longest = max(total.longest, v.longest)
+		for _, s := range l.specs {
+			k := jobs.Key{Account: l.account, ID: s.ID}
+			specs[k] = s
+			a, err := l.client().Status(context.Background(), s.ID)
+			must(c.t, err)
+			requests.add(requestInput{key: k.String()}, a.Outcome, began, time.Now().UnixNano())
+		}
+	}
+	for k, l := range c.events() {
+		for _, e := range l {
+			at := e.Time.UnixNano()
+			switch e.Event {
+			case "Start":
+				s := specs[k]
+				requests.add(requestInput{k.String(), true, e.Task.Attempt, s != nil && s.NonIdempotent}, jobs.Outcome(""), at, at)
+			case "Reserve":
+				epochs.add(growInput{e.target}, e.Task.Attempt.Epoch, at, at)
+			}
+		}
+	}
+	c.t.Logf("%+v", total)
+	takes := c.takes()
+	for _, h := range []*history{&requests, &epochs, &takes, &c.manifests, &c.revisions} {
+		h.check(c.t)
+	}
+}
+
+// takes reads from the hosts' logs who took which cell.
+func (c *chaos) takes() history {
+	t := history{name: "cells taken", model: cellModel}
+	for _, h := range c.hosts {
+		for _, name := range h.logs {
+			c.takesIn(name, &t)
+		}
+	}
+	return t
+}
+
+func (c *chaos) takesIn(name string, t *history) {
+	f, err := os.Open(name)
+	must(c.t, err)
+	defer f.Close()
+	for s := bufio.NewScanner(f); s.Scan(); {
+		var v struct {
+			Message, Cell string
+			Epoch         int64
+		}
+		if json.Unmarshal(s.Bytes(), &v) == nil && v.Message == "cell taken" {
+			t.add(takeInput{v.Cell}, v.Epoch, v.Epoch*10, v.Epoch*10+1)
+		}
+	}
+}
+
+// settle checks that nothing is left behind: no open row, no task, no
+// room held, and a decider for each cell.
+func (c *chaos) settle() {
+	t := c.t
+	store := httpc.New("http://" + c.table)
+	eventually(t, "no open rows", func() bool {
+		var p table.Page
+		return store.Do(context.Background(), http.MethodGet, "/scan?Prefix=Open/&Limit=10", nil, &p) == nil && len(p.Rows) == 0
+	})
+	for _, w := range c.targets {
+		eventually(t, "no tasks at "+w.host.ID, func() bool {
+			var l []target.Task
+			return w.control.Do(context.Background(), http.MethodGet, "/tasks", nil, &l) == nil && len(l) == 0
+		})
+	}
+	c.awaitDeciders()
+	l, err := c.client(operatorToken).Targets(context.Background())
+	must(t, err)
+	for _, v := range l {
+		if v.Free != v.Room {
+			t.Errorf("target %s: %+v free of %+v", v.ID, v.Free, v.Room)
+		}
+	}
+	for _, h := range c.hosts {
+		c.awaitCalm(h)
+	}
+}
+
+// calmGoroutines bounds what a host without work runs: conversations with
+// peers and targets, and its own tasks.
+const calmGoroutines = 400
+
+// awaitCalm waits until a host has no more goroutines and connections than an
+// idle one needs.
+func (c *chaos) awaitCalm(h *member) {
+	last := 0.0
+	eventually(c.t, h.name+" is calm", func() bool {
+		_, b, err := httpc.New("http://"+h.http).Raw(context.Background(), http.MethodGet, "/metrics", nil)
+		if err != nil {
+			return false
+		}
+		for line := range strings.Lines(string(b)) {
+			fmt.Sscanf(line, "go_goroutines %g", &last)
+		}
+		return last > 0 && last < calmGoroutines
+	})
+	c.t.Logf("%s: %g goroutines", h.name, last)
+}
--- /dev/null
+++ b/itest/leave_test.go
@@ -0,0 +1,92 @@
+package itest
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"citronbridge/jobs"
+)
+
+// TestLeavingTarget lists a target as leaving while jobs flow, and kills its
+// decider. Once the list is read nothing new starts there; what runs goes on.
+func TestLeavingTarget(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, layout{hosts: []string{"dc1", "dc1", "dc1"}, centres: []string{"dc1"}, racks: 1, perRack: 3, lag: 300 * time.Millisecond})
+	c.propose(manifest(nil, nil))
+	c.awaitDeciders()
+	k := c.client(kelani + "-token")
+	long := job("long", 4*time.Second, gangOf(1, 1))
+	c.submit(k, long)
+	var w *worker
+	eventually(t, "the long job runs", func() bool {
+		for _, e := range c.events()[jobs.Key{Account: kelani, ID: "long"}] {
+			w = c.worker(e.target)
+		}
+		return w != nil && c.running(kelani) == 1
+	})
+	var stop atomic.Bool
+	done := make(chan []*jobs.Spec)
+	go func() {
+		var l []*jobs.Spec
+		for i := 0; !stop.Load(); i++ {
+			s := job(fmt.Sprintf("f%d", i), 20*time.Millisecond, gangOf(1, 2))
+			c.submit(k, s)
+			l = append(l, s)
+			time.Sleep(10 * time.Millisecond)
+		}
+		done <- l
+	}()
+	w.host.Leaving = true
+	listed := time.Now()
+	c.relist()
+	c.awaitState(w, "Leaving", c.hosts...)
+	d := c.decider("dc1")
+	d.kill()
+	var rest []*member
+	for _, h := range c.hosts {
+		if h != d {
+			rest = append(rest, h)
+		}
+	}
+	seen := time.Now()
+	c.awaitState(w, "Leaving", rest...)
+	time.Sleep(500 * time.Millisecond)
+	stop.Store(true)
+	l := append(<-done, long)
+	k = c.client(kelani+"-token", rest...)
+	if v := c.audit(k, l); v.done != len(l) {
+		t.Errorf("%+v", v)
+	}
+	last := time.Time{}
+	for _, all := range c.events() {
+		for _, e := range all {
+			if e.target == w.host.ID && e.Event == "Start" && e.Time.After(last) {
+				last = e.Time
+			}
+		}
+	}
+	t.Logf("last start %s after the listing, %d jobs", last.Sub(listed), len(l))
+	if last.After(seen) {
+		t.Errorf("a job started on a leaving target %s after its deciders knew", last.Sub(seen))
+	}
+}
+
+// awaitState waits until a host tells a target's state.
+func (c *cluster) awaitState(w *worker, state string, hosts ...*member) {
+	c.t.Helper()
+	eventually(c.t, w.host.ID+" is "+state, func() bool {
+		l, err := c.client(operatorToken, hosts...).Targets(context.Background())
+		if err != nil {
+			return false
+		}
+		for _, v := range l {
+			if v.ID == w.host.ID {
+				return v.State == state
+			}
+		}
+		return false
+	})
+}
--- /dev/null
+++ b/itest/once_test.go
@@ -0,0 +1,133 @@
+package itest
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"citronbridge/fakes"
+	"citronbridge/jobs"
+	"citronbridge/units"
+)
+
+// TestOnceDeciderFrozen freezes a decider while it starts non-idempotent jobs,
+// lets another take over, and wakes it late. No job runs twice.
+func TestOnceDeciderFrozen(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, one)
+	c.propose(manifest(nil, nil))
+	c.awaitDeciders()
+	d := c.decider("dc1")
+	var others []*member
+	for _, h := range c.hosts {
+		if h != d {
+			others = append(others, h)
+		}
+	}
+	k := c.client(kelani+"-token", others...)
+	var l []*jobs.Spec
+	for i := range 20 {
+		s := job(fmt.Sprintf("o%d", i), 100*time.Millisecond, gangOf(2, 4), nonIdempotent)
+		c.submit(k, s)
+		l = append(l, s)
+		if i == 8 {
+			d.signal(syscall.SIGSTOP)
+		}
+	}
+	eventually(t, "another host decides", func() bool {
+		for _, h := range others {
+			x, err := c.client(operatorToken, h).Hosts(context.Background())
+			if err == nil && len(x[0].Cells) > 0 {
+				return true
+			}
+		}
+		return false
+	})
+	d.signal(syscall.SIGCONT)
+	v := c.audit(k, l)
+	t.Logf("%+v", v)
+	if v.done == 0 {
+		t.Errorf("%+v", v)
+	}
+}
+
+// TestNotRun lets cancellations and deadlines race starts while the table
+// service loses answers and each request is sent at every host. What is said
+// to have not run did not, and nothing non-idempotent ran twice.
+func TestNotRun(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, one)
+	c.propose(manifest(nil, nil))
+	c.awaitDeciders()
+	c.faults(fakes.TableFaults{LosePercent: 30, Seed: 7})
+	k := c.client(kelani + "-token")
+	r := rand.New(rand.NewPCG(7, 7))
+	var l []*jobs.Spec
+	var wg sync.WaitGroup
+	for i := range 60 {
+		s := job(fmt.Sprintf("n%d", i), 40*time.Millisecond, gangOf(1+r.IntN(4), 8), nonIdempotent)
+		wait := time.Duration(r.IntN(400)) * time.Millisecond
+		if i%3 == 0 {
+			s.StartBy = units.Time{Time: time.Now().Add(wait).UTC()}
+		}
+		l = append(l, s)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for n := range c.hosts {
+				c.submit(c.client(kelani+"-token", c.hosts[(i+n)%3], c.hosts[(i+n+1)%3]), s)
+			}
+			if i%3 == 1 {
+				time.Sleep(wait)
+				eventually(t, "cancelled "+s.ID, func() bool {
+					_, err := k.Cancel(context.Background(), s.ID)
+					return err == nil
+				})
+			}
+		}()
+	}
+	wg.Wait()
+	v := c.audit(k, l)
+	t.Logf("%+v", v)
+	if v.notRun == 0 || v.done == 0 || v.partial != 0 {
+		t.Errorf("%+v", v)
+	}
+}
+
+// TestStoreOutage takes the table service away for longer than a lease while
+// jobs run. They run on, and their outcomes come once it is back.
+func TestStoreOutage(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, one)
+	c.propose(manifest(nil, nil))
+	c.awaitDeciders()
+	k := c.client(kelani + "-token")
+	var l []*jobs.Spec
+	for i := range 4 {
+		s := job(fmt.Sprintf("s%d", i), 13*time.Second, gangOf(1, 8))
+		s.NonIdempotent = i%2 == 0
+		c.submit(k, s)
+		l = append(l, s)
+	}
+	eventually(t, "the jobs run", func() bool { return c.running(kelani) == 4 })
+	c.faults(fakes.TableFaults{Outage: true})
+	_, err := k.Submit(context.Background(), job("late", time.Millisecond))
+	if err == nil {
+		t.Error("a request was accepted without the table service")
+	}
+	eventually(t, "the jobs have run to their end", func() bool { return c.running(kelani) == 0 })
+	c.faults(fakes.TableFaults{})
+	v := c.audit(k, l)
+	if v.done != 4 {
+		t.Errorf("%+v", v)
+	}
+	for key, e := range c.events() {
+		if len(attempts(e)) != 1 {
+			t.Errorf("job %s had %d attempts", key, len(attempts(e)))
+		}
+	}
+}
--- /dev/null
+++ b/itest/rules_test.go
@@ -0,0 +1,130 @@
+package itest
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"citronbridge/client"
+	"citronbridge/entry"
+	"citronbridge/fakes"
+)
+
+// TestManifestRace lets operators propose at every host at once while answers
+// get lost, a host is frozen and one restarts. One proposal wins each
+// revision, every host gets it, and none goes back.
+func TestManifestRace(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, small)
+	first := c.propose(manifest(nil, nil))
+	c.faults(fakes.TableFaults{LosePercent: 25, Seed: 3})
+	var stop atomic.Bool
+	var watch, wg sync.WaitGroup
+	for _, h := range c.hosts {
+		watch.Add(1)
+		go func() {
+			defer watch.Done()
+			c.watchRevision(h, &stop)
+		}()
+	}
+	c.hosts[2].signal(syscall.SIGSTOP)
+	const rounds, racers = 5, 4
+	last := first
+	for round := range rounds {
+		var won atomic.Int64
+		for i := range racers {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				if c.race(c.hosts[i%2], fmt.Sprintf("r%d-%d", round, i), last) {
+					won.Add(1)
+				}
+			}()
+		}
+		wg.Wait()
+		if won.Load() != 1 {
+			t.Errorf("round %d: %d proposals won", round, won.Load())
+		}
+		last++
+	}
+	c.hosts[2].signal(syscall.SIGCONT)
+	c.awaitRevision(last)
+	// A host that starts while the table service is out has only its peers.
+	c.hosts[1].kill()
+	c.faults(fakes.TableFaults{Outage: true})
+	c.restart(c.hosts[1])
+	v, err := c.client(operatorToken, c.hosts[1]).Manifest(context.Background())
+	if err != nil || v.Number != last {
+		t.Errorf("restarted host has revision %d, want %d: %v", v.Number, last, err)
+	}
+	stop.Store(true)
+	watch.Wait()
+}
+
+// race proposes a manifest on a base until it is accepted or superseded.
+func (c *cluster) race(h *member, id string, base int64) bool {
+	k := c.client(operatorToken, h)
+	won := false
+	eventually(c.t, "proposal "+id+" decided", func() bool {
+		v, err := k.Propose(context.Background(), &entry.Proposal{ID: id, Base: base, Manifest: manifest(nil, nil)})
+		if p := client.ProblemOf(err); p != nil && p.Status == 409 {
+			return true
+		}
+		won = err == nil && v.Number == base+1
+		return err == nil
+	})
+	return won
+}
+
+// watchRevision checks that the revision that a host shows never falls while
+// the host lives.
+func (c *cluster) watchRevision(h *member, stop *atomic.Bool) {
+	for seen := int64(0); !stop.Load(); time.Sleep(10 * time.Millisecond) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		v, err := c.client(operatorToken, h).Manifest(ctx)
+		cancel()
+		if err != nil {
+			continue
+		}
+		if v.Number < seen {
+			c.t.Errorf("%s went from revision %d to %d", h.name, seen, v.Number)
+		}
+		seen = v.Number
+	}
+}
+
+// TestUnconfirmed cuts the hosts of a data centre off from the table service
+// and from the other data centre. After a few seconds they start nothing,
+// until they are joined again.
+func TestUnconfirmed(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, layout{hosts: []string{"dc1", "dc1", "dc2"}, centres: []string{"dc1"}, racks: 1, perRack: 1})
+	c.propose(manifest(nil, nil))
+	c.awaitDeciders()
+	d := c.decider("dc1")
+	k := c.client(kelani+"-token", d)
+	c.submit(k, job("first", 8*time.Second, gangOf(1, 8)))
+	eventually(t, "the first job runs", func() bool { return c.running(kelani) == 1 })
+	second := job("second", 10*time.Millisecond, gangOf(1, 8))
+	c.submit(k, second)
+	links := [][2]string{{"h0", "table"}, {"h1", "table"}, {"h0", "h2"}, {"h1", "h2"}, {"h2", "h0"}, {"h2", "h1"}, {"h2", "table"}}
+	for _, l := range links {
+		c.cut(l[0], l[1])
+	}
+	eventually(t, "the first job has ended", func() bool { return c.running(kelani) == 0 })
+	// The decider's own plans come every 250 ms while a job waits.
+	for range 20 {
+		time.Sleep(50 * time.Millisecond)
+		if c.running(kelani) > 0 {
+			t.Fatal("a job was started under unconfirmed rules")
+		}
+	}
+	for _, l := range links {
+		c.join(l[0], l[1])
+	}
+	c.done(k, second)
+}
--- /dev/null
+++ b/itest/stop_test.go
@@ -0,0 +1,136 @@
+package itest
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"citronbridge/entry"
+	"citronbridge/httpc"
+	"citronbridge/jobs"
+)
+
+// balancer sends calls to hosts that say they are ready, as the platform's
+// does.
+type balancer struct {
+	mu    sync.Mutex
+	hosts []*member
+	ready map[*member]bool
+	turn  int
+}
+
+// watch polls the hosts until ctx ends.
+func (b *balancer) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, h := range b.hosts {
+			x, cancel := context.WithTimeout(ctx, time.Second)
+			err := httpc.New("http://"+h.http).Do(x, http.MethodGet, "/readyz", nil, nil)
+			cancel()
+			b.mu.Lock()
+			b.ready[h] = err == nil
+			b.mu.Unlock()
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (b *balancer) pick() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for range b.hosts {
+		b.turn++
+		if h := b.hosts[b.turn%len(b.hosts)]; b.ready[h] {
+			return h.http
+		}
+	}
+	return ""
+}
+
+// TestPlannedStop tells each host in turn, and then two at once, to stop while
+// callers send requests and wait in long polls. No call fails, and no job is
+// cut short.
+func TestPlannedStop(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, layout{hosts: []string{"dc1", "dc2", "dc1", "dc2"}, centres: []string{"dc1", "dc2"}, racks: 1, perRack: 3})
+	c.propose(manifest(nil, nil))
+	c.awaitDeciders()
+	b := &balancer{hosts: c.hosts, ready: map[*member]bool{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go b.watch(ctx)
+	eventually(t, "a host is ready", func() bool { return b.pick() != "" })
+	var stop atomic.Bool
+	var calls, failed, polls atomic.Int64
+	var wg sync.WaitGroup
+	var specs [4][]*jobs.Spec
+	for i := range specs {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for n := 0; !stop.Load(); n++ {
+				s := job(fmt.Sprintf("s%d-%d", i, n), 50*time.Millisecond)
+				s.NonIdempotent = n%2 == 0
+				specs[i] = append(specs[i], s)
+				calls.Add(1)
+				if err := call(b.pick(), http.MethodPost, "/v1/jobs", s, nil); err != nil {
+					failed.Add(1)
+					t.Errorf("submit %s: %v", s.ID, err)
+				}
+				for {
+					var a entry.Answer
+					polls.Add(1)
+					if err := call(b.pick(), http.MethodGet, "/v1/jobs/"+s.ID+"/answer?Wait=5s", nil, &a); err != nil {
+						failed.Add(1)
+						t.Errorf("answer %s: %v", s.ID, err)
+						break
+					}
+					if a.State == jobs.Finished {
+						break
+					}
+				}
+			}
+		}()
+	}
+	for _, group := range [][]*member{{c.hosts[0]}, {c.hosts[1]}, {c.hosts[2]}, {c.hosts[3]}, {c.hosts[0], c.hosts[1]}} {
+		for _, h := range group {
+			h.signal(syscall.SIGTERM)
+			h.signal(syscall.SIGTERM)
+		}
+		for _, h := range group {
+			<-h.ended
+			c.restart(h)
+		}
+		c.awaitDeciders()
+	}
+	stop.Store(true)
+	wg.Wait()
+	var all []*jobs.Spec
+	for _, l := range specs {
+		all = append(all, l...)
+	}
+	v := c.audit(c.client(kelani+"-token"), all)
+	t.Logf("%d submissions and %d polls over 6 stops, %d failed; %+v", calls.Load(), polls.Load(), failed.Load(), v)
+	if v.done != len(all) {
+		t.Errorf("%d of %d jobs done", v.done, len(all))
+	}
+}
+
+// restart runs a host that ended again, at new ports.
+func (c *cluster) restart(h *member) {
+	c.startHost(h)
+	c.awaitReady(h)
+}
+
+func call(host, method, path string, in, out any) error {
+	k := httpc.New("http://" + host)
+	k.Token = kelani + "-token"
+	defer k.HTTP.CloseIdleConnections()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return k.Do(ctx, method, path, in, out)
+}
--- a/jobs/spec.go
+++ b/jobs/spec.go
@@ -120,7 +120,7 @@
 	// RunTime is the declared run time, an estimate.
 	RunTime units.Duration
 	// StartBy is the time after which the job must not start. Zero is never.
-	StartBy time.Time `json:",omitzero"`
+	StartBy units.Time `json:",omitzero"`
 	// Retries is how often a failed attempt of an idempotent job is repeated.
 	Retries int `json:",omitempty"`
 	// Arguments and Input are handed to each task unread.
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -27,9 +27,8 @@
 
 // Bounds of connections and messages.
 const (
-	dialTimeout = time.Second
-	redialWait  = 200 * time.Millisecond
-	maxMessage  = 8 << 20
+	redialWait = 200 * time.Millisecond
+	maxMessage = 8 << 20
 	// forgetAfter is how long a silent host that is no longer listed is dialled.
 	forgetAfter = time.Minute
 )
@@ -94,8 +93,8 @@
 
 // New returns a Mesh that accepts connections.
 func New(c Config) (*Mesh, error) {
-	if c.Listener == nil || c.Beat == nil || c.Handler == nil {
-		return nil, errors.New("peers: Listener, Beat and Handler are needed")
+	if c.Listener == nil || c.Dial == nil || c.Beat == nil || c.Handler == nil {
+		return nil, errors.New("peers: Listener, Dial, Beat and Handler are needed")
 	}
 	if c.Period == 0 {
 		c.Period = DefaultPeriod
@@ -103,10 +102,6 @@
 	if c.Timeout == 0 {
 		c.Timeout = DefaultTimeout
 	}
-	if c.Dial == nil {
-		d := &net.Dialer{Timeout: dialTimeout}
-		c.Dial = func(ctx context.Context, a string) (net.Conn, error) { return d.DialContext(ctx, "tcp", a) }
-	}
 	m := &Mesh{c: c, peers: map[string]*peer{}, conns: map[net.Conn]bool{}}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	m.wg.Add(1)
--- a/place/place.go
+++ b/place/place.go
@@ -35,6 +35,9 @@
 	Expected time.Duration
 	// Stopping says that the job's room will be free soon.
 	Stopping bool
+	// Starting says that the job is between placement and start, where it
+	// can't be stopped yet.
+	Starting bool
 	// Stuck says that the job was told to stop and didn't in time.
 	Stuck bool
 }
@@ -52,6 +55,9 @@
 	Expected time.Duration
 	// Avoid holds the targets that failed the job before.
 	Avoid map[string]bool
+	// Hold says that the request must not start yet, but that the room that its
+	// guarantee gives it is kept.
+	Hold bool
 }
 
 // Input is all that a decision depends on.
@@ -118,6 +124,7 @@
 	NoRoom     Reason = "NoRoom"
 	Behind     Reason = "BehindReservation"
 	NeverFits  Reason = "NeverFits"
+	Held       Reason = "Backoff"
 )
 
 // Plan is a decision.
--- a/place/plan.go
+++ b/place/plan.go
@@ -26,7 +26,7 @@
 		r := g.queue[0]
 		g.queue = g.queue[1:]
 		k := missOf(r)
-		if w, ok := misses[k]; ok && len(r.Avoid) == 0 {
+		if w, ok := misses[k]; ok && len(r.Avoid) == 0 && !r.Hold {
 			w.Key = r.Spec.Key()
 			p.Waits = append(p.Waits, w)
 			continue
@@ -77,6 +77,10 @@
 			return true
 		}
 	}
+	if r.Hold {
+		p.Waits = append(p.Waits, Wait{r.Spec.Key(), Held, "waits for its next attempt"})
+		return true
+	}
 	t := b.packFree(r)
 	if t == nil {
 		return false
@@ -139,6 +143,10 @@
 	}
 	if free {
 		b.start(r.Spec, t, g.id)
+		if r.Hold {
+			p.Waits = append(p.Waits, Wait{r.Spec.Key(), Held, "its guarantee's room is kept until the next attempt"})
+			return true
+		}
 		p.Starts = append(p.Starts, Start{r.Spec.Key(), t, g.id})
 		return true
 	}
--- a/place/victim.go
+++ b/place/victim.go
@@ -63,7 +63,7 @@
 
 // yields reports whether a job may be stopped for a guarantee.
 func (b *board) yields(j *Job) bool {
-	if j.Stopping || b.stopped[j.Spec.Key()] || j.fixed() {
+	if j.Starting || j.Stopping || b.stopped[j.Spec.Key()] || j.fixed() {
 		return false
 	}
 	return j.Guarantee == "" || b.seats[j.Guarantee] == nil
--- a/units/units.go
+++ b/units/units.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dustin/go-humanize"
+	"gopkg.in/yaml.v3"
 
 	"citronbridge/fault"
 )
@@ -14,12 +15,17 @@
 // such as 1m30s.
 type Duration time.Duration
 
+var _ fault.Former = Duration(0)
+
 // D returns d as the standard type.
 func (d Duration) D() time.Duration { return time.Duration(d) }
 
 // String returns the text form.
 func (d Duration) String() string { return time.Duration(d).String() }
 
+// Form implements fault.Former.
+func (d Duration) Form() string { return "duration, such as 1m30s" }
+
 // MarshalText implements encoding.TextMarshaler.
 func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
 
@@ -27,15 +33,26 @@
 func (d *Duration) UnmarshalText(b []byte) error {
 	v, err := time.ParseDuration(string(b))
 	if err != nil {
-		return fault.List{{Field: "duration", Value: string(b), Allowed: "a duration such as 1m30s"}}
+		return fmt.Errorf("read duration: %w", err)
 	}
 	*d = Duration(v)
 	return nil
 }
 
+// UnmarshalJSON implements json.Unmarshaler.
+func (d *Duration) UnmarshalJSON(b []byte) error { return fault.ReadText(b, *d, d.UnmarshalText) }
+
+// UnmarshalYAML implements yaml.Unmarshaler.
+func (d *Duration) UnmarshalYAML(n *yaml.Node) error { return readYAML(n, *d, d.UnmarshalText) }
+
 // Bytes is an amount of memory whose text form carries a unit, such as 16 GiB.
 type Bytes int64
 
+var _ fault.Former = Bytes(0)
+
+// maxBytes is far above what any host has, and far below an overflow.
+const maxBytes = 1 << 62
+
 // String returns the text form.
 func (b Bytes) String() string {
 	if b < 0 {
@@ -44,15 +61,47 @@
 	return humanize.IBytes(uint64(b))
 }
 
+// Form implements fault.Former.
+func (b Bytes) Form() string { return "amount of memory, such as 16 GiB" }
+
 // MarshalText implements encoding.TextMarshaler. The form is exact.
 func (b Bytes) MarshalText() ([]byte, error) { return fmt.Appendf(nil, "%d B", int64(b)), nil }
 
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (b *Bytes) UnmarshalText(t []byte) error {
 	v, err := humanize.ParseBytes(string(t))
-	if err != nil || v > 1<<62 {
-		return fault.List{{Field: "memory", Value: string(t), Allowed: "an amount of memory such as 16 GiB"}}
+	if err != nil {
+		return fmt.Errorf("read amount of memory: %w", err)
+	}
+	if v > maxBytes {
+		return fmt.Errorf("read amount of memory: %s is too much", t)
 	}
 	*b = Bytes(v)
 	return nil
 }
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (b *Bytes) UnmarshalJSON(t []byte) error { return fault.ReadText(t, *b, b.UnmarshalText) }
+
+// UnmarshalYAML implements yaml.Unmarshaler.
+func (b *Bytes) UnmarshalYAML(n *yaml.Node) error { return readYAML(n, *b, b.UnmarshalText) }
+
+// Time is a time.Time that reads and writes the form of RFC 3339.
+type Time struct{ time.Time }
+
+var _ fault.Former = Time{}
+
+// Form implements fault.Former.
+func (t Time) Form() string { return "time, such as 2030-01-31T18:00:00Z" }
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (t *Time) UnmarshalJSON(b []byte) error { return fault.ReadText(b, *t, t.UnmarshalText) }
+
+// readYAML reads a scalar by its text form. The error is one that lets the
+// decoder go on to the next field.
+func readYAML(n *yaml.Node, v fault.Former, read func([]byte) error) error {
+	if n.Kind != yaml.ScalarNode || read([]byte(n.Value)) != nil {
+		return &yaml.TypeError{Errors: []string{fmt.Sprintf("line %d: cannot unmarshal %s `%s` into %s", n.Line, n.Tag, n.Value, v.Form())}}
+	}
+	return nil
+}
