place: Seat a wanted guarantee where borrowers lose least

Cause: the first golden file of a reclaim showed the seat of a guarantee chosen by target ID, so a borrower that had run 3 minutes without checkpoints was stopped beside one with them, though a checkpointed pair stood next to it.

Ruled out: the choice of victims itself (on a given target it takes the cheapest); it never saw the cheap pair, because another account's idle guarantee was seated there first.

Change: seats are priced by what stopping the borrowers would lose, and guarantees whose account waits are seated before idle ones. Property tests (rapid) live through decisions: no room twice, whole adjacent gangs, every idle guarantee reclaimable, fixed jobs off others' guarantees, the same plan in any order of equal facts. Golden files show whole plans.

Without the reservation TestLargeDoesNotStarve shows the large job starving; with it, and without backfill, it starts."

--- a/itest/harness_test.go
+++ b/itest/harness_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -260,12 +261,19 @@
 		must(c.t, p.Update(&toxiproxy.Proxy{Listen: p.Listen, Upstream: upstream, Enabled: true}))
 		return p.Listen
 	}
-	p = toxiproxy.NewProxy(c.server, from+"-"+to, "127.0.0.1:0", upstream)
-	must(c.t, p.Start())
+	for p = nil; p == nil || p.Start() != nil; {
+		p = toxiproxy.NewProxy(c.server, from+"-"+to, fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1)), upstream)
+	}
 	c.proxies[k] = p
 	return p.Listen
 }
 
+// nextPort numbers the proxies' ports below those that the system gives to
+// connections, so that a proxy finds its port free when it is joined again.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(10000) }
+
 // cut breaks all connections from a host to something, and lets no new ones.
 func (c *cluster) cut(from, to string) {
 	c.mu.Lock()
--- a/place/board.go
+++ b/place/board.go
@@ -21,6 +21,8 @@
 	charged map[string]jobs.Room
 	// fixed is what borrowers hold that can't be stopped.
 	fixed jobs.Room
+	// loss is what stopping the borrowers here would lose.
+	loss int
 	// tasks counts the tasks here.
 	tasks int
 	// shadowed says that a blocked request will start here.
@@ -66,10 +68,11 @@
 		b.total = b.total.Plus(t.Room)
 	}
 	slices.SortFunc(b.places, func(x, y *spot) int { return strings.Compare(x.ID, y.ID) })
-	b.guarantees = guarantees(in.Rules, in.Cell, in.Running)
+	b.guarantees = guarantees(in)
 	b.usage = newUsage()
 	for i := range in.Running {
 		b.put(&in.Running[i])
+		b.price(&in.Running[i])
 	}
 	return b
 }
@@ -96,6 +99,18 @@
 	b.usage.add(j.Spec, j.Guarantee)
 }
 
+// price adds what stopping a borrower would lose to the targets that it is on.
+func (b *board) price(j *Job) {
+	if j.Guarantee != "" || j.Stopping {
+		return
+	}
+	for _, id := range j.Targets {
+		if p := b.at[id]; p != nil {
+			p.loss += int(b.loss(j, id)) / max(len(j.Targets), 1)
+		}
+	}
+}
+
 // start counts a request that starts now.
 func (b *board) start(s *jobs.Spec, targets []string, guarantee string) {
 	b.put(&Job{Spec: s, Targets: targets, Guarantee: guarantee})
--- a/place/place.go
+++ b/place/place.go
@@ -85,6 +85,8 @@
 	NoReclaim bool
 	// NoBackfill lets nothing start behind a blocked request.
 	NoBackfill bool
+	// NoReservation keeps no room for a request that is blocked.
+	NoReservation bool
 	// NoFloors ignores the floors of kinds.
 	NoFloors bool
 }
--- /dev/null
+++ b/place/place_test.go
@@ -0,0 +1,317 @@
+package place
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"citronbridge/jobs"
+	"citronbridge/rules"
+	"citronbridge/units"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+var epoch = time.Unix(1800000000, 0).UTC()
+
+var wholeTarget = jobs.Room{Accelerators: 8, Processors: 64, Memory: 256 << 30, Slots: 8}
+
+func targets(racks, perRack int) []Target {
+	var l []Target
+	for r := range racks {
+		for i := range perRack {
+			l = append(l, Target{ID: fmt.Sprintf("r%02d-t%02d", r, i), Rack: fmt.Sprintf("r%02d", r), Room: wholeTarget, Open: true})
+		}
+	}
+	return l
+}
+
+func shape(members, accelerators int, a jobs.Adjacency) jobs.Shape {
+	return jobs.Shape{Members: members, Each: jobs.Room{Accelerators: accelerators, Processors: accelerators, Memory: units.Bytes(accelerators) << 30}, Adjacency: a}
+}
+
+func spec(account, id, kind string, s jobs.Shape) *jobs.Spec {
+	return &jobs.Spec{Account: account, ID: id, Caller: "c", Kind: kind, Shape: s, RunTime: units.Duration(time.Minute)}
+}
+
+func request(s *jobs.Spec, age time.Duration) Request {
+	return Request{Spec: s, Arrived: epoch.Add(-age), Expected: s.RunTime.D()}
+}
+
+// twoAccounts returns rules with a guarantee of a rack's pair of targets each.
+func twoAccounts() *rules.Manifest {
+	g := func() []rules.Guarantee {
+		return []rules.Guarantee{{DataCentre: "dc", Shape: shape(2, 8, jobs.AdjacentRack)}}
+	}
+	return &rules.Manifest{
+		Kinds: []rules.Kind{{Name: "urgent"}, {Name: "routine", FloorPercent: 25}}, CastingVote: "b",
+		Accounts: []rules.Account{{Name: "a", Guarantees: g()}, {Name: "b", Guarantees: g()}, {Name: "c"}},
+	}
+}
+
+// TestDecisions compares whole plans with golden files.
+func TestDecisions(t *testing.T) {
+	borrower := func(i int, targets ...string) Job {
+		s := spec("c", fmt.Sprintf("b%d", i), "routine", shape(len(targets), 8, jobs.AdjacentRack))
+		s.Checkpoints = i%2 == 0
+		return Job{Spec: s, Targets: targets, Started: epoch.Add(-time.Duration(i) * time.Minute), Expected: time.Hour}
+	}
+	for _, x := range []struct {
+		name string
+		in   Input
+	}{
+		{"reclaim", Input{Targets: targets(1, 4),
+			Running: []Job{borrower(1, "r00-t00"), borrower(2, "r00-t01"), borrower(3, "r00-t02"), borrower(4, "r00-t03")},
+			Waiting: []Request{request(spec("a", "claim", "urgent", shape(2, 8, jobs.AdjacentRack)), time.Second)}}},
+		{"tie", Input{Targets: targets(1, 1),
+			Waiting: []Request{
+				request(spec("a", "x", "routine", shape(1, 1, jobs.AdjacentHost)), 0),
+				request(spec("b", "x", "routine", shape(1, 1, jobs.AdjacentHost)), 0)}}},
+		{"urgent first, then the floor", Input{Targets: targets(1, 4),
+			Waiting: []Request{
+				request(spec("c", "r1", "routine", shape(1, 8, jobs.AdjacentHost)), 0),
+				request(spec("c", "r2", "routine", shape(1, 8, jobs.AdjacentHost)), 0),
+				request(spec("c", "u1", "urgent", shape(1, 8, jobs.AdjacentHost)), 0),
+				request(spec("c", "u2", "urgent", shape(1, 8, jobs.AdjacentHost)), 0),
+				request(spec("c", "u3", "urgent", shape(1, 8, jobs.AdjacentHost)), 0),
+				request(spec("c", "u4", "urgent", shape(1, 8, jobs.AdjacentHost)), 0)}}},
+		{"backfill", Input{Targets: targets(1, 2),
+			Running: []Job{borrower(1, "r00-t00")},
+			Waiting: []Request{
+				request(spec("c", "large", "routine", shape(2, 8, jobs.AdjacentRack)), time.Hour),
+				request(spec("c", "short", "routine", shape(1, 4, jobs.AdjacentHost)), 0),
+				{Spec: spec("c", "long", "routine", shape(1, 2, jobs.AdjacentHost)), Arrived: epoch, Expected: 48 * time.Hour}}}},
+		{"never fits", Input{Targets: targets(2, 2),
+			Waiting: []Request{request(spec("c", "wide", "routine", shape(3, 8, jobs.AdjacentRack)), 0)}}},
+		{"fixed job keeps off guarantees", Input{Targets: targets(1, 5),
+			Waiting: []Request{
+				request(fixedSpec("f1", shape(1, 8, jobs.AdjacentHost)), 0),
+				request(fixedSpec("f2", shape(1, 8, jobs.AdjacentHost)), 0)}}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			x.in.Now, x.in.Cell, x.in.Rules = epoch, "dc", twoAccounts()
+			b, err := json.MarshalIndent(Decide(&x.in), "", "  ")
+			if err != nil {
+				t.Fatal(err)
+			}
+			golden(t, "testdata/"+x.name+".golden", append(b, '\n'))
+		})
+	}
+}
+
+func fixedSpec(id string, s jobs.Shape) *jobs.Spec {
+	p := spec("c", id, "routine", s)
+	p.NonIdempotent = true
+	return p
+}
+
+func golden(t *testing.T, file string, got []byte) {
+	t.Helper()
+	if *update {
+		if err := os.WriteFile(file, got, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(got, want) {
+		t.Errorf("%s: got\n%s\nwant\n%s", file, got, want)
+	}
+}
+
+// world is a cell that lives through several decisions.
+type world struct {
+	in   Input
+	next int
+}
+
+// newWorld draws a cell with guarantees that fit.
+func newWorld(t *rapid.T) *world {
+	w := &world{in: Input{Now: epoch, Cell: "dc", Rules: twoAccounts()}}
+	w.in.Targets = targets(rapid.IntRange(1, 3).Draw(t, "racks"), rapid.IntRange(4, 6).Draw(t, "perRack"))
+	return w
+}
+
+// arrive adds requests.
+func (w *world) arrive(t *rapid.T) {
+	for range rapid.IntRange(0, 12).Draw(t, "arrivals") {
+		s := spec(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account"), fmt.Sprintf("j%03d", w.next),
+			rapid.SampledFrom([]string{"urgent", "routine"}).Draw(t, "kind"),
+			shape(rapid.IntRange(1, 4).Draw(t, "members"), rapid.IntRange(0, 8).Draw(t, "accelerators"),
+				rapid.SampledFrom([]jobs.Adjacency{jobs.AdjacentHost, jobs.AdjacentRack, jobs.AdjacentDataCentre}).Draw(t, "adjacency")))
+		s.Caller = rapid.SampledFrom([]string{"x", "y"}).Draw(t, "caller")
+		s.NonIdempotent = rapid.Bool().Draw(t, "nonIdempotent")
+		s.Checkpoints = rapid.Bool().Draw(t, "checkpoints")
+		w.next++
+		w.in.Waiting = append(w.in.Waiting, Request{Spec: s, Arrived: w.in.Now, Expected: time.Duration(rapid.IntRange(1, 600).Draw(t, "expected")) * time.Second})
+	}
+}
+
+// apply carries out a plan. Stopped jobs wait again or are gone.
+func (w *world) apply(p *Plan) {
+	w.in.Seats = p.Seats
+	stopped := map[jobs.Key]bool{}
+	for _, s := range p.Stops {
+		stopped[s.Key] = true
+	}
+	w.in.Running = slices.DeleteFunc(w.in.Running, func(j Job) bool { return stopped[j.Spec.Key()] })
+	for _, s := range p.Starts {
+		i := slices.IndexFunc(w.in.Waiting, func(r Request) bool { return r.Spec.Key() == s.Key })
+		r := w.in.Waiting[i]
+		w.in.Running = append(w.in.Running, Job{Spec: r.Spec, Targets: s.Targets, Guarantee: s.Guarantee, Started: w.in.Now, Expected: r.Expected})
+		w.in.Waiting = slices.Delete(w.in.Waiting, i, i+1)
+	}
+}
+
+// finish ends some running jobs.
+func (w *world) finish(t *rapid.T) {
+	w.in.Now = w.in.Now.Add(time.Minute)
+	w.in.Running = slices.DeleteFunc(w.in.Running, func(Job) bool { return rapid.IntRange(0, 3).Draw(t, "ends") == 0 })
+}
+
+// TestInvariants lives through decisions and checks that no room is given
+// twice, gangs are whole and adjacent, every guarantee stays reclaimable, what
+// can't be stopped keeps off others' guarantees, and that the order in which
+// equal facts are told makes no difference.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		for range rapid.IntRange(1, 6).Draw(t, "rounds") {
+			w.arrive(t)
+			p := Decide(&w.in)
+			checkPlan(t, w, &p)
+			checkOrder(t, w, &p)
+			w.apply(&p)
+			checkRoom(t, w)
+			checkReclaim(t, w)
+			w.finish(t)
+		}
+	})
+}
+
+func checkPlan(t *rapid.T, w *world, p *Plan) {
+	if len(p.Unseated) > 0 {
+		t.Fatalf("guarantees %v have no seat", p.Unseated)
+	}
+	told := map[jobs.Key]int{}
+	for _, s := range p.Starts {
+		told[s.Key]++
+		i := slices.IndexFunc(w.in.Waiting, func(r Request) bool { return r.Spec.Key() == s.Key })
+		sp := w.in.Waiting[i].Spec
+		if len(s.Targets) != sp.Shape.Members {
+			t.Fatalf("%s: %d of %d members placed", s.Key, len(s.Targets), sp.Shape.Members)
+		}
+		for _, id := range s.Targets {
+			if sp.Shape.Adjacency == jobs.AdjacentHost && id != s.Targets[0] || sp.Shape.Adjacency == jobs.AdjacentRack && id[:3] != s.Targets[0][:3] {
+				t.Fatalf("%s: %v are not adjacent", s.Key, s.Targets)
+			}
+		}
+	}
+	for _, x := range p.Waits {
+		told[x.Key]++
+	}
+	for _, r := range w.in.Waiting {
+		if told[r.Spec.Key()] != 1 {
+			t.Fatalf("%s has %d decisions", r.Spec.Key(), told[r.Spec.Key()])
+		}
+	}
+	for _, s := range p.Stops {
+		i := slices.IndexFunc(w.in.Running, func(j Job) bool { return j.Spec.Key() == s.Key })
+		if j := w.in.Running[i]; j.fixed() || j.Guarantee != "" {
+			t.Fatalf("%s is stopped, though it is protected", s.Key)
+		}
+	}
+}
+
+// checkOrder decides again on the same facts in another order.
+func checkOrder(t *rapid.T, w *world, p *Plan) {
+	in := w.in
+	r := rand.New(rand.NewPCG(uint64(w.next), 1))
+	in.Targets, in.Running, in.Waiting = slices.Clone(in.Targets), slices.Clone(in.Running), slices.Clone(in.Waiting)
+	r.Shuffle(len(in.Targets), func(i, j int) { in.Targets[i], in.Targets[j] = in.Targets[j], in.Targets[i] })
+	r.Shuffle(len(in.Running), func(i, j int) { in.Running[i], in.Running[j] = in.Running[j], in.Running[i] })
+	r.Shuffle(len(in.Waiting), func(i, j int) { in.Waiting[i], in.Waiting[j] = in.Waiting[j], in.Waiting[i] })
+	q := Decide(&in)
+	x, _ := json.Marshal(p)
+	y, _ := json.Marshal(q)
+	if !bytes.Equal(x, y) {
+		t.Fatalf("another order decides otherwise:\n%s\n%s", x, y)
+	}
+}
+
+func checkRoom(t *rapid.T, w *world) {
+	free := map[string]jobs.Room{}
+	for _, x := range w.in.Targets {
+		free[x.ID] = x.Room
+	}
+	for _, j := range w.in.Running {
+		for _, id := range j.Targets {
+			free[id] = free[id].Minus(j.Spec.Task())
+			if !(jobs.Room{}).Fits(free[id]) {
+				t.Fatalf("target %s is given twice: %+v", id, free[id])
+			}
+		}
+	}
+}
+
+// checkReclaim lets each account call for its whole unused guarantee.
+func checkReclaim(t *rapid.T, w *world) {
+	for _, a := range []string{"a", "b"} {
+		used := false
+		for _, j := range w.in.Running {
+			used = used || j.Guarantee == GuaranteeID(a, 0)
+		}
+		if used {
+			continue
+		}
+		in := w.in
+		in.Waiting = []Request{request(spec(a, "claim", "urgent", shape(2, 8, jobs.AdjacentRack)), 0)}
+		p := Decide(&in)
+		if len(p.Starts)+len(p.Stops) == 0 {
+			t.Fatalf("the guarantee of %s can't be reclaimed: %+v", a, p.Waits)
+		}
+	}
+}
+
+// TestLargeDoesNotStarve lets short small jobs arrive without end while a
+// large one waits. The reservation lets it start.
+func TestLargeDoesNotStarve(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		policy Policy
+		starts bool
+	}{{"whole policy", Policy{}, true}, {"no backfill", Policy{NoBackfill: true}, true}, {"no reservation", Policy{NoReservation: true}, false}} {
+		in := Input{Now: epoch, Cell: "dc", Rules: &rules.Manifest{Kinds: []rules.Kind{{Name: "routine"}}, CastingVote: "c", Accounts: []rules.Account{{Name: "c"}}}, Targets: targets(1, 4), Policy: x.policy}
+		w := &world{in: in}
+		large := spec("c", "large", "routine", shape(4, 8, jobs.AdjacentRack))
+		started := false
+		for round := 0; round < 60 && !started; round++ {
+			w.in.Now = epoch.Add(time.Duration(round) * 10 * time.Second)
+			for range 4 {
+				s := spec("c", fmt.Sprintf("s%03d", w.next), "routine", shape(1, 4, jobs.AdjacentHost))
+				w.next++
+				w.in.Waiting = append(w.in.Waiting, Request{Spec: s, Arrived: w.in.Now, Expected: 30 * time.Second})
+			}
+			if round == 5 {
+				w.in.Waiting = append(w.in.Waiting, Request{Spec: large, Arrived: w.in.Now, Expected: time.Minute})
+			}
+			p := Decide(&w.in)
+			w.apply(&p)
+			w.in.Running = slices.DeleteFunc(w.in.Running, func(j Job) bool { return !w.in.Now.Before(j.Started.Add(j.Expected)) })
+			started = slices.ContainsFunc(w.in.Running, func(j Job) bool { return j.Spec == large })
+		}
+		if started != x.starts {
+			t.Errorf("%s: the large job starts: %t", x.name, started)
+		}
+	}
+}
--- a/place/plan.go
+++ b/place/plan.go
@@ -232,7 +232,7 @@
 	if !b.everFits(r) {
 		return Wait{s.Key(), NeverFits, fmt.Sprintf("no part of cell %s could hold %s", b.in.Cell, describe(s.Shape))}
 	}
-	if b.shadow == nil {
+	if b.shadow == nil && !b.in.Policy.NoReservation {
 		b.shadow = b.cast(r)
 	}
 	if b.shadow != nil && b.shadow.key != s.Key() {
--- a/place/seats.go
+++ b/place/seats.go
@@ -17,8 +17,8 @@
 	id      string
 	account string
 	shape   jobs.Shape
-	// used tells that jobs of the account run on it.
-	used bool
+	// used tells that jobs of the account run on it, wanted that others wait.
+	used, wanted bool
 }
 
 // each returns the room of a member, its slot included.
@@ -28,19 +28,25 @@
 	return r
 }
 
-// guarantees lists those of a cell: the ones in use first, then the holder of
-// the casting vote, then the order of the manifest.
-func guarantees(m *rules.Manifest, cell string, running []Job) []guarantee {
-	used := map[string]bool{}
-	for i := range running {
-		used[running[i].Guarantee] = true
+// guarantees lists those of a cell: the ones in use first, since they must
+// stay, then those whose account waits, since they are seated where the
+// borrowers to be stopped lose least, then the holder of the casting vote, then
+// the order of the manifest.
+func guarantees(in *Input) []guarantee {
+	m, cell := in.Rules, in.Cell
+	used, wanted := map[string]bool{}, map[string]bool{}
+	for i := range in.Running {
+		used[in.Running[i].Guarantee] = true
+	}
+	for i := range in.Waiting {
+		wanted[in.Waiting[i].Spec.Account] = true
 	}
 	var l []guarantee
 	for _, a := range m.Accounts {
 		for i, g := range a.Guarantees {
 			if g.DataCentre == cell {
 				id := GuaranteeID(a.Name, i)
-				l = append(l, guarantee{id, a.Name, g.Shape, used[id]})
+				l = append(l, guarantee{id, a.Name, g.Shape, used[id], wanted[a.Name]})
 			}
 		}
 	}
@@ -48,10 +54,14 @@
 		switch {
 		case g.used:
 			return 0
-		case g.account == m.CastingVote:
+		case g.wanted && g.account == m.CastingVote:
 			return 1
+		case g.wanted:
+			return 2
+		case g.account == m.CastingVote:
+			return 3
 		}
-		return 2
+		return 4
 	}
 	slices.SortStableFunc(l, func(a, b guarantee) int {
 		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(b.shape.Accelerators(), a.shape.Accelerators()))
@@ -109,7 +119,7 @@
 		}
 		x := candidate{id: p.ID, rack: p.Rack, room: b.seatable(p, g.id), limit: g.shape.Members}
 		if !g.each().Fits(p.free.Plus(p.ending).Minus(p.claimed)) {
-			x.cost += 2 * borrowedCost
+			x.cost += borrowedCost + p.loss
 		}
 		if !slices.Contains(old, p.ID) {
 			x.cost++
