--- a/cells/cell.go
+++ b/cells/cell.go
@@ -54,6 +54,8 @@
 	recent map[jobs.Key]departure
 	// quiet says that nothing new is started before a planned handover.
 	quiet bool
+	// replanned is when time alone last asked for a plan.
+	replanned time.Time
 }
 
 // job is a job in memory.
--- a/cells/tick.go
+++ b/cells/tick.go
@@ -17,11 +17,23 @@
 		case <-c.ctx.Done():
 			return
 		case <-c.dirty:
-			c.plan()
+		}
+		began := time.Now()
+		c.plan()
+		select {
+		case <-c.ctx.Done():
+		case <-time.After(min(planShare*time.Since(began), maxPlanPause)):
 		}
 	}
 }
 
+// A plan is followed by a pause of planShare times its length, up to
+// maxPlanPause, so that a flood of changes is decided together.
+const (
+	planShare    = 20
+	maxPlanPause = 200 * time.Millisecond
+)
+
 // plan decides and acts on the decision.
 func (c *Cell) plan() {
 	c.mu.Lock()
@@ -143,11 +155,16 @@
 	c.c.Meter.Queue.WithLabelValues(c.Name, string(jobs.Waiting)).Set(float64(waiting))
 	c.c.Meter.Queue.WithLabelValues(c.Name, "Placed").Set(float64(len(c.jobs) - waiting))
 	c.c.Meter.Room.WithLabelValues(c.Name, "Held").Set(float64(held))
-	if waiting > 0 {
+	if waiting > 0 && now.Sub(c.replanned) >= replanPeriod {
+		c.replanned = now
 		c.wake()
 	}
 }
 
+// replanPeriod is how often a cell with waiting jobs plans though nothing has
+// changed but the time.
+const replanPeriod = 500 * time.Millisecond
+
 // lapse marks the members whose targets have been silent for longer than
 // their leases last. The lock is held.
 func (c *Cell) lapse(j *job, now time.Time) {
--- a/cmds/cmds_test.go
+++ b/cmds/cmds_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,8 +15,6 @@
 	"time"
 )
 
-var update = flag.Bool("update", false, "write the golden files")
-
 // deployment starts the demo's deployment with its manifest.
 func deployment(t *testing.T) *demo {
 	t.Helper()
--- a/httpc/httpc.go
+++ b/httpc/httpc.go
@@ -16,7 +16,8 @@
 
 // Limits of a client's connections and answers.
 const (
-	idlePerHost = 64
+	idlePerHost = 16
+	idleTimeout = 10 * time.Second
 	dialTimeout = 2 * time.Second
 	maxAnswer   = 64 << 20
 )
@@ -47,6 +48,7 @@
 func New(base string) *Client {
 	t := &http.Transport{
 		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     idleTimeout,
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	}
 	return &Client{Base: base, HTTP: &http.Client{Transport: t}}
--- a/itest/model_test.go
+++ b/itest/model_test.go
@@ -1,7 +1,6 @@
 package itest
 
 import (
-	"fmt"
 	"testing"
 
 	"github.com/anishathalye/porcupine"
@@ -153,5 +152,5 @@
 	if !porcupine.CheckOperations(h.model, h.ops) {
 		t.Errorf("history of %s with %d operations is broken", h.name, len(h.ops))
 	}
-	t.Log(fmt.Sprintf("history of %s: %d operations", h.name, len(h.ops)))
+	t.Logf("history of %s: %d operations", h.name, len(h.ops))
 }
--- a/place/board.go
+++ b/place/board.go
@@ -23,6 +23,10 @@
 	fixed jobs.Room
 	// loss is what stopping the borrowers here would lose.
 	loss int
+	// unused is what guarantees stand on and don't use.
+	unused jobs.Room
+	// jobs holds the running jobs with a task here.
+	jobs []*Job
 	// tasks counts the tasks here.
 	tasks int
 	// shadowed says that a blocked request will start here.
@@ -56,11 +60,20 @@
 	usage      usage
 	stopped    map[jobs.Key]bool
 	shadow     *shadow
+	// byAccount holds the guarantees of each account, and claims which shapes
+	// fit into what is left of them.
+	byAccount map[string][]*guarantee
+	claims    map[claimKey]bool
+	// lines holds the waiting requests by account.
+	lines map[string][]*line
+	// scratch is reused by each packing.
+	scratch []candidate
 }
 
 // newBoard counts what runs where.
 func newBoard(in *Input) *board {
-	b := &board{in: in, at: make(map[string]*spot, len(in.Targets)), stopped: map[jobs.Key]bool{}}
+	b := &board{in: in, at: make(map[string]*spot, len(in.Targets)), stopped: map[jobs.Key]bool{},
+		byAccount: map[string][]*guarantee{}, claims: map[claimKey]bool{}, lines: map[string][]*line{}}
 	for _, t := range in.Targets {
 		p := &spot{Target: t, free: t.Room, seats: map[string]jobs.Room{}, charged: map[string]jobs.Room{}}
 		b.places = append(b.places, p)
@@ -69,10 +82,15 @@
 	}
 	slices.SortFunc(b.places, func(x, y *spot) int { return strings.Compare(x.ID, y.ID) })
 	b.guarantees = guarantees(in)
+	for i := range b.guarantees {
+		g := &b.guarantees[i]
+		b.byAccount[g.account] = append(b.byAccount[g.account], g)
+	}
 	b.usage = newUsage()
 	for i := range in.Running {
 		b.put(&in.Running[i])
 		b.price(&in.Running[i])
+		b.index(&in.Running[i])
 	}
 	return b
 }
@@ -99,6 +117,24 @@
 	b.usage.add(j.Spec, j.Guarantee)
 }
 
+// index notes a running job at its targets.
+func (b *board) index(j *Job) {
+	for _, id := range j.Targets {
+		p := b.at[id]
+		if p != nil && (len(p.jobs) == 0 || p.jobs[len(p.jobs)-1] != j) {
+			p.jobs = append(p.jobs, j)
+		}
+	}
+}
+
+// leave counts anew what guarantees stand on at p and don't use.
+func (p *spot) leave() {
+	p.unused = jobs.Room{}
+	for id, s := range p.seats {
+		p.unused = p.unused.Plus(s.Minus(least(s, p.charged[id])))
+	}
+}
+
 // price adds what stopping a borrower would lose to the targets that it is on.
 func (b *board) price(j *Job) {
 	if j.Guarantee != "" || j.Stopping {
@@ -114,4 +150,15 @@
 // start counts a request that starts now.
 func (b *board) start(s *jobs.Spec, targets []string, guarantee string) {
 	b.put(&Job{Spec: s, Targets: targets, Guarantee: guarantee})
+	if guarantee == "" {
+		return
+	}
+	for _, id := range targets {
+		b.at[id].leave()
+	}
+	for k := range b.claims {
+		if k.account == s.Account {
+			delete(b.claims, k)
+		}
+	}
 }
--- a/place/order.go
+++ b/place/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"slices"
 	"strings"
 
@@ -50,6 +51,9 @@
 	account, caller, kind string
 	urgency               int
 	queue                 []*Request
+	// rank is that of the head, index the line's place on the agenda.
+	rank  rank
+	index int
 }
 
 // lines splits the requests.
@@ -69,7 +73,7 @@
 			if u < 0 {
 				u = len(in.Rules.Kinds)
 			}
-			g = &line{account: k.account, caller: k.caller, kind: k.kind, urgency: u}
+			g = &line{account: k.account, caller: k.caller, kind: k.kind, urgency: u, index: len(l)}
 			m[k] = g
 			l = append(l, g)
 		}
@@ -145,18 +149,99 @@
 	return 1
 }
 
-// next returns the line whose head goes first, or nil.
-func (b *board) next(l []*line) *line {
-	var best *line
-	var top rank
-	for _, g := range l {
-		if len(g.queue) == 0 {
-			continue
+// agenda is the lines by the ranks of their heads, the first on top. A rank is
+// computed anew only when something that it depends on has changed.
+type agenda struct {
+	b    *board
+	heap []*line
+	// low tells which kinds were below their floors.
+	low map[string]bool
+}
+
+var _ heap.Interface = (*agenda)(nil)
+
+// newAgenda returns the agenda of the lines.
+func newAgenda(b *board, l []*line) *agenda {
+	a := &agenda{b: b, heap: l, low: map[string]bool{}}
+	a.rankAll()
+	return a
+}
+
+// rankAll ranks every line.
+func (a *agenda) rankAll() {
+	for _, k := range a.b.in.Rules.Kinds {
+		a.low[k.Name] = a.b.belowFloor(k.Name)
+	}
+	for _, g := range a.heap {
+		g.rank = a.b.rank(g)
+	}
+	heap.Init(a)
+}
+
+// pop takes the request off that goes first, or returns nil.
+func (a *agenda) pop() *Request {
+	if len(a.heap) == 0 {
+		return nil
+	}
+	g := a.heap[0]
+	r := g.queue[0]
+	g.queue = g.queue[1:]
+	if len(g.queue) == 0 {
+		heap.Pop(a)
+		return r
+	}
+	g.rank = a.b.rank(g)
+	heap.Fix(a, 0)
+	return r
+}
+
+// started ranks the lines anew that the start of a request of s has touched.
+func (a *agenda) started(s *jobs.Spec) {
+	if a.b.in.Policy.Arrival {
+		return
+	}
+	for k, low := range a.low {
+		if a.b.belowFloor(k) != low {
+			a.rankAll()
+			return
 		}
-		r := b.rank(g)
-		if best == nil || cmp.Or(compare(r, top), byArrival(g.queue[0], best.queue[0])) < 0 {
-			best, top = g, r
+	}
+	for _, g := range a.b.lines[s.Account] {
+		if len(g.queue) > 0 {
+			g.rank = a.b.rank(g)
+			heap.Fix(a, g.index)
 		}
 	}
-	return best
+}
+
+// rest calls f for every request that is left, in no particular order.
+func (a *agenda) rest(f func(*Request)) {
+	for _, g := range a.heap {
+		for _, r := range g.queue {
+			f(r)
+		}
+	}
+}
+
+func (a *agenda) Len() int { return len(a.heap) }
+
+func (a *agenda) Less(i, j int) bool {
+	x, y := a.heap[i], a.heap[j]
+	return cmp.Or(compare(x.rank, y.rank), byArrival(x.queue[0], y.queue[0])) < 0
+}
+
+func (a *agenda) Swap(i, j int) {
+	a.heap[i], a.heap[j] = a.heap[j], a.heap[i]
+	a.heap[i].index, a.heap[j].index = i, j
+}
+
+// Push implements heap.Interface. Lines are never added.
+func (a *agenda) Push(any) {}
+
+// Pop implements heap.Interface.
+func (a *agenda) Pop() any {
+	n := len(a.heap) - 1
+	g := a.heap[n]
+	a.heap = a.heap[:n]
+	return g
 }
--- a/place/pack.go
+++ b/place/pack.go
@@ -35,7 +35,7 @@
 func pack(s jobs.Shape, each jobs.Room, c []candidate, first bool) []string {
 	best, found := fit{}, false
 	for _, g := range groups(s.Adjacency, c) {
-		f, ok := fill(s.Members, each, g, first)
+		f, ok := fill(s, each, g, first)
 		if !ok {
 			continue
 		}
@@ -65,36 +65,38 @@
 	return [][]candidate{c}
 }
 
+// byRack groups candidates by rack, in the order of the racks' names.
 func byRack(c []candidate) [][]candidate {
-	at := map[string]int{}
+	if !slices.IsSortedFunc(c, compareRack) {
+		slices.SortStableFunc(c, compareRack)
+	}
 	var g [][]candidate
-	for _, x := range c {
-		i, ok := at[x.rack]
-		if !ok {
-			i = len(g)
-			at[x.rack] = i
-			g = append(g, nil)
+	for from, i := 0, 1; i <= len(c); i++ {
+		if i == len(c) || c[i].rack != c[from].rack {
+			g = append(g, c[from:i])
+			from = i
 		}
-		g[i] = append(g[i], x)
 	}
 	return g
 }
 
+func compareRack(a, b candidate) int { return cmp.Compare(a.rack, b.rack) }
+
 // fill puts members onto the candidates of one group.
-func fill(members int, each jobs.Room, g []candidate, first bool) (fit, bool) {
+func fill(s jobs.Shape, each jobs.Room, g []candidate, first bool) (fit, bool) {
 	holds := 0
 	for i := range g {
 		holds += count(each, g[i])
 	}
-	if holds < members {
+	if holds < s.Members {
 		return fit{}, false
 	}
 	if !first {
-		g = snuggest(each, g)
+		g = snuggest(s.Adjacency, each, g)
 	}
-	f := fit{targets: make([]string, 0, members)}
+	f := fit{targets: make([]string, 0, s.Members)}
 	for _, x := range g {
-		n := min(count(each, x), members-len(f.targets))
+		n := min(count(each, x), s.Members-len(f.targets))
 		for range n {
 			f.targets = append(f.targets, x.id)
 		}
@@ -109,11 +111,19 @@
 
 // snuggest orders candidates by cost, whole racks together, then by how little
 // they have left.
-func snuggest(each jobs.Room, g []candidate) []candidate {
+func snuggest(a jobs.Adjacency, each jobs.Room, g []candidate) []candidate {
+	if a != jobs.AdjacentDataCentre {
+		return snuggestOf(g, nil)
+	}
 	racks := map[string]int{}
 	for _, x := range g {
 		racks[x.rack] += count(each, x)
 	}
+	return snuggestOf(g, racks)
+}
+
+// snuggestOf is snuggest with the members that each rack could take.
+func snuggestOf(g []candidate, racks map[string]int) []candidate {
 	g = slices.Clone(g)
 	slices.SortStableFunc(g, func(a, b candidate) int {
 		return cmp.Or(
--- a/place/plan.go
+++ b/place/plan.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"sort"
 	"strings"
 	"time"
 
@@ -12,7 +13,7 @@
 
 // maxBlocked bounds the requests that a decision finds no room for before it
 // stops looking at the rest.
-const maxBlocked = 256
+const maxBlocked = 64
 
 // Decide plans what starts and what stops.
 func Decide(in *Input) Plan {
@@ -20,39 +21,46 @@
 	b.seat()
 	p := Plan{Seats: b.seats, Unseated: b.unseated}
 	l := lines(in)
+	for _, g := range l {
+		b.lines[g.account] = append(b.lines[g.account], g)
+	}
+	a := newAgenda(b, l)
 	misses := map[miss]Wait{}
-	blocked := 0
-	for g := b.next(l); g != nil; g = b.next(l) {
-		r := g.queue[0]
-		g.queue = g.queue[1:]
-		k := missOf(r)
-		if w, ok := misses[k]; ok && len(r.Avoid) == 0 && !r.Hold {
+	for blocked := 0; blocked < maxBlocked && (blocked == 0 || !in.Policy.NoBackfill); {
+		r := a.pop()
+		if r == nil {
+			return p
+		}
+		k, plain := missOf(r), len(r.Avoid) == 0 && !r.Hold
+		if w, ok := misses[k]; ok && plain && !b.guaranteed(r.Spec) {
 			w.Key = r.Spec.Key()
 			p.Waits = append(p.Waits, w)
 			continue
 		}
-		if blocked >= maxBlocked || in.Policy.NoBackfill && blocked > 0 {
-			p.Waits = append(p.Waits, Wait{r.Spec.Key(), Behind, "behind requests that are blocked"})
-			continue
-		}
 		if b.try(r, &p) {
+			a.started(r.Spec)
 			continue
 		}
 		blocked++
 		w := b.block(r)
 		p.Waits = append(p.Waits, w)
-		if len(r.Avoid) == 0 {
+		if plain {
 			misses[k] = w
 		}
 	}
+	a.rest(func(r *Request) {
+		p.Waits = append(p.Waits, Wait{r.Spec.Key(), Behind, "behind requests that are blocked"})
+	})
+	slices.SortFunc(p.Waits, func(x, y Wait) int {
+		return cmp.Or(strings.Compare(x.Key.Account, y.Key.Account), strings.Compare(x.Key.ID, y.Key.ID))
+	})
 	return p
 }
 
-// miss is what makes two requests fail to start alike.
+// miss is what makes two requests find no free room alike.
 type miss struct {
-	account string
-	shape   jobs.Shape
-	fixed   bool
+	shape jobs.Shape
+	fixed bool
 	// brief is the order of magnitude of the expected run time.
 	brief int
 }
@@ -62,17 +70,13 @@
 	for d := r.Expected; d > time.Second; d /= 2 {
 		n++
 	}
-	return miss{r.Spec.Account, r.Spec.Shape, fixed(r.Spec), n}
+	return miss{r.Spec.Shape, fixed(r.Spec), n}
 }
 
 // try starts a request, or begins to reclaim room for it, and reports whether
 // it did.
 func (b *board) try(r *Request, p *Plan) bool {
-	for i := range b.guarantees {
-		g := &b.guarantees[i]
-		if g.account != r.Spec.Account {
-			continue
-		}
+	for _, g := range b.byAccount[r.Spec.Account] {
 		if t := b.packSeat(g, r.Spec); t != nil && b.claim(g, r, t, p) {
 			return true
 		}
@@ -93,13 +97,26 @@
 // guaranteed reports whether a request fits into what is left of one of its
 // account's guarantees.
 func (b *board) guaranteed(s *jobs.Spec) bool {
-	for i := range b.guarantees {
-		g := &b.guarantees[i]
-		if g.account == s.Account && s.Shape.Accelerators() <= g.shape.Accelerators() && b.packSeat(g, s) != nil {
-			return true
-		}
+	own := b.byAccount[s.Account]
+	if len(own) == 0 {
+		return false
 	}
-	return false
+	k := claimKey{s.Account, s.Shape}
+	if v, ok := b.claims[k]; ok {
+		return v
+	}
+	v := slices.ContainsFunc(own, func(g *guarantee) bool {
+		return s.Shape.Accelerators() <= g.shape.Accelerators() && b.packSeat(g, s) != nil
+	})
+	b.claims[k] = v
+	return v
+}
+
+// claimKey is what decides whether a request fits into a guarantee, until
+// another request of the account starts on it.
+type claimKey struct {
+	account string
+	shape   jobs.Shape
 }
 
 // packSeat places a request on what is left of a guarantee's seat, or returns
@@ -108,18 +125,12 @@
 	if s.Shape.Each.Accelerators == 0 {
 		return nil
 	}
-	var c []candidate
-	seen := map[string]bool{}
-	for _, id := range b.seats[g.id] {
-		if seen[id] {
-			continue
-		}
-		seen[id] = true
-		p := b.at[id]
+	c := b.scratch[:0]
+	for _, p := range g.spots {
 		room := p.seats[g.id].Minus(p.charged[g.id])
-		c = append(c, candidate{id: id, rack: p.Rack, room: room, limit: s.Shape.Members, cost: b.shortage(p, s)})
+		c = append(c, candidate{id: p.ID, rack: p.Rack, room: room, limit: s.Shape.Members, cost: b.shortage(p, s)})
 	}
-	slices.SortFunc(c, func(x, y candidate) int { return strings.Compare(x.id, y.id) })
+	b.scratch = c
 	return pack(s.Shape, s.Task(), c, b.in.Policy.FirstFit)
 }
 
@@ -177,13 +188,13 @@
 // goes first; a job that can't be stopped gets nothing else.
 func (b *board) packFree(r *Request) []string {
 	s := r.Spec
-	c := make([]candidate, 0, len(b.places))
+	c := b.scratch[:0]
 	for _, p := range b.places {
-		x, ok := b.freeAt(p, r)
-		if ok {
+		if x, ok := b.freeAt(p, r); ok {
 			c = append(c, x)
 		}
 	}
+	b.scratch = c
 	return pack(s.Shape, s.Task(), c, b.in.Policy.FirstFit)
 }
 
@@ -207,13 +218,7 @@
 
 // unclaimed returns the room at p beyond all guarantees and all that borrowers
 // hold.
-func (b *board) unclaimed(p *spot) jobs.Room {
-	unused := jobs.Room{}
-	for id, s := range p.seats {
-		unused = unused.Plus(s.Minus(least(s, p.charged[id])))
-	}
-	return p.free.Minus(unused)
-}
+func (b *board) unclaimed(p *spot) jobs.Room { return p.free.Minus(p.unused) }
 
 // least returns the smaller of r and o in each dimension.
 func least(r, o jobs.Room) jobs.Room {
@@ -252,7 +257,7 @@
 // everFits reports whether the cell could hold the request if only what can't
 // be stopped ran.
 func (b *board) everFits(r *Request) bool {
-	c := make([]candidate, 0, len(b.places))
+	c := b.scratch[:0]
 	for _, p := range b.places {
 		x := candidate{id: p.ID, rack: p.Rack, room: p.Room, limit: r.Spec.Shape.Members}
 		if fixed(r.Spec) {
@@ -260,27 +265,21 @@
 		}
 		c = append(c, x)
 	}
+	b.scratch = c
 	if pack(r.Spec.Shape, r.Spec.Task(), c, true) != nil {
 		return true
 	}
-	for i := range b.guarantees {
-		g := &b.guarantees[i]
-		if g.account == r.Spec.Account && b.emptySeatHolds(g, r.Spec) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(b.byAccount[r.Spec.Account], func(g *guarantee) bool { return b.emptySeatHolds(g, r.Spec) })
 }
 
 // emptySeatHolds reports whether a guarantee's seat would hold the request if
 // nothing ran on it.
 func (b *board) emptySeatHolds(g *guarantee, s *jobs.Spec) bool {
-	var c []candidate
-	for _, p := range b.places {
-		if r, ok := p.seats[g.id]; ok {
-			c = append(c, candidate{id: p.ID, rack: p.Rack, room: r, limit: s.Shape.Members})
-		}
+	c := b.scratch[:0]
+	for _, p := range g.spots {
+		c = append(c, candidate{id: p.ID, rack: p.Rack, room: p.seats[g.id], limit: s.Shape.Members})
 	}
+	b.scratch = c
 	return pack(s.Shape, s.Task(), c, true) != nil
 }
 
@@ -297,28 +296,33 @@
 	for i := range b.in.Running {
 		ends = append(ends, &b.in.Running[i])
 	}
-	slices.SortStableFunc(ends, func(x, y *Job) int {
-		return cmp.Or(b.end(x).Compare(b.end(y)), strings.Compare(x.Spec.Key().String(), y.Spec.Key().String()))
+	slices.SortFunc(ends, func(x, y *Job) int {
+		return cmp.Or(b.end(x).Compare(b.end(y)), strings.Compare(x.Spec.Account, y.Spec.Account), strings.Compare(x.Spec.ID, y.Spec.ID))
 	})
+	// The first n jobs to end free enough room, if any number does: the more
+	// end, the more is free, so the least n is found by bisection.
+	n := sort.Search(len(ends)+1, func(n int) bool { return n > 0 && b.packLater(r, b.freeBehind(ends[:n])) != nil })
+	if n > len(ends) {
+		return nil
+	}
+	for _, id := range b.packLater(r, b.freeBehind(ends[:n])) {
+		b.at[id].shadowed = true
+	}
+	return &shadow{r.Spec.Key(), b.end(ends[n-1])}
+}
+
+// freeBehind returns the free room of each target once jobs have ended.
+func (b *board) freeBehind(ended []*Job) map[string]jobs.Room {
 	room := make(map[string]jobs.Room, len(b.places))
 	for _, p := range b.places {
 		room[p.ID] = p.free
 	}
-	for i, j := range ends {
+	for _, j := range ended {
 		for _, id := range j.Targets {
 			room[id] = room[id].Plus(j.Spec.Task())
 		}
-		if i+1 < len(ends) && b.end(ends[i+1]).Equal(b.end(j)) {
-			continue
-		}
-		if t := b.packLater(r, room); t != nil {
-			for _, id := range t {
-				b.at[id].shadowed = true
-			}
-			return &shadow{r.Spec.Key(), b.end(j)}
-		}
 	}
-	return nil
+	return room
 }
 
 // end returns when a running job is expected to end. One that is overdue is
--- a/place/seats.go
+++ b/place/seats.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 
 	"citronbridge/jobs"
 	"citronbridge/rules"
@@ -19,6 +20,8 @@
 	shape   jobs.Shape
 	// used tells that jobs of the account run on it, wanted that others wait.
 	used, wanted bool
+	// spots are the targets that it stands on, in the order of their IDs.
+	spots []*spot
 }
 
 // each returns the room of a member, its slot included.
@@ -46,7 +49,7 @@
 		for i, g := range a.Guarantees {
 			if g.DataCentre == cell {
 				id := GuaranteeID(a.Name, i)
-				l = append(l, guarantee{id, a.Name, g.Shape, used[id], wanted[a.Name]})
+				l = append(l, guarantee{id: id, account: a.Name, shape: g.Shape, used: used[id], wanted: wanted[a.Name]})
 			}
 		}
 	}
@@ -69,14 +72,14 @@
 	return l
 }
 
-// seat finds targets for every guarantee. Guarantees in use keep theirs. The
-// others go where nothing would have to stop.
+// seat finds targets for every guarantee. Guarantees in use keep theirs, as do
+// those that nobody calls for. The others go where least would have to stop.
 func (b *board) seat() {
 	b.seats = Seats{}
 	for i := range b.guarantees {
 		g := &b.guarantees[i]
 		t := b.in.Seats[g.id]
-		if !g.used || !b.keeps(g, t) {
+		if !b.keeps(g, t) || g.wanted && !g.used && !b.vacant(g, t) {
 			t = b.findSeat(g, t)
 		}
 		if t == nil {
@@ -87,9 +90,31 @@
 		for _, id := range t {
 			p := b.at[id]
 			p.claimed = p.claimed.Plus(g.each())
+			if _, ok := p.seats[g.id]; !ok {
+				g.spots = append(g.spots, p)
+			}
 			p.seats[g.id] = p.seats[g.id].Plus(g.each())
 		}
+		for _, p := range g.spots {
+			p.leave()
+		}
+		slices.SortFunc(g.spots, func(x, y *spot) int { return strings.Compare(x.ID, y.ID) })
+	}
+}
+
+// vacant reports whether the targets t have a guarantee's room free already.
+func (b *board) vacant(g *guarantee, t []string) bool {
+	need := map[string]jobs.Room{}
+	for _, id := range t {
+		need[id] = need[id].Plus(g.each())
+	}
+	for id, r := range need {
+		p := b.at[id]
+		if !r.Fits(p.free.Plus(p.ending).Minus(p.claimed)) {
+			return false
+		}
 	}
+	return true
 }
 
 // keeps reports whether a guarantee can keep the targets t.
--- a/place/victim.go
+++ b/place/victim.go
@@ -47,9 +47,8 @@
 // cheapest returns the borrower at a target whose stop loses least.
 func (b *board) cheapest(id string, chosen map[*Job]bool) *Job {
 	var best *Job
-	for i := range b.in.Running {
-		j := &b.in.Running[i]
-		if chosen[j] || !b.yields(j) || !slices.Contains(j.Targets, id) {
+	for _, j := range b.at[id].jobs {
+		if chosen[j] || !b.yields(j) {
 			continue
 		}
 		if best == nil || cmp.Or(
