itest: Measure the policy beside first-fit by arrival

Cause: nothing said what the decisions buy under load and faults.

Ruled out: a cluster simulator; the tests' processes and proxies serve with tasks shortened in time.

Change: TestMeasure sends open arrivals of ten mixes to 8 hosts and 48 targets, once with the whole policy and once with the baseline, kills a decider in the middle of each, counts time from the intended start, and prints a table. Rules of placement can be switched off in the settings (Policy). Run it with go test ./itest -run 'TestMeasure$' -v -timeout 24m -measure

Before: no figures.

--- a/config/config.go
+++ b/config/config.go
@@ -16,6 +16,7 @@
 	"citronbridge/entry"
 	"citronbridge/fault"
 	"citronbridge/jobs"
+	"citronbridge/place"
 	"citronbridge/rules"
 	"citronbridge/units"
 )
@@ -40,6 +41,8 @@
 	LogLevel string      `yaml:"LogLevel"`
 	Bounds   Bounds      `yaml:"Bounds"`
 	Store    Store       `yaml:"Store"`
+	// Policy switches rules of placement off, to compare.
+	Policy place.Policy `yaml:"Policy"`
 }
 
 // Platform names the base URLs of the platform's services.
--- a/host/host.go
+++ b/host/host.go
@@ -149,7 +149,7 @@
 	var err error
 	h.keep, err = cells.NewKeeper(cells.Config{
 		Host: h.s.Host, DataCentre: h.s.DataCentre, Records: rows, Objects: objects, Hosts: h.view, Book: h.book, Timer: h.timer,
-		Meter: h.meter, Log: h.log, Live: h.live, Connect: cells.ConnectHTTP, Offered: h.offered, Bounds: h.s.Bounds.Cells(),
+		Meter: h.meter, Log: h.log, Live: h.live, Connect: cells.ConnectHTTP, Offered: h.offered, Policy: h.s.Policy, Bounds: h.s.Bounds.Cells(),
 	})
 	if err != nil {
 		return err
--- a/itest/chaos_test.go
+++ b/itest/chaos_test.go
@@ -334,6 +334,7 @@
 // idle one needs.
 func (c *chaos) awaitCalm(h *member) {
 	last := 0.0
+	defer func() { c.t.Logf("%s: %g goroutines", h.name, last) }()
 	eventually(c.t, h.name+" is calm", func() bool {
 		_, b, err := httpc.New("http://"+h.http).Raw(context.Background(), http.MethodGet, "/metrics", nil)
 		if err != nil {
@@ -344,5 +345,4 @@
 		}
 		return last > 0 && last < calmGoroutines
 	})
-	c.t.Logf("%s: %g goroutines", h.name, last)
 }
--- a/itest/harness_test.go
+++ b/itest/harness_test.go
@@ -138,6 +138,9 @@
 	perRack  int
 	settings func(*config.Settings)
 	lag      time.Duration
+	// delay gives each link the latency between data centres, a millisecond
+	// there and back.
+	delay bool
 }
 
 // cluster is a deployment of processes. Each connection goes through a proxy.
@@ -264,6 +267,10 @@
 	for p = nil; p == nil || p.Start() != nil; {
 		p = toxiproxy.NewProxy(c.server, from+"-"+to, fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1)), upstream)
 	}
+	if c.l.delay {
+		_, err := p.Toxics.AddToxicJson(strings.NewReader(`{"type":"latency","stream":"downstream","attributes":{"latency":1}}`))
+		must(c.t, err)
+	}
 	c.proxies[k] = p
 	return p.Listen
 }
--- /dev/null
+++ b/itest/measure_test.go
@@ -0,0 +1,426 @@
+package itest
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"citronbridge/client"
+	"citronbridge/config"
+	"citronbridge/entry"
+	"citronbridge/fakes"
+	"citronbridge/httpc"
+	"citronbridge/jobs"
+	"citronbridge/place"
+	"citronbridge/rules"
+	"citronbridge/units"
+)
+
+var (
+	measure  = flag.Bool("measure", false, "run the measurements and print their tables")
+	duration = flag.Duration("duration", 15*time.Second, "how long each mix sends requests")
+	mixes    = flag.String("mixes", "", "names of the mixes to run; all if empty")
+)
+
+// mix is a load.
+type mix struct {
+	name string
+	// floods sends 10 times the load of one kind on top of the ordinary one.
+	flood string
+	// greedy lets one caller send 50 times what each other one does.
+	greedy bool
+	// burst sends a burst of gangs of that many members every 3 s.
+	burst int
+	// wrong makes declared run times off by 10 in both directions.
+	wrong bool
+	// broken lets a tenth of the targets fail everything.
+	broken bool
+	// cancels cancels a third of the requests in waves.
+	cancels bool
+	// claims lets an account call for its whole guarantee every 5 s, while
+	// others flood.
+	claims bool
+}
+
+var allMixes = []mix{
+	{name: "ordinary"}, {name: "flood of routine", flood: "routine"}, {name: "flood of urgent", flood: "urgent"},
+	{name: "one caller 50 times", greedy: true}, {name: "burst of small", burst: 1}, {name: "burst of large", burst: 8},
+	{name: "declared times wrong", wrong: true}, {name: "broken targets", broken: true}, {name: "waves of cancellations", cancels: true},
+	{name: "guarantees called", flood: "routine", claims: true},
+}
+
+// fifo is the baseline: arrival order, first fit, no other rule.
+var fifo = place.Policy{FirstFit: true, Arrival: true, NoReclaim: true, NoBackfill: true, NoReservation: true, NoFloors: true}
+
+// arrival is one request of a schedule.
+type arrival struct {
+	at      time.Duration
+	account string
+	spec    *jobs.Spec
+	run     time.Duration
+	cancel  bool
+	// flood marks what a mix sends beyond the ordinary load.
+	flood bool
+}
+
+// schedule draws the arrivals of a mix, the same for each policy.
+func (m *mix) schedule(r *rand.Rand, span time.Duration) []arrival {
+	var l []arrival
+	add := func(perSecond float64, flood bool, draw func(i int) arrival) {
+		at := 0.0
+		for i := 0; ; i++ {
+			at += r.ExpFloat64() / perSecond
+			if at > span.Seconds() {
+				return
+			}
+			a := draw(i)
+			a.at, a.flood = time.Duration(at*float64(time.Second)), flood
+			l = append(l, a)
+		}
+	}
+	n := 0
+	ordinary := func(int) arrival {
+		n++
+		return m.draw(r, n)
+	}
+	add(ordinaryRate, false, ordinary)
+	if m.flood != "" {
+		add(10*ordinaryRate, true, func(i int) arrival {
+			a := m.job(r, fmt.Sprintf("flood%d", i), m.flood, 1, 1)
+			a.account = "four"
+			return a
+		})
+	}
+	if m.greedy {
+		add(50*ordinaryRate/callers, true, func(i int) arrival {
+			a := m.job(r, fmt.Sprintf("greedy%d", i), "routine", 1, 2)
+			a.account, a.spec.Caller = "three", "greedy"
+			return a
+		})
+	}
+	if m.burst > 0 {
+		for at := 2 * time.Second; at < span; at += 3 * time.Second {
+			for i := range 64 / m.burst {
+				a := m.job(r, fmt.Sprintf("burst%d-%d", at/time.Second, i), "routine", m.burst, 4)
+				a.account, a.at, a.flood = "two", at, true
+				l = append(l, a)
+			}
+		}
+	}
+	if m.claims {
+		for at := 4 * time.Second; at < span; at += 5 * time.Second {
+			a := m.job(r, fmt.Sprintf("claim%d", at/time.Second), "urgent", 4, 8)
+			a.account, a.at = "one", at
+			l = append(l, a)
+		}
+	}
+	return l
+}
+
+const (
+	// ordinaryRate is the requests a second that fill about two thirds of the
+	// accelerators.
+	ordinaryRate = 22
+	// callers is how many send the ordinary load.
+	callers = 12
+)
+
+// draw draws an ordinary request.
+func (m *mix) draw(r *rand.Rand, n int) arrival {
+	members := []int{1, 1, 1, 1, 1, 1, 2, 2, 4, 8}[r.IntN(10)]
+	a := m.job(r, fmt.Sprintf("j%d", n), []string{"urgent", "routine", "routine"}[r.IntN(3)], members, []int{1, 2, 4, 8}[r.IntN(4)])
+	a.account = chaosAccounts[r.IntN(4)]
+	a.spec.Caller = fmt.Sprintf("c%d", r.IntN(callers/4))
+	if m.cancels {
+		a.cancel = r.IntN(3) == 0
+	}
+	return a
+}
+
+// job draws a request of a size.
+func (m *mix) job(r *rand.Rand, id, kind string, members, accelerators int) arrival {
+	run := time.Duration(300+r.IntN(1800)) * time.Millisecond
+	s := job(id, run, gangOf(members, accelerators))
+	s.Kind = kind
+	s.Checkpoints = r.IntN(2) == 0
+	s.Retries = 3
+	declared := run.Seconds()
+	if m.wrong {
+		declared *= math.Pow(10, 2*r.Float64()-1)
+	}
+	s.RunTime = units.Duration(declared * float64(time.Second))
+	if s.Checkpoints {
+		s.Arguments = append(s.Arguments, "Resume")
+	}
+	return arrival{spec: s, run: run}
+}
+
+// result is what a run of a mix showed.
+type result struct {
+	sent, accepted, refused, failed   int
+	outcomes                          map[jobs.Outcome]int
+	urgent, claims                    *hdrhistogram.Histogram
+	completion                        map[string]*hdrhistogram.Histogram
+	small, large                      *hdrhistogram.Histogram
+	otherDone                         int
+	wasted                            float64
+	writes                            float64
+	cpu, memory                       float64
+	busiestHost                       string
+	last                              time.Duration
+	doneInSpan, acceleratorSecondDone float64
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, (10 * time.Minute).Milliseconds(), 3)
+}
+
+// TestMeasure runs every mix with the whole policy and with the baseline, a
+// decider killed in the middle of each, and prints the table.
+func TestMeasure(t *testing.T) {
+	if !*measure {
+		t.Skip("run with -measure")
+	}
+	fmt.Printf("seed %d, %s of arrivals a mix, 8 hosts, 48 targets of 8 accelerators, a decider killed in the middle\n", *seed, *duration)
+	fmt.Println("| mix | policy | sent | refused | failed tries | done | urgent start p50/p99 ms | completion urgent p95 ms | completion routine p95 ms | other work done | slowdown p95 small/large | guarantee p99 ms | free not usable | writes a job | most cpu of a host % | most memory MB |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, m := range allMixes {
+		if *mixes != "" && !strings.Contains(*mixes, m.name) {
+			continue
+		}
+		for _, p := range []struct {
+			name   string
+			policy place.Policy
+		}{{"whole", place.Policy{}}, {"FIFO first-fit", fifo}} {
+			t.Run(m.name+"/"+p.name, func(t *testing.T) {
+				r := m.run(t, p.policy)
+				fmt.Println(r.row(m.name, p.name))
+			})
+		}
+	}
+}
+
+func (r *result) row(mix, policy string) string {
+	p := func(h *hdrhistogram.Histogram, q float64) int64 { return h.ValueAtQuantile(q) }
+	ratio := float64(p(r.small, 95)) / float64(max(p(r.large, 95), 1))
+	return fmt.Sprintf("| %s | %s | %d | %d | %d | %d | %d/%d | %d | %d | %d | %.2f | %d (n=%d) | %.2f | %.2f | %.1f | %.0f |",
+		mix, policy, r.sent, r.refused, r.failed, r.outcomes[jobs.Done], p(r.urgent, 50), p(r.urgent, 99),
+		p(r.completion["urgent"], 95), p(r.completion["routine"], 95), r.otherDone, ratio, p(r.claims, 99), r.claims.TotalCount(), r.wasted, r.writes, r.cpu, r.memory)
+}
+
+// run runs a mix on a fresh deployment.
+func (m *mix) run(t *testing.T, p place.Policy) *result {
+	centres := []string{"dc1", "dc2", "dc3", "dc4"}
+	var hosts []string
+	for i := range 8 {
+		hosts = append(hosts, centres[i%4])
+	}
+	c := newCluster(t, layout{hosts: hosts, centres: centres, racks: 2, perRack: 6, delay: true, settings: func(s *config.Settings) { s.Policy = p }})
+	man := chaosManifest()
+	for i := range man.Accounts {
+		man.Accounts[i].Limits = rules.Limits{RequestsPerSecond: 100, Burst: 100, CallerRequestsPerSecond: 60, CallerBurst: 60, OpenJobs: 400}
+	}
+	c.propose(man)
+	c.awaitDeciders()
+	if m.broken {
+		for i, w := range c.targets {
+			if i%10 == 0 {
+				w.faults(t, fakes.TargetFaults{FailAll: true})
+			}
+		}
+	}
+	l := m.schedule(rand.New(rand.NewPCG(*seed, 9)), *duration)
+	r := &result{outcomes: map[jobs.Outcome]int{}, urgent: newHistogram(), claims: newHistogram(), small: newHistogram(), large: newHistogram(),
+		completion: map[string]*hdrhistogram.Histogram{"urgent": newHistogram(), "routine": newHistogram()}}
+	writes := c.counts().Writes
+	began := time.Now()
+	stop := make(chan struct{})
+	var side sync.WaitGroup
+	side.Add(1)
+	go func() { defer side.Done(); r.wasted = c.sampleRoom(stop) }()
+	time.AfterFunc(*duration/2, func() { c.decider("dc1").kill() })
+	accepted := c.send(l, began, r)
+	close(stop)
+	side.Wait()
+	c.collect(l, accepted, began, r)
+	r.writes = float64(c.counts().Writes-writes) / float64(max(r.accepted, 1))
+	c.processes(began, r)
+	return r
+}
+
+func (c *cluster) counts() fakes.TableCounts {
+	var v fakes.TableCounts
+	must(c.t, httpc.New("http://"+c.table).Do(context.Background(), http.MethodGet, "/counts", nil, &v))
+	return v
+}
+
+// send sends each request at its time, whatever became of those before, and
+// returns which were accepted.
+func (c *cluster) send(l []arrival, began time.Time, r *result) []bool {
+	clients := map[string]*client.Client{}
+	for _, a := range chaosAccounts {
+		clients[a] = c.client(a + "-token")
+	}
+	accepted := make([]bool, len(l))
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i := range l {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			a := &l[i]
+			time.Sleep(time.Until(began.Add(a.at)))
+			hosts := append(append([]*member(nil), c.hosts[i%8:]...), c.hosts[:i%8]...)
+			k := c.client(a.account+"-token", hosts...)
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			_, err := k.Submit(ctx, a.spec)
+			p := client.ProblemOf(err)
+			mu.Lock()
+			r.sent++
+			switch {
+			case err == nil:
+				accepted[i] = true
+				r.accepted++
+			case p != nil && (p.Status == http.StatusTooManyRequests || p.Status == http.StatusUnprocessableEntity):
+				r.refused++
+			default:
+				r.failed++
+			}
+			mu.Unlock()
+			if a.cancel && err == nil {
+				// A wave: all of a second's cancellations at its end.
+				time.Sleep(time.Until(began.Add(a.at.Truncate(time.Second) + time.Second)))
+				k.Cancel(ctx, a.spec.ID)
+			}
+		}()
+	}
+	wg.Wait()
+	return accepted
+}
+
+// collect waits for the outcomes and measures them from the intended starts.
+func (c *cluster) collect(l []arrival, accepted []bool, began time.Time, r *result) {
+	status := map[jobs.Key]entry.Status{}
+	defer func() {
+		for k, s := range status {
+			if c.t.Failed() && s.State != jobs.Finished {
+				x, err := c.client(k.Account+"-token", c.alive()...).Explain(context.Background(), k.ID)
+				c.t.Logf("%s: %+v %v", k, x, err)
+			}
+		}
+	}()
+	eventually(c.t, "all jobs ended", func() bool {
+		open := 0
+		for _, a := range chaosAccounts {
+			k := c.client(a+"-token", c.alive()...)
+			for after := ""; ; {
+				p, err := k.List(context.Background(), after, 1000)
+				if err != nil {
+					return false
+				}
+				for _, s := range p.Jobs {
+					status[jobs.Key{Account: a, ID: s.ID}] = s
+					if s.State != jobs.Finished {
+						open++
+					}
+				}
+				if after = p.After; after == "" {
+					break
+				}
+			}
+		}
+		time.Sleep(300 * time.Millisecond)
+		return open == 0
+	})
+	for i, a := range l {
+		s := status[jobs.Key{Account: a.account, ID: a.spec.ID}]
+		if !accepted[i] {
+			continue
+		}
+		r.outcomes[s.Outcome]++
+		if s.Outcome != jobs.Done {
+			continue
+		}
+		intended := began.Add(a.at)
+		wait, total := s.Started.Sub(intended), s.Finished.Sub(intended)
+		slow := int64(100 * total.Seconds() / a.run.Seconds())
+		if !a.flood {
+			r.completion[a.spec.Kind].RecordValue(total.Milliseconds())
+			r.small.RecordValue(slow)
+			if s.Finished.Before(began.Add(*duration)) {
+				r.otherDone++
+			}
+		} else {
+			r.large.RecordValue(slow)
+		}
+		if a.spec.Kind == "urgent" && !a.flood {
+			r.urgent.RecordValue(max(wait.Milliseconds(), 1))
+		}
+		if strings.HasPrefix(a.spec.ID, "claim") {
+			r.claims.RecordValue(max(wait.Milliseconds(), 1))
+		}
+	}
+}
+
+// sampleRoom returns the mean share of the free accelerators that can't serve
+// the largest guaranteed shape, 4 targets of a rack.
+func (c *cluster) sampleRoom(stop chan struct{}) float64 {
+	sum, n := 0.0, 0
+	for {
+		select {
+		case <-stop:
+			return sum / float64(max(n, 1))
+		case <-time.After(250 * time.Millisecond):
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		l, err := c.client(operatorToken).Targets(ctx)
+		cancel()
+		if err != nil {
+			continue
+		}
+		free, whole := 0, map[string]int{}
+		for _, v := range l {
+			free += v.Free.Accelerators
+			if v.Free.Accelerators == 8 {
+				whole[v.Rack]++
+			}
+		}
+		usable := 0
+		for _, w := range whole {
+			usable += w / 4 * 32
+		}
+		if free > 0 {
+			sum += 1 - float64(min(usable, free))/float64(free)
+			n++
+		}
+	}
+}
+
+// processes reads what the hosts took of processor and memory.
+func (c *cluster) processes(began time.Time, r *result) {
+	for _, h := range c.alive() {
+		_, b, err := httpc.New("http://"+h.http).Raw(context.Background(), http.MethodGet, "/metrics", nil)
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(string(b)) {
+			var v float64
+			if n, _ := fmt.Sscanf(line, "process_cpu_seconds_total %g", &v); n == 1 {
+				r.cpu = max(r.cpu, 100*v/time.Since(began).Seconds())
+			}
+			if n, _ := fmt.Sscanf(line, "process_resident_memory_bytes %g", &v); n == 1 {
+				r.memory = max(r.memory, v/(1<<20))
+			}
+		}
+	}
+}
--- a/place/place.go
+++ b/place/place.go
@@ -78,17 +78,17 @@
 // The zero value is the whole policy.
 type Policy struct {
 	// FirstFit takes the first targets that fit.
-	FirstFit bool
+	FirstFit bool `yaml:"FirstFit"`
 	// Arrival orders requests by arrival alone.
-	Arrival bool
+	Arrival bool `yaml:"Arrival"`
 	// NoReclaim never stops a job for a guarantee.
-	NoReclaim bool
+	NoReclaim bool `yaml:"NoReclaim"`
 	// NoBackfill lets nothing start behind a blocked request.
-	NoBackfill bool
+	NoBackfill bool `yaml:"NoBackfill"`
 	// NoReservation keeps no room for a request that is blocked.
-	NoReservation bool
+	NoReservation bool `yaml:"NoReservation"`
 	// NoFloors ignores the floors of kinds.
-	NoFloors bool
+	NoFloors bool `yaml:"NoFloors"`
 }
 
 // Seats holds the targets that stand behind each guarantee, a target for each
