--- a/itest/measure_test.go
+++ b/itest/measure_test.go
@@ -166,18 +166,15 @@
 
 // result is what a run of a mix showed.
 type result struct {
-	sent, accepted, refused, failed   int
-	outcomes                          map[jobs.Outcome]int
-	urgent, claims                    *hdrhistogram.Histogram
-	completion                        map[string]*hdrhistogram.Histogram
-	small, large                      *hdrhistogram.Histogram
-	otherDone                         int
-	wasted                            float64
-	writes                            float64
-	cpu, memory                       float64
-	busiestHost                       string
-	last                              time.Duration
-	doneInSpan, acceleratorSecondDone float64
+	sent, accepted, refused, failed int
+	outcomes                        map[jobs.Outcome]int
+	urgent, claims                  *hdrhistogram.Histogram
+	completion                      map[string]*hdrhistogram.Histogram
+	small, large                    *hdrhistogram.Histogram
+	otherDone                       int
+	wasted                          float64
+	writes                          float64
+	cpu, memory                     float64
 }
 
 func newHistogram() *hdrhistogram.Histogram {
@@ -211,8 +208,11 @@
 
 func (r *result) row(mix, policy string) string {
 	p := func(h *hdrhistogram.Histogram, q float64) int64 { return h.ValueAtQuantile(q) }
-	ratio := float64(p(r.small, 95)) / float64(max(p(r.large, 95), 1))
-	return fmt.Sprintf("| %s | %s | %d | %d | %d | %d | %d/%d | %d | %d | %d | %.2f | %d (n=%d) | %.2f | %.2f | %.1f | %.0f |",
+	ratio := "-"
+	if r.large.TotalCount() > 0 {
+		ratio = fmt.Sprintf("%.2f", float64(p(r.small, 95))/float64(p(r.large, 95)))
+	}
+	return fmt.Sprintf("| %s | %s | %d | %d | %d | %d | %d/%d | %d | %d | %d | %s | %d (n=%d) | %.2f | %.2f | %.1f | %.0f |",
 		mix, policy, r.sent, r.refused, r.failed, r.outcomes[jobs.Done], p(r.urgent, 50), p(r.urgent, 99),
 		p(r.completion["urgent"], 95), p(r.completion["routine"], 95), r.otherDone, ratio, p(r.claims, 99), r.claims.TotalCount(), r.wasted, r.writes, r.cpu, r.memory)
 }
@@ -409,18 +409,8 @@
 // processes reads what the hosts took of processor and memory.
 func (c *cluster) processes(began time.Time, r *result) {
 	for _, h := range c.alive() {
-		_, b, err := httpc.New("http://"+h.http).Raw(context.Background(), http.MethodGet, "/metrics", nil)
-		if err != nil {
-			continue
-		}
-		for line := range strings.Lines(string(b)) {
-			var v float64
-			if n, _ := fmt.Sscanf(line, "process_cpu_seconds_total %g", &v); n == 1 {
-				r.cpu = max(r.cpu, 100*v/time.Since(began).Seconds())
-			}
-			if n, _ := fmt.Sscanf(line, "process_resident_memory_bytes %g", &v); n == 1 {
-				r.memory = max(r.memory, v/(1<<20))
-			}
-		}
+		cpu, memory := c.spent(h)
+		r.cpu = max(r.cpu, 100*cpu/time.Since(began).Seconds())
+		r.memory = max(r.memory, memory)
 	}
 }
