--- a/cells/advance.go
+++ b/cells/advance.go
@@ -151,10 +151,10 @@
 		j.avoid[m.target] = c.now().Add(avoidBroken)
 		x := c.nodes[m.target]
 		if x != nil {
-			x.health.broke(j.key())
+			x.health.Broke(j.key())
 			c.suspect(x)
 		}
-		own = own || x == nil || !x.health.suspect
+		own = own || x == nil || !x.health.Suspect
 	}
 	if own {
 		j.failures++
@@ -234,7 +234,7 @@
 func (c *Cell) save(j *job) {
 	defer c.wg.Done()
 	for i := 0; c.ctx.Err() == nil; i++ {
-		ctx, cancel := context.WithTimeout(c.ctx, takeTimeout)
+		ctx, cancel := context.WithTimeout(c.ctx, writeTimeout)
 		_, err := c.c.Records.Update(ctx, c.hold, j.Entry)
 		if errors.Is(err, ledger.ErrChanged) {
 			err = c.resave(ctx, j)
--- a/cells/cell.go
+++ b/cells/cell.go
@@ -24,6 +24,8 @@
 	// leaseMargin is what a lease may last longer at a target than here.
 	leaseMargin = time.Second
 	callTimeout = 2 * time.Second
+	// writeTimeout bounds the steps around a write, retries included.
+	writeTimeout = 10 * time.Second
 )
 
 // Cell is a cell that this host decides for. All its state is under one lock.
@@ -150,10 +152,11 @@
 // spec returns what the caller asked for.
 func (j *job) spec() *jobs.Spec { return &j.Record.Spec }
 
-// newCell returns a cell held under h. It does nothing until run.
-func newCell(c *Config, h ledger.Hold, taken time.Time) *Cell {
+// New returns a cell held under h. It does nothing until Run. It calls deposed
+// once another decider has fenced it.
+func New(c *Config, h ledger.Hold, taken time.Time, deposed func(why string)) *Cell {
 	x := &Cell{
-		Name: h.Cell, c: c, hold: h, taken: taken,
+		Name: h.Cell, c: c, hold: h, taken: taken, deposed: deposed,
 		log:   c.Log.With().Str("cell", h.Cell).Int64("epoch", h.Epoch).Logger(),
 		dirty: make(chan struct{}, 1),
 		jobs:  map[jobs.Key]*job{}, nodes: map[string]*node{}, seats: place.Seats{},
@@ -164,8 +167,8 @@
 	return x
 }
 
-// run starts the cell's work.
-func (c *Cell) run() {
+// Run starts the cell's work.
+func (c *Cell) Run() {
 	c.mu.Lock()
 	c.meetTargets()
 	c.mu.Unlock()
@@ -177,8 +180,8 @@
 	c.wake()
 }
 
-// close ends the cell's work on this host. Its tasks go on at the targets.
-func (c *Cell) close() {
+// Close ends the cell's work on this host. Its tasks go on at the targets.
+func (c *Cell) Close() {
 	c.cancel()
 	for _, s := range c.subs {
 		s.Cancel()
@@ -200,8 +203,11 @@
 // now returns the time.
 func (c *Cell) now() time.Time { return c.c.Timer.Now() }
 
-// size returns the number of jobs.
-func (c *Cell) size() int {
+// Epoch returns the epoch that the cell is held under.
+func (c *Cell) Epoch() int64 { return c.hold.Epoch }
+
+// Size returns the number of jobs.
+func (c *Cell) Size() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return len(c.jobs)
@@ -289,8 +295,8 @@
 	return r, true
 }
 
-// free returns the accelerators that no task holds.
-func (c *Cell) free() int {
+// Free returns the accelerators that no task holds.
+func (c *Cell) Free() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
@@ -348,15 +354,15 @@
 	return false
 }
 
-// quiesce makes the cell start nothing new.
-func (c *Cell) quiesce() {
+// Quiesce makes the cell start nothing new.
+func (c *Cell) Quiesce() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.quiet = true
 }
 
-// launching reports whether a gang is between placement and start.
-func (c *Cell) launching() bool {
+// Launching reports whether a gang is between placement and start.
+func (c *Cell) Launching() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, j := range c.jobs {
--- a/cells/config.go
+++ b/cells/config.go
@@ -113,8 +113,8 @@
 	DefaultProbe      = 15 * time.Second
 )
 
-// withDefaults returns b with zeroes replaced.
-func (b Bounds) withDefaults() Bounds {
+// WithDefaults returns b with zeroes replaced.
+func (b Bounds) WithDefaults() Bounds {
 	set := func(v *time.Duration, d time.Duration) {
 		if *v == 0 {
 			*v = d
@@ -131,8 +131,8 @@
 	return b
 }
 
-// check returns an error if something needed is missing.
-func (c *Config) check() error {
+// Check returns an error if something needed is missing.
+func (c *Config) Check() error {
 	if c.Records == nil || c.Objects == nil || c.Hosts == nil || c.Book == nil || c.Timer == nil || c.Meter == nil || c.Live == nil || c.Connect == nil {
 		return errors.New("cells: Records, Objects, Hosts, Book, Timer, Meter, Live and Connect are needed")
 	}
--- a/cells/gang.go
+++ b/cells/gang.go
@@ -48,7 +48,7 @@
 // reserved. Nothing else moves the job out of Starting.
 func (c *Cell) launch(j *job, targets []string) {
 	defer c.wg.Done()
-	ctx, cancel := context.WithTimeout(c.ctx, takeTimeout)
+	ctx, cancel := context.WithTimeout(c.ctx, writeTimeout)
 	defer cancel()
 	if j.spec().NonIdempotent {
 		if err := c.intend(ctx, j, targets); err != nil {
--- a/cells/node.go
+++ b/cells/node.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"citronbridge/fleet"
+	"citronbridge/health"
 	"citronbridge/jobs"
 	"citronbridge/target"
 )
@@ -31,7 +32,7 @@
 	contact time.Time
 	// strays is the room of tasks that belong to no current attempt.
 	strays map[target.TaskID]jobs.Room
-	health health
+	health health.Record
 	// unanswered counts the calls in a row that the target didn't answer.
 	unanswered int
 	cancel     context.CancelFunc
@@ -39,7 +40,7 @@
 
 // open reports whether a target may get new work. The cell's lock is held.
 func (x *node) open() bool {
-	return x.listed && x.fenced && !x.host.Leaving && !x.health.suspect && x.unanswered < silentCalls
+	return x.listed && x.fenced && !x.host.Leaving && !x.health.Suspect && x.unanswered < silentCalls
 }
 
 // room returns what the target has for jobs of the cell.
--- a/cells/offer.go
+++ b/cells/offer.go
@@ -62,7 +62,7 @@
 // move hands a job to another cell.
 func (c *Cell) move(j *job, cell string) {
 	defer c.wg.Done()
-	ctx, cancel := context.WithTimeout(c.ctx, takeTimeout)
+	ctx, cancel := context.WithTimeout(c.ctx, writeTimeout)
 	defer cancel()
 	c.mu.Lock()
 	c.event(j, "Moved", "to cell "+cell)
--- a/cells/recover.go
+++ b/cells/recover.go
@@ -9,8 +9,8 @@
 	"citronbridge/target"
 )
 
-// recover rebuilds the cell's state from its open rows and its targets.
-func (c *Cell) recover(ctx context.Context) error {
+// Recover rebuilds the cell's state from its open rows and its targets.
+func (c *Cell) Recover(ctx context.Context) error {
 	reports := c.fenceAll(ctx)
 	keys, err := c.c.Records.Open(ctx, c.Name)
 	if err != nil {
--- a/cells/tick.go
+++ b/cells/tick.go
@@ -76,7 +76,7 @@
 	in := &place.Input{Now: now, Cell: c.Name, Rules: &c.c.Book.Current().Manifest, Seats: c.seats, Policy: c.c.Policy}
 	for id, x := range c.nodes {
 		in.Targets = append(in.Targets, place.Target{
-			ID: id, Rack: x.host.Rack, Room: x.room(), Probe: x.health.probes > 0,
+			ID: id, Rack: x.host.Rack, Room: x.room(), Probe: x.health.Probes > 0,
 			Open: x.open() && now.Sub(x.contact) < c.c.Bounds.Lease,
 		})
 	}
@@ -133,7 +133,7 @@
 	}
 	c.meetTargets()
 	for _, x := range c.nodes {
-		c.probe(x)
+		x.health.Probe(c.c.Bounds.Probe, now)
 	}
 	waiting, held, offers := 0, 0, maxOffers
 	for _, j := range c.jobs {
--- a/cells/verify.go
+++ b/cells/verify.go
@@ -33,7 +33,7 @@
 	done := m.verified || !complete(m)
 	c.mu.Unlock()
 	for n := 0; !done && c.ctx.Err() == nil; n++ {
-		ctx, cancel := context.WithTimeout(c.ctx, takeTimeout)
+		ctx, cancel := context.WithTimeout(c.ctx, writeTimeout)
 		b, err := c.c.Objects.Get(ctx, p.Object)
 		cancel()
 		if err == nil || errors.Is(err, blobs.ErrNotFound) {
--- a/cells/views.go
+++ b/cells/views.go
@@ -6,54 +6,18 @@
 
 	"citronbridge/jobs"
 	"citronbridge/place"
+	"citronbridge/views"
 )
 
-// Explanation tells what became of a job, or why it waits.
-type Explanation struct {
-	Account, ID string
-	Cell        string
-	State       jobs.State
-	Outcome     jobs.Outcome `json:",omitempty"`
-	Detail      string       `json:",omitempty"`
-	// Reason says why a waiting job waits.
-	Reason string `json:",omitempty"`
-	// Guarantee names the guarantee that the job is charged to.
-	Guarantee string   `json:",omitempty"`
-	Targets   []string `json:",omitempty"`
-	// Ahead counts the waiting jobs of the cell that arrived before.
-	Ahead    int
-	Revision int64
-	// Hint says what an operator could change.
-	Hint   string `json:",omitempty"`
-	Events []jobs.Event
-}
-
-// Explain explains a record as it is.
-func Explain(r *jobs.Record) Explanation {
-	return Explanation{
-		Account: r.Spec.Account, ID: r.Spec.ID, Cell: r.Cell, State: r.State, Outcome: r.Outcome,
-		Detail: r.Detail, Targets: r.Targets, Revision: r.Revision, Events: r.Events,
-	}
-}
-
-// hints says what could be changed about a wait.
-var hints = map[place.Reason]string{
-	place.NoRoom:     "add targets, or a guarantee of this shape for the account",
-	place.Behind:     "nothing: a larger job has waited longer and holds a reservation",
-	place.Reclaiming: "nothing: borrowers are being stopped",
-	place.Held:       "nothing: the last attempt ended just now",
-	place.NeverFits:  "add a rack or targets that hold the shape, or submit a smaller shape",
-}
-
 // Explain explains a job that the cell has.
-func (c *Cell) Explain(k jobs.Key) (Explanation, bool) {
+func (c *Cell) Explain(k jobs.Key) (views.Explanation, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	j := c.jobs[k]
 	if j == nil {
-		return Explanation{}, false
+		return views.Explanation{}, false
 	}
-	e := Explain(j.Record)
+	e := views.Of(j.Record)
 	e.Events = slices.Clone(e.Events)
 	e.Guarantee, e.Revision = j.guarantee, c.c.Book.Number()
 	for i := range j.members {
@@ -67,7 +31,7 @@
 }
 
 // explainWait adds why a job waits. The lock is held.
-func (c *Cell) explainWait(j *job, e *Explanation) {
+func (c *Cell) explainWait(j *job, e *views.Explanation) {
 	for _, o := range c.jobs {
 		if o.Record.State == jobs.Waiting && o.Record.Accepted.Before(j.Record.Accepted) {
 			e.Ahead++
@@ -76,7 +40,7 @@
 	w, ok := c.waits[j.key()]
 	switch {
 	case ok:
-		e.Reason, e.Hint = string(w.Reason)+": "+w.Detail, hints[w.Reason]
+		e.Reason, e.Hint = string(w.Reason)+": "+w.Detail, views.Hints[w.Reason]
 	case !c.c.Book.Fresh(c.now(), c.c.Bounds.Confirm):
 		e.Reason, e.Hint = "RulesUnconfirmed: nothing starts until the manifest is confirmed", "bring back the table service, or the connection to another data centre"
 	default:
@@ -84,26 +48,13 @@
 	}
 }
 
-// TargetView is a target as its decider sees it.
-type TargetView struct {
-	ID, Cell, Rack string
-	Room, Free     jobs.Room
-	// State is Open, Leaving, Suspect, Silent or Unlisted.
-	State string
-	Jobs  []string
-	// Failed counts the jobs that broke there since one last worked.
-	Failed int
-	// Guarantees names those that stand on the target.
-	Guarantees []string
-}
-
 // Targets describes the cell's targets in the order of their IDs.
-func (c *Cell) Targets() []TargetView {
+func (c *Cell) Targets() []views.Target {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	m := map[string]*TargetView{}
+	m := map[string]*views.Target{}
 	for id, x := range c.nodes {
-		m[id] = &TargetView{ID: id, Cell: c.Name, Rack: x.host.Rack, Room: x.host.Room, Free: x.room(), State: c.nodeState(x), Jobs: []string{}, Failed: len(x.health.failed), Guarantees: []string{}}
+		m[id] = &views.Target{ID: id, Cell: c.Name, Rack: x.host.Rack, Room: x.host.Room, Free: x.room(), State: c.nodeState(x), Jobs: []string{}, Failed: len(x.health.Failed), Guarantees: []string{}}
 	}
 	for _, j := range c.jobs {
 		for i := range j.members {
@@ -120,13 +71,13 @@
 			}
 		}
 	}
-	l := make([]TargetView, 0, len(m))
+	l := make([]views.Target, 0, len(m))
 	for _, v := range m {
 		slices.Sort(v.Jobs)
 		slices.Sort(v.Guarantees)
 		l = append(l, *v)
 	}
-	slices.SortFunc(l, func(a, b TargetView) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(l, func(a, b views.Target) int { return strings.Compare(a.ID, b.ID) })
 	return l
 }
 
@@ -139,36 +90,24 @@
 		return "Leaving"
 	case !x.fenced || x.unanswered >= silentCalls || c.now().Sub(x.contact) > c.c.Bounds.Lease:
 		return "Silent"
-	case x.health.suspect:
+	case x.health.Suspect:
 		return "Suspect"
 	}
 	return "Open"
 }
 
-// AccountView is what an account has in a cell, in accelerators.
-type AccountView struct {
-	Account, Cell string
-	// Guaranteed is what the manifest promises, Used what the account's jobs
-	// hold of it, Borrowed what they hold beyond, and Lent what others hold of
-	// what the account is guaranteed.
-	Guaranteed, Used, Borrowed, Lent int
-	Waiting, Placed                  int
-	// Unseated names guarantees that the cell can't hold right now.
-	Unseated []string
-}
-
 // Accounts describes the accounts in the order of the manifest.
-func (c *Cell) Accounts() []AccountView {
+func (c *Cell) Accounts() []views.Account {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.c.Book.Current()
 	if r == nil {
 		return nil
 	}
-	l := make([]AccountView, 0, len(r.Manifest.Accounts))
-	at := map[string]*AccountView{}
+	l := make([]views.Account, 0, len(r.Manifest.Accounts))
+	at := map[string]*views.Account{}
 	for _, a := range r.Manifest.Accounts {
-		v := AccountView{Account: a.Name, Cell: c.Name, Unseated: []string{}}
+		v := views.Account{Account: a.Name, Cell: c.Name, Unseated: []string{}}
 		for i, g := range a.Guarantees {
 			if g.DataCentre != c.Name {
 				continue
@@ -196,7 +135,7 @@
 }
 
 // count adds a job to its account's view.
-func count(v *AccountView, j *job) {
+func count(v *views.Account, j *job) {
 	n := j.spec().Shape.Accelerators()
 	switch {
 	case len(j.members) == 0:
--- a/client/client.go
+++ b/client/client.go
@@ -13,11 +13,12 @@
 	"strconv"
 	"time"
 
-	"citronbridge/cells"
 	"citronbridge/entry"
 	"citronbridge/httpc"
 	"citronbridge/jobs"
+	"citronbridge/reply"
 	"citronbridge/rules"
+	"citronbridge/views"
 )
 
 // Bounds of a call.
@@ -53,12 +54,12 @@
 }
 
 // ProblemOf returns the problem by which a host refused a call, or nil.
-func ProblemOf(err error) *entry.Problem {
+func ProblemOf(err error) *reply.Problem {
 	var e *httpc.StatusError
 	if !errors.As(err, &e) {
 		return nil
 	}
-	p := &entry.Problem{}
+	p := &reply.Problem{}
 	if json.Unmarshal(e.Body, p) != nil || p.Status == 0 {
 		return nil
 	}
@@ -121,8 +122,8 @@
 }
 
 // Explain tells why a job waits or what became of it.
-func (c *Client) Explain(ctx context.Context, id string) (cells.Explanation, error) {
-	var v cells.Explanation
+func (c *Client) Explain(ctx context.Context, id string) (views.Explanation, error) {
+	var v views.Explanation
 	return v, c.do(ctx, http.MethodGet, c.job(id, "/explanation", nil), nil, &v)
 }
 
@@ -167,14 +168,14 @@
 }
 
 // Targets lists the targets.
-func (c *Client) Targets(ctx context.Context) ([]cells.TargetView, error) {
-	var v []cells.TargetView
+func (c *Client) Targets(ctx context.Context) ([]views.Target, error) {
+	var v []views.Target
 	return v, c.do(ctx, http.MethodGet, "/v1/targets", nil, &v)
 }
 
 // Accounts lists what the accounts hold.
-func (c *Client) Accounts(ctx context.Context) ([]cells.AccountView, error) {
-	var v []cells.AccountView
+func (c *Client) Accounts(ctx context.Context) ([]views.Account, error) {
+	var v []views.Account
 	return v, c.do(ctx, http.MethodGet, "/v1/accounts", nil, &v)
 }
 
--- a/cmds/cmds_test.go
+++ b/cmds/cmds_test.go
@@ -13,24 +13,26 @@
 	"strings"
 	"testing"
 	"time"
+
+	"citronbridge/demo"
 )
 
 // deployment starts the demo's deployment with its manifest.
-func deployment(t *testing.T) *demo {
+func deployment(t *testing.T) *demo.Demo {
 	t.Helper()
-	d := &demo{a: &app{out: io.Discard, err: io.Discard}}
-	ctx, cancel := context.WithTimeout(context.Background(), demoLimit)
+	d := &demo.Demo{Out: io.Discard, Err: io.Discard}
+	ctx, cancel := context.WithTimeout(context.Background(), demo.Limit)
 	t.Cleanup(cancel)
-	if err := d.start(ctx); err != nil {
+	if err := d.Start(ctx); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(d.stop)
-	o, err := d.client(0, demoOperator)
+	t.Cleanup(d.Stop)
+	o, err := d.Client(0, demo.OperatorToken)
 	if err != nil {
 		t.Fatal(err)
 	}
-	m := demoManifest()
-	if err := d.propose(ctx, o, &m); err != nil {
+	m := demo.Manifest()
+	if err := d.Propose(ctx, o, &m); err != nil {
 		t.Fatal(err)
 	}
 	// Every cell has a decider once the targets can be listed, and has met
@@ -43,7 +45,7 @@
 				open++
 			}
 		}
-		if err == nil && open == len(demoCentres)*demoRacks*demoPerRack {
+		if err == nil && open == demo.Targets() {
 			return d
 		}
 		if ctx.Err() != nil {
@@ -65,7 +67,7 @@
 		x, _, _ = strings.Cut(x, "```")
 		request, answer, _ := strings.Cut(x, "--- ")
 		status, fields, _ := strings.Cut(answer, "\n")
-		example(t, d.hosts[0].HTTPAddress(), request, status, fields)
+		example(t, d.Hosts[0].HTTPAddress(), request, status, fields)
 	}
 	if len(blocks) < 15 {
 		t.Errorf("%d examples", len(blocks))
@@ -154,10 +156,10 @@
 	huge := file("huge.json", strings.Replace(fmt.Sprintf(spec, "huge", "1s"), `"Accelerators":1`, `"Accelerators":64`, 1))
 	var hosts, operator []string
 	// The first host named doesn't exist, so each call goes on to the next.
-	for _, h := range []string{"127.0.0.1:1", d.hosts[1].HTTPAddress(), d.hosts[0].HTTPAddress()} {
+	for _, h := range []string{"127.0.0.1:1", d.Hosts[1].HTTPAddress(), d.Hosts[0].HTTPAddress()} {
 		hosts = append(hosts, "--host", h)
 	}
-	operator = append(append(operator, hosts...), "--token", demoOperator)
+	operator = append(append(operator, hosts...), "--token", demo.OperatorToken)
 	hosts = append(hosts, "--token", "exporters-token")
 	for _, x := range []struct {
 		name   string
--- a/cmds/local.go
+++ b/cmds/local.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"citronbridge/config"
+	"citronbridge/demo"
 	"citronbridge/fault"
 	"citronbridge/host"
 	"citronbridge/rules"
@@ -108,3 +109,26 @@
 	}
 	return m, nil
 }
+
+// runDemo runs two gangs on a whole deployment.
+func (a *app) runDemo() error {
+	d := &demo.Demo{Out: a.out, Err: a.err}
+	ctx, cancel := context.WithTimeout(context.Background(), demo.Limit)
+	defer cancel()
+	if err := d.Start(ctx); err != nil {
+		return &exitError{ExitFailed, err}
+	}
+	defer d.Stop()
+	err := d.Play(ctx)
+	if errors.Is(err, demo.ErrNotDone) {
+		return &exitError{ExitNotDone, err}
+	}
+	if err != nil || !a.keep {
+		return err
+	}
+	fmt.Fprintln(a.out, "The deployment stays up until interrupted.")
+	s := make(chan os.Signal, 1)
+	signal.Notify(s, os.Interrupt)
+	<-s
+	return nil
+}
--- a/cmds/remote.go
+++ b/cmds/remote.go
@@ -15,7 +15,6 @@
 
 	"gopkg.in/yaml.v3"
 
-	"citronbridge/cells"
 	"citronbridge/client"
 	"citronbridge/entry"
 	"citronbridge/fault"
@@ -116,21 +115,10 @@
 		if err != nil {
 			return err
 		}
-		return a.print(v, func(w io.Writer) { printExplanation(w, &v) })
+		return a.print(v, func(w io.Writer) { v.Print(w) })
 	})
 }
 
-func printExplanation(w io.Writer, v *cells.Explanation) {
-	fmt.Fprintf(w, "%s/%s: %s %s %s\n", v.Account, v.ID, v.State, v.Outcome, v.Detail)
-	fmt.Fprintf(w, "  cell %s, revision %d, guarantee %q, targets %v\n", v.Cell, v.Revision, v.Guarantee, v.Targets)
-	if v.Reason != "" {
-		fmt.Fprintf(w, "  waits: %s (%d arrived before)\n  to change that: %s\n", v.Reason, v.Ahead, v.Hint)
-	}
-	for _, e := range v.Events {
-		fmt.Fprintf(w, "  %s %-18s host %s epoch %d revision %d %s\n", e.Time.Format(time.TimeOnly+".000"), e.What, e.Host, e.Epoch, e.Revision, e.Detail)
-	}
-}
-
 // table prints rows in columns.
 func table(w io.Writer, rows func(t io.Writer)) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
--- a/cmds/demo.go
+++ b/demo/demo.go
@@ -1,10 +1,12 @@
-package cmds
+// Package demo runs a whole deployment in one process: hosts of the system and
+// stand-ins for the platform, on loopback ports.
+package demo
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"os"
-	"os/signal"
+	"io"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -20,27 +22,32 @@
 	"citronbridge/units"
 )
 
-// The shape of the demo's deployment.
+// ErrNotDone says that a gang didn't end as Done.
+var ErrNotDone = errors.New("gang not done")
+
+// The token of operators, the time that the demo may take, and the shape of the
+// deployment.
 const (
-	demoOperator  = "operator-token"
-	demoLimit     = 50 * time.Second
-	demoRacks     = 2
-	demoPerRack   = 3
-	demoWritesSec = 400
-	demoReadsSec  = 2000
+	OperatorToken = "operator-token"
+	Limit         = 50 * time.Second
+	racks         = 2
+	perRack       = 3
+	writesSec     = 400
+	readsSec      = 2000
 )
 
 var (
-	demoCentres = []string{"cmb-1", "cmb-2"}
-	demoHosts   = []string{"cmb-1", "cmb-2", "cmb-1"}
-	demoRoom    = jobs.Room{Accelerators: 8, Processors: 64, Memory: 256 << 30, Slots: 8}
+	centres = []string{"cmb-1", "cmb-2"}
+	hosts   = []string{"cmb-1", "cmb-2", "cmb-1"}
+	room    = jobs.Room{Accelerators: 8, Processors: 64, Memory: 256 << 30, Slots: 8}
 )
 
-// demo is a deployment in this process.
-type demo struct {
-	a *app
+// Demo is a deployment in this process.
+type Demo struct {
+	// Out gets what people are told, Err the logs.
+	Out, Err io.Writer
 	platform
-	hosts []*host.Host
+	Hosts []*host.Host
 }
 
 // platform is the stand-ins of the demo.
@@ -49,8 +56,8 @@
 	entries              *fakes.Hosts
 }
 
-// demoManifest returns the rules of the demo.
-func demoManifest() rules.Manifest {
+// Manifest returns the rules of the demo.
+func Manifest() rules.Manifest {
 	shape := jobs.Shape{Members: 2, Each: jobs.Room{Accelerators: 8, Processors: 32, Memory: 64 << 30}, Adjacency: jobs.AdjacentRack}
 	return rules.Manifest{
 		Kinds:       []rules.Kind{{Name: "headline", FloorPercent: 20}, {Name: "digest", FloorPercent: 20}},
@@ -62,58 +69,37 @@
 	}
 }
 
-// runDemo runs two gangs on a whole deployment.
-func (a *app) runDemo() error {
-	d := &demo{a: a}
-	ctx, cancel := context.WithTimeout(context.Background(), demoLimit)
-	defer cancel()
-	if err := d.start(ctx); err != nil {
-		return &exitError{ExitFailed, err}
-	}
-	defer d.stop()
-	if err := d.play(ctx); err != nil {
-		return err
-	}
-	if a.keep {
-		fmt.Fprintln(a.out, "The deployment stays up until interrupted.")
-		s := make(chan os.Signal, 1)
-		signal.Notify(s, os.Interrupt)
-		<-s
-	}
-	return nil
-}
-
-// start brings up the stand-ins and the hosts.
-func (d *demo) start(ctx context.Context) error {
+// Start brings up the stand-ins and the hosts.
+func (d *Demo) Start(ctx context.Context) error {
 	if err := d.startPlatform(ctx); err != nil {
 		return err
 	}
-	fmt.Fprintf(d.a.out, "table service %s, object store %s, host list %s\n", d.table.URL(), d.objects.URL(), d.list.URL())
-	log := zerolog.New(d.a.err).Level(zerolog.WarnLevel).With().Timestamp().Logger()
-	for i, dc := range demoHosts {
+	fmt.Fprintf(d.Out, "table service %s, object store %s, host list %s\n", d.table.URL(), d.objects.URL(), d.list.URL())
+	log := zerolog.New(d.Err).Level(zerolog.WarnLevel).With().Timestamp().Logger()
+	for i, dc := range hosts {
 		s := config.Defaults()
 		s.Host, s.DataCentre = fmt.Sprintf("host-%d", i+1), dc
 		s.HTTPAddress, s.PeerAddress = "127.0.0.1:0", "127.0.0.1:0"
 		s.Platform = config.Platform{Table: d.table.URL(), Objects: d.objects.URL(), Hosts: d.list.URL()}
-		s.OperatorTokenHash = entry.HashToken(demoOperator)
+		s.OperatorTokenHash = entry.HashToken(OperatorToken)
 		s.Bounds.DrainGrace = units.Duration(10 * time.Millisecond)
 		h, err := host.New(&s, log)
 		if err != nil {
 			return err
 		}
-		d.hosts = append(d.hosts, h)
+		d.Hosts = append(d.Hosts, h)
 		d.entries.Set(fleet.Host{ID: s.Host, Role: fleet.Entry, Address: h.PeerAddress(), DataCentre: dc})
 		go h.Run(context.Background())
-		fmt.Fprintf(d.a.out, "%s in %s: callers %s, hosts %s\n", s.Host, dc, h.HTTPAddress(), h.PeerAddress())
+		fmt.Fprintf(d.Out, "%s in %s: callers %s, hosts %s\n", s.Host, dc, h.HTTPAddress(), h.PeerAddress())
 	}
 	return nil
 }
 
 // startPlatform brings up the stand-ins, with two racks of targets in each
 // data centre.
-func (d *demo) startPlatform(ctx context.Context) error {
+func (d *Demo) startPlatform(ctx context.Context) error {
 	var err error
-	if d.table, err = fakes.Listen("127.0.0.1:0", fakes.NewTable(demoWritesSec, demoReadsSec).Handler()); err != nil {
+	if d.table, err = fakes.Listen("127.0.0.1:0", fakes.NewTable(writesSec, readsSec).Handler()); err != nil {
 		return err
 	}
 	if d.objects, err = fakes.Listen("127.0.0.1:0", fakes.NewObjects().Handler()); err != nil {
@@ -123,9 +109,9 @@
 	if d.list, err = fakes.Listen("127.0.0.1:0", d.entries.Handler()); err != nil {
 		return err
 	}
-	for _, dc := range demoCentres {
-		for i := range demoRacks * demoPerRack {
-			h := fleet.Host{ID: fmt.Sprintf("%s-target-%d", dc, i+1), Role: fleet.Target, DataCentre: dc, Rack: fmt.Sprintf("%s-rack-%d", dc, i/demoPerRack+1), Room: demoRoom}
+	for _, dc := range centres {
+		for i := range racks * perRack {
+			h := fleet.Host{ID: fmt.Sprintf("%s-target-%d", dc, i+1), Role: fleet.Target, DataCentre: dc, Rack: fmt.Sprintf("%s-rack-%d", dc, i/perRack+1), Room: room}
 			t := fakes.NewTarget(h.ID, h.Room, d.objects.URL())
 			go t.Expire(ctx)
 			s, err := fakes.Listen("127.0.0.1:0", t.Handler())
@@ -139,33 +125,33 @@
 	return nil
 }
 
-// stop ends the hosts in good order.
-func (d *demo) stop() {
-	for _, h := range d.hosts {
+// Stop ends the hosts in good order.
+func (d *Demo) Stop() {
+	for _, h := range d.Hosts {
 		h.Drain()
 	}
-	for _, h := range d.hosts {
+	for _, h := range d.Hosts {
 		<-h.Stopped()
 	}
 }
 
-// client returns a client that starts with the host of that number.
-func (d *demo) client(first int, token string) (*client.Client, error) {
+// Client returns a client that starts with the host of that number.
+func (d *Demo) Client(first int, token string) (*client.Client, error) {
 	var l []string
-	for i := range d.hosts {
-		l = append(l, d.hosts[(first+i)%len(d.hosts)].HTTPAddress())
+	for i := range d.Hosts {
+		l = append(l, d.Hosts[(first+i)%len(d.Hosts)].HTTPAddress())
 	}
 	return client.New(l, token, nil)
 }
 
-// play proposes the manifest and runs a gang of each account.
-func (d *demo) play(ctx context.Context) error {
-	o, err := d.client(0, demoOperator)
+// Play proposes the manifest and runs a gang of each account.
+func (d *Demo) Play(ctx context.Context) error {
+	o, err := d.Client(0, OperatorToken)
 	if err != nil {
 		return err
 	}
-	m := demoManifest()
-	if err := d.propose(ctx, o, &m); err != nil {
+	m := Manifest()
+	if err := d.Propose(ctx, o, &m); err != nil {
 		return err
 	}
 	for i, a := range m.Accounts {
@@ -176,12 +162,12 @@
 	return nil
 }
 
-// propose proposes the manifest until the hosts know their targets.
-func (d *demo) propose(ctx context.Context, o *client.Client, m *rules.Manifest) error {
+// Propose proposes the manifest until the hosts know their targets.
+func (d *Demo) Propose(ctx context.Context, o *client.Client, m *rules.Manifest) error {
 	for {
 		v, err := o.Propose(ctx, &entry.Proposal{ID: "demo", Manifest: *m})
 		if err == nil {
-			fmt.Fprintf(d.a.out, "manifest accepted as revision %d\n", v.Number)
+			fmt.Fprintf(d.Out, "manifest accepted as revision %d\n", v.Number)
 			return nil
 		}
 		select {
@@ -193,8 +179,8 @@
 }
 
 // gang submits a gang at one host, and asks another for the answer.
-func (d *demo) gang(ctx context.Context, i int, account string) error {
-	c, err := d.client(i, account+"-token")
+func (d *Demo) gang(ctx context.Context, i int, account string) error {
+	c, err := d.Client(i, account+"-token")
 	if err != nil {
 		return err
 	}
@@ -207,11 +193,11 @@
 	if err := d.submit(ctx, c, s); err != nil {
 		return err
 	}
-	other, err := d.client(i+1, account+"-token")
+	other, err := d.Client(i+1, account+"-token")
 	if err != nil {
 		return err
 	}
-	v, err := other.Answer(ctx, id, demoLimit)
+	v, err := other.Answer(ctx, id, Limit)
 	if err != nil {
 		return err
 	}
@@ -219,17 +205,19 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(d.a.out, "\n%s ran on %v: %s, answer:\n", id, x.Targets, v.Outcome)
-	printAnswer(d.a.out, &v)
-	printExplanation(d.a.out, &x)
+	fmt.Fprintf(d.Out, "\n%s ran on %v: %s, answer:\n", id, x.Targets, v.Outcome)
+	for _, p := range v.Parts {
+		d.Out.Write(p.Data)
+	}
+	x.Print(d.Out)
 	if v.Outcome != jobs.Done {
-		return &exitError{ExitNotDone, fmt.Errorf("job %s: %s %s", id, v.Outcome, v.Detail)}
+		return fmt.Errorf("%w: job %s: %s %s", ErrNotDone, id, v.Outcome, v.Detail)
 	}
 	return nil
 }
 
 // submit sends a request until a host has the manifest.
-func (d *demo) submit(ctx context.Context, c *client.Client, s *jobs.Spec) error {
+func (d *Demo) submit(ctx context.Context, c *client.Client, s *jobs.Spec) error {
 	for {
 		_, err := c.Submit(ctx, s)
 		p := client.ProblemOf(err)
@@ -239,3 +227,6 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 }
+
+// Targets returns the number of targets.
+func Targets() int { return len(centres) * racks * perRack }
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -9,11 +9,12 @@
 	"strings"
 	"time"
 
-	"citronbridge/cells"
 	"citronbridge/fault"
 	"citronbridge/jobs"
 	"citronbridge/place"
+	"citronbridge/reply"
 	"citronbridge/rules"
+	"citronbridge/views"
 	"citronbridge/wire"
 )
 
@@ -46,41 +47,41 @@
 		}
 		l = append(l, v)
 	}
-	reply(w, http.StatusOK, l)
+	reply.JSON(w, http.StatusOK, l)
 }
 
 // targets lists the targets of all cells.
 func (s *Server) targets(w http.ResponseWriter, r *http.Request, _ identity) {
-	l := []cells.TargetView{}
+	l := []views.Target{}
 	for _, c := range s.c.View.Cells() {
 		t, err := s.c.Deciders.Targets(r.Context(), c)
 		if err != nil {
-			problem(w, http.StatusServiceUnavailable, "decider of "+c+": "+err.Error())
+			reply.Error(w, http.StatusServiceUnavailable, "decider of "+c+": "+err.Error())
 			return
 		}
 		l = append(l, t...)
 	}
-	reply(w, http.StatusOK, l)
+	reply.JSON(w, http.StatusOK, l)
 }
 
 // accounts lists the accounts in all cells: an account sees itself alone.
 func (s *Server) accounts(w http.ResponseWriter, r *http.Request, id identity) {
 	all, err := s.allAccounts(r.Context())
 	if err != nil {
-		problem(w, http.StatusServiceUnavailable, err.Error())
+		reply.Error(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
-	l := []cells.AccountView{}
+	l := []views.Account{}
 	for _, v := range all {
 		if id.operator || v.Account == id.account {
 			l = append(l, v)
 		}
 	}
-	reply(w, http.StatusOK, l)
+	reply.JSON(w, http.StatusOK, l)
 }
 
-func (s *Server) allAccounts(ctx context.Context) ([]cells.AccountView, error) {
-	var l []cells.AccountView
+func (s *Server) allAccounts(ctx context.Context) ([]views.Account, error) {
+	var l []views.Account
 	for _, c := range s.c.View.Cells() {
 		v, err := s.c.Deciders.Accounts(ctx, c)
 		if err != nil {
@@ -95,10 +96,10 @@
 func (s *Server) manifest(w http.ResponseWriter, _ *http.Request, _ identity) {
 	v := s.c.Book.Current()
 	if v == nil {
-		problem(w, http.StatusNotFound, "no manifest was accepted yet")
+		reply.Error(w, http.StatusNotFound, "no manifest was accepted yet")
 		return
 	}
-	reply(w, http.StatusOK, v)
+	reply.JSON(w, http.StatusOK, v)
 }
 
 // Proposal is a manifest that is to follow the revision Base.
@@ -121,11 +122,11 @@
 func (s *Server) propose(w http.ResponseWriter, r *http.Request, _ identity) {
 	var p Proposal
 	if err := fault.DecodeJSON(http.MaxBytesReader(w, r.Body, maxManifest), &p); err != nil {
-		badInput(w, err)
+		reply.BadInput(w, err)
 		return
 	}
 	if l := s.unfeasible(&p.Manifest); len(l) > 0 {
-		(&Problem{Status: http.StatusUnprocessableEntity, Title: "Manifest can't be honoured", Faults: l}).write(w)
+		(&reply.Problem{Status: http.StatusUnprocessableEntity, Title: "Manifest can't be honoured", Faults: l}).Write(w)
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), insertTimeout)
@@ -133,13 +134,13 @@
 	v, err := s.c.Register.Propose(ctx, p.ID, p.Base, &p.Manifest)
 	switch {
 	case errors.Is(err, rules.ErrSuperseded):
-		reply(w, http.StatusConflict, Superseded{"about:blank", "Superseded", http.StatusConflict, err.Error(), number(v)})
+		reply.JSON(w, http.StatusConflict, Superseded{"about:blank", "Superseded", http.StatusConflict, err.Error(), number(v)})
 	case err != nil:
-		(&Problem{Status: http.StatusServiceUnavailable, Detail: "send the proposal again under the same ID: " + err.Error(), RetryAfter: storeRetryAfter}).write(w)
+		(&reply.Problem{Status: http.StatusServiceUnavailable, Detail: "send the proposal again under the same ID: " + err.Error(), RetryAfter: storeRetryAfter}).Write(w)
 	default:
 		s.c.Adopted(v)
 		s.c.Log.Info().Int64("revision", v.Number).Str("proposal", p.ID).Msg("manifest accepted")
-		reply(w, http.StatusOK, v)
+		reply.JSON(w, http.StatusOK, v)
 	}
 }
 
@@ -191,21 +192,21 @@
 	if v := r.URL.Query().Get("After"); v != "" {
 		n, err := strconv.ParseInt(v, 10, 64)
 		if err != nil || n < 0 {
-			badInput(w, fault.List{{Field: "After", Value: v, Allowed: "the number of a revision"}})
+			reply.BadInput(w, fault.List{{Field: "After", Value: v, Allowed: "the number of a revision"}})
 			return
 		}
 		after = n
 	}
 	l, err := s.c.Register.History(r.Context(), after, defaultPage)
 	if err != nil {
-		(&Problem{Status: http.StatusServiceUnavailable, Detail: err.Error(), RetryAfter: time.Second}).write(w)
+		(&reply.Problem{Status: http.StatusServiceUnavailable, Detail: err.Error(), RetryAfter: time.Second}).Write(w)
 		return
 	}
-	reply(w, http.StatusOK, l)
+	reply.JSON(w, http.StatusOK, l)
 }
 
 // drain begins a planned stop of this host.
 func (s *Server) drain(w http.ResponseWriter, _ *http.Request, _ identity) {
 	s.c.Drain()
-	reply(w, http.StatusAccepted, Health{State: "Draining"})
+	reply.JSON(w, http.StatusAccepted, Health{State: "Draining"})
 }
--- a/entry/auth.go
+++ b/entry/auth.go
@@ -9,6 +9,7 @@
 
 	"citronbridge/fault"
 	"citronbridge/jobs"
+	"citronbridge/reply"
 )
 
 // identity is who makes a call.
@@ -54,7 +55,7 @@
 		if !ok {
 			s.refuse("", "Unauthorized")
 			w.Header().Set("WWW-Authenticate", "Bearer")
-			problem(w, http.StatusUnauthorized, "a bearer token of a client account or an operator is needed")
+			reply.Error(w, http.StatusUnauthorized, "a bearer token of a client account or an operator is needed")
 			return
 		}
 		h(w, r, id)
@@ -66,7 +67,7 @@
 	return s.caller(func(w http.ResponseWriter, r *http.Request, id identity) {
 		if !id.operator {
 			s.refuse(id.account, "Forbidden")
-			problem(w, http.StatusForbidden, "an operator's token is needed")
+			reply.Error(w, http.StatusForbidden, "an operator's token is needed")
 			return
 		}
 		h(w, r, id)
@@ -88,7 +89,7 @@
 	l.Check(jobs.ValidName(k.Account), "Account", k.Account, "the name of a client account, as a query parameter")
 	l.Check(jobs.ValidID(k.ID), "ID", k.ID, jobs.IDRule)
 	if len(l) > 0 {
-		badInput(w, l)
+		reply.BadInput(w, l)
 		return k, false
 	}
 	return k, true
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,14 +12,15 @@
 	"github.com/alexedwards/flow"
 	"github.com/rs/zerolog"
 
-	"citronbridge/cells"
 	"citronbridge/fleet"
 	"citronbridge/jobs"
 	"citronbridge/ledger"
 	"citronbridge/limit"
 	"citronbridge/meter"
+	"citronbridge/reply"
 	"citronbridge/route"
 	"citronbridge/rules"
+	"citronbridge/views"
 	"citronbridge/wire"
 )
 
@@ -35,9 +36,9 @@
 	Submit(ctx context.Context, cell string, k jobs.Key) error
 	Cancel(ctx context.Context, cell string, k jobs.Key) error
 	Wait(ctx context.Context, cell string, k jobs.Key, wait time.Duration) (*jobs.Record, error)
-	Explain(ctx context.Context, cell string, k jobs.Key) (cells.Explanation, error)
-	Targets(ctx context.Context, cell string) ([]cells.TargetView, error)
-	Accounts(ctx context.Context, cell string) ([]cells.AccountView, error)
+	Explain(ctx context.Context, cell string, k jobs.Key) (views.Explanation, error)
+	Targets(ctx context.Context, cell string) ([]views.Target, error)
+	Accounts(ctx context.Context, cell string) ([]views.Account, error)
 }
 
 // register keeps the accepted manifests.
@@ -93,7 +94,7 @@
 	// drained is closed when a planned stop begins, so that long polls end.
 	drained chan struct{}
 	once    sync.Once
-	open    openJobs
+	open    limit.Open
 	wg      sync.WaitGroup
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -129,10 +130,10 @@
 func (s *Server) Handler() http.Handler {
 	m := flow.New()
 	m.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		problem(w, http.StatusNotFound, "no such resource: "+r.URL.Path)
+		reply.Error(w, http.StatusNotFound, "no such resource: "+r.URL.Path)
 	})
 	m.MethodNotAllowed = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		problem(w, http.StatusMethodNotAllowed, r.Method+" is not served here")
+		reply.Error(w, http.StatusMethodNotAllowed, r.Method+" is not served here")
 	})
 	m.HandleFunc("/v1/jobs", s.caller(s.submit), http.MethodPost)
 	m.HandleFunc("/v1/jobs", s.caller(s.list), http.MethodGet)
@@ -148,7 +149,7 @@
 	m.HandleFunc("/v1/manifest/history", s.operator(s.history), http.MethodGet)
 	m.HandleFunc("/v1/drain", s.operator(s.drain), http.MethodPost)
 	m.Handle("/metrics", s.c.Meter.Handler(), http.MethodGet)
-	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, Health{State: "Live"}) }, http.MethodGet)
+	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { reply.JSON(w, http.StatusOK, Health{State: "Live"}) }, http.MethodGet)
 	m.HandleFunc("/readyz", s.ready, http.MethodGet)
 	return m
 }
@@ -161,8 +162,8 @@
 
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
 	if why := s.c.Ready(); why != "" {
-		reply(w, http.StatusServiceUnavailable, Health{"NotReady", why})
+		reply.JSON(w, http.StatusServiceUnavailable, Health{"NotReady", why})
 		return
 	}
-	reply(w, http.StatusOK, Health{State: "Ready"})
+	reply.JSON(w, http.StatusOK, Health{State: "Ready"})
 }
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -13,12 +13,12 @@
 	"testing"
 	"time"
 
-	"citronbridge/cells"
 	"citronbridge/fleet"
 	"citronbridge/jobs"
 	"citronbridge/ledger"
 	"citronbridge/meter"
 	"citronbridge/rules"
+	"citronbridge/views"
 	"citronbridge/wire"
 )
 
@@ -57,11 +57,11 @@
 func (fakeDeciders) Wait(context.Context, string, jobs.Key, time.Duration) (*jobs.Record, error) {
 	return nil, errNoDecider
 }
-func (fakeDeciders) Explain(context.Context, string, jobs.Key) (cells.Explanation, error) {
-	return cells.Explanation{}, errNoDecider
+func (fakeDeciders) Explain(context.Context, string, jobs.Key) (views.Explanation, error) {
+	return views.Explanation{}, errNoDecider
 }
-func (fakeDeciders) Targets(context.Context, string) ([]cells.TargetView, error) { return nil, nil }
-func (fakeDeciders) Accounts(context.Context, string) ([]cells.AccountView, error) {
+func (fakeDeciders) Targets(context.Context, string) ([]views.Target, error) { return nil, nil }
+func (fakeDeciders) Accounts(context.Context, string) ([]views.Account, error) {
 	return nil, nil
 }
 
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -7,9 +7,10 @@
 	"strconv"
 	"time"
 
-	"citronbridge/cells"
 	"citronbridge/fault"
 	"citronbridge/jobs"
+	"citronbridge/reply"
+	"citronbridge/views"
 )
 
 // Bounds of reading jobs.
@@ -27,9 +28,9 @@
 	e, err := s.c.Records.Load(r.Context(), k)
 	switch {
 	case err != nil:
-		(&Problem{Status: http.StatusServiceUnavailable, Detail: "the table service is not available", RetryAfter: storeRetryAfter}).write(w)
+		(&reply.Problem{Status: http.StatusServiceUnavailable, Detail: "the table service is not available", RetryAfter: storeRetryAfter}).Write(w)
 	case e.Record == nil:
-		problem(w, http.StatusNotFound, "no such job: "+k.ID)
+		reply.Error(w, http.StatusNotFound, "no such job: "+k.ID)
 	default:
 		return e.Record
 	}
@@ -55,7 +56,7 @@
 		return
 	}
 	if rec := s.load(w, r, k); rec != nil {
-		reply(w, http.StatusOK, statusOf(s.current(r.Context(), rec)))
+		reply.JSON(w, http.StatusOK, statusOf(s.current(r.Context(), rec)))
 	}
 }
 
@@ -83,12 +84,12 @@
 	l.Check(after == "" || jobs.ValidID(after), "After", after, jobs.IDRule)
 	l.Check(jobs.ValidName(account), "Account", account, "the name of a client account")
 	if len(l) > 0 {
-		badInput(w, l)
+		reply.BadInput(w, l)
 		return
 	}
 	recs, more, err := s.c.Records.List(r.Context(), account, after, n)
 	if err != nil {
-		(&Problem{Status: http.StatusServiceUnavailable, Detail: "the table service is not available", RetryAfter: storeRetryAfter}).write(w)
+		(&reply.Problem{Status: http.StatusServiceUnavailable, Detail: "the table service is not available", RetryAfter: storeRetryAfter}).Write(w)
 		return
 	}
 	p := Page{Jobs: []Status{}}
@@ -98,7 +99,7 @@
 			p.After = rec.Spec.ID
 		}
 	}
-	reply(w, http.StatusOK, p)
+	reply.JSON(w, http.StatusOK, p)
 }
 
 // cancelJob asks for a job to be stopped.
@@ -112,14 +113,14 @@
 		return
 	}
 	if rec.Final() {
-		reply(w, http.StatusOK, statusOf(rec))
+		reply.JSON(w, http.StatusOK, statusOf(rec))
 		return
 	}
 	if err := s.c.Deciders.Cancel(r.Context(), rec.Cell, k); err != nil {
-		(&Problem{Status: http.StatusServiceUnavailable, Detail: "the job's decider doesn't answer: " + err.Error(), RetryAfter: storeRetryAfter}).write(w)
+		(&reply.Problem{Status: http.StatusServiceUnavailable, Detail: "the job's decider doesn't answer: " + err.Error(), RetryAfter: storeRetryAfter}).Write(w)
 		return
 	}
-	reply(w, http.StatusAccepted, statusOf(s.current(r.Context(), rec)))
+	reply.JSON(w, http.StatusAccepted, statusOf(s.current(r.Context(), rec)))
 }
 
 // explain tells why a job waits, or what became of it.
@@ -135,11 +136,11 @@
 	if !rec.Final() {
 		e, err := s.c.Deciders.Explain(r.Context(), rec.Cell, k)
 		if err == nil {
-			reply(w, http.StatusOK, e)
+			reply.JSON(w, http.StatusOK, e)
 			return
 		}
 	}
-	reply(w, http.StatusOK, cells.Explain(rec))
+	reply.JSON(w, http.StatusOK, views.Of(rec))
 }
 
 // Answer is the outcome of a job, with the whole output of each member if it
@@ -158,7 +159,7 @@
 	}
 	wait, member, err := s.answerQuery(r)
 	if err != nil {
-		badInput(w, err)
+		reply.BadInput(w, err)
 		return
 	}
 	rec := s.load(w, r, k)
@@ -168,7 +169,7 @@
 	rec = s.await(r.Context(), rec, wait)
 	switch {
 	case !rec.Final():
-		reply(w, http.StatusAccepted, Answer{Status: statusOf(rec)})
+		reply.JSON(w, http.StatusAccepted, Answer{Status: statusOf(rec)})
 	case member >= 0:
 		s.part(w, r, rec, member)
 	default:
@@ -235,26 +236,26 @@
 		if total <= maxInlineAnswer {
 			b, err := s.data(r.Context(), &p)
 			if err != nil {
-				(&Problem{Status: http.StatusBadGateway, Title: "Answer not available", Detail: err.Error(), Outcome: rec.Outcome, RetryAfter: storeRetryAfter}).write(w)
+				(&reply.Problem{Status: http.StatusBadGateway, Title: "Answer not available", Detail: err.Error(), Outcome: rec.Outcome, RetryAfter: storeRetryAfter}).Write(w)
 				return
 			}
 			p.Data = b
 		}
 		a.Parts = append(a.Parts, p)
 	}
-	reply(w, http.StatusOK, a)
+	reply.JSON(w, http.StatusOK, a)
 }
 
 // part answers with the output of one member as it is.
 func (s *Server) part(w http.ResponseWriter, r *http.Request, rec *jobs.Record, member int) {
 	if member >= len(rec.Answer) {
-		problem(w, http.StatusNotFound, "the answer has no such part")
+		reply.Error(w, http.StatusNotFound, "the answer has no such part")
 		return
 	}
 	p := &rec.Answer[member]
 	b, err := s.data(r.Context(), p)
 	if err != nil {
-		(&Problem{Status: http.StatusBadGateway, Title: "Answer not available", Detail: err.Error(), Outcome: rec.Outcome, RetryAfter: storeRetryAfter}).write(w)
+		(&reply.Problem{Status: http.StatusBadGateway, Title: "Answer not available", Detail: err.Error(), Outcome: rec.Outcome, RetryAfter: storeRetryAfter}).Write(w)
 		return
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -6,12 +6,12 @@
 	"fmt"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"citronbridge/cells"
 	"citronbridge/fault"
 	"citronbridge/jobs"
+	"citronbridge/reply"
 	"citronbridge/rules"
 	"citronbridge/table"
 )
@@ -46,24 +46,24 @@
 // submit takes a job.
 func (s *Server) submit(w http.ResponseWriter, r *http.Request, id identity) {
 	if id.account == "" {
-		problem(w, http.StatusForbidden, "a client account's token is needed")
+		reply.Error(w, http.StatusForbidden, "a client account's token is needed")
 		return
 	}
 	spec, err := readSpec(w, r, id)
 	if err != nil {
 		s.refuse(id.account, "Invalid")
-		badInput(w, err)
+		reply.BadInput(w, err)
 		return
 	}
 	rev := s.c.Book.Current()
 	if rev == nil {
 		s.refuse(id.account, "NotReady")
-		(&Problem{Status: http.StatusServiceUnavailable, Detail: "no manifest yet", RetryAfter: storeRetryAfter}).write(w)
+		(&reply.Problem{Status: http.StatusServiceUnavailable, Detail: "no manifest yet", RetryAfter: storeRetryAfter}).Write(w)
 		return
 	}
 	if err := checkKind(spec, &rev.Manifest); err != nil {
 		s.refuse(id.account, "Invalid")
-		badInput(w, err)
+		reply.BadInput(w, err)
 		return
 	}
 	if p := s.admit(spec, rev); p != nil {
@@ -74,7 +74,7 @@
 	if cell == "" {
 		s.refuse(id.account, "NeverFits")
 		l := fault.List{{Field: "Shape", Value: describe(spec.Shape), Allowed: "a shape that a data centre's targets could hold"}}
-		(&Problem{Status: http.StatusUnprocessableEntity, Title: "Shape never fits", Faults: l}).write(w)
+		(&reply.Problem{Status: http.StatusUnprocessableEntity, Title: "Shape never fits", Faults: l}).Write(w)
 		return
 	}
 	s.insert(w, r, spec, cell, rev.Number)
@@ -114,22 +114,22 @@
 }
 
 // admit checks the limits of account and caller.
-func (s *Server) admit(spec *jobs.Spec, rev *rules.Revision) *Problem {
+func (s *Server) admit(spec *jobs.Spec, rev *rules.Revision) *reply.Problem {
 	l := rev.Manifest.Account(spec.Account).Limits
-	if s.open.full(spec.Account, l.WithDefaults().OpenJobs) {
+	if s.open.Full(spec.Account, l.WithDefaults().OpenJobs) {
 		s.refuse(spec.Account, "OpenJobs")
-		return &Problem{Status: http.StatusTooManyRequests, Title: "Too many open jobs", RetryAfter: openRefresh}
+		return &reply.Problem{Status: http.StatusTooManyRequests, Title: "Too many open jobs", RetryAfter: openRefresh}
 	}
 	if f := s.door.Take(spec, l, 1+len(s.c.Live()), s.c.Now()); f != nil {
 		s.refuse(spec.Account, f.Reason)
-		return &Problem{Status: http.StatusTooManyRequests, Title: "Too many requests", Detail: f.Reason, RetryAfter: f.RetryAfter}
+		return &reply.Problem{Status: http.StatusTooManyRequests, Title: "Too many requests", Detail: f.Reason, RetryAfter: f.RetryAfter}
 	}
 	return nil
 }
 
 // turnAway answers a call beyond the limits. A request that was accepted
 // before is still answered with its status.
-func (s *Server) turnAway(w http.ResponseWriter, r *http.Request, spec *jobs.Spec, p *Problem) {
+func (s *Server) turnAway(w http.ResponseWriter, r *http.Request, spec *jobs.Spec, p *reply.Problem) {
 	e, err := s.c.Records.Load(r.Context(), spec.Key())
 	if err == nil && e.Record != nil {
 		s.repeated(w, spec, e.Record)
@@ -138,7 +138,7 @@
 	if err == nil {
 		p.Outcome = jobs.NotRun
 	}
-	p.write(w)
+	p.Write(w)
 }
 
 // chooseCell returns the cell for a job: one that holds a guarantee of the
@@ -178,7 +178,7 @@
 func (s *Server) insert(w http.ResponseWriter, r *http.Request, spec *jobs.Spec, cell string, revision int64) {
 	digest, err := spec.Digest()
 	if err != nil {
-		problem(w, http.StatusInternalServerError, err.Error())
+		reply.Error(w, http.StatusInternalServerError, err.Error())
 		return
 	}
 	rec := &jobs.Record{Spec: *spec, Digest: digest, Cell: cell, State: jobs.Waiting, Accepted: s.c.Now().UTC(), Revision: revision}
@@ -189,18 +189,18 @@
 	switch {
 	case errors.Is(err, table.ErrUncertain):
 		s.refuse(spec.Account, "Uncertain")
-		(&Problem{Status: http.StatusServiceUnavailable, Outcome: jobs.Unknown, RetryAfter: storeRetryAfter,
-			Detail: "it is not known whether the request was recorded: send it again under the same ID"}).write(w)
+		(&reply.Problem{Status: http.StatusServiceUnavailable, Outcome: jobs.Unknown, RetryAfter: storeRetryAfter,
+			Detail: "it is not known whether the request was recorded: send it again under the same ID"}).Write(w)
 	case err != nil:
 		s.refuse(spec.Account, "Store")
-		(&Problem{Status: http.StatusServiceUnavailable, RetryAfter: storeRetryAfter, Detail: "nothing was recorded: the table service is not available"}).write(w)
+		(&reply.Problem{Status: http.StatusServiceUnavailable, RetryAfter: storeRetryAfter, Detail: "nothing was recorded: the table service is not available"}).Write(w)
 	case !fresh:
 		s.repeated(w, spec, e.Record)
 	default:
-		s.open.add(spec.Account)
+		s.open.Add(spec.Account)
 		s.tell(cell, spec.Key())
 		w.Header().Set("Location", "/v1/jobs/"+spec.ID)
-		reply(w, http.StatusAccepted, statusOf(rec))
+		reply.JSON(w, http.StatusAccepted, statusOf(rec))
 	}
 }
 
@@ -209,10 +209,10 @@
 	digest, err := spec.Digest()
 	if err != nil || rec == nil || digest != rec.Digest {
 		s.refuse(spec.Account, "Conflict")
-		problem(w, http.StatusConflict, "another request has the ID "+spec.ID)
+		reply.Error(w, http.StatusConflict, "another request has the ID "+spec.ID)
 		return
 	}
-	reply(w, http.StatusOK, statusOf(rec))
+	reply.JSON(w, http.StatusOK, statusOf(rec))
 }
 
 // tell gives a new job to its decider. If that fails for long, the decider
@@ -236,33 +236,6 @@
 // openRefresh is how often the number of open jobs is learned anew.
 const openRefresh = time.Second
 
-// openJobs counts the open jobs of each account.
-type openJobs struct {
-	mu    sync.Mutex
-	known map[string]int
-}
-
-func (o *openJobs) full(account string, limit int) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.known[account] >= limit
-}
-
-func (o *openJobs) add(account string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.known == nil {
-		o.known = map[string]int{}
-	}
-	o.known[account]++
-}
-
-func (o *openJobs) set(m map[string]int) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.known = m
-}
-
 // Refresh learns how many jobs each account has open.
 func (s *Server) Refresh(ctx context.Context) {
 	l, err := s.allAccounts(ctx)
@@ -273,5 +246,5 @@
 	for _, v := range l {
 		m[v.Account] += v.Waiting + v.Placed
 	}
-	s.open.set(m)
+	s.open.Set(m)
 }
--- a/fakes/target.go
+++ b/fakes/target.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -57,9 +56,8 @@
 	changed     chan struct{}
 	tasks       map[target.TaskID]*task
 	faults      TargetFaults
-	log         []LogEntry
-	// sink, if set, gets each entry of the log as a line of JSON.
-	sink *json.Encoder
+	// log gets what happens, a line of JSON each.
+	log *json.Encoder
 }
 
 type task struct {
@@ -81,11 +79,11 @@
 	return &Target{
 		id: id, room: room, incarnation: xid.New().String(),
 		objects: blobs.NewClient(objects, retry.New(retry.Config{Name: "objects"})),
-		changed: make(chan struct{}), tasks: map[target.TaskID]*task{},
+		changed: make(chan struct{}), tasks: map[target.TaskID]*task{}, log: json.NewEncoder(io.Discard),
 	}
 }
 
-// Handler serves /fence, /watch and /orders, and for tests /faults and /log.
+// Handler serves /fence, /watch and /orders, and for tests /faults and /tasks.
 func (t *Target) Handler() http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("POST /fence", t.fence)
@@ -100,7 +98,6 @@
 		}
 	})
 	m.HandleFunc("GET /tasks", func(w http.ResponseWriter, _ *http.Request) { write(w, t.Tasks()) })
-	m.HandleFunc("GET /log", func(w http.ResponseWriter, _ *http.Request) { write(w, t.Log()) })
 	return m
 }
 
@@ -109,7 +106,7 @@
 func (t *Target) LogTo(w io.Writer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.sink = json.NewEncoder(w)
+	t.log = json.NewEncoder(w)
 }
 
 // Tasks returns the tasks that the target knows.
@@ -119,13 +116,6 @@
 	return t.report(-1).Tasks
 }
 
-// Log returns what happened so far.
-func (t *Target) Log() []LogEntry {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return slices.Clone(t.log)
-}
-
 // take raises the epoch and reports whether it isn't stale.
 func (t *Target) take(w http.ResponseWriter, epoch int64) bool {
 	if epoch < t.epoch {
@@ -377,12 +367,7 @@
 }
 
 func (t *Target) note(event string, k *task) {
-	e := LogEntry{time.Now(), event, k.ID}
-	if t.sink == nil {
-		t.log = append(t.log, e)
-		return
-	}
-	t.sink.Encode(e)
+	t.log.Encode(LogEntry{time.Now(), event, k.ID})
 }
 
 // complete ends a task whose run time is over.
--- a/fakesd/main.go
+++ b/fakesd/main.go
@@ -1,4 +1,4 @@
-// Command fakesd runs stand-ins for the platform as processes of their own:
+// Package main runs stand-ins for the platform as processes of their own:
 // fakesd platform runs table service, object store and host list, fakesd
 // target runs one target. Each address is printed as a line of JSON.
 package main
--- a/host/host.go
+++ b/host/host.go
@@ -20,6 +20,7 @@
 	"citronbridge/config"
 	"citronbridge/entry"
 	"citronbridge/fleet"
+	"citronbridge/keeper"
 	"citronbridge/ledger"
 	"citronbridge/meter"
 	"citronbridge/peers"
@@ -50,7 +51,7 @@
 	reg   *rules.Register
 	view  *fleet.View
 	mesh  *peers.Mesh
-	keep  *cells.Keeper
+	keep  *keeper.Keeper
 	route *route.Router
 	api   *entry.Server
 	http  *http.Server
@@ -147,7 +148,7 @@
 	h.view = fleet.NewView(fleet.NewClient(h.s.Platform.Hosts, h.guard("hosts", 0)))
 	h.view.Malformed = func(n int) { h.meter.Malformed.WithLabelValues("HostList").Add(float64(n)) }
 	var err error
-	h.keep, err = cells.NewKeeper(cells.Config{
+	h.keep, err = keeper.New(cells.Config{
 		Host: h.s.Host, DataCentre: h.s.DataCentre, Records: rows, Objects: objects, Hosts: h.view, Book: h.book, Timer: h.timer,
 		Meter: h.meter, Log: h.log, Live: h.live, Connect: cells.ConnectHTTP, Offered: h.offered, Policy: h.s.Policy, Bounds: h.s.Bounds.Cells(),
 	})
--- a/cells/keeper.go
+++ b/keeper/keeper.go
@@ -1,4 +1,6 @@
-package cells
+// Package keeper decides which cells this host decides for: it takes a cell
+// whose decider is gone, and gives up one that another host has taken.
+package keeper
 
 import (
 	"context"
@@ -9,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"citronbridge/cells"
 	"citronbridge/fleet"
 	"citronbridge/ledger"
 	"citronbridge/wire"
@@ -28,12 +31,12 @@
 
 // Keeper decides which cells this host decides for.
 type Keeper struct {
-	c       Config
+	c       cells.Config
 	started time.Time
 	poke    chan struct{}
 
 	mu       sync.Mutex
-	cells    map[string]*Cell
+	cells    map[string]*cells.Cell
 	taking   map[string]bool
 	holders  map[string]ledger.Owner
 	keepOff  map[string]time.Time
@@ -41,16 +44,16 @@
 	draining bool
 }
 
-// NewKeeper returns a Keeper that decides for no cell yet.
-func NewKeeper(c Config) (*Keeper, error) {
-	if err := c.check(); err != nil {
+// New returns a Keeper that decides for no cell yet.
+func New(c cells.Config) (*Keeper, error) {
+	if err := c.Check(); err != nil {
 		return nil, err
 	}
-	c.Bounds = c.Bounds.withDefaults()
+	c.Bounds = c.Bounds.WithDefaults()
 	n := c.Timer.Now()
 	return &Keeper{
 		c: c, started: n, lastPeer: n, poke: make(chan struct{}, 1),
-		cells: map[string]*Cell{}, taking: map[string]bool{},
+		cells: map[string]*cells.Cell{}, taking: map[string]bool{},
 		holders: map[string]ledger.Owner{}, keepOff: map[string]time.Time{},
 	}, nil
 }
@@ -82,10 +85,10 @@
 func (k *Keeper) release() {
 	k.mu.Lock()
 	l := k.cells
-	k.cells = map[string]*Cell{}
+	k.cells = map[string]*cells.Cell{}
 	k.mu.Unlock()
 	for _, c := range l {
-		c.close()
+		c.Close()
 	}
 }
 
@@ -96,7 +99,7 @@
 	k.draining = true
 	k.mu.Unlock()
 	for _, c := range k.Cells() {
-		c.quiesce()
+		c.Quiesce()
 	}
 }
 
@@ -104,7 +107,7 @@
 // handover cuts none short.
 func (k *Keeper) Quiet() bool {
 	for _, c := range k.Cells() {
-		if c.launching() {
+		if c.Launching() {
 			return false
 		}
 	}
@@ -112,21 +115,21 @@
 }
 
 // Cell returns the cell of that name if this host decides for it, or nil.
-func (k *Keeper) Cell(name string) *Cell {
+func (k *Keeper) Cell(name string) *cells.Cell {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.cells[name]
 }
 
 // Cells returns the cells that this host decides for.
-func (k *Keeper) Cells() []*Cell {
+func (k *Keeper) Cells() []*cells.Cell {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	l := make([]*Cell, 0, len(k.cells))
+	l := make([]*cells.Cell, 0, len(k.cells))
 	for _, c := range k.cells {
 		l = append(l, c)
 	}
-	slices.SortFunc(l, func(a, b *Cell) int {
+	slices.SortFunc(l, func(a, b *cells.Cell) int {
 		if a.Name < b.Name {
 			return -1
 		}
@@ -175,7 +178,7 @@
 		k.taking[cell] = true
 	}
 	k.mu.Unlock()
-	if own != nil && seen.Epoch > own.hold.Epoch {
+	if own != nil && seen.Epoch > own.Epoch() {
 		k.drop(own, "taken by "+seen.Host)
 	}
 	if take {
@@ -255,21 +258,21 @@
 		}
 		return
 	}
-	c := newCell(&k.c, h, began)
-	c.deposed = func(why string) { k.drop(c, why) }
-	if err := c.recover(x); err != nil {
+	var c *cells.Cell
+	c = cells.New(&k.c, h, began, func(why string) { k.drop(c, why) })
+	if err := c.Recover(x); err != nil {
 		k.c.Log.Warn().Str("cell", cell).Int64("epoch", h.Epoch).Err(err).Msg("cell not recovered")
-		c.close()
+		c.Close()
 		return
 	}
 	k.mu.Lock()
 	k.cells[cell] = c
 	k.holders[cell] = ledger.Owner{Host: k.c.Host, Epoch: h.Epoch}
 	k.mu.Unlock()
-	c.run()
+	c.Run()
 	k.c.Meter.Epoch.WithLabelValues(cell).Set(float64(h.Epoch))
 	k.c.Meter.Takeover.Observe(k.c.Timer.Now().Sub(began).Seconds())
-	k.c.Log.Info().Str("cell", cell).Int64("epoch", h.Epoch).Int("jobs", c.size()).Msg("cell taken")
+	k.c.Log.Info().Str("cell", cell).Int64("epoch", h.Epoch).Int("jobs", c.Size()).Msg("cell taken")
 }
 
 // relearn reads who owns a cell after another host was faster.
@@ -286,7 +289,7 @@
 }
 
 // drop gives up a cell that another host has taken.
-func (k *Keeper) drop(c *Cell, why string) {
+func (k *Keeper) drop(c *cells.Cell, why string) {
 	k.mu.Lock()
 	k.keepOff[c.Name] = k.c.Timer.Now().Add(fencedWait)
 	mine := k.cells[c.Name] == c
@@ -297,16 +300,16 @@
 	if !mine {
 		return
 	}
-	go c.close()
+	go c.Close()
 	k.c.Meter.Epoch.WithLabelValues(c.Name).Set(0)
-	k.c.Log.Info().Str("cell", c.Name).Int64("epoch", c.hold.Epoch).Str("why", why).Msg("cell given up")
+	k.c.Log.Info().Str("cell", c.Name).Int64("epoch", c.Epoch()).Str("why", why).Msg("cell given up")
 }
 
 // Claims returns the cells held, for heartbeats.
 func (k *Keeper) Claims() []*wire.CellClaim {
 	var l []*wire.CellClaim
 	for _, c := range k.Cells() {
-		l = append(l, &wire.CellClaim{Cell: c.Name, Epoch: c.hold.Epoch, Free: int64(c.free())})
+		l = append(l, &wire.CellClaim{Cell: c.Name, Epoch: c.Epoch(), Free: int64(c.Free())})
 	}
 	return l
 }
--- a/entry/problem.go
+++ b/reply/reply.go
@@ -1,4 +1,5 @@
-package entry
+// Package reply writes answers: JSON, and errors as problem details.
+package reply
 
 import (
 	"encoding/json"
@@ -29,12 +30,13 @@
 // problemType is the type of problems that the status alone describes.
 const problemType = "about:blank"
 
-// problem answers with a problem.
-func problem(w http.ResponseWriter, status int, detail string) {
-	(&Problem{Status: status, Detail: detail}).write(w)
+// Error answers with a problem.
+func Error(w http.ResponseWriter, status int, detail string) {
+	(&Problem{Status: status, Detail: detail}).Write(w)
 }
 
-func (p *Problem) write(w http.ResponseWriter) {
+// Write answers with the problem.
+func (p *Problem) Write(w http.ResponseWriter) {
 	p.Type = problemType
 	if p.Title == "" {
 		p.Title = http.StatusText(p.Status)
@@ -47,11 +49,11 @@
 	json.NewEncoder(w).Encode(p)
 }
 
-// badInput answers a body that can't be taken.
-func badInput(w http.ResponseWriter, err error) {
+// BadInput answers a body that can't be taken.
+func BadInput(w http.ResponseWriter, err error) {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		problem(w, http.StatusRequestEntityTooLarge, "the body has more than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
+		Error(w, http.StatusRequestEntityTooLarge, "the body has more than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
 		return
 	}
 	p := &Problem{Status: http.StatusBadRequest, Title: "Invalid request", Detail: err.Error()}
@@ -60,11 +62,11 @@
 		p.Faults = l
 		p.Detail = "fields are wrong"
 	}
-	p.write(w)
+	p.Write(w)
 }
 
-// reply answers v as JSON.
-func reply(w http.ResponseWriter, status int, v any) {
+// JSON answers v as JSON.
+func JSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	json.NewEncoder(w).Encode(v)
--- a/route/route.go
+++ b/route/route.go
@@ -11,8 +11,10 @@
 
 	"citronbridge/cells"
 	"citronbridge/jobs"
+	"citronbridge/keeper"
 	"citronbridge/ledger"
 	"citronbridge/rules"
+	"citronbridge/views"
 	"citronbridge/wire"
 )
 
@@ -32,14 +34,14 @@
 	Call(ctx context.Context, host string, q *wire.Request) (*wire.Response, error)
 }
 
-// keeper knows the cells of this host.
-type keeper interface {
+// holders knows the cells of this host.
+type holders interface {
 	Cell(name string) *cells.Cell
 	Holder(cell string) string
 	Poke()
 }
 
-var _ keeper = (*cells.Keeper)(nil)
+var _ holders = (*keeper.Keeper)(nil)
 
 // loader reads jobs and takes revisions.
 type loader interface {
@@ -48,7 +50,7 @@
 
 // Router calls deciders, and answers the calls of other hosts.
 type Router struct {
-	Keeper keeper
+	Keeper holders
 	Peers  caller
 	Jobs   loader
 	Book   *rules.Book
@@ -85,22 +87,22 @@
 }
 
 // Explain returns the decider's explanation of a job.
-func (r *Router) Explain(ctx context.Context, cell string, k jobs.Key) (cells.Explanation, error) {
-	var e cells.Explanation
+func (r *Router) Explain(ctx context.Context, cell string, k jobs.Key) (views.Explanation, error) {
+	var e views.Explanation
 	err := r.call(ctx, cell, &wire.Request{Body: &wire.Request_Explain{Explain: request(cell, k)}}, 0, &e)
 	return e, err
 }
 
 // Targets returns the decider's view of a cell's targets.
-func (r *Router) Targets(ctx context.Context, cell string) ([]cells.TargetView, error) {
-	var l []cells.TargetView
+func (r *Router) Targets(ctx context.Context, cell string) ([]views.Target, error) {
+	var l []views.Target
 	err := r.call(ctx, cell, &wire.Request{Body: &wire.Request_Targets{Targets: &wire.CellRequest{Cell: cell}}}, 0, &l)
 	return l, err
 }
 
 // Accounts returns the decider's view of the accounts in a cell.
-func (r *Router) Accounts(ctx context.Context, cell string) ([]cells.AccountView, error) {
-	var l []cells.AccountView
+func (r *Router) Accounts(ctx context.Context, cell string) ([]views.Account, error) {
+	var l []views.Account
 	err := r.call(ctx, cell, &wire.Request{Body: &wire.Request_Accounts{Accounts: &wire.CellRequest{Cell: cell}}}, 0, &l)
 	return l, err
 }
