admin: Serve operators from a package of their own

Ruled out: a second listener for operators; the platform's balancer has one.

Change: admin holds hosts, targets, accounts, manifests and drain; entry checks who calls. A shape says itself what it asks for.

--- a/entry/admin.go
+++ b/admin/admin.go
@@ -1,4 +1,6 @@
-package entry
+// Package admin serves operators: hosts, targets, accounts, manifests and
+// planned stops.
+package admin
 
 import (
 	"context"
@@ -9,7 +11,10 @@
 	"strings"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"citronbridge/fault"
+	"citronbridge/fleet"
 	"citronbridge/jobs"
 	"citronbridge/place"
 	"citronbridge/reply"
@@ -18,8 +23,55 @@
 	"citronbridge/wire"
 )
 
-// maxManifest bounds the body of a proposal.
-const maxManifest = 4 << 20
+// Bounds of a call.
+const (
+	// maxManifest bounds the body of a proposal, in bytes.
+	maxManifest  = 4 << 20
+	writeTimeout = 5 * time.Second
+	retryAfter   = time.Second
+	page         = 100
+)
+
+// deciders tell of their cells.
+type deciders interface {
+	Targets(ctx context.Context, cell string) ([]views.Target, error)
+	Accounts(ctx context.Context, cell string) ([]views.Account, error)
+}
+
+// register keeps the accepted manifests.
+type register interface {
+	Propose(ctx context.Context, proposal string, base int64, m *rules.Manifest) (*rules.Revision, error)
+	History(ctx context.Context, after int64, limit int) ([]rules.Revision, error)
+}
+
+var _ register = (*rules.Register)(nil)
+
+// Config is what a Server needs.
+type Config struct {
+	Deciders deciders
+	Register register
+	Book     *rules.Book
+	View     *fleet.View
+	Log      zerolog.Logger
+	// Live returns the heartbeats of the other hosts, Self this one's.
+	Live func() []*wire.Heartbeat
+	Self func() *wire.Heartbeat
+	// Adopted is told of a manifest that this host accepted.
+	Adopted func(r *rules.Revision)
+	// Drain begins a planned stop.
+	Drain func()
+}
+
+// Server serves operators.
+type Server struct{ c Config }
+
+// New returns a Server.
+func New(c Config) (*Server, error) {
+	if c.Deciders == nil || c.Register == nil || c.Book == nil || c.View == nil || c.Live == nil || c.Self == nil || c.Adopted == nil || c.Drain == nil {
+		return nil, errors.New("admin: every field but Log is needed")
+	}
+	return &Server{c}, nil
+}
 
 // HostView is a host as this one sees it.
 type HostView struct {
@@ -37,8 +89,8 @@
 	Free  int64
 }
 
-// hosts lists the live hosts, this one first.
-func (s *Server) hosts(w http.ResponseWriter, _ *http.Request, _ identity) {
+// Hosts lists the live hosts, this one first.
+func (s *Server) Hosts(w http.ResponseWriter, _ *http.Request) {
 	l := []HostView{}
 	for _, b := range append([]*wire.Heartbeat{s.c.Self()}, s.c.Live()...) {
 		v := HostView{ID: b.Host, DataCentre: b.DataCentre, Address: b.HttpAddress, Revision: b.Revision, Leaving: b.Leaving, Cells: []CellView{}}
@@ -50,8 +102,8 @@
 	reply.JSON(w, http.StatusOK, l)
 }
 
-// targets lists the targets of all cells.
-func (s *Server) targets(w http.ResponseWriter, r *http.Request, _ identity) {
+// Targets lists the targets of all cells.
+func (s *Server) Targets(w http.ResponseWriter, r *http.Request) {
 	l := []views.Target{}
 	for _, c := range s.c.View.Cells() {
 		t, err := s.c.Deciders.Targets(r.Context(), c)
@@ -64,23 +116,24 @@
 	reply.JSON(w, http.StatusOK, l)
 }
 
-// accounts lists the accounts in all cells: an account sees itself alone.
-func (s *Server) accounts(w http.ResponseWriter, r *http.Request, id identity) {
-	all, err := s.allAccounts(r.Context())
+// Accounts lists the accounts in all cells, or only the one that is named.
+func (s *Server) Accounts(w http.ResponseWriter, r *http.Request, account string) {
+	all, err := s.AllAccounts(r.Context())
 	if err != nil {
 		reply.Error(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
 	l := []views.Account{}
 	for _, v := range all {
-		if id.operator || v.Account == id.account {
+		if account == "" || v.Account == account {
 			l = append(l, v)
 		}
 	}
 	reply.JSON(w, http.StatusOK, l)
 }
 
-func (s *Server) allAccounts(ctx context.Context) ([]views.Account, error) {
+// AllAccounts returns what every account has in every cell.
+func (s *Server) AllAccounts(ctx context.Context) ([]views.Account, error) {
 	var l []views.Account
 	for _, c := range s.c.View.Cells() {
 		v, err := s.c.Deciders.Accounts(ctx, c)
@@ -92,8 +145,8 @@
 	return l, nil
 }
 
-// manifest returns the revision in force.
-func (s *Server) manifest(w http.ResponseWriter, _ *http.Request, _ identity) {
+// Manifest returns the revision in force.
+func (s *Server) Manifest(w http.ResponseWriter, _ *http.Request) {
 	v := s.c.Book.Current()
 	if v == nil {
 		reply.Error(w, http.StatusNotFound, "no manifest was accepted yet")
@@ -118,8 +171,8 @@
 	return append(l, p.Manifest.Check().Within("Manifest.")...)
 }
 
-// propose accepts a manifest if it can be honoured and no other came first.
-func (s *Server) propose(w http.ResponseWriter, r *http.Request, _ identity) {
+// Propose accepts a manifest if it can be honoured and no other came first.
+func (s *Server) Propose(w http.ResponseWriter, r *http.Request) {
 	var p Proposal
 	if err := fault.DecodeJSON(http.MaxBytesReader(w, r.Body, maxManifest), &p); err != nil {
 		reply.BadInput(w, err)
@@ -129,14 +182,14 @@
 		(&reply.Problem{Status: http.StatusUnprocessableEntity, Title: "Manifest can't be honoured", Faults: l}).Write(w)
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), insertTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), writeTimeout)
 	defer cancel()
 	v, err := s.c.Register.Propose(ctx, p.ID, p.Base, &p.Manifest)
 	switch {
 	case errors.Is(err, rules.ErrSuperseded):
 		reply.JSON(w, http.StatusConflict, Superseded{"about:blank", "Superseded", http.StatusConflict, err.Error(), number(v)})
 	case err != nil:
-		(&reply.Problem{Status: http.StatusServiceUnavailable, Detail: "send the proposal again under the same ID: " + err.Error(), RetryAfter: storeRetryAfter}).Write(w)
+		(&reply.Problem{Status: http.StatusServiceUnavailable, Detail: "send the proposal again under the same ID: " + err.Error(), RetryAfter: retryAfter}).Write(w)
 	default:
 		s.c.Adopted(v)
 		s.c.Log.Info().Int64("revision", v.Number).Str("proposal", p.ID).Msg("manifest accepted")
@@ -178,7 +231,7 @@
 		for k := range m.Accounts {
 			if m.Accounts[k].Name == a {
 				q := m.Accounts[k].Guarantees[n]
-				l.Add(fmt.Sprintf("Manifest.Accounts[%d].Guarantees[%d]", k, n), describe(q.Shape)+" in "+q.DataCentre,
+				l.Add(fmt.Sprintf("Manifest.Accounts[%d].Guarantees[%d]", k, n), q.Shape.String()+" in "+q.DataCentre,
 					"guarantees that the data centre's targets can hold all at once")
 			}
 		}
@@ -186,8 +239,8 @@
 	return l
 }
 
-// history lists accepted revisions.
-func (s *Server) history(w http.ResponseWriter, r *http.Request, _ identity) {
+// History lists accepted revisions.
+func (s *Server) History(w http.ResponseWriter, r *http.Request) {
 	after := int64(0)
 	if v := r.URL.Query().Get("After"); v != "" {
 		n, err := strconv.ParseInt(v, 10, 64)
@@ -197,7 +250,7 @@
 		}
 		after = n
 	}
-	l, err := s.c.Register.History(r.Context(), after, defaultPage)
+	l, err := s.c.Register.History(r.Context(), after, page)
 	if err != nil {
 		(&reply.Problem{Status: http.StatusServiceUnavailable, Detail: err.Error(), RetryAfter: time.Second}).Write(w)
 		return
@@ -205,8 +258,8 @@
 	reply.JSON(w, http.StatusOK, l)
 }
 
-// drain begins a planned stop of this host.
-func (s *Server) drain(w http.ResponseWriter, _ *http.Request, _ identity) {
+// Drain begins a planned stop of this host.
+func (s *Server) Drain(w http.ResponseWriter, _ *http.Request) {
 	s.c.Drain()
-	reply.JSON(w, http.StatusAccepted, Health{State: "Draining"})
+	reply.JSON(w, http.StatusAccepted, struct{ State string }{"Draining"})
 }
--- a/client/client.go
+++ b/client/client.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"citronbridge/admin"
 	"citronbridge/entry"
 	"citronbridge/httpc"
 	"citronbridge/jobs"
@@ -162,8 +163,8 @@
 }
 
 // Hosts lists the live hosts.
-func (c *Client) Hosts(ctx context.Context) ([]entry.HostView, error) {
-	var v []entry.HostView
+func (c *Client) Hosts(ctx context.Context) ([]admin.HostView, error) {
+	var v []admin.HostView
 	return v, c.do(ctx, http.MethodGet, "/v1/hosts", nil, &v)
 }
 
@@ -186,7 +187,7 @@
 }
 
 // Propose proposes a manifest. Sending the same proposal again is harmless.
-func (c *Client) Propose(ctx context.Context, p *entry.Proposal) (rules.Revision, error) {
+func (c *Client) Propose(ctx context.Context, p *admin.Proposal) (rules.Revision, error) {
 	var v rules.Revision
 	return v, c.do(ctx, http.MethodPost, "/v1/manifest", p, &v)
 }
--- a/cmds/remote.go
+++ b/cmds/remote.go
@@ -15,6 +15,7 @@
 
 	"gopkg.in/yaml.v3"
 
+	"citronbridge/admin"
 	"citronbridge/client"
 	"citronbridge/entry"
 	"citronbridge/fault"
@@ -225,7 +226,7 @@
 			h := sha256.Sum256(fmt.Appendf(b, "%d", base))
 			a.key = hex.EncodeToString(h[:16])
 		}
-		v, err := c.Propose(ctx, &entry.Proposal{ID: a.key, Base: base, Manifest: *m})
+		v, err := c.Propose(ctx, &admin.Proposal{ID: a.key, Base: base, Manifest: *m})
 		if err != nil {
 			return err
 		}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"citronbridge/admin"
 	"citronbridge/client"
 	"citronbridge/config"
 	"citronbridge/entry"
@@ -165,7 +166,7 @@
 // Propose proposes the manifest until the hosts know their targets.
 func (d *Demo) Propose(ctx context.Context, o *client.Client, m *rules.Manifest) error {
 	for {
-		v, err := o.Propose(ctx, &entry.Proposal{ID: "demo", Manifest: *m})
+		v, err := o.Propose(ctx, &admin.Proposal{ID: "demo", Manifest: *m})
 		if err == nil {
 			fmt.Fprintf(d.Out, "manifest accepted as revision %d\n", v.Number)
 			return nil
--- a/entry/auth.go
+++ b/entry/auth.go
@@ -63,17 +63,26 @@
 }
 
 // operator lets operators in.
-func (s *Server) operator(h handler) http.HandlerFunc {
+func (s *Server) operator(h http.HandlerFunc) http.HandlerFunc {
 	return s.caller(func(w http.ResponseWriter, r *http.Request, id identity) {
 		if !id.operator {
 			s.refuse(id.account, "Forbidden")
 			reply.Error(w, http.StatusForbidden, "an operator's token is needed")
 			return
 		}
-		h(w, r, id)
+		h(w, r)
 	})
 }
 
+// accounts lists the accounts for operators, and for an account itself.
+func (s *Server) accounts(w http.ResponseWriter, r *http.Request, id identity) {
+	account := id.account
+	if id.operator {
+		account = ""
+	}
+	s.c.Admin.Accounts(w, r, account)
+}
+
 func (s *Server) refuse(account, reason string) {
 	s.c.Meter.Refusals.WithLabelValues(account, reason).Inc()
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/alexedwards/flow"
 	"github.com/rs/zerolog"
 
+	"citronbridge/admin"
 	"citronbridge/fleet"
 	"citronbridge/jobs"
 	"citronbridge/ledger"
@@ -37,14 +38,6 @@
 	Cancel(ctx context.Context, cell string, k jobs.Key) error
 	Wait(ctx context.Context, cell string, k jobs.Key, wait time.Duration) (*jobs.Record, error)
 	Explain(ctx context.Context, cell string, k jobs.Key) (views.Explanation, error)
-	Targets(ctx context.Context, cell string) ([]views.Target, error)
-	Accounts(ctx context.Context, cell string) ([]views.Account, error)
-}
-
-// register keeps the accepted manifests.
-type register interface {
-	Propose(ctx context.Context, proposal string, base int64, m *rules.Manifest) (*rules.Revision, error)
-	History(ctx context.Context, after int64, limit int) ([]rules.Revision, error)
 }
 
 // objects holds large outputs.
@@ -55,7 +48,6 @@
 var (
 	_ records  = (*ledger.Ledger)(nil)
 	_ deciders = (*route.Router)(nil)
-	_ register = (*rules.Register)(nil)
 )
 
 // Config is what a Server needs.
@@ -63,7 +55,6 @@
 	Host     string
 	Records  records
 	Deciders deciders
-	Register register
 	Objects  objects
 	Book     *rules.Book
 	View     *fleet.View
@@ -74,10 +65,8 @@
 	Live         func() []*wire.Heartbeat
 	Self         func() *wire.Heartbeat
 	OperatorHash string
-	// Adopted is told of a manifest that this host accepted.
-	Adopted func(r *rules.Revision)
-	// Drain begins a planned stop.
-	Drain func()
+	// Admin serves operators.
+	Admin *admin.Server
 	// Ready reports why the host can't serve yet, or "".
 	Ready func() string
 	// MaxWait bounds a long poll.
@@ -102,8 +91,8 @@
 
 // New returns a Server.
 func New(c Config) (*Server, error) {
-	if c.Records == nil || c.Deciders == nil || c.Register == nil || c.Book == nil || c.View == nil || c.Meter == nil || c.Live == nil || c.Self == nil {
-		return nil, errors.New("entry: Records, Deciders, Register, Book, View, Meter, Live and Self are needed")
+	if c.Records == nil || c.Deciders == nil || c.Admin == nil || c.Book == nil || c.View == nil || c.Meter == nil || c.Live == nil || c.Self == nil {
+		return nil, errors.New("entry: Records, Deciders, Admin, Book, View, Meter, Live and Self are needed")
 	}
 	if c.MaxWait == 0 {
 		c.MaxWait = DefaultMaxWait
@@ -142,12 +131,12 @@
 	m.HandleFunc("/v1/jobs/:id/answer", s.caller(s.answer), http.MethodGet)
 	m.HandleFunc("/v1/jobs/:id/explanation", s.caller(s.explain), http.MethodGet)
 	m.HandleFunc("/v1/accounts", s.caller(s.accounts), http.MethodGet)
-	m.HandleFunc("/v1/targets", s.operator(s.targets), http.MethodGet)
-	m.HandleFunc("/v1/hosts", s.operator(s.hosts), http.MethodGet)
-	m.HandleFunc("/v1/manifest", s.operator(s.manifest), http.MethodGet)
-	m.HandleFunc("/v1/manifest", s.operator(s.propose), http.MethodPost)
-	m.HandleFunc("/v1/manifest/history", s.operator(s.history), http.MethodGet)
-	m.HandleFunc("/v1/drain", s.operator(s.drain), http.MethodPost)
+	m.HandleFunc("/v1/targets", s.operator(s.c.Admin.Targets), http.MethodGet)
+	m.HandleFunc("/v1/hosts", s.operator(s.c.Admin.Hosts), http.MethodGet)
+	m.HandleFunc("/v1/manifest", s.operator(s.c.Admin.Manifest), http.MethodGet)
+	m.HandleFunc("/v1/manifest", s.operator(s.c.Admin.Propose), http.MethodPost)
+	m.HandleFunc("/v1/manifest/history", s.operator(s.c.Admin.History), http.MethodGet)
+	m.HandleFunc("/v1/drain", s.operator(s.c.Admin.Drain), http.MethodPost)
 	m.Handle("/metrics", s.c.Meter.Handler(), http.MethodGet)
 	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { reply.JSON(w, http.StatusOK, Health{State: "Live"}) }, http.MethodGet)
 	m.HandleFunc("/readyz", s.ready, http.MethodGet)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"citronbridge/admin"
 	"citronbridge/fleet"
 	"citronbridge/jobs"
 	"citronbridge/ledger"
@@ -94,10 +95,15 @@
 		t.Fatal(err)
 	}
 	f := &fakeRecords{rows: map[jobs.Key]*jobs.Record{}}
+	self := func() *wire.Heartbeat { return &wire.Heartbeat{} }
+	a, err := admin.New(admin.Config{Deciders: fakeDeciders{}, Register: fakeRegister{}, Book: b, View: v, Live: func() []*wire.Heartbeat { return nil }, Self: self, Adopted: func(*rules.Revision) {}, Drain: func() {}})
+	if err != nil {
+		t.Fatal(err)
+	}
 	s, err := New(Config{
-		Host: "h", Records: f, Deciders: fakeDeciders{}, Register: fakeRegister{}, Book: b, View: v, Meter: meter.New(),
-		Now: func() time.Time { return now }, Live: func() []*wire.Heartbeat { return nil }, Self: func() *wire.Heartbeat { return &wire.Heartbeat{} },
-		OperatorHash: HashToken("operator-token"), Adopted: func(*rules.Revision) {}, Drain: func() {}, Ready: func() string { return "" },
+		Host: "h", Records: f, Deciders: fakeDeciders{}, Admin: a, Book: b, View: v, Meter: meter.New(),
+		Now: func() time.Time { return now }, Live: func() []*wire.Heartbeat { return nil }, Self: self,
+		OperatorHash: HashToken("operator-token"), Ready: func() string { return "" },
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -73,17 +72,13 @@
 	cell := s.chooseCell(spec, &rev.Manifest)
 	if cell == "" {
 		s.refuse(id.account, "NeverFits")
-		l := fault.List{{Field: "Shape", Value: describe(spec.Shape), Allowed: "a shape that a data centre's targets could hold"}}
+		l := fault.List{{Field: "Shape", Value: spec.Shape.String(), Allowed: "a shape that a data centre's targets could hold"}}
 		(&reply.Problem{Status: http.StatusUnprocessableEntity, Title: "Shape never fits", Faults: l}).Write(w)
 		return
 	}
 	s.insert(w, r, spec, cell, rev.Number)
 }
 
-func describe(s jobs.Shape) string {
-	return fmt.Sprintf("%d x %d accelerators in one %s", s.Members, s.Each.Accelerators, s.Adjacency)
-}
-
 // readSpec reads the body. The request ID may come in the header instead.
 func readSpec(w http.ResponseWriter, r *http.Request, id identity) (*jobs.Spec, error) {
 	s := &jobs.Spec{}
@@ -238,7 +233,7 @@
 
 // Refresh learns how many jobs each account has open.
 func (s *Server) Refresh(ctx context.Context) {
-	l, err := s.allAccounts(ctx)
+	l, err := s.c.Admin.AllAccounts(ctx)
 	if err != nil {
 		return
 	}
--- a/fakes/table.go
+++ b/fakes/table.go
@@ -59,7 +59,12 @@
 	m.HandleFunc("POST /get", t.guard(t.reads, t.get))
 	m.HandleFunc("GET /scan", t.guard(t.reads, t.scan))
 	m.HandleFunc("POST /commit", t.guard(t.writes, t.commit))
-	m.HandleFunc("PUT /faults", t.setFaults)
+	m.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
+		var f TableFaults
+		if read(w, r, &f) {
+			t.SetFaults(f)
+		}
+	})
 	m.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { write(w, t.Counts()) })
 	return m
 }
@@ -81,14 +86,6 @@
 	t.random = rand.New(rand.NewPCG(f.Seed, 1))
 }
 
-func (t *Table) setFaults(w http.ResponseWriter, r *http.Request) {
-	var f TableFaults
-	if read(w, r, &f) {
-		t.SetFaults(f)
-		write(w, f)
-	}
-}
-
 // guard applies outage, delay and the limit before h.
 func (t *Table) guard(l *rate.Limiter, h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/host/host.go
+++ b/host/host.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 
+	"citronbridge/admin"
 	"citronbridge/blobs"
 	"citronbridge/cells"
 	"citronbridge/certs"
@@ -166,11 +167,17 @@
 		return err
 	}
 	h.route.Peers = h.mesh
+	a, err := admin.New(admin.Config{
+		Deciders: h.route, Register: h.reg, Book: h.book, View: h.view, Log: h.log, Live: h.live, Self: h.beat, Adopted: h.accepted, Drain: h.Drain,
+	})
+	if err != nil {
+		return err
+	}
 	h.api, err = entry.New(entry.Config{
-		Host: h.s.Host, Records: rows, Deciders: h.route, Register: h.reg, Book: h.book, View: h.view, Meter: h.meter, Log: h.log,
+		Host: h.s.Host, Records: rows, Deciders: h.route, Admin: a, Book: h.book, View: h.view, Meter: h.meter, Log: h.log,
 		Objects: objects,
 		Now:     h.timer.Now, Live: h.live, Self: h.beat, OperatorHash: h.s.OperatorTokenHash,
-		Adopted: h.accepted, Drain: h.Drain, Ready: h.ready, MaxWait: h.s.Bounds.LongPoll.D(),
+		Ready: h.ready, MaxWait: h.s.Bounds.LongPoll.D(),
 	})
 	if err != nil {
 		return err
--- a/itest/chaos_test.go
+++ b/itest/chaos_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"citronbridge/admin"
 	"citronbridge/client"
 	"citronbridge/entry"
 	"citronbridge/fakes"
@@ -176,7 +177,7 @@
 	id := fmt.Sprintf("%s-%d", h.name, call)
 	call = time.Now().UnixNano()
 	for {
-		v, err := k.Propose(ctx, &entry.Proposal{ID: id, Base: cur.Number, Manifest: chaosManifest()})
+		v, err := k.Propose(ctx, &admin.Proposal{ID: id, Base: cur.Number, Manifest: chaosManifest()})
 		p := client.ProblemOf(err)
 		switch {
 		case err == nil:
--- a/itest/harness_test.go
+++ b/itest/harness_test.go
@@ -21,6 +21,7 @@
 	"github.com/rs/zerolog"
 	"gopkg.in/yaml.v3"
 
+	"citronbridge/admin"
 	"citronbridge/client"
 	"citronbridge/config"
 	"citronbridge/entry"
@@ -401,7 +402,7 @@
 	var n int64
 	eventually(c.t, "manifest accepted", func() bool {
 		cur, _ := k.Manifest(context.Background())
-		v, err := k.Propose(context.Background(), &entry.Proposal{ID: fmt.Sprintf("p%d", cur.Number), Base: cur.Number, Manifest: m})
+		v, err := k.Propose(context.Background(), &admin.Proposal{ID: fmt.Sprintf("p%d", cur.Number), Base: cur.Number, Manifest: m})
 		n = v.Number
 		return err == nil
 	})
--- a/itest/rules_test.go
+++ b/itest/rules_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
+	"citronbridge/admin"
 	"citronbridge/client"
-	"citronbridge/entry"
 	"citronbridge/fakes"
 )
 
@@ -70,7 +70,7 @@
 	k := c.client(operatorToken, h)
 	won := false
 	eventually(c.t, "proposal "+id+" decided", func() bool {
-		v, err := k.Propose(context.Background(), &entry.Proposal{ID: id, Base: base, Manifest: manifest(nil, nil)})
+		v, err := k.Propose(context.Background(), &admin.Proposal{ID: id, Base: base, Manifest: manifest(nil, nil)})
 		if p := client.ProblemOf(err); p != nil && p.Status == 409 {
 			return true
 		}
--- a/jobs/spec.go
+++ b/jobs/spec.go
@@ -80,6 +80,11 @@
 // Accelerators returns the accelerators of the whole gang.
 func (s Shape) Accelerators() int { return s.Members * s.Each.Accelerators }
 
+// String says what the shape asks for.
+func (s Shape) String() string {
+	return fmt.Sprintf("%d x %d accelerators in one %s", s.Members, s.Each.Accelerators, s.Adjacency)
+}
+
 // Check returns the faults of the shape.
 func (s Shape) Check() fault.List {
 	var l fault.List
--- a/place/plan.go
+++ b/place/plan.go
@@ -235,25 +235,21 @@
 func (b *board) block(r *Request) Wait {
 	s := r.Spec
 	if !b.everFits(r) {
-		return Wait{s.Key(), NeverFits, fmt.Sprintf("no part of cell %s could hold %s", b.in.Cell, describe(s.Shape))}
+		return Wait{s.Key(), NeverFits, fmt.Sprintf("no part of cell %s could hold %s", b.in.Cell, s.Shape.String())}
 	}
 	if b.shadow == nil && !b.in.Policy.NoReservation {
 		b.shadow = b.cast(r)
 	}
 	if b.shadow != nil && b.shadow.key != s.Key() {
-		return Wait{s.Key(), Behind, fmt.Sprintf("%s waits behind %s, reserved for %s", describe(s.Shape), b.shadow.key, b.shadow.at.Format(time.TimeOnly))}
+		return Wait{s.Key(), Behind, fmt.Sprintf("%s waits behind %s, reserved for %s", s.Shape.String(), b.shadow.key, b.shadow.at.Format(time.TimeOnly))}
 	}
-	d := "needs " + describe(s.Shape)
+	d := "needs " + s.Shape.String()
 	if b.shadow != nil {
 		d += ", reserved for " + b.shadow.at.Format(time.TimeOnly)
 	}
 	return Wait{s.Key(), NoRoom, d}
 }
 
-func describe(s jobs.Shape) string {
-	return fmt.Sprintf("%d x %d accelerators in one %s", s.Members, s.Each.Accelerators, s.Adjacency)
-}
-
 // everFits reports whether the cell could hold the request if only what can't
 // be stopped ran.
 func (b *board) everFits(r *Request) bool {
