board: Hold the state of a cell apart from the decisions on it

Change: board holds targets, guarantees, usage and packing, place the order of requests, starts, victims and reservations. The planner embeds the board.

--- a/place/pack.go
+++ b/board/pack.go
@@ -1,4 +1,4 @@
-package place
+package board
 
 import (
 	"cmp"
@@ -18,21 +18,21 @@
 	return cmp.Or(cmp.Compare(f.cost, o.cost), cmp.Compare(f.leftover, o.leftover)) < 0
 }
 
-// candidate is a target with the room that a gang may take there.
-type candidate struct {
-	id   string
-	rack string
-	room jobs.Room
-	// cost is what a member costs there, such as a borrower to be stopped.
-	cost int
-	// limit bounds the members that may go there.
-	limit int
+// Candidate is a target with the room that a gang may take there.
+type Candidate struct {
+	ID   string
+	Rack string
+	Room jobs.Room
+	// Cost is what a member costs there, such as a borrower to be stopped.
+	Cost int
+	// Limit bounds the members that may go there.
+	Limit int
 }
 
-// pack places members of the room each on candidates within the adjacency. It
+// Pack places members of the room each on candidates within the adjacency. It
 // returns the target of each member, or nil. With first it takes the first
 // group and targets that fit, else the ones that leave least unused.
-func pack(s jobs.Shape, each jobs.Room, c []candidate, first bool) []string {
+func Pack(s jobs.Shape, each jobs.Room, c []Candidate, first bool) []string {
 	best, found := fit{}, false
 	for _, g := range groups(s.Adjacency, c) {
 		f, ok := fill(s, each, g, first)
@@ -51,10 +51,10 @@
 
 // groups splits candidates, which are in the order of their IDs, into the
 // parts of the fleet that the adjacency allows a gang to span.
-func groups(a jobs.Adjacency, c []candidate) [][]candidate {
+func groups(a jobs.Adjacency, c []Candidate) [][]Candidate {
 	switch a {
 	case jobs.AdjacentHost:
-		g := make([][]candidate, len(c))
+		g := make([][]Candidate, len(c))
 		for i := range c {
 			g[i] = c[i : i+1]
 		}
@@ -62,17 +62,17 @@
 	case jobs.AdjacentRack:
 		return byRack(c)
 	}
-	return [][]candidate{c}
+	return [][]Candidate{c}
 }
 
 // byRack groups candidates by rack, in the order of the racks' names.
-func byRack(c []candidate) [][]candidate {
+func byRack(c []Candidate) [][]Candidate {
 	if !slices.IsSortedFunc(c, compareRack) {
 		slices.SortStableFunc(c, compareRack)
 	}
-	var g [][]candidate
+	var g [][]Candidate
 	for from, i := 0, 1; i <= len(c); i++ {
-		if i == len(c) || c[i].rack != c[from].rack {
+		if i == len(c) || c[i].Rack != c[from].Rack {
 			g = append(g, c[from:i])
 			from = i
 		}
@@ -80,10 +80,10 @@
 	return g
 }
 
-func compareRack(a, b candidate) int { return cmp.Compare(a.rack, b.rack) }
+func compareRack(a, b Candidate) int { return cmp.Compare(a.Rack, b.Rack) }
 
 // fill puts members onto the candidates of one group.
-func fill(s jobs.Shape, each jobs.Room, g []candidate, first bool) (fit, bool) {
+func fill(s jobs.Shape, each jobs.Room, g []Candidate, first bool) (fit, bool) {
 	holds := 0
 	for i := range g {
 		holds += count(each, g[i])
@@ -98,10 +98,10 @@
 	for _, x := range g {
 		n := min(count(each, x), s.Members-len(f.targets))
 		for range n {
-			f.targets = append(f.targets, x.id)
+			f.targets = append(f.targets, x.ID)
 		}
-		f.cost += n * x.cost
-		f.leftover += x.room.Accelerators
+		f.cost += n * x.Cost
+		f.leftover += x.Room.Accelerators
 		if n > 0 {
 			f.leftover -= n * each.Accelerators
 		}
@@ -111,40 +111,40 @@
 
 // snuggest orders candidates by cost, whole racks together, then by how little
 // they have left.
-func snuggest(a jobs.Adjacency, each jobs.Room, g []candidate) []candidate {
+func snuggest(a jobs.Adjacency, each jobs.Room, g []Candidate) []Candidate {
 	if a != jobs.AdjacentDataCentre {
 		return snuggestOf(g, nil)
 	}
 	racks := map[string]int{}
 	for _, x := range g {
-		racks[x.rack] += count(each, x)
+		racks[x.Rack] += count(each, x)
 	}
 	return snuggestOf(g, racks)
 }
 
 // snuggestOf is snuggest with the members that each rack could take.
-func snuggestOf(g []candidate, racks map[string]int) []candidate {
+func snuggestOf(g []Candidate, racks map[string]int) []Candidate {
 	g = slices.Clone(g)
-	slices.SortStableFunc(g, func(a, b candidate) int {
+	slices.SortStableFunc(g, func(a, b Candidate) int {
 		return cmp.Or(
-			cmp.Compare(a.cost, b.cost),
-			cmp.Compare(racks[b.rack], racks[a.rack]),
-			cmp.Compare(a.rack, b.rack),
-			cmp.Compare(a.room.Accelerators, b.room.Accelerators),
-			cmp.Compare(a.id, b.id),
+			cmp.Compare(a.Cost, b.Cost),
+			cmp.Compare(racks[b.Rack], racks[a.Rack]),
+			cmp.Compare(a.Rack, b.Rack),
+			cmp.Compare(a.Room.Accelerators, b.Room.Accelerators),
+			cmp.Compare(a.ID, b.ID),
 		)
 	})
 	return g
 }
 
 // count returns how many members fit on a candidate.
-func count(each jobs.Room, c candidate) int {
-	n := c.limit
-	n = fits(n, c.room.Accelerators, each.Accelerators)
-	n = fits(n, c.room.Processors, each.Processors)
-	n = fits(n, c.room.Slots, each.Slots)
+func count(each jobs.Room, c Candidate) int {
+	n := c.Limit
+	n = fits(n, c.Room.Accelerators, each.Accelerators)
+	n = fits(n, c.Room.Processors, each.Processors)
+	n = fits(n, c.Room.Slots, each.Slots)
 	if each.Memory > 0 {
-		n = min(n, int(c.room.Memory/each.Memory))
+		n = min(n, int(c.Room.Memory/each.Memory))
 	}
 	return max(n, 0)
 }
@@ -158,9 +158,9 @@
 
 // Holds reports whether targets could hold a job if they were empty.
 func Holds(t []Target, s *jobs.Spec) bool {
-	c := make([]candidate, 0, len(t))
+	c := make([]Candidate, 0, len(t))
 	for _, x := range t {
-		c = append(c, candidate{id: x.ID, rack: x.Rack, room: x.Room, limit: s.Shape.Members})
+		c = append(c, Candidate{ID: x.ID, Rack: x.Rack, Room: x.Room, Limit: s.Shape.Members})
 	}
-	return pack(s.Shape, s.Task(), c, true) != nil
+	return Pack(s.Shape, s.Task(), c, true) != nil
 }
--- /dev/null
+++ b/board/seats.go
@@ -0,0 +1,211 @@
+package board
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"citronbridge/jobs"
+	"citronbridge/rules"
+)
+
+// GuaranteeID names the guarantee of that number of an account.
+func GuaranteeID(account string, i int) string { return fmt.Sprintf("%s/%d", account, i) }
+
+// Guarantee is a guarantee of the cell.
+type Guarantee struct {
+	ID      string
+	Account string
+	Shape   jobs.Shape
+	// Used tells that jobs of the account run on it, wanted that others wait.
+	Used, Wanted bool
+	// Spots are the targets that it stands on, in the order of their IDs.
+	Spots []*Spot
+}
+
+// Each returns the room of a member, its slot included.
+func (g *Guarantee) Each() jobs.Room {
+	r := g.Shape.Each
+	r.Slots = max(1, r.Accelerators)
+	return r
+}
+
+// guarantees lists those of a cell: the ones in use first, since they must
+// stay, then those whose account waits, since they are seated where the
+// borrowers to be stopped lose least, then the holder of the casting vote, then
+// the order of the manifest.
+func guarantees(in *Input) []Guarantee {
+	m, cell := in.Rules, in.Cell
+	used, wanted := map[string]bool{}, map[string]bool{}
+	for i := range in.Running {
+		used[in.Running[i].Guarantee] = true
+	}
+	for i := range in.Waiting {
+		wanted[in.Waiting[i].Spec.Account] = true
+	}
+	var l []Guarantee
+	for _, a := range m.Accounts {
+		for i, g := range a.Guarantees {
+			if g.DataCentre == cell {
+				id := GuaranteeID(a.Name, i)
+				l = append(l, Guarantee{ID: id, Account: a.Name, Shape: g.Shape, Used: used[id], Wanted: wanted[a.Name]})
+			}
+		}
+	}
+	rank := func(g Guarantee) int {
+		switch {
+		case g.Used:
+			return 0
+		case g.Wanted && g.Account == m.CastingVote:
+			return 1
+		case g.Wanted:
+			return 2
+		case g.Account == m.CastingVote:
+			return 3
+		}
+		return 4
+	}
+	slices.SortStableFunc(l, func(a, b Guarantee) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(b.Shape.Accelerators(), a.Shape.Accelerators()))
+	})
+	return l
+}
+
+// Seat finds targets for every guarantee. Guarantees in use keep theirs, as do
+// those that nobody calls for. The others go where least would have to stop.
+func (b *Board) Seat() {
+	b.Seats = Seats{}
+	for i := range b.Guarantees {
+		g := &b.Guarantees[i]
+		t := b.In.Seats[g.ID]
+		if !b.Keeps(g, t) || g.Wanted && !g.Used && !b.Vacant(g, t) {
+			t = b.FindSeat(g, t)
+		}
+		if t == nil {
+			b.Unseated = append(b.Unseated, g.ID)
+			continue
+		}
+		b.Seats[g.ID] = t
+		for _, id := range t {
+			p := b.At[id]
+			p.Claimed = p.Claimed.Plus(g.Each())
+			if _, ok := p.Seats[g.ID]; !ok {
+				g.Spots = append(g.Spots, p)
+			}
+			p.Seats[g.ID] = p.Seats[g.ID].Plus(g.Each())
+		}
+		for _, p := range g.Spots {
+			p.Leave()
+		}
+		slices.SortFunc(g.Spots, func(x, y *Spot) int { return strings.Compare(x.ID, y.ID) })
+	}
+}
+
+// Vacant reports whether the targets t have a guarantee's room free already.
+func (b *Board) Vacant(g *Guarantee, t []string) bool {
+	need := map[string]jobs.Room{}
+	for _, id := range t {
+		need[id] = need[id].Plus(g.Each())
+	}
+	for id, r := range need {
+		p := b.At[id]
+		if !r.Fits(p.Free.Plus(p.Ending).Minus(p.Claimed)) {
+			return false
+		}
+	}
+	return true
+}
+
+// Keeps reports whether a guarantee can keep the targets t.
+func (b *Board) Keeps(g *Guarantee, t []string) bool {
+	if len(t) != g.Shape.Members {
+		return false
+	}
+	need := map[string]jobs.Room{}
+	for _, id := range t {
+		need[id] = need[id].Plus(g.Each())
+	}
+	for id, r := range need {
+		p := b.At[id]
+		if p == nil || !p.Open || !r.Fits(b.Seatable(p, g.ID)) {
+			return false
+		}
+	}
+	return true
+}
+
+// FindSeat packs a guarantee onto room that nothing protected holds.
+func (b *Board) FindSeat(g *Guarantee, old []string) []string {
+	c := make([]Candidate, 0, len(b.Places))
+	for _, p := range b.Places {
+		if !p.Open {
+			continue
+		}
+		x := Candidate{ID: p.ID, Rack: p.Rack, Room: b.Seatable(p, g.ID), Limit: g.Shape.Members}
+		if !g.Each().Fits(p.Free.Plus(p.Ending).Minus(p.Claimed)) {
+			x.Cost += borrowedCost + p.Loss
+		}
+		if !slices.Contains(old, p.ID) {
+			x.Cost++
+		}
+		if p.Charged[g.ID].Accelerators > 0 {
+			x.Cost -= 10 * borrowedCost
+		}
+		c = append(c, x)
+	}
+	return Pack(g.Shape, g.Each(), c, false)
+}
+
+// borrowedCost weighs a member that displaces others against one that moves.
+const borrowedCost = 1000
+
+// Seatable returns the room at p that a guarantee may claim: all but what
+// other guarantees claim and what can't be stopped.
+func (b *Board) Seatable(p *Spot, id string) jobs.Room {
+	return p.Room.Minus(p.Claimed).Minus(p.FixedBeyond(id))
+}
+
+// Feasible reports which guarantees of the manifest the targets of their
+// cells can't hold, all at once and empty.
+func Feasible(m *rules.Manifest, cells map[string][]Target) []string {
+	var bad []string
+	for _, a := range m.Accounts {
+		for i, g := range a.Guarantees {
+			if _, ok := cells[g.DataCentre]; !ok {
+				bad = append(bad, GuaranteeID(a.Name, i))
+			}
+		}
+	}
+	for cell, t := range cells {
+		b := New(&Input{Cell: cell, Rules: m, Targets: t})
+		b.Seat()
+		bad = append(bad, b.Unseated...)
+	}
+	slices.Sort(bad)
+	return bad
+}
+
+// Lent returns the accelerators that others hold of what each account is
+// guaranteed.
+func Lent(in *Input) map[string]int {
+	b := New(in)
+	b.Seat()
+	m := map[string]int{}
+	for i := range b.Guarantees {
+		g := &b.Guarantees[i]
+		for _, id := range Distinct(b.Seats[g.ID]) {
+			p := b.At[id]
+			own := p.Seats[g.ID].Accelerators - p.Charged[g.ID].Accelerators
+			m[g.Account] += max(0, own-max(0, p.Free.Accelerators))
+		}
+	}
+	return m
+}
+
+// Distinct returns the names of t, sorted, each once.
+func Distinct(t []string) []string {
+	t = slices.Clone(t)
+	slices.Sort(t)
+	return slices.Compact(t)
+}
--- a/cells/cell.go
+++ b/cells/cell.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"citronbridge/board"
 	"citronbridge/fleet"
 	"citronbridge/jobs"
 	"citronbridge/ledger"
@@ -46,7 +47,7 @@
 	mu       sync.Mutex
 	jobs     map[jobs.Key]*job
 	nodes    map[string]*node
-	seats    place.Seats
+	seats    board.Seats
 	waits    map[jobs.Key]place.Wait
 	attempts int64
 	declared map[string]float64
@@ -159,7 +160,7 @@
 		Name: h.Cell, c: c, hold: h, taken: taken, deposed: deposed,
 		log:   c.Log.With().Str("cell", h.Cell).Int64("epoch", h.Epoch).Logger(),
 		dirty: make(chan struct{}, 1),
-		jobs:  map[jobs.Key]*job{}, nodes: map[string]*node{}, seats: place.Seats{},
+		jobs:  map[jobs.Key]*job{}, nodes: map[string]*node{}, seats: board.Seats{},
 		waits: map[jobs.Key]place.Wait{}, declared: map[string]float64{}, unseated: map[string]bool{},
 		recent: map[jobs.Key]departure{},
 	}
--- a/cells/config.go
+++ b/cells/config.go
@@ -10,11 +10,11 @@
 	"github.com/rs/zerolog"
 
 	"citronbridge/blobs"
+	"citronbridge/board"
 	"citronbridge/fleet"
 	"citronbridge/jobs"
 	"citronbridge/ledger"
 	"citronbridge/meter"
-	"citronbridge/place"
 	"citronbridge/rules"
 	"citronbridge/target"
 	"citronbridge/timer"
@@ -75,7 +75,7 @@
 	Connect func(h fleet.Host, lease time.Duration) conn
 	// Offered tells another cell's decider of a job that was moved to it.
 	Offered func(cell string, k jobs.Key)
-	Policy  place.Policy
+	Policy  board.Policy
 	Bounds  Bounds
 }
 
--- a/cells/offer.go
+++ b/cells/offer.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"citronbridge/board"
 	"citronbridge/jobs"
 	"citronbridge/place"
 )
@@ -52,11 +53,11 @@
 
 // Holds reports whether a cell could hold a job if it were empty.
 func Holds(l hosts, cell string, s *jobs.Spec) bool {
-	var t []place.Target
+	var t []board.Target
 	for _, h := range l.Targets(cell) {
-		t = append(t, place.Target{ID: h.ID, Rack: h.Rack, Room: h.Room, Open: true})
+		t = append(t, board.Target{ID: h.ID, Rack: h.Rack, Room: h.Room, Open: true})
 	}
-	return place.Holds(t, s)
+	return board.Holds(t, s)
 }
 
 // move hands a job to another cell.
--- a/cells/tick.go
+++ b/cells/tick.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"citronbridge/board"
 	"citronbridge/jobs"
 	"citronbridge/place"
 	"citronbridge/target"
@@ -71,11 +72,11 @@
 }
 
 // input collects what a decision depends on. The lock is held.
-func (c *Cell) input() *place.Input {
+func (c *Cell) input() *board.Input {
 	now := c.now()
-	in := &place.Input{Now: now, Cell: c.Name, Rules: &c.c.Book.Current().Manifest, Seats: c.seats, Policy: c.c.Policy}
+	in := &board.Input{Now: now, Cell: c.Name, Rules: &c.c.Book.Current().Manifest, Seats: c.seats, Policy: c.c.Policy}
 	for id, x := range c.nodes {
-		in.Targets = append(in.Targets, place.Target{
+		in.Targets = append(in.Targets, board.Target{
 			ID: id, Rack: x.host.Rack, Room: x.room(), Probe: x.health.Probes > 0,
 			Open: x.open() && now.Sub(x.contact) < c.c.Bounds.Lease,
 		})
@@ -85,7 +86,7 @@
 		case len(j.members) > 0:
 			in.Running = append(in.Running, c.running(j))
 		case j.Record.State == jobs.Waiting && !j.moving:
-			in.Waiting = append(in.Waiting, place.Request{Spec: j.spec(), Arrived: j.Record.Accepted, Expected: c.expect(j.spec()), Avoid: j.avoided(now), Hold: now.Before(j.notBefore)})
+			in.Waiting = append(in.Waiting, board.Request{Spec: j.spec(), Arrived: j.Record.Accepted, Expected: c.expect(j.spec()), Avoid: j.avoided(now), Hold: now.Before(j.notBefore)})
 		}
 	}
 	return in
@@ -106,8 +107,8 @@
 }
 
 // running describes a job that holds room. The lock is held.
-func (c *Cell) running(j *job) place.Job {
-	r := place.Job{
+func (c *Cell) running(j *job) board.Job {
+	r := board.Job{
 		Spec: j.spec(), Guarantee: j.guarantee, Started: j.Record.Started,
 		Expected: c.expect(j.spec()), Starting: j.Record.State == jobs.Starting, Stuck: c.stuck(j),
 	}
--- a/cells/views.go
+++ b/cells/views.go
@@ -4,8 +4,8 @@
 	"slices"
 	"strings"
 
+	"citronbridge/board"
 	"citronbridge/jobs"
-	"citronbridge/place"
 	"citronbridge/views"
 )
 
@@ -113,7 +113,7 @@
 				continue
 			}
 			v.Guaranteed += g.Shape.Accelerators()
-			if id := place.GuaranteeID(a.Name, i); c.unseated[id] {
+			if id := board.GuaranteeID(a.Name, i); c.unseated[id] {
 				v.Unseated = append(v.Unseated, id)
 			}
 		}
@@ -127,7 +127,7 @@
 			count(v, j)
 		}
 	}
-	lent := place.Lent(c.input())
+	lent := board.Lent(c.input())
 	for i := range l {
 		l[i].Lent = lent[l[i].Account]
 	}
--- a/config/config.go
+++ b/config/config.go
@@ -11,12 +11,12 @@
 
 	"github.com/rs/zerolog"
 
+	"citronbridge/board"
 	"citronbridge/cells"
 	"citronbridge/certs"
 	"citronbridge/entry"
 	"citronbridge/fault"
 	"citronbridge/jobs"
-	"citronbridge/place"
 	"citronbridge/rules"
 	"citronbridge/units"
 )
@@ -42,7 +42,7 @@
 	Bounds   Bounds      `yaml:"Bounds"`
 	Store    Store       `yaml:"Store"`
 	// Policy switches rules of placement off, to compare.
-	Policy place.Policy `yaml:"Policy"`
+	Policy board.Policy `yaml:"Policy"`
 }
 
 // Platform names the base URLs of the platform's services.
--- a/place/bench_test.go
+++ b/place/bench_test.go
@@ -6,12 +6,13 @@
 	"testing"
 	"time"
 
+	"citronbridge/board"
 	"citronbridge/jobs"
 	"citronbridge/rules"
 )
 
 // benchInput returns a cell whose targets are 90 percent full, with a queue.
-func benchInput(targetCount, taskCount, queue, accounts int) *Input {
+func benchInput(targetCount, taskCount, queue, accounts int) *board.Input {
 	r := rand.New(rand.NewPCG(5, uint64(targetCount)))
 	m := &rules.Manifest{Kinds: []rules.Kind{{Name: "urgent"}, {Name: "routine", FloorPercent: 20}}, CastingVote: "a000"}
 	for i := range accounts {
@@ -21,7 +22,7 @@
 		}
 		m.Accounts = append(m.Accounts, a)
 	}
-	in := &Input{Now: epoch, Cell: "dc", Rules: m, Targets: targets((targetCount+7)/8, 8)[:targetCount]}
+	in := &board.Input{Now: epoch, Cell: "dc", Rules: m, Targets: targets((targetCount+7)/8, 8)[:targetCount]}
 	for i := range in.Targets {
 		in.Targets[i].Room.Slots = 64
 	}
@@ -30,7 +31,7 @@
 		if i < targetCount*9/10 {
 			s.Shape.Each.Accelerators = 8
 		}
-		in.Running = append(in.Running, Job{Spec: s, Targets: []string{in.Targets[i%targetCount].ID}, Started: epoch.Add(-time.Duration(r.IntN(3600)) * time.Second), Expected: time.Hour})
+		in.Running = append(in.Running, board.Job{Spec: s, Targets: []string{in.Targets[i%targetCount].ID}, Started: epoch.Add(-time.Duration(r.IntN(3600)) * time.Second), Expected: time.Hour})
 	}
 	for i := range queue {
 		s := spec(fmt.Sprintf("a%03d", r.IntN(accounts)), fmt.Sprintf("q%05d", i), []string{"urgent", "routine"}[r.IntN(2)], shape(1<<r.IntN(4), 1<<r.IntN(4), jobs.AdjacentRack))
--- a/place/order.go
+++ b/place/order.go
@@ -6,58 +6,22 @@
 	"slices"
 	"strings"
 
+	"citronbridge/board"
 	"citronbridge/jobs"
 )
 
-// usage is what accounts, callers and kinds hold.
-type usage struct {
-	borrowed map[string]jobs.Room
-	callers  map[callerKey]int
-	kinds    map[string]int
-}
-
-type callerKey struct{ account, caller string }
-
-func newUsage() usage {
-	return usage{map[string]jobs.Room{}, map[callerKey]int{}, map[string]int{}}
-}
-
-func (u *usage) add(s *jobs.Spec, guarantee string) {
-	r := s.Task().Times(s.Shape.Members)
-	if guarantee == "" {
-		u.borrowed[s.Account] = u.borrowed[s.Account].Plus(r)
-	}
-	u.callers[callerKey{s.Account, s.Caller}] += r.Slots + r.Accelerators
-	u.kinds[s.Kind] += r.Accelerators
-}
-
-// share returns the dominant share of the total that r is.
-func share(r, total jobs.Room) float64 {
-	f := func(a, b int64) float64 {
-		if b == 0 {
-			return 0
-		}
-		return float64(a) / float64(b)
-	}
-	return max(
-		f(int64(r.Accelerators), int64(total.Accelerators)),
-		f(int64(r.Processors), int64(total.Processors)),
-		f(int64(r.Memory), int64(total.Memory)),
-	)
-}
-
 // line is the requests of one caller for one kind, in the order of arrival.
 type line struct {
 	account, caller, kind string
 	urgency               int
-	queue                 []*Request
+	queue                 []*board.Request
 	// rank is that of the head, index the line's place on the agenda.
 	rank  rank
 	index int
 }
 
 // lines splits the requests.
-func lines(in *Input) []*line {
+func lines(in *board.Input) []*line {
 	type id struct{ account, caller, kind string }
 	m := map[id]*line{}
 	var l []*line
@@ -85,7 +49,7 @@
 	return l
 }
 
-func byArrival(a, b *Request) int {
+func byArrival(a, b *board.Request) int {
 	return cmp.Or(a.Arrived.Compare(b.Arrived), strings.Compare(a.Spec.Account, b.Spec.Account), strings.Compare(a.Spec.ID, b.Spec.ID))
 }
 
@@ -100,8 +64,8 @@
 }
 
 // rank ranks the head of a line.
-func (b *board) rank(l *line) rank {
-	if b.in.Policy.Arrival {
+func (b *planner) rank(l *line) rank {
+	if b.In.Policy.Arrival {
 		return rank{}
 	}
 	s := l.queue[0].Spec
@@ -109,22 +73,22 @@
 		guaranteed: b.guaranteed(s),
 		floor:      b.belowFloor(l.kind),
 		urgency:    l.urgency,
-		share:      share(b.usage.borrowed[l.account], b.total),
-		caller:     b.usage.callers[callerKey{l.account, l.caller}],
-		casting:    l.account == b.in.Rules.CastingVote,
+		share:      board.Share(b.Usage.Borrowed[l.account], b.Total),
+		caller:     b.Usage.Callers[board.CallerKey{Account: l.account, Caller: l.caller}],
+		casting:    l.account == b.In.Rules.CastingVote,
 	}
 }
 
 // belowFloor reports whether a kind holds less than its floor.
-func (b *board) belowFloor(kind string) bool {
-	if b.in.Policy.NoFloors {
+func (b *planner) belowFloor(kind string) bool {
+	if b.In.Policy.NoFloors {
 		return false
 	}
-	u := b.in.Rules.Urgency(kind)
+	u := b.In.Rules.Urgency(kind)
 	if u < 0 {
 		return false
 	}
-	return b.usage.kinds[kind]*100 < b.in.Rules.Kinds[u].FloorPercent*b.total.Accelerators
+	return b.Usage.Kinds[kind]*100 < b.In.Rules.Kinds[u].FloorPercent*b.Total.Accelerators
 }
 
 func compare(a, b rank) int {
@@ -152,7 +116,7 @@
 // agenda is the lines by the ranks of their heads, the first on top. A rank is
 // computed anew only when something that it depends on has changed.
 type agenda struct {
-	b    *board
+	b    *planner
 	heap []*line
 	// low tells which kinds were below their floors.
 	low map[string]bool
@@ -161,7 +125,7 @@
 var _ heap.Interface = (*agenda)(nil)
 
 // newAgenda returns the agenda of the lines.
-func newAgenda(b *board, l []*line) *agenda {
+func newAgenda(b *planner, l []*line) *agenda {
 	a := &agenda{b: b, heap: l, low: map[string]bool{}}
 	a.rankAll()
 	return a
@@ -169,7 +133,7 @@
 
 // rankAll ranks every line.
 func (a *agenda) rankAll() {
-	for _, k := range a.b.in.Rules.Kinds {
+	for _, k := range a.b.In.Rules.Kinds {
 		a.low[k.Name] = a.b.belowFloor(k.Name)
 	}
 	for _, g := range a.heap {
@@ -179,7 +143,7 @@
 }
 
 // pop takes the request off that goes first, or returns nil.
-func (a *agenda) pop() *Request {
+func (a *agenda) pop() *board.Request {
 	if len(a.heap) == 0 {
 		return nil
 	}
@@ -197,7 +161,7 @@
 
 // started ranks the lines anew that the start of a request of s has touched.
 func (a *agenda) started(s *jobs.Spec) {
-	if a.b.in.Policy.Arrival {
+	if a.b.In.Policy.Arrival {
 		return
 	}
 	for k, low := range a.low {
@@ -215,7 +179,7 @@
 }
 
 // rest calls f for every request that is left, in no particular order.
-func (a *agenda) rest(f func(*Request)) {
+func (a *agenda) rest(f func(*board.Request)) {
 	for _, g := range a.heap {
 		for _, r := range g.queue {
 			f(r)
--- a/place/plan.go
+++ b/place/plan.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"citronbridge/board"
 	"citronbridge/jobs"
 )
 
@@ -15,11 +16,41 @@
 // stops looking at the rest.
 const maxBlocked = 64
 
+// planner is a decision in the making.
+type planner struct {
+	*board.Board
+	shadow *shadow
+	// claims holds which shapes fit into what is left of an account's
+	// guarantees.
+	claims map[claimKey]bool
+	// lines holds the waiting requests by account.
+	lines map[string][]*line
+	// scratch is reused by each packing.
+	scratch []board.Candidate
+}
+
+func newPlanner(in *board.Input) *planner {
+	return &planner{Board: board.New(in), claims: map[claimKey]bool{}, lines: map[string][]*line{}}
+}
+
+// place counts a request that starts now.
+func (b *planner) place(s *jobs.Spec, targets []string, guarantee string) {
+	b.Start(s, targets, guarantee)
+	if guarantee == "" {
+		return
+	}
+	for k := range b.claims {
+		if k.account == s.Account {
+			delete(b.claims, k)
+		}
+	}
+}
+
 // Decide plans what starts and what stops.
-func Decide(in *Input) Plan {
-	b := newBoard(in)
-	b.seat()
-	p := Plan{Seats: b.seats, Unseated: b.unseated}
+func Decide(in *board.Input) Plan {
+	b := newPlanner(in)
+	b.Seat()
+	p := Plan{Seats: b.Seats, Unseated: b.Unseated}
 	l := lines(in)
 	for _, g := range l {
 		b.lines[g.account] = append(b.lines[g.account], g)
@@ -48,7 +79,7 @@
 			misses[k] = w
 		}
 	}
-	a.rest(func(r *Request) {
+	a.rest(func(r *board.Request) {
 		p.Waits = append(p.Waits, Wait{r.Spec.Key(), Behind, "behind requests that are blocked"})
 	})
 	slices.SortFunc(p.Waits, func(x, y Wait) int {
@@ -65,18 +96,18 @@
 	brief int
 }
 
-func missOf(r *Request) miss {
+func missOf(r *board.Request) miss {
 	n := 0
 	for d := r.Expected; d > time.Second; d /= 2 {
 		n++
 	}
-	return miss{r.Spec.Shape, fixed(r.Spec), n}
+	return miss{r.Spec.Shape, board.Fixed(r.Spec), n}
 }
 
 // try starts a request, or begins to reclaim room for it, and reports whether
 // it did.
-func (b *board) try(r *Request, p *Plan) bool {
-	for _, g := range b.byAccount[r.Spec.Account] {
+func (b *planner) try(r *board.Request, p *Plan) bool {
+	for _, g := range b.ByAccount[r.Spec.Account] {
 		if t := b.packSeat(g, r.Spec); t != nil && b.claim(g, r, t, p) {
 			return true
 		}
@@ -89,15 +120,15 @@
 	if t == nil {
 		return false
 	}
-	b.start(r.Spec, t, "")
+	b.place(r.Spec, t, "")
 	p.Starts = append(p.Starts, Start{Key: r.Spec.Key(), Targets: t})
 	return true
 }
 
 // guaranteed reports whether a request fits into what is left of one of its
 // account's guarantees.
-func (b *board) guaranteed(s *jobs.Spec) bool {
-	own := b.byAccount[s.Account]
+func (b *planner) guaranteed(s *jobs.Spec) bool {
+	own := b.ByAccount[s.Account]
 	if len(own) == 0 {
 		return false
 	}
@@ -105,8 +136,8 @@
 	if v, ok := b.claims[k]; ok {
 		return v
 	}
-	v := slices.ContainsFunc(own, func(g *guarantee) bool {
-		return s.Shape.Accelerators() <= g.shape.Accelerators() && b.packSeat(g, s) != nil
+	v := slices.ContainsFunc(own, func(g *board.Guarantee) bool {
+		return s.Shape.Accelerators() <= g.Shape.Accelerators() && b.packSeat(g, s) != nil
 	})
 	b.claims[k] = v
 	return v
@@ -121,47 +152,47 @@
 
 // packSeat places a request on what is left of a guarantee's seat, or returns
 // nil.
-func (b *board) packSeat(g *guarantee, s *jobs.Spec) []string {
+func (b *planner) packSeat(g *board.Guarantee, s *jobs.Spec) []string {
 	if s.Shape.Each.Accelerators == 0 {
 		return nil
 	}
 	c := b.scratch[:0]
-	for _, p := range g.spots {
-		room := p.seats[g.id].Minus(p.charged[g.id])
-		c = append(c, candidate{id: p.ID, rack: p.Rack, room: room, limit: s.Shape.Members, cost: b.shortage(p, s)})
+	for _, p := range g.Spots {
+		room := p.Seats[g.ID].Minus(p.Charged[g.ID])
+		c = append(c, board.Candidate{ID: p.ID, Rack: p.Rack, Room: room, Limit: s.Shape.Members, Cost: b.shortage(p, s)})
 	}
 	b.scratch = c
-	return pack(s.Shape, s.Task(), c, b.in.Policy.FirstFit)
+	return board.Pack(s.Shape, s.Task(), c, b.In.Policy.FirstFit)
 }
 
 // shortage is 1 if a member wouldn't fit at p now.
-func (b *board) shortage(p *spot, s *jobs.Spec) int {
-	if s.Task().Fits(p.free) {
+func (b *planner) shortage(p *board.Spot, s *jobs.Spec) int {
+	if s.Task().Fits(p.Free) {
 		return 0
 	}
 	return 1
 }
 
 // claim starts a request on its guarantee, or stops borrowers for it.
-func (b *board) claim(g *guarantee, r *Request, t []string, p *Plan) bool {
+func (b *planner) claim(g *board.Guarantee, r *board.Request, t []string, p *Plan) bool {
 	need := map[string]jobs.Room{}
 	for _, id := range t {
 		need[id] = need[id].Plus(r.Spec.Task())
 	}
 	free := true
 	for id, n := range need {
-		free = free && n.Fits(b.at[id].free)
+		free = free && n.Fits(b.At[id].Free)
 	}
 	if free {
-		b.start(r.Spec, t, g.id)
+		b.place(r.Spec, t, g.ID)
 		if r.Hold {
 			p.Waits = append(p.Waits, Wait{r.Spec.Key(), Held, "its guarantee's room is kept until the next attempt"})
 			return true
 		}
-		p.Starts = append(p.Starts, Start{r.Spec.Key(), t, g.id})
+		p.Starts = append(p.Starts, Start{r.Spec.Key(), t, g.ID})
 		return true
 	}
-	if b.in.Policy.NoReclaim {
+	if b.In.Policy.NoReclaim {
 		return false
 	}
 	v, ok := b.victims(need)
@@ -169,75 +200,55 @@
 		return false
 	}
 	for _, j := range v {
-		b.stop(j)
+		b.Stop(j)
 		p.Stops = append(p.Stops, Stop{Key: j.Spec.Key(), For: r.Spec.Key()})
 	}
 	// The room is held by counting the request as started.
-	b.start(r.Spec, t, g.id)
-	p.Waits = append(p.Waits, Wait{r.Spec.Key(), Reclaiming, "borrowers make room on " + strings.Join(distinct(t), ", ")})
+	b.place(r.Spec, t, g.ID)
+	p.Waits = append(p.Waits, Wait{r.Spec.Key(), Reclaiming, "borrowers make room on " + strings.Join(board.Distinct(t), ", ")})
 	return true
 }
 
-func distinct(t []string) []string {
-	t = slices.Clone(t)
-	slices.Sort(t)
-	return slices.Compact(t)
-}
-
 // packFree places a request on free room. Room that nobody has a claim on
 // goes first; a job that can't be stopped gets nothing else.
-func (b *board) packFree(r *Request) []string {
+func (b *planner) packFree(r *board.Request) []string {
 	s := r.Spec
 	c := b.scratch[:0]
-	for _, p := range b.places {
+	for _, p := range b.Places {
 		if x, ok := b.freeAt(p, r); ok {
 			c = append(c, x)
 		}
 	}
 	b.scratch = c
-	return pack(s.Shape, s.Task(), c, b.in.Policy.FirstFit)
+	return board.Pack(s.Shape, s.Task(), c, b.In.Policy.FirstFit)
 }
 
 // freeAt returns what a borrower may take at p.
-func (b *board) freeAt(p *spot, r *Request) (candidate, bool) {
-	if !p.Open || r.Avoid[p.ID] || p.shadowed && !b.endsInTime(r) {
-		return candidate{}, false
+func (b *planner) freeAt(p *board.Spot, r *board.Request) (board.Candidate, bool) {
+	if !p.Open || r.Avoid[p.ID] || p.Shadowed && !b.endsInTime(r) {
+		return board.Candidate{}, false
 	}
-	x := candidate{id: p.ID, rack: p.Rack, room: p.free, limit: r.Spec.Shape.Members}
+	x := board.Candidate{ID: p.ID, Rack: p.Rack, Room: p.Free, Limit: r.Spec.Shape.Members}
 	if p.Probe {
-		x.limit = max(0, 1-p.tasks)
+		x.Limit = max(0, 1-p.Tasks)
 	}
-	unclaimed := b.unclaimed(p)
-	if fixed(r.Spec) {
-		x.room = least(p.free, unclaimed)
+	unclaimed := b.Unclaimed(p)
+	if board.Fixed(r.Spec) {
+		x.Room = board.Least(p.Free, unclaimed)
 	} else if !r.Spec.Task().Fits(unclaimed) {
-		x.cost = 1
+		x.Cost = 1
 	}
 	return x, true
 }
 
-// unclaimed returns the room at p beyond all guarantees and all that borrowers
-// hold.
-func (b *board) unclaimed(p *spot) jobs.Room { return p.free.Minus(p.unused) }
-
-// least returns the smaller of r and o in each dimension.
-func least(r, o jobs.Room) jobs.Room {
-	return jobs.Room{
-		Accelerators: min(r.Accelerators, o.Accelerators),
-		Processors:   min(r.Processors, o.Processors),
-		Memory:       min(r.Memory, o.Memory),
-		Slots:        min(r.Slots, o.Slots),
-	}
-}
-
 // block explains why a request waits. The first one that is blocked gets a
 // reservation, behind which only what ends in time may start.
-func (b *board) block(r *Request) Wait {
+func (b *planner) block(r *board.Request) Wait {
 	s := r.Spec
 	if !b.everFits(r) {
-		return Wait{s.Key(), NeverFits, fmt.Sprintf("no part of cell %s could hold %s", b.in.Cell, s.Shape.String())}
+		return Wait{s.Key(), NeverFits, fmt.Sprintf("no part of cell %s could hold %s", b.In.Cell, s.Shape.String())}
 	}
-	if b.shadow == nil && !b.in.Policy.NoReservation {
+	if b.shadow == nil && !b.In.Policy.NoReservation {
 		b.shadow = b.cast(r)
 	}
 	if b.shadow != nil && b.shadow.key != s.Key() {
@@ -252,31 +263,31 @@
 
 // everFits reports whether the cell could hold the request if only what can't
 // be stopped ran.
-func (b *board) everFits(r *Request) bool {
+func (b *planner) everFits(r *board.Request) bool {
 	c := b.scratch[:0]
-	for _, p := range b.places {
-		x := candidate{id: p.ID, rack: p.Rack, room: p.Room, limit: r.Spec.Shape.Members}
-		if fixed(r.Spec) {
-			x.room = p.Room.Minus(p.claimed)
+	for _, p := range b.Places {
+		x := board.Candidate{ID: p.ID, Rack: p.Rack, Room: p.Room, Limit: r.Spec.Shape.Members}
+		if board.Fixed(r.Spec) {
+			x.Room = p.Room.Minus(p.Claimed)
 		}
 		c = append(c, x)
 	}
 	b.scratch = c
-	if pack(r.Spec.Shape, r.Spec.Task(), c, true) != nil {
+	if board.Pack(r.Spec.Shape, r.Spec.Task(), c, true) != nil {
 		return true
 	}
-	return slices.ContainsFunc(b.byAccount[r.Spec.Account], func(g *guarantee) bool { return b.emptySeatHolds(g, r.Spec) })
+	return slices.ContainsFunc(b.ByAccount[r.Spec.Account], func(g *board.Guarantee) bool { return b.emptySeatHolds(g, r.Spec) })
 }
 
 // emptySeatHolds reports whether a guarantee's seat would hold the request if
 // nothing ran on it.
-func (b *board) emptySeatHolds(g *guarantee, s *jobs.Spec) bool {
+func (b *planner) emptySeatHolds(g *board.Guarantee, s *jobs.Spec) bool {
 	c := b.scratch[:0]
-	for _, p := range g.spots {
-		c = append(c, candidate{id: p.ID, rack: p.Rack, room: p.seats[g.id], limit: s.Shape.Members})
+	for _, p := range g.Spots {
+		c = append(c, board.Candidate{ID: p.ID, Rack: p.Rack, Room: p.Seats[g.ID], Limit: s.Shape.Members})
 	}
 	b.scratch = c
-	return pack(s.Shape, s.Task(), c, true) != nil
+	return board.Pack(s.Shape, s.Task(), c, true) != nil
 }
 
 // shadow is a reservation in time.
@@ -287,12 +298,12 @@
 
 // cast finds when the running jobs are expected to have left enough room for a
 // request, and keeps that room from what would not end by then.
-func (b *board) cast(r *Request) *shadow {
-	ends := make([]*Job, 0, len(b.in.Running))
-	for i := range b.in.Running {
-		ends = append(ends, &b.in.Running[i])
+func (b *planner) cast(r *board.Request) *shadow {
+	ends := make([]*board.Job, 0, len(b.In.Running))
+	for i := range b.In.Running {
+		ends = append(ends, &b.In.Running[i])
 	}
-	slices.SortFunc(ends, func(x, y *Job) int {
+	slices.SortFunc(ends, func(x, y *board.Job) int {
 		return cmp.Or(b.end(x).Compare(b.end(y)), strings.Compare(x.Spec.Account, y.Spec.Account), strings.Compare(x.Spec.ID, y.Spec.ID))
 	})
 	// The first n jobs to end free enough room, if any number does: the more
@@ -302,16 +313,16 @@
 		return nil
 	}
 	for _, id := range b.packLater(r, b.freeBehind(ends[:n])) {
-		b.at[id].shadowed = true
+		b.At[id].Shadowed = true
 	}
 	return &shadow{r.Spec.Key(), b.end(ends[n-1])}
 }
 
 // freeBehind returns the free room of each target once jobs have ended.
-func (b *board) freeBehind(ended []*Job) map[string]jobs.Room {
-	room := make(map[string]jobs.Room, len(b.places))
-	for _, p := range b.places {
-		room[p.ID] = p.free
+func (b *planner) freeBehind(ended []*board.Job) map[string]jobs.Room {
+	room := make(map[string]jobs.Room, len(b.Places))
+	for _, p := range b.Places {
+		room[p.ID] = p.Free
 	}
 	for _, j := range ended {
 		for _, id := range j.Targets {
@@ -323,10 +334,10 @@
 
 // end returns when a running job is expected to end. One that is overdue is
 // expected to end soon.
-func (b *board) end(j *Job) time.Time {
+func (b *planner) end(j *board.Job) time.Time {
 	e := j.Started.Add(j.Expected)
-	if e.Before(b.in.Now) {
-		return b.in.Now.Add(overdue)
+	if e.Before(b.In.Now) {
+		return b.In.Now.Add(overdue)
 	}
 	return e
 }
@@ -335,23 +346,23 @@
 const overdue = time.Minute
 
 // packLater places a request on the room that will be free.
-func (b *board) packLater(r *Request, room map[string]jobs.Room) []string {
-	c := make([]candidate, 0, len(b.places))
-	for _, p := range b.places {
+func (b *planner) packLater(r *board.Request, room map[string]jobs.Room) []string {
+	c := make([]board.Candidate, 0, len(b.Places))
+	for _, p := range b.Places {
 		if !p.Open {
 			continue
 		}
-		x := candidate{id: p.ID, rack: p.Rack, room: room[p.ID], limit: r.Spec.Shape.Members}
-		if fixed(r.Spec) {
-			x.room = least(x.room, p.Room.Minus(p.claimed).Minus(p.fixed))
+		x := board.Candidate{ID: p.ID, Rack: p.Rack, Room: room[p.ID], Limit: r.Spec.Shape.Members}
+		if board.Fixed(r.Spec) {
+			x.Room = board.Least(x.Room, p.Room.Minus(p.Claimed).Minus(p.Fixed))
 		}
 		c = append(c, x)
 	}
-	return pack(r.Spec.Shape, r.Spec.Task(), c, false)
+	return board.Pack(r.Spec.Shape, r.Spec.Task(), c, false)
 }
 
 // endsInTime reports whether a request is expected to end before the reserved
 // room is needed.
-func (b *board) endsInTime(r *Request) bool {
-	return b.shadow == nil || !b.in.Now.Add(r.Expected).After(b.shadow.at)
+func (b *planner) endsInTime(r *board.Request) bool {
+	return b.shadow == nil || !b.In.Now.Add(r.Expected).After(b.shadow.at)
 }
--- a/place/victim.go
+++ b/place/victim.go
@@ -5,31 +5,24 @@
 	"slices"
 	"strings"
 
+	"citronbridge/board"
 	"citronbridge/jobs"
 )
 
-// Weights of what stopping a job loses.
-const (
-	// checkpointedLoss and restartedLoss weigh the work of a job that goes on
-	// where it stopped, and of one that starts again, in percent.
-	checkpointedLoss = 5
-	restartedLoss    = 100
-)
-
 // victims finds borrowers whose end frees the needed room at each target, the
 // least costly first. It reports whether that is possible.
-func (b *board) victims(need map[string]jobs.Room) ([]*Job, bool) {
+func (b *planner) victims(need map[string]jobs.Room) ([]*board.Job, bool) {
 	ids := make([]string, 0, len(need))
 	for id := range need {
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
 	freed := map[string]jobs.Room{}
-	chosen := map[*Job]bool{}
-	var v []*Job
+	chosen := map[*board.Job]bool{}
+	var v []*board.Job
 	for _, id := range ids {
-		p := b.at[id]
-		for !need[id].Fits(p.free.Plus(p.ending).Plus(freed[id])) {
+		p := b.At[id]
+		for !need[id].Fits(p.Free.Plus(p.Ending).Plus(freed[id])) {
 			j := b.cheapest(id, chosen)
 			if j == nil {
 				return nil, false
@@ -45,14 +38,14 @@
 }
 
 // cheapest returns the borrower at a target whose stop loses least.
-func (b *board) cheapest(id string, chosen map[*Job]bool) *Job {
-	var best *Job
-	for _, j := range b.at[id].jobs {
+func (b *planner) cheapest(id string, chosen map[*board.Job]bool) *board.Job {
+	var best *board.Job
+	for _, j := range b.At[id].Jobs {
 		if chosen[j] || !b.yields(j) {
 			continue
 		}
 		if best == nil || cmp.Or(
-			cmp.Compare(b.loss(j, id), b.loss(best, id)),
+			cmp.Compare(b.Loss(j, id), b.Loss(best, id)),
 			strings.Compare(j.Spec.Key().String(), best.Spec.Key().String())) < 0 {
 			best = j
 		}
@@ -61,36 +54,9 @@
 }
 
 // yields reports whether a job may be stopped for a guarantee.
-func (b *board) yields(j *Job) bool {
-	if j.Starting || j.Stopping || b.stopped[j.Spec.Key()] || j.fixed() {
+func (b *planner) yields(j *board.Job) bool {
+	if j.Starting || j.Stopping || b.Stopped[j.Spec.Key()] || j.Fixed() {
 		return false
 	}
-	return j.Guarantee == "" || b.seats[j.Guarantee] == nil
-}
-
-// loss returns the accelerator seconds that stopping a job loses, for each
-// accelerator that it frees at the target.
-func (b *board) loss(j *Job, id string) float64 {
-	w := restartedLoss
-	if j.Spec.Checkpoints {
-		w = checkpointedLoss
-	}
-	ran := max(b.in.Now.Sub(j.Started).Seconds(), 0) + 1
-	here := 0
-	for _, t := range j.Targets {
-		if t == id {
-			here += j.Spec.Shape.Each.Accelerators
-		}
-	}
-	return float64(w) * ran * float64(max(j.Spec.Shape.Accelerators(), 1)) / float64(max(here, 1))
-}
-
-// stop counts a job as ending.
-func (b *board) stop(j *Job) {
-	b.stopped[j.Spec.Key()] = true
-	for _, id := range j.Targets {
-		if p := b.at[id]; p != nil {
-			p.ending = p.ending.Plus(j.Spec.Task())
-		}
-	}
+	return j.Guarantee == "" || b.Seats[j.Guarantee] == nil
 }
