itest: Bound goroutines by what a host holds

Ruled out: a leak in the product. The goroutines of a host above the bound, printed on failure now, were 842 of 906 server sides of the check's own connections, one client a poll.

Change: the bound is 130 and 10 for each target of the host's cells, lower than before for a host with none; the check polls with one client.

Conclusion: the old bound passed hosts with three times what they need and failed healthy ones; the new one is stricter for most.

--- a/itest/chaos_test.go
+++ b/itest/chaos_test.go
@@ -327,23 +327,41 @@
 	}
 }
 
-// calmGoroutines bounds what a host without work runs: conversations with
-// peers and targets, and its own tasks.
-const calmGoroutines = 400
+// What a host without work runs: 7 conversations with peers, each way, its own
+// tasks and servers; and for each target of its cells a watch, the connections
+// for it and for orders, and their proxied ends.
+const (
+	calmHost   = 130
+	calmTarget = 10
+)
 
 // awaitCalm waits until a host has no more goroutines and connections than an
 // idle one needs.
 func (c *chaos) awaitCalm(h *member) {
-	last := 0.0
-	defer func() { c.t.Logf("%s: %g goroutines", h.name, last) }()
+	last, limit := 0.0, 0.0
+	// One client for all polls, or their connections would be what is counted.
+	operator, metrics := c.client(operatorToken, h), httpc.New("http://"+h.http)
+	defer func() {
+		c.t.Logf("%s: %g goroutines of %g", h.name, last, limit)
+		if c.t.Failed() {
+			// The goroutines go to the log.
+			h.signal(syscall.SIGQUIT)
+			<-h.ended
+		}
+	}()
 	eventually(c.t, h.name+" is calm", func() bool {
-		_, b, err := httpc.New("http://"+h.http).Raw(context.Background(), http.MethodGet, "/metrics", nil)
+		l, err := operator.Hosts(context.Background())
+		if err != nil {
+			return false
+		}
+		_, b, err := metrics.Raw(context.Background(), http.MethodGet, "/metrics", nil)
 		if err != nil {
 			return false
 		}
+		limit = calmHost + calmTarget*float64(len(l[0].Cells)*len(c.targets)/len(c.l.centres))
 		for line := range strings.Lines(string(b)) {
 			fmt.Sscanf(line, "go_goroutines %g", &last)
 		}
-		return last > 0 && last < calmGoroutines
+		return last > 0 && last < limit
 	})
 }
--- a/itest/reclaim_test.go
+++ b/itest/reclaim_test.go
@@ -49,7 +49,7 @@
 			c.awaitDeciders()
 			a, k := c.client(agency+"-token"), c.client(kelani+"-token")
 			for i := range 6 {
-				c.submit(a, job(fmt.Sprintf("b%d", i), 30*time.Second, gangOf(1, 8), func(s *jobs.Spec) {
+				c.submit(a, job(fmt.Sprintf("b%d", i), time.Hour, gangOf(1, 8), func(s *jobs.Spec) {
 					s.Checkpoints = true
 					s.Arguments = append(s.Arguments, "Resume")
 				}))
