gangs, crew, setup: Split the decider by what its parts do

Cause: cells had 2,042 lines: bounds and interfaces, jobs in memory, the lives of gangs, and the cell that plans, watches and answers.

Ruled out: interfaces between the parts; they share one lock and one state, and would need a dozen methods each way.

Change: setup holds what a decider is given, crew a job in memory with what follows from its members' states, gangs leads jobs from reservation to outcome, cells embeds it and plans, watches targets, recovers and answers.

--- a/cells/offer.go
+++ b/cells/offer.go
@@ -4,28 +4,29 @@
 	"context"
 	"time"
 
-	"citronbridge/board"
+	"citronbridge/crew"
 	"citronbridge/jobs"
 	"citronbridge/place"
+	"citronbridge/setup"
 )
 
 // offer moves a job that the cell can't start soon to a cell that has room, and
 // reports whether it looked for one.
 // The lock is held.
-func (c *Cell) offer(j *job, now time.Time) bool {
-	w, ok := c.waits[j.key()]
-	if !ok || j.saving || j.moving || j.cancelled || now.Sub(j.Record.Accepted) < c.c.Bounds.Offer || now.Before(j.notBefore) {
+func (c *Cell) offer(j *crew.Job, now time.Time) bool {
+	w, ok := c.Waits[j.Key()]
+	if !ok || j.Saving || j.Moving || j.Cancelled || now.Sub(j.Record.Accepted) < c.Config.Bounds.Offer || now.Before(j.NotBefore) {
 		return false
 	}
-	if w.Reason == place.Reclaiming || c.c.Offered == nil {
+	if w.Reason == place.Reclaiming || c.Config.Offered == nil {
 		return false
 	}
-	cell := c.elsewhere(j.spec())
+	cell := c.elsewhere(j.Spec())
 	if cell == "" {
 		return true
 	}
-	j.moving = true
-	c.wg.Add(1)
+	j.Moving = true
+	c.Work.Add(1)
 	go c.move(j, cell)
 	return true
 }
@@ -41,9 +42,9 @@
 // a job, or "".
 func (c *Cell) elsewhere(s *jobs.Spec) string {
 	best, free := "", int64(offerSlack*s.Shape.Accelerators())
-	for _, b := range c.c.Live() {
+	for _, b := range c.Config.Live() {
 		for _, h := range b.Holds {
-			if h.Cell != c.Name && h.Free >= free && Holds(c.c.Hosts, h.Cell, s) {
+			if h.Cell != c.Name && h.Free >= free && setup.Holds(c.Config.Hosts, h.Cell, s) {
 				best, free = h.Cell, h.Free+1
 			}
 		}
@@ -51,35 +52,26 @@
 	return best
 }
 
-// Holds reports whether a cell could hold a job if it were empty.
-func Holds(l hosts, cell string, s *jobs.Spec) bool {
-	var t []board.Target
-	for _, h := range l.Targets(cell) {
-		t = append(t, board.Target{ID: h.ID, Rack: h.Rack, Room: h.Room, Open: true})
-	}
-	return board.Holds(t, s)
-}
-
 // move hands a job to another cell.
-func (c *Cell) move(j *job, cell string) {
-	defer c.wg.Done()
-	ctx, cancel := context.WithTimeout(c.ctx, writeTimeout)
+func (c *Cell) move(j *crew.Job, cell string) {
+	defer c.Work.Done()
+	ctx, cancel := context.WithTimeout(c.Ctx, writeTimeout)
 	defer cancel()
-	c.mu.Lock()
-	c.event(j, "Moved", "to cell "+cell)
+	c.Mu.Lock()
+	c.Event(j, "Moved", "to cell "+cell)
 	j.Record.Attempt, j.Record.Targets, j.Record.Incarnations = jobs.Attempt{}, nil, nil
-	c.mu.Unlock()
-	_, err := c.c.Records.Move(ctx, c.hold, j.Entry, cell)
+	c.Mu.Unlock()
+	_, err := c.Config.Records.Move(ctx, c.Hold, j.Entry, cell)
 	if err != nil {
-		c.reload(j)
-		c.mu.Lock()
-		j.moving = false
-		j.notBefore = c.now().Add(maxBackoff)
-		c.mu.Unlock()
+		c.Reload(j)
+		c.Mu.Lock()
+		j.Moving = false
+		j.NotBefore = c.Now().Add(moveRetry)
+		c.Mu.Unlock()
 		return
 	}
-	c.mu.Lock()
-	c.forget(j)
-	c.mu.Unlock()
-	c.c.Offered(cell, j.key())
+	c.Mu.Lock()
+	c.Forget(j)
+	c.Mu.Unlock()
+	c.Config.Offered(cell, j.Key())
 }
--- /dev/null
+++ b/cells/plan.go
@@ -0,0 +1,111 @@
+package cells
+
+import (
+	"time"
+
+	"citronbridge/board"
+	"citronbridge/crew"
+	"citronbridge/jobs"
+	"citronbridge/place"
+)
+
+// plans makes a plan whenever one is asked for.
+func (c *Cell) plans() {
+	defer c.Work.Done()
+	for {
+		select {
+		case <-c.Ctx.Done():
+			return
+		case <-c.Dirty:
+		}
+		began := time.Now()
+		c.plan()
+		select {
+		case <-c.Ctx.Done():
+		case <-time.After(min(planShare*time.Since(began), maxPlanPause)):
+		}
+	}
+}
+
+// A plan is followed by a pause of planShare times its length, up to
+// maxPlanPause, so that a flood of changes is decided together.
+const (
+	planShare    = 20
+	maxPlanPause = 200 * time.Millisecond
+)
+
+// plan decides and acts on the decision.
+func (c *Cell) plan() {
+	c.Mu.Lock()
+	defer c.Mu.Unlock()
+	if !c.Config.Book.Fresh(c.Now(), c.Config.Bounds.Confirm) || c.quiet || c.Ctx.Err() != nil {
+		return
+	}
+	in := c.input()
+	if len(in.Waiting) == 0 {
+		return
+	}
+	began := time.Now()
+	p := place.Decide(in)
+	c.Config.Meter.Decision.Observe(time.Since(began).Seconds())
+	c.seats = p.Seats
+	c.unseated = map[string]bool{}
+	for _, g := range p.Unseated {
+		c.unseated[g] = true
+	}
+	for _, s := range p.Stops {
+		j := c.Jobs[s.Key]
+		c.Config.Meter.Preempted.WithLabelValues(s.Key.Account).Inc()
+		c.HaltJob(j, crew.HaltPreempted, "room for "+s.For.String())
+		if k := c.Jobs[s.For]; k != nil {
+			c.Event(k, "Reclaims", "stops "+s.Key.String())
+		}
+	}
+	for _, s := range p.Starts {
+		c.Begin(c.Jobs[s.Key], s.Targets, s.Guarantee)
+	}
+	clear(c.Waits)
+	for _, w := range p.Waits {
+		c.Waits[w.Key] = w
+	}
+}
+
+// input collects what a decision depends on. The lock is held.
+func (c *Cell) input() *board.Input {
+	now := c.Now()
+	in := &board.Input{Now: now, Cell: c.Name, Rules: &c.Config.Book.Current().Manifest, Seats: c.seats, Policy: c.Config.Policy}
+	for id, x := range c.Nodes {
+		in.Targets = append(in.Targets, board.Target{
+			ID: id, Rack: x.Host.Rack, Room: x.Room(), Probe: x.Health.Probes > 0,
+			Open: x.Open() && now.Sub(x.Contact) < c.Config.Bounds.Lease,
+		})
+	}
+	for _, j := range c.Jobs {
+		switch {
+		case len(j.Members) > 0:
+			in.Running = append(in.Running, c.running(j))
+		case j.Record.State == jobs.Waiting && !j.Moving:
+			in.Waiting = append(in.Waiting, board.Request{Spec: j.Spec(), Arrived: j.Record.Accepted, Expected: c.Expect(j.Spec()), Avoid: j.Avoided(now), Hold: now.Before(j.NotBefore)})
+		}
+	}
+	return in
+}
+
+// running describes a job that holds room. The lock is held.
+func (c *Cell) running(j *crew.Job) board.Job {
+	r := board.Job{
+		Spec: j.Spec(), Guarantee: j.Guarantee, Started: j.Record.Started,
+		Expected: c.Expect(j.Spec()), Starting: j.Record.State == jobs.Starting, Stuck: c.Stuck(j),
+	}
+	r.Stopping = !r.Starting && j.Record.State != jobs.Running
+	if r.Started.IsZero() {
+		r.Started = c.Now()
+	}
+	for i := range j.Members {
+		m := &j.Members[i]
+		if !m.Ended() {
+			r.Targets = append(r.Targets, m.Target)
+		}
+	}
+	return r
+}
--- a/cells/recover.go
+++ b/cells/recover.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"citronbridge/crew"
 	"citronbridge/jobs"
 	"citronbridge/ledger"
 	"citronbridge/target"
@@ -12,17 +13,17 @@
 // Recover rebuilds the cell's state from its open rows and its targets.
 func (c *Cell) Recover(ctx context.Context) error {
 	reports := c.fenceAll(ctx)
-	keys, err := c.c.Records.Open(ctx, c.Name)
+	keys, err := c.Config.Records.Open(ctx, c.Name)
 	if err != nil {
 		return err
 	}
-	entries, bad, err := c.c.Records.LoadAll(ctx, keys)
+	entries, bad, err := c.Config.Records.LoadAll(ctx, keys)
 	if err != nil {
 		return err
 	}
-	c.c.Meter.Malformed.WithLabelValues("Table").Add(float64(bad))
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.Config.Meter.Malformed.WithLabelValues("Table").Add(float64(bad))
+	c.Mu.Lock()
+	defer c.Mu.Unlock()
 	c.adopt(entries, reports)
 	return nil
 }
@@ -32,11 +33,11 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	m := map[string]target.Report{}
-	for _, h := range c.c.Hosts.Targets(c.Name) {
+	for _, h := range c.Config.Hosts.Targets(c.Name) {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			r, err := c.c.Connect(h, c.c.Bounds.Lease).Fence(ctx, c.hold.Epoch)
+			r, err := c.Config.Connect(h, c.Config.Bounds.Lease).Fence(ctx, c.Hold.Epoch)
 			if err != nil {
 				return
 			}
@@ -57,7 +58,7 @@
 	for _, r := range reports {
 		for i := range r.Tasks {
 			t := &r.Tasks[i]
-			if o := last[t.ID.Job]; o == nil || later(t.ID.Attempt, o.ID.Attempt) {
+			if o := last[t.ID.Job]; o == nil || crew.Later(t.ID.Attempt, o.ID.Attempt) {
 				last[t.ID.Job] = t
 			}
 		}
@@ -66,41 +67,36 @@
 		if e.Record.Final() || e.Record.Cell != c.Name {
 			continue
 		}
-		j := newJob(e)
-		c.jobs[j.key()] = j
-		c.resume(j, last[j.key()])
+		j := crew.NewJob(e)
+		c.Jobs[j.Key()] = j
+		c.resume(j, last[j.Key()])
 	}
 }
 
-// later reports whether attempt a came after b.
-func later(a, b jobs.Attempt) bool {
-	return a.Epoch > b.Epoch || a.Epoch == b.Epoch && a.Number > b.Number
-}
-
 // resume sets up a job that may have an attempt at the targets. The lock is
 // held.
-func (c *Cell) resume(j *job, t *target.Task) {
+func (c *Cell) resume(j *crew.Job, t *target.Task) {
 	j.Record.State = jobs.Waiting
 	targets := j.Record.Targets
 	switch {
-	case j.spec().NonIdempotent && j.Record.Attempt.Epoch > 0:
-		j.attempt = j.Record.Attempt
-	case !j.spec().NonIdempotent && t != nil:
-		j.attempt, targets = t.ID.Attempt, t.Targets
+	case j.Spec().NonIdempotent && j.Record.Attempt.Epoch > 0:
+		j.Attempt = j.Record.Attempt
+	case !j.Spec().NonIdempotent && t != nil:
+		j.Attempt, targets = t.ID.Attempt, t.Targets
 	default:
 		return
 	}
-	if len(targets) != j.spec().Shape.Members {
+	if len(targets) != j.Spec().Shape.Members {
 		return
 	}
-	if t != nil && t.ID.Attempt == j.attempt {
-		j.guarantee = t.Guarantee
+	if t != nil && t.ID.Attempt == j.Attempt {
+		j.Guarantee = t.Guarantee
 	}
-	j.members = make([]member, len(targets))
+	j.Members = make([]crew.Member, len(targets))
 	for i, id := range targets {
-		j.members[i].target = id
+		j.Members[i].Target = id
 	}
-	j.Record.Started = c.taken
-	c.fire(j, jobs.Doubt)
-	c.event(j, "TakenOver", j.attempt.String())
+	j.Record.Started = c.Taken
+	c.Fire(j, jobs.Doubt)
+	c.Event(j, "TakenOver", j.Attempt.String())
 }
--- a/cells/views.go
+++ b/cells/views.go
@@ -5,23 +5,25 @@
 	"strings"
 
 	"citronbridge/board"
+	"citronbridge/crew"
+	"citronbridge/gangs"
 	"citronbridge/jobs"
 	"citronbridge/views"
 )
 
 // Explain explains a job that the cell has.
 func (c *Cell) Explain(k jobs.Key) (views.Explanation, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	j := c.jobs[k]
+	c.Mu.Lock()
+	defer c.Mu.Unlock()
+	j := c.Jobs[k]
 	if j == nil {
 		return views.Explanation{}, false
 	}
 	e := views.Of(j.Record)
 	e.Events = slices.Clone(e.Events)
-	e.Guarantee, e.Revision = j.guarantee, c.c.Book.Number()
-	for i := range j.members {
-		e.Targets = append(e.Targets, j.members[i].target)
+	e.Guarantee, e.Revision = j.Guarantee, c.Config.Book.Number()
+	for i := range j.Members {
+		e.Targets = append(e.Targets, j.Members[i].Target)
 	}
 	if j.Record.State != jobs.Waiting {
 		return e, true
@@ -31,17 +33,17 @@
 }
 
 // explainWait adds why a job waits. The lock is held.
-func (c *Cell) explainWait(j *job, e *views.Explanation) {
-	for _, o := range c.jobs {
+func (c *Cell) explainWait(j *crew.Job, e *views.Explanation) {
+	for _, o := range c.Jobs {
 		if o.Record.State == jobs.Waiting && o.Record.Accepted.Before(j.Record.Accepted) {
 			e.Ahead++
 		}
 	}
-	w, ok := c.waits[j.key()]
+	w, ok := c.Waits[j.Key()]
 	switch {
 	case ok:
 		e.Reason, e.Hint = string(w.Reason)+": "+w.Detail, views.Hints[w.Reason]
-	case !c.c.Book.Fresh(c.now(), c.c.Bounds.Confirm):
+	case !c.Config.Book.Fresh(c.Now(), c.Config.Bounds.Confirm):
 		e.Reason, e.Hint = "RulesUnconfirmed: nothing starts until the manifest is confirmed", "bring back the table service, or the connection to another data centre"
 	default:
 		e.Reason = "Pending: not decided yet"
@@ -50,17 +52,17 @@
 
 // Targets describes the cell's targets in the order of their IDs.
 func (c *Cell) Targets() []views.Target {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.Mu.Lock()
+	defer c.Mu.Unlock()
 	m := map[string]*views.Target{}
-	for id, x := range c.nodes {
-		m[id] = &views.Target{ID: id, Cell: c.Name, Rack: x.host.Rack, Room: x.host.Room, Free: x.room(), State: c.nodeState(x), Jobs: []string{}, Failed: len(x.health.Failed), Guarantees: []string{}}
-	}
-	for _, j := range c.jobs {
-		for i := range j.members {
-			if v := m[j.members[i].target]; v != nil && !j.members[i].ended() {
-				v.Free = v.Free.Minus(j.spec().Task())
-				v.Jobs = append(v.Jobs, j.key().String())
+	for id, x := range c.Nodes {
+		m[id] = &views.Target{ID: id, Cell: c.Name, Rack: x.Host.Rack, Room: x.Host.Room, Free: x.Room(), State: c.nodeState(x), Jobs: []string{}, Failed: len(x.Health.Failed), Guarantees: []string{}}
+	}
+	for _, j := range c.Jobs {
+		for i := range j.Members {
+			if v := m[j.Members[i].Target]; v != nil && !j.Members[i].Ended() {
+				v.Free = v.Free.Minus(j.Spec().Task())
+				v.Jobs = append(v.Jobs, j.Key().String())
 			}
 		}
 	}
@@ -82,15 +84,15 @@
 }
 
 // nodeState names the state of a target. The lock is held.
-func (c *Cell) nodeState(x *node) string {
+func (c *Cell) nodeState(x *gangs.Node) string {
 	switch {
-	case !x.listed:
+	case !x.Listed:
 		return "Unlisted"
-	case x.host.Leaving:
+	case x.Host.Leaving:
 		return "Leaving"
-	case !x.fenced || x.unanswered >= silentCalls || c.now().Sub(x.contact) > c.c.Bounds.Lease:
+	case !x.Fenced || x.Unanswered >= gangs.SilentCalls || c.Now().Sub(x.Contact) > c.Config.Bounds.Lease:
 		return "Silent"
-	case x.health.Suspect:
+	case x.Health.Suspect:
 		return "Suspect"
 	}
 	return "Open"
@@ -98,9 +100,9 @@
 
 // Accounts describes the accounts in the order of the manifest.
 func (c *Cell) Accounts() []views.Account {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	r := c.c.Book.Current()
+	c.Mu.Lock()
+	defer c.Mu.Unlock()
+	r := c.Config.Book.Current()
 	if r == nil {
 		return nil
 	}
@@ -122,8 +124,8 @@
 	for i := range l {
 		at[l[i].Account] = &l[i]
 	}
-	for _, j := range c.jobs {
-		if v := at[j.key().Account]; v != nil {
+	for _, j := range c.Jobs {
+		if v := at[j.Key().Account]; v != nil {
 			count(v, j)
 		}
 	}
@@ -135,13 +137,13 @@
 }
 
 // count adds a job to its account's view.
-func count(v *views.Account, j *job) {
-	n := j.spec().Shape.Accelerators()
+func count(v *views.Account, j *crew.Job) {
+	n := j.Spec().Shape.Accelerators()
 	switch {
-	case len(j.members) == 0:
+	case len(j.Members) == 0:
 		v.Waiting++
 		return
-	case j.guarantee != "":
+	case j.Guarantee != "":
 		v.Used += n
 	default:
 		v.Borrowed += n
--- a/config/config.go
+++ b/config/config.go
@@ -12,12 +12,12 @@
 	"github.com/rs/zerolog"
 
 	"citronbridge/board"
-	"citronbridge/cells"
 	"citronbridge/certs"
 	"citronbridge/entry"
 	"citronbridge/fault"
 	"citronbridge/jobs"
 	"citronbridge/rules"
+	"citronbridge/setup"
 	"citronbridge/units"
 )
 
@@ -85,8 +85,8 @@
 		LogLevel: "info",
 		Store:    Store{CallsPerSecond: 200},
 		Bounds: Bounds{
-			Lease: d(cells.DefaultLease), Start: d(cells.DefaultStart), Arm: d(cells.DefaultArm), Checkpoint: d(cells.DefaultCheckpoint),
-			Stop: d(cells.DefaultStop), Confirm: d(cells.DefaultConfirm), Offer: d(cells.DefaultOffer), Probe: d(cells.DefaultProbe),
+			Lease: d(setup.DefaultLease), Start: d(setup.DefaultStart), Arm: d(setup.DefaultArm), Checkpoint: d(setup.DefaultCheckpoint),
+			Stop: d(setup.DefaultStop), Confirm: d(setup.DefaultConfirm), Offer: d(setup.DefaultOffer), Probe: d(setup.DefaultProbe),
 			Heartbeat: d(400 * time.Millisecond), HeartbeatTimeout: d(1500 * time.Millisecond),
 			LongPoll: d(entry.DefaultMaxWait), ManifestPoll: d(2 * time.Second), HostListPoll: d(500 * time.Millisecond),
 			DrainGrace: d(time.Second), DrainLimit: d(30 * time.Second),
@@ -193,8 +193,8 @@
 }
 
 // Cells returns the bounds of a decider.
-func (b *Bounds) Cells() cells.Bounds {
-	return cells.Bounds{
+func (b *Bounds) Cells() setup.Bounds {
+	return setup.Bounds{
 		Lease: b.Lease.D(), Start: b.Start.D(), Arm: b.Arm.D(), Checkpoint: b.Checkpoint.D(), Stop: b.Stop.D(),
 		Confirm: b.Confirm.D(), Offer: b.Offer.D(), Probe: b.Probe.D(),
 	}
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -7,11 +7,11 @@
 	"strings"
 	"time"
 
-	"citronbridge/cells"
 	"citronbridge/fault"
 	"citronbridge/jobs"
 	"citronbridge/reply"
 	"citronbridge/rules"
+	"citronbridge/setup"
 	"citronbridge/table"
 )
 
@@ -147,7 +147,7 @@
 	}
 	best := ""
 	for _, cell := range s.c.View.Cells() {
-		if !cells.Holds(s.c.View, cell, spec) {
+		if !setup.Holds(s.c.View, cell, spec) {
 			continue
 		}
 		if guaranteed(m, spec, cell) {
--- /dev/null
+++ b/gangs/launch.go
@@ -0,0 +1,317 @@
+package gangs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"citronbridge/crew"
+	"citronbridge/jobs"
+	"citronbridge/ledger"
+	"citronbridge/target"
+	"citronbridge/units"
+)
+
+// Bounds of repeated attempts.
+const (
+	maxRestarts  = 30
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = 5 * time.Second
+	// avoidRefusing and avoidBroken are how long a job is kept from a target
+	// that didn't take it, and from one where it broke.
+	avoidRefusing = 2 * time.Second
+	avoidBroken   = 30 * time.Second
+)
+
+// Begin places a waiting job and starts its launch. The lock is held.
+func (c *Gangs) Begin(j *crew.Job, targets []string, guarantee string) {
+	c.attempts++
+	j.Attempt = jobs.Attempt{Epoch: c.Hold.Epoch, Number: c.attempts}
+	j.Guarantee = guarantee
+	j.Members = make([]crew.Member, len(targets))
+	for i, t := range targets {
+		j.Members[i].Target = t
+	}
+	c.Fire(j, jobs.Place)
+	delete(c.Waits, j.Key())
+	what := "PlacedAsBorrower"
+	if guarantee != "" {
+		what = "PlacedOnGuarantee"
+	}
+	c.Event(j, what, fmt.Sprint(targets))
+	c.Work.Add(1)
+	go c.launch(j, targets)
+}
+
+// launch reserves every member of a gang, and starts them once all are
+// reserved. Nothing else moves the job out of Starting.
+func (c *Gangs) launch(j *crew.Job, targets []string) {
+	defer c.Work.Done()
+	ctx, cancel := context.WithTimeout(c.Ctx, writeTimeout)
+	defer cancel()
+	if j.Spec().NonIdempotent {
+		if err := c.intend(ctx, j, targets); err != nil {
+			c.abandon(j, "intent not written: "+err.Error(), "")
+			return
+		}
+	}
+	if bad, why := c.orderAll(ctx, j, target.Reserve); bad != "" {
+		c.abandon(j, fmt.Sprintf("not reserved at %s: %s", bad, why), bad)
+		return
+	}
+	bad, why := c.startAll(ctx, j)
+	c.Mu.Lock()
+	defer c.Mu.Unlock()
+	if c.Ctx.Err() != nil {
+		return
+	}
+	if bad != "" {
+		j.Avoid[bad] = c.Now().Add(avoidRefusing)
+		c.HaltJob(j, crew.HaltFailed, fmt.Sprintf("not started at %s: %s", bad, why))
+		return
+	}
+	c.Fire(j, jobs.Launch)
+	j.Record.Started = c.Now()
+	c.Event(j, "Running", j.Attempt.String())
+	c.observeStart(j)
+	c.Advance(j)
+	c.Wake()
+}
+
+// startAll orders every member to start. If they are on several targets, each
+// waits for the arming delay, so that the others can still be kept from
+// starting if one doesn't answer.
+func (c *Gangs) startAll(ctx context.Context, j *crew.Job) (bad, why string) {
+	if d := c.armDelay(j); d > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, d/2)
+		defer cancel()
+	}
+	return c.orderAll(ctx, j, target.Start)
+}
+
+// armDelay returns the arming delay of a gang: none if it is on one target.
+func (c *Gangs) armDelay(j *crew.Job) time.Duration {
+	for i := range j.Members {
+		if j.Members[i].Target != j.Members[0].Target {
+			return c.Config.Bounds.Arm
+		}
+	}
+	return 0
+}
+
+// observeStart measures how long a job waited. The lock is held.
+func (c *Gangs) observeStart(j *crew.Job) {
+	s := j.Spec()
+	c.Config.Meter.Wait.WithLabelValues(s.Account, s.Kind).Observe(j.Record.Started.Sub(j.Record.Accepted).Seconds())
+}
+
+// intend writes which targets a non-idempotent job may run on, before any is
+// asked to.
+func (c *Gangs) intend(ctx context.Context, j *crew.Job, targets []string) error {
+	c.Mu.Lock()
+	r := *j.Record
+	r.Attempt, r.Targets = j.Attempt, targets
+	r.Incarnations = make([]string, len(targets))
+	for i, t := range targets {
+		if x := c.Nodes[t]; x != nil {
+			r.Incarnations[i] = x.Incarnation
+		}
+	}
+	e := ledger.Entry{Record: &r, Version: j.Version}
+	c.Mu.Unlock()
+	v, err := c.Config.Records.Update(ctx, c.Hold, e)
+	if errors.Is(err, ledger.ErrFenced) {
+		c.Lost("table service has a newer epoch")
+	}
+	if err != nil {
+		c.Reload(j)
+		return err
+	}
+	c.Mu.Lock()
+	defer c.Mu.Unlock()
+	j.Version = v
+	j.Record.Attempt, j.Record.Targets, j.Record.Incarnations = r.Attempt, r.Targets, r.Incarnations
+	return nil
+}
+
+// Reload learns the version of a job's row after an uncertain write.
+func (c *Gangs) Reload(j *crew.Job) {
+	ctx, cancel := context.WithTimeout(c.Ctx, callTimeout)
+	defer cancel()
+	e, err := c.Config.Records.Load(ctx, j.Key())
+	if err != nil || e.Record == nil {
+		return
+	}
+	c.Mu.Lock()
+	defer c.Mu.Unlock()
+	j.Version = e.Version
+}
+
+// order is the order of that action to a member. The lock is held.
+func (c *Gangs) order(j *crew.Job, a target.Action, i int) target.Order {
+	o := target.Order{Action: a, Task: target.TaskID{Job: j.Key(), Attempt: j.Attempt, Member: i}}
+	switch a {
+	case target.Start:
+		o.Delay, o.Lease = units.Duration(c.armDelay(j)), units.Duration(c.Config.Bounds.Start)
+		return o
+	case target.Reserve:
+	default:
+		return o
+	}
+	s := j.Spec()
+	o.Room, o.Guarantee = s.Task(), j.Guarantee
+	o.Arguments, o.Input = s.Arguments, s.Input
+	for k := range j.Members {
+		o.Targets = append(o.Targets, j.Members[k].Target)
+	}
+	return o
+}
+
+// orders collects the orders of an action by target, for the members that
+// want returns true for. The lock is held.
+func (c *Gangs) orders(j *crew.Job, a target.Action, want func(*crew.Member) bool) map[*Node][]target.Order {
+	m := map[*Node][]target.Order{}
+	for i := range j.Members {
+		x := c.Nodes[j.Members[i].Target]
+		if x != nil && want(&j.Members[i]) {
+			m[x] = append(m[x], c.order(j, a, i))
+		}
+	}
+	return m
+}
+
+// orderAll gives an order to every member at once, and returns a target that
+// didn't accept it, with the reason.
+func (c *Gangs) orderAll(ctx context.Context, j *crew.Job, a target.Action) (bad, why string) {
+	c.Mu.Lock()
+	m := c.orders(j, a, crew.Every)
+	for i := range j.Members {
+		if c.Nodes[j.Members[i].Target] == nil {
+			bad, why = j.Members[i].Target, "no longer listed"
+		}
+	}
+	for i := range j.Members {
+		j.Members[i].Asked = j.Members[i].Asked || a == target.Start && bad == ""
+	}
+	c.Mu.Unlock()
+	if bad != "" {
+		return bad, why
+	}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for x, o := range m {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if w := c.orderNode(ctx, j, x, o); w != "" {
+				mu.Lock()
+				defer mu.Unlock()
+				if bad == "" || x.Host.ID < bad {
+					bad, why = x.Host.ID, w
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	return bad, why
+}
+
+// orderNode gives orders to one target, and returns why it didn't accept one.
+func (c *Gangs) orderNode(ctx context.Context, j *crew.Job, x *Node, o []target.Order) string {
+	r, err := c.Send(ctx, x, o)
+	if err != nil {
+		return err.Error()
+	}
+	c.Mu.Lock()
+	defer c.Mu.Unlock()
+	why := ""
+	for i := range o {
+		if r[i] != target.Accepted {
+			why = string(r[i])
+			j.Members[o[i].Task.Member].Asked = false
+			continue
+		}
+		j.Members[o[i].Task.Member].Ordered(o[i].Action)
+	}
+	return why
+}
+
+// abandon gives up an attempt of which nothing was started.
+func (c *Gangs) abandon(j *crew.Job, detail, bad string) {
+	c.Mu.Lock()
+	defer c.Mu.Unlock()
+	if c.Ctx.Err() != nil {
+		return
+	}
+	if bad != "" {
+		j.Avoid[bad] = c.Now().Add(avoidRefusing)
+	}
+	c.yield(j, "NotReserved", detail)
+}
+
+// yield lets a job wait again whose attempt has ended. The lock is held.
+func (c *Gangs) yield(j *crew.Job, what, detail string) {
+	c.clear(j)
+	c.Fire(j, jobs.Yield)
+	c.Event(j, what, detail)
+	j.Refusals++
+	d := min(firstBackoff<<min(j.Refusals, 10), maxBackoff)
+	if what == preemptedEvent {
+		d = 0
+	}
+	j.NotBefore = c.Now().Add(d)
+	c.Config.Meter.Retries.WithLabelValues(j.Spec().Account).Inc()
+	c.Advance(j)
+	c.Wake()
+}
+
+const preemptedEvent = "Preempted"
+
+// clear makes the targets forget the attempt, and forgets it here. The lock
+// is held.
+func (c *Gangs) clear(j *crew.Job) {
+	stop := c.orders(j, target.Stop, func(m *crew.Member) bool { return !m.Ended() })
+	forget := c.orders(j, target.Forget, crew.Every)
+	for x, o := range forget {
+		o = append(stop[x], o...)
+		c.Work.Add(1)
+		go func() {
+			defer c.Work.Done()
+			c.Send(c.Ctx, x, o)
+		}()
+	}
+	j.Members, j.Guarantee, j.Halt = nil, "", crew.HaltNone
+	j.Attempt = jobs.Attempt{}
+}
+
+// HaltJob begins to stop all members of a job. The lock is held.
+func (c *Gangs) HaltJob(j *crew.Job, why crew.HaltReason, detail string) {
+	c.Fire(j, jobs.Halt)
+	j.Halt, j.Detail, j.Halted = why, detail, c.Now()
+	c.Event(j, "Stopping", string(why)+": "+detail)
+	c.Press(j)
+	c.Advance(j)
+}
+
+// Press repeats the orders by which a job is stopped. The lock is held.
+func (c *Gangs) Press(j *crew.Job) {
+	a := target.Stop
+	if j.Halt == crew.HaltPreempted && j.Spec().Checkpoints && c.Now().Sub(j.Halted) < c.Config.Bounds.Checkpoint {
+		a = target.Checkpoint
+	}
+	for x, o := range c.orders(j, a, func(m *crew.Member) bool { return !m.Ended() }) {
+		c.Work.Add(1)
+		go func() {
+			defer c.Work.Done()
+			c.Send(c.Ctx, x, o)
+		}()
+	}
+}
+
+// Stuck reports whether a job should have stopped long ago.
+func (c *Gangs) Stuck(j *crew.Job) bool {
+	return j.Record.State == jobs.Stopping && c.Now().Sub(j.Halted) > c.Config.Bounds.Checkpoint+c.Config.Bounds.Stop
+}
--- /dev/null
+++ b/gangs/verify.go
@@ -0,0 +1,53 @@
+package gangs
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"citronbridge/blobs"
+	"citronbridge/crew"
+	"citronbridge/jobs"
+)
+
+// verify reads the large outputs of a job whose tasks are crew.Complete, so that an
+// answer is recorded only if it is whole. It goes on until the object store
+// answers for each.
+func (c *Gangs) verify(j *crew.Job, a jobs.Attempt) {
+	defer c.Work.Done()
+	for i := range j.Spec().Shape.Members {
+		c.verifyMember(j, i)
+	}
+	c.Mu.Lock()
+	defer c.Mu.Unlock()
+	j.Verifying = false
+	if c.Ctx.Err() == nil && j.Attempt == a {
+		c.Advance(j)
+	}
+}
+
+// verifyMember reads the output of one member.
+func (c *Gangs) verifyMember(j *crew.Job, i int) {
+	c.Mu.Lock()
+	m := &j.Members[i]
+	p := m.Output
+	done := m.Verified || !crew.Complete(m)
+	c.Mu.Unlock()
+	for n := 0; !done && c.Ctx.Err() == nil; n++ {
+		ctx, cancel := context.WithTimeout(c.Ctx, writeTimeout)
+		b, err := c.Config.Objects.Get(ctx, p.Object)
+		cancel()
+		if err == nil || errors.Is(err, blobs.ErrNotFound) {
+			c.Mu.Lock()
+			if m.Verified = err == nil && p.Verify(b); !m.Verified {
+				m.Spoil()
+			}
+			c.Mu.Unlock()
+			return
+		}
+		select {
+		case <-c.Ctx.Done():
+		case <-time.After(min(firstBackoff<<min(n, 10), maxBackoff)):
+		}
+	}
+}
--- a/host/host.go
+++ b/host/host.go
@@ -16,7 +16,6 @@
 
 	"citronbridge/admin"
 	"citronbridge/blobs"
-	"citronbridge/cells"
 	"citronbridge/certs"
 	"citronbridge/config"
 	"citronbridge/entry"
@@ -28,6 +27,7 @@
 	"citronbridge/retry"
 	"citronbridge/route"
 	"citronbridge/rules"
+	"citronbridge/setup"
 	"citronbridge/table"
 	"citronbridge/timer"
 	"citronbridge/wire"
@@ -149,9 +149,9 @@
 	h.view = fleet.NewView(fleet.NewClient(h.s.Platform.Hosts, h.guard("hosts", 0)))
 	h.view.Malformed = func(n int) { h.meter.Malformed.WithLabelValues("HostList").Add(float64(n)) }
 	var err error
-	h.keep, err = keeper.New(cells.Config{
+	h.keep, err = keeper.New(setup.Config{
 		Host: h.s.Host, DataCentre: h.s.DataCentre, Records: rows, Objects: objects, Hosts: h.view, Book: h.book, Timer: h.timer,
-		Meter: h.meter, Log: h.log, Live: h.live, Connect: cells.ConnectHTTP, Offered: h.offered, Policy: h.s.Policy, Bounds: h.s.Bounds.Cells(),
+		Meter: h.meter, Log: h.log, Live: h.live, Connect: setup.ConnectHTTP, Offered: h.offered, Policy: h.s.Policy, Bounds: h.s.Bounds.Cells(),
 	})
 	if err != nil {
 		return err
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -14,6 +14,7 @@
 	"citronbridge/cells"
 	"citronbridge/fleet"
 	"citronbridge/ledger"
+	"citronbridge/setup"
 	"citronbridge/wire"
 )
 
@@ -31,7 +32,7 @@
 
 // Keeper decides which cells this host decides for.
 type Keeper struct {
-	c       cells.Config
+	c       setup.Config
 	started time.Time
 	poke    chan struct{}
 
@@ -45,7 +46,7 @@
 }
 
 // New returns a Keeper that decides for no cell yet.
-func New(c cells.Config) (*Keeper, error) {
+func New(c setup.Config) (*Keeper, error) {
 	if err := c.Check(); err != nil {
 		return nil, err
 	}
--- a/cells/config.go
+++ b/setup/setup.go
@@ -1,6 +1,6 @@
-// Package cells decides for the targets of a data centre: it owns a cell under
-// an epoch, holds its jobs in memory, places them and watches their tasks.
-package cells
+// Package setup holds what a decider is given: its bounds, and interfaces to the
+// rows, the list of hosts, the targets and the object store.
+package setup
 
 import (
 	"context"
@@ -39,8 +39,8 @@
 	Hosts(r fleet.Role) []fleet.Host
 }
 
-// conn is the conversation with one target.
-type conn interface {
+// Conn is the conversation with one target.
+type Conn interface {
 	Fence(ctx context.Context, epoch int64) (target.Report, error)
 	Watch(ctx context.Context, epoch, since int64, wait time.Duration) (target.Report, error)
 	Send(ctx context.Context, epoch int64, orders []target.Order) ([]target.Refusal, error)
@@ -55,7 +55,7 @@
 	_ objects = (*blobs.Client)(nil)
 	_ records = (*ledger.Ledger)(nil)
 	_ hosts   = (*fleet.View)(nil)
-	_ conn    = (*target.Client)(nil)
+	_ Conn    = (*target.Client)(nil)
 )
 
 // Config is what a Keeper needs.
@@ -72,7 +72,7 @@
 	// Live returns the heartbeats of the other hosts that live.
 	Live func() []*wire.Heartbeat
 	// Connect returns the conversation with a target.
-	Connect func(h fleet.Host, lease time.Duration) conn
+	Connect func(h fleet.Host, lease time.Duration) Conn
 	// Offered tells another cell's decider of a job that was moved to it.
 	Offered func(cell string, k jobs.Key)
 	Policy  board.Policy
@@ -140,6 +140,15 @@
 }
 
 // ConnectHTTP connects to a target by its address.
-func ConnectHTTP(h fleet.Host, lease time.Duration) conn {
+func ConnectHTTP(h fleet.Host, lease time.Duration) Conn {
 	return target.NewClient("http://"+h.Address, lease)
 }
+
+// Holds reports whether a cell could hold a job if it were empty.
+func Holds(l hosts, cell string, s *jobs.Spec) bool {
+	var t []board.Target
+	for _, h := range l.Targets(cell) {
+		t = append(t, board.Target{ID: h.ID, Rack: h.Rack, Room: h.Room, Open: true})
+	}
+	return board.Holds(t, s)
+}
