golden: Compare with golden files in one place

Cause: the comparison with golden files stood in four tests, the answer to an unavailable service in seven places.

After: the tests of config, entry, place, rules and cmds pass, golden files unchanged.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -189,7 +189,7 @@
 	case errors.Is(err, rules.ErrSuperseded):
 		reply.JSON(w, http.StatusConflict, Superseded{"about:blank", "Superseded", http.StatusConflict, err.Error(), number(v)})
 	case err != nil:
-		(&reply.Problem{Status: http.StatusServiceUnavailable, Detail: "send the proposal again under the same ID: " + err.Error(), RetryAfter: retryAfter}).Write(w)
+		reply.Unavailable(w, "send the proposal again under the same ID: "+err.Error())
 	default:
 		s.c.Adopted(v)
 		s.c.Log.Info().Int64("revision", v.Number).Str("proposal", p.ID).Msg("manifest accepted")
@@ -252,7 +252,7 @@
 	}
 	l, err := s.c.Register.History(r.Context(), after, page)
 	if err != nil {
-		(&reply.Problem{Status: http.StatusServiceUnavailable, Detail: err.Error(), RetryAfter: time.Second}).Write(w)
+		reply.Unavailable(w, err.Error())
 		return
 	}
 	reply.JSON(w, http.StatusOK, l)
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -1,12 +1,11 @@
 package config
 
 import (
-	"flag"
 	"os"
 	"testing"
-)
 
-var update = flag.Bool("update", false, "write the golden files")
+	"citronbridge/golden"
+)
 
 // TestBadSettings checks that every fault of a file is told in one run, with
 // line, field, value and what is allowed.
@@ -15,7 +14,7 @@
 	if err == nil {
 		t.Fatal("no faults found")
 	}
-	golden(t, "testdata/bad.golden", err.Error()+"\n")
+	golden.Check(t, "testdata/bad.golden", err.Error()+"\n")
 }
 
 // TestExamples checks the settings in the examples.
@@ -43,19 +42,3 @@
 		}
 	})
 }
-
-func golden(t *testing.T, file, got string) {
-	t.Helper()
-	if *update {
-		if err := os.WriteFile(file, []byte(got), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got != string(want) {
-		t.Errorf("%s: got\n%s\nwant\n%s", file, got, want)
-	}
-}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -4,17 +4,16 @@
 	"bytes"
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"citronbridge/admin"
 	"citronbridge/fleet"
+	"citronbridge/golden"
 	"citronbridge/jobs"
 	"citronbridge/ledger"
 	"citronbridge/meter"
@@ -23,8 +22,6 @@
 	"citronbridge/wire"
 )
 
-var update = flag.Bool("update", false, "write the golden files")
-
 // fakeRecords holds jobs in memory and counts the inserts.
 type fakeRecords struct {
 	rows    map[jobs.Key]*jobs.Record
@@ -167,7 +164,7 @@
 	if f.inserts != 0 {
 		t.Errorf("%d inserts", f.inserts)
 	}
-	golden(t, "testdata/bad.golden", got.String())
+	golden.Check(t, "testdata/bad.golden", got.String())
 }
 
 func send(s *Server, token, method, path, body string) *httptest.ResponseRecorder {
@@ -235,19 +232,3 @@
 		}
 	})
 }
-
-func golden(t *testing.T, file, got string) {
-	t.Helper()
-	if *update {
-		if err := os.WriteFile(file, []byte(got), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got != string(want) {
-		t.Errorf("%s: got\n%s\nwant\n%s", file, got, want)
-	}
-}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -28,7 +28,7 @@
 	e, err := s.c.Records.Load(r.Context(), k)
 	switch {
 	case err != nil:
-		(&reply.Problem{Status: http.StatusServiceUnavailable, Detail: "the table service is not available", RetryAfter: storeRetryAfter}).Write(w)
+		reply.Unavailable(w, "the table service is not available")
 	case e.Record == nil:
 		reply.Error(w, http.StatusNotFound, "no such job: "+k.ID)
 	default:
@@ -89,7 +89,7 @@
 	}
 	recs, more, err := s.c.Records.List(r.Context(), account, after, n)
 	if err != nil {
-		(&reply.Problem{Status: http.StatusServiceUnavailable, Detail: "the table service is not available", RetryAfter: storeRetryAfter}).Write(w)
+		reply.Unavailable(w, "the table service is not available")
 		return
 	}
 	p := Page{Jobs: []Status{}}
@@ -117,7 +117,7 @@
 		return
 	}
 	if err := s.c.Deciders.Cancel(r.Context(), rec.Cell, k); err != nil {
-		(&reply.Problem{Status: http.StatusServiceUnavailable, Detail: "the job's decider doesn't answer: " + err.Error(), RetryAfter: storeRetryAfter}).Write(w)
+		reply.Unavailable(w, "the job's decider doesn't answer: "+err.Error())
 		return
 	}
 	reply.JSON(w, http.StatusAccepted, statusOf(s.current(r.Context(), rec)))
@@ -236,7 +236,7 @@
 		if total <= maxInlineAnswer {
 			b, err := s.data(r.Context(), &p)
 			if err != nil {
-				(&reply.Problem{Status: http.StatusBadGateway, Title: "Answer not available", Detail: err.Error(), Outcome: rec.Outcome, RetryAfter: storeRetryAfter}).Write(w)
+				notWhole(w, rec, err)
 				return
 			}
 			p.Data = b
@@ -255,7 +255,7 @@
 	p := &rec.Answer[member]
 	b, err := s.data(r.Context(), p)
 	if err != nil {
-		(&reply.Problem{Status: http.StatusBadGateway, Title: "Answer not available", Detail: err.Error(), Outcome: rec.Outcome, RetryAfter: storeRetryAfter}).Write(w)
+		notWhole(w, rec, err)
 		return
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
@@ -278,3 +278,8 @@
 	}
 	return b, nil
 }
+
+// notWhole answers that the recorded output can't be read whole right now.
+func notWhole(w http.ResponseWriter, rec *jobs.Record, err error) {
+	(&reply.Problem{Status: http.StatusBadGateway, Title: "Answer not available", Detail: err.Error(), Outcome: rec.Outcome, RetryAfter: storeRetryAfter}).Write(w)
+}
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -57,7 +57,7 @@
 	rev := s.c.Book.Current()
 	if rev == nil {
 		s.refuse(id.account, "NotReady")
-		(&reply.Problem{Status: http.StatusServiceUnavailable, Detail: "no manifest yet", RetryAfter: storeRetryAfter}).Write(w)
+		reply.Unavailable(w, "no manifest yet")
 		return
 	}
 	if err := checkKind(spec, &rev.Manifest); err != nil {
@@ -188,7 +188,7 @@
 			Detail: "it is not known whether the request was recorded: send it again under the same ID"}).Write(w)
 	case err != nil:
 		s.refuse(spec.Account, "Store")
-		(&reply.Problem{Status: http.StatusServiceUnavailable, RetryAfter: storeRetryAfter, Detail: "nothing was recorded: the table service is not available"}).Write(w)
+		reply.Unavailable(w, "nothing was recorded: the table service is not available")
 	case !fresh:
 		s.repeated(w, spec, e.Record)
 	default:
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -3,10 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -14,13 +12,12 @@
 	"pgregory.net/rapid"
 
 	"citronbridge/board"
+	"citronbridge/golden"
 	"citronbridge/jobs"
 	"citronbridge/rules"
 	"citronbridge/units"
 )
 
-var update = flag.Bool("update", false, "write the golden files")
-
 var epoch = time.Unix(1800000000, 0).UTC()
 
 var wholeTarget = jobs.Room{Accelerators: 8, Processors: 64, Memory: 256 << 30, Slots: 8}
@@ -103,7 +100,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			golden(t, "testdata/"+x.name+".golden", append(b, '\n'))
+			golden.Check(t, "testdata/"+x.name+".golden", string(b)+"\n")
 		})
 	}
 }
@@ -114,22 +111,6 @@
 	return p
 }
 
-func golden(t *testing.T, file string, got []byte) {
-	t.Helper()
-	if *update {
-		if err := os.WriteFile(file, got, 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !bytes.Equal(got, want) {
-		t.Errorf("%s: got\n%s\nwant\n%s", file, got, want)
-	}
-}
-
 // world is a cell that lives through several decisions.
 type world struct {
 	in   board.Input
--- a/reply/reply.go
+++ b/reply/reply.go
@@ -71,3 +71,11 @@
 	w.WriteHeader(status)
 	json.NewEncoder(w).Encode(v)
 }
+
+// retryAfter is how long a caller is told to wait for a service of the platform.
+const retryAfter = time.Second
+
+// Unavailable answers that something the call needs is away for now.
+func Unavailable(w http.ResponseWriter, detail string) {
+	(&Problem{Status: http.StatusServiceUnavailable, Detail: detail, RetryAfter: retryAfter}).Write(w)
+}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -2,16 +2,14 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"os"
 	"testing"
 	"time"
 
 	"citronbridge/fault"
+	"citronbridge/golden"
 )
 
-var update = flag.Bool("update", false, "write the golden files")
-
 // TestBadManifest checks that every fault of a file is told in one run.
 func TestBadManifest(t *testing.T) {
 	b, err := os.ReadFile("testdata/bad.yaml")
@@ -22,19 +20,7 @@
 	if err == nil {
 		t.Fatal("no faults found")
 	}
-	got := err.Error() + "\n"
-	if *update {
-		if err := os.WriteFile("testdata/bad.golden", []byte(got), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile("testdata/bad.golden")
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got != string(want) {
-		t.Errorf("got\n%s\nwant\n%s", got, want)
-	}
+	golden.Check(t, "testdata/bad.golden", err.Error()+"\n")
 }
 
 // TestBook checks that a book never goes back, and tells how long ago its
