keeper: Take cells whose holder doesn't claim them

A host had taken the epoch in the table service, and its takeover failed behind that. It was heard by all and claimed nothing; the preferred host kept off, since others saw the holder, and the holder was not the preferred one.

Change: whether others see the holder counts only if this host doesn't hear it; a takeover seen in the table service gets a second before another is tried; heartbeats tell that a host doesn't reach the table service, and one that does takes its cells.

Before: TestShouldTake fails in two of ten cases. After: it passes; TestDeciderCutFromStore, TestKillHost and TestPlannedStop pass in one run each.

--- a/entry/auth.go
+++ b/entry/auth.go
@@ -52,6 +52,12 @@
 func (s *Server) caller(h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		id, ok := s.identify(r)
+		if !ok && s.c.Book.Current() == nil {
+			// Without a manifest no account's token is known yet.
+			s.refuse("", "NotReady")
+			reply.Unavailable(w, "no manifest yet")
+			return
+		}
 		if !ok {
 			s.refuse("", "Unauthorized")
 			w.Header().Set("WWW-Authenticate", "Bearer")
--- a/host/host.go
+++ b/host/host.go
@@ -62,6 +62,8 @@
 	// polled says that the table service has answered about the manifest.
 	polled  atomic.Bool
 	leaving atomic.Bool
+	// reached is when the table service last answered, in Unix nanoseconds.
+	reached atomic.Int64
 	// certs is nil if connections aren't encrypted.
 	certs    *certs.Store
 	draining chan struct{}
@@ -142,6 +144,9 @@
 func (h *Host) build() error {
 	store := table.NewClient(h.s.Platform.Table, h.guard("table", h.s.Store.CallsPerSecond), func(call, result string) {
 		h.meter.StoreCalls.WithLabelValues(call, result).Inc()
+		if result != "Failed" {
+			h.reached.Store(h.timer.Now().UnixNano())
+		}
 	})
 	rows := ledger.New(store, table.NewBatcher(store))
 	h.reg = rules.NewRegister(store)
@@ -151,7 +156,7 @@
 	var err error
 	h.keep, err = keeper.New(setup.Config{
 		Host: h.s.Host, DataCentre: h.s.DataCentre, Records: rows, Objects: objects, Hosts: h.view, Book: h.book, Timer: h.timer,
-		Meter: h.meter, Log: h.log, Live: h.live, Connect: setup.ConnectHTTP, Offered: h.offered, Policy: h.s.Policy, Bounds: h.s.Bounds.Cells(),
+		Meter: h.meter, Log: h.log, Live: h.live, Storeless: h.storeless, Connect: setup.ConnectHTTP, Offered: h.offered, Policy: h.s.Policy, Bounds: h.s.Bounds.Cells(),
 	})
 	if err != nil {
 		return err
@@ -197,11 +202,21 @@
 	return h.mesh.Live()
 }
 
+// storelessAfter is how long the table service may be silent before other hosts
+// that reach it are asked to take this one's cells.
+const storelessAfter = 4 * time.Second
+
+// storeless reports whether the table service has been silent for long. The
+// manifest is read every few seconds, so one that answers is heard.
+func (h *Host) storeless() bool {
+	return h.timer.Now().Sub(time.Unix(0, h.reached.Load())) > storelessAfter+h.s.Bounds.ManifestPoll.D()
+}
+
 // beat returns what this host's heartbeats say.
 func (h *Host) beat() *wire.Heartbeat {
 	return &wire.Heartbeat{
 		Host: h.s.Host, DataCentre: h.s.DataCentre, PeerAddress: h.PeerAddress(), HttpAddress: h.HTTPAddress(),
-		Revision: h.book.Number(), Leaving: h.leaving.Load(), Holds: h.keep.Claims(),
+		Storeless: h.storeless(), Revision: h.book.Number(), Leaving: h.leaving.Load(), Holds: h.keep.Claims(),
 	}
 }
 
--- a/itest/once_test.go
+++ b/itest/once_test.go
@@ -131,3 +131,25 @@
 		}
 	}
 }
+
+// TestDeciderCutFromStore cuts the decider alone off from the table service.
+// Another host takes its cell, and new jobs run.
+func TestDeciderCutFromStore(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, one)
+	c.propose(manifest(nil, nil))
+	c.awaitDeciders()
+	d := c.decider("dc1")
+	c.cut(d.name, "table")
+	var rest []*member
+	for _, h := range c.hosts {
+		if h != d {
+			rest = append(rest, h)
+		}
+	}
+	k := c.client(kelani+"-token", rest...)
+	s := job("after", 10*time.Millisecond, nonIdempotent)
+	c.submit(k, s)
+	c.done(k, s)
+	c.join(d.name, "table")
+}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -26,7 +26,10 @@
 	// isolatedWait is how long a host that sees no other waits in addition.
 	isolatedWait = 5 * time.Second
 	// fencedWait is how long a host keeps off a cell that was taken from it.
-	fencedWait  = 3 * time.Second
+	fencedWait = 3 * time.Second
+	// takeWait is how long a takeover that was seen in the table service gets
+	// before another is tried.
+	takeWait    = time.Second
 	takeTimeout = 10 * time.Second
 )
 
@@ -201,35 +204,39 @@
 // shouldTake reports whether this host should decide for a cell. The lock is
 // held.
 func (k *Keeper) shouldTake(cell string, live []*wire.Heartbeat, now time.Time) bool {
-	if k.draining || now.Sub(k.started) < settleIn || now.Before(k.keepOff[cell]) {
+	if k.draining || k.c.Storeless() || now.Sub(k.started) < settleIn || now.Before(k.keepOff[cell]) {
 		return false
 	}
 	if len(live) == 0 && now.Sub(k.lastPeer) > checkPeriod && now.Sub(k.lastPeer) < isolatedWait {
 		return false
 	}
 	holder := k.holders[cell].Host
+	// A holder that is heard and doesn't claim the cell doesn't hold it: its
+	// takeover failed behind the table transaction. One that only others hear
+	// may be cut off from here alone.
+	heard := holder == k.c.Host || slices.ContainsFunc(live, func(b *wire.Heartbeat) bool { return b.Host == holder })
 	for _, b := range live {
 		claims := slices.ContainsFunc(b.Holds, func(h *wire.CellClaim) bool { return h.Cell == cell })
-		if claims && !b.Leaving {
+		if claims && !yields(b) {
 			return false
 		}
-		if b.Host != holder && !k.leaving(holder, live) && slices.Contains(b.Sees, holder) && holder != k.c.Host {
+		if !heard && slices.Contains(b.Sees, holder) {
 			return false
 		}
 	}
 	return k.preferred(cell, live) == k.c.Host
 }
 
-func (k *Keeper) leaving(host string, live []*wire.Heartbeat) bool {
-	return slices.ContainsFunc(live, func(b *wire.Heartbeat) bool { return b.Host == host && b.Leaving })
-}
+// yields reports whether a host's cells should go to another: it leaves, or it
+// doesn't reach the table service, without which it can't record anything.
+func yields(b *wire.Heartbeat) bool { return b.Leaving || b.Storeless }
 
 // preferred returns the live host with the highest rendezvous hash for a cell.
 // Hosts in its data centre go before others.
 func (k *Keeper) preferred(cell string, live []*wire.Heartbeat) string {
 	best, near, top := k.c.Host, k.c.DataCentre == cell, rendezvous(cell, k.c.Host)
 	for _, b := range live {
-		if b.Leaving {
+		if yields(b) {
 			continue
 		}
 		n, s := b.DataCentre == cell, rendezvous(cell, b.Host)
@@ -286,6 +293,8 @@
 	defer k.mu.Unlock()
 	if o.Epoch > k.holders[cell].Epoch {
 		k.holders[cell] = o
+		// The new owner may still be at its takeover.
+		k.keepOff[cell] = k.c.Timer.Now().Add(takeWait)
 	}
 }
 
--- /dev/null
+++ b/keeper/keeper_test.go
@@ -0,0 +1,63 @@
+package keeper
+
+import (
+	"testing"
+	"time"
+
+	"citronbridge/ledger"
+	"citronbridge/setup"
+	"citronbridge/wire"
+)
+
+// TestShouldTake asks host a, the only one in the cell's data centre, whether
+// it should take the cell.
+func TestShouldTake(t *testing.T) {
+	now := time.Unix(1000, 0)
+	beat := func(host string, change func(*wire.Heartbeat)) *wire.Heartbeat {
+		b := &wire.Heartbeat{Host: host, DataCentre: "far"}
+		if change != nil {
+			change(b)
+		}
+		return b
+	}
+	claims := func(b *wire.Heartbeat) { b.Holds = []*wire.CellClaim{{Cell: "dc", Epoch: 3}} }
+	for _, x := range []struct {
+		name      string
+		holder    string
+		live      []*wire.Heartbeat
+		storeless bool
+		want      bool
+	}{
+		{"nobody ever held it", "", []*wire.Heartbeat{beat("b", nil)}, false, true},
+		{"held by a live host", "b", []*wire.Heartbeat{beat("b", claims)}, false, false},
+		{"holder leaves", "b", []*wire.Heartbeat{beat("b", func(b *wire.Heartbeat) { claims(b); b.Leaving = true })}, false, true},
+		{"holder doesn't reach the table service", "b", []*wire.Heartbeat{beat("b", func(b *wire.Heartbeat) { claims(b); b.Storeless = true })}, false, true},
+		{"neither does this host", "b", []*wire.Heartbeat{beat("b", func(b *wire.Heartbeat) { claims(b); b.Storeless = true })}, true, false},
+		{"holder is dead", "b", []*wire.Heartbeat{beat("c", nil)}, false, true},
+		{"holder is heard by another only", "b", []*wire.Heartbeat{beat("c", func(b *wire.Heartbeat) { b.Sees = []string{"b"} })}, false, false},
+		{"takeover failed, and all hear the holder", "b", []*wire.Heartbeat{beat("b", nil), beat("c", func(b *wire.Heartbeat) { b.Sees = []string{"a", "b"} })}, false, true},
+		{"own takeover failed", "a", []*wire.Heartbeat{beat("b", func(b *wire.Heartbeat) { b.Sees = []string{"a"} })}, false, true},
+		{"a nearer host lives", "", []*wire.Heartbeat{beat("b", func(b *wire.Heartbeat) { b.DataCentre = "dc"; b.Host = nearest(t) })}, false, false},
+	} {
+		k := &Keeper{
+			c:       setup.Config{Host: "a", DataCentre: "dc", Storeless: func() bool { return x.storeless }},
+			started: now.Add(-time.Minute), lastPeer: now,
+			holders: map[string]ledger.Owner{"dc": {Host: x.holder, Epoch: 3}}, keepOff: map[string]time.Time{},
+		}
+		if got := k.shouldTake("dc", x.live, now); got != x.want {
+			t.Errorf("%s: %t", x.name, got)
+		}
+	}
+}
+
+// nearest returns the name of a host that goes before a in the cell dc.
+func nearest(t *testing.T) string {
+	t.Helper()
+	for _, h := range []string{"b", "c", "d", "e", "f", "g"} {
+		if rendezvous("dc", h) > rendezvous("dc", "a") {
+			return h
+		}
+	}
+	t.Fatal("no such host")
+	return ""
+}
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -69,6 +69,9 @@
 	Timer      *timer.Service
 	Meter      *meter.Set
 	Log        zerolog.Logger
+	// Storeless reports whether this host has not reached the table service for
+	// long.
+	Storeless func() bool
 	// Live returns the heartbeats of the other hosts that live.
 	Live func() []*wire.Heartbeat
 	// Connect returns the conversation with a target.
@@ -133,8 +136,8 @@
 
 // Check returns an error if something needed is missing.
 func (c *Config) Check() error {
-	if c.Records == nil || c.Objects == nil || c.Hosts == nil || c.Book == nil || c.Timer == nil || c.Meter == nil || c.Live == nil || c.Connect == nil {
-		return errors.New("cells: Records, Objects, Hosts, Book, Timer, Meter, Live and Connect are needed")
+	if c.Records == nil || c.Objects == nil || c.Hosts == nil || c.Book == nil || c.Timer == nil || c.Meter == nil || c.Live == nil || c.Storeless == nil || c.Connect == nil {
+		return errors.New("cells: Records, Objects, Hosts, Book, Timer, Meter, Live, Storeless and Connect are needed")
 	}
 	return nil
 }
