itest: Guard the addresses of hosts that restart

The detector laid two races at ten tests that ran beside.

Ruled out: the product; both races are between lines of the harness, and the programs under test, built with the detector too, reported none.

Change: the addresses are under a lock.

Before: 10 tests marked as failed, 2 races.

--- a/itest/chaos_test.go
+++ b/itest/chaos_test.go
@@ -340,7 +340,7 @@
 func (c *chaos) awaitCalm(h *member) {
 	last, limit := 0.0, 0.0
 	// One client for all polls, or their connections would be what is counted.
-	operator, metrics := c.client(operatorToken, h), httpc.New("http://"+h.http)
+	operator, metrics := c.client(operatorToken, h), httpc.New("http://"+h.web())
 	defer func() { c.t.Logf("%s: %g goroutines of %g", h.name, last, limit) }()
 	eventually(c.t, h.name+" is calm", func() bool {
 		l, err := operator.Hosts(context.Background())
--- a/itest/harness_test.go
+++ b/itest/harness_test.go
@@ -165,6 +165,7 @@
 type member struct {
 	*process
 	name, centre string
+	mu           sync.Mutex
 	http, peer   string
 	list         *fakes.Hosts
 	settings     config.Settings
@@ -172,6 +173,20 @@
 	logs []string
 }
 
+// web returns where the host serves callers now.
+func (h *member) web() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.http
+}
+
+// mesh returns where the host serves other hosts now, or "".
+func (h *member) mesh() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.peer
+}
+
 // worker is a target.
 type worker struct {
 	*process
@@ -353,7 +368,9 @@
 	h.logs = append(h.logs, h.log)
 	select {
 	case v := <-up:
+		h.mu.Lock()
 		h.http, h.peer = v.HTTP, v.Peer
+		h.mu.Unlock()
 	case <-h.ended:
 		b, _ := os.ReadFile(h.log)
 		t.Fatalf("host %s ended at its start: %s", h.name, b)
@@ -368,10 +385,10 @@
 			continue
 		}
 		for _, o := range c.hosts {
-			if o.peer == "" || o == h {
+			if o.mesh() == "" || o == h {
 				continue
 			}
-			h.list.Set(fleet.Host{ID: o.name, Role: fleet.Entry, DataCentre: o.centre, Address: c.proxy(h.name, o.name, o.peer)})
+			h.list.Set(fleet.Host{ID: o.name, Role: fleet.Entry, DataCentre: o.centre, Address: c.proxy(h.name, o.name, o.mesh())})
 		}
 		for _, w := range c.targets {
 			e := w.host
@@ -393,7 +410,7 @@
 	}
 	var l []string
 	for _, h := range hosts {
-		l = append(l, h.http)
+		l = append(l, h.web())
 	}
 	k, err := client.New(l, token, nil)
 	must(c.t, err)
--- a/itest/stop_test.go
+++ b/itest/stop_test.go
@@ -31,7 +31,7 @@
 	for ctx.Err() == nil {
 		for _, h := range b.hosts {
 			x, cancel := context.WithTimeout(ctx, time.Second)
-			err := httpc.New("http://"+h.http).Do(x, http.MethodGet, "/readyz", nil, nil)
+			err := httpc.New("http://"+h.web()).Do(x, http.MethodGet, "/readyz", nil, nil)
 			cancel()
 			b.mu.Lock()
 			b.ready[h] = err == nil
@@ -47,7 +47,7 @@
 	for range b.hosts {
 		b.turn++
 		if h := b.hosts[b.turn%len(b.hosts)]; b.ready[h] {
-			return h.http
+			return h.web()
 		}
 	}
 	return ""
