entry: Answer 503 until the list of hosts is read

A host that had just restarted answered 422, shape never fits, to a gang that fits; and a decider's watch read a target's entry of the list of hosts while the list was taken in anew (data race).

Ruled out: a target that was really gone (the rack had six), and the harness (the restarted host's list was complete, but not read yet).

Change: requests and proposals get 503 with Retry-After until the list was read; a target's ID stands beside its entry and never changes.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -178,6 +178,10 @@
 		reply.BadInput(w, err)
 		return
 	}
+	if s.c.View.Read().IsZero() {
+		reply.Unavailable(w, "the list of hosts was not read yet")
+		return
+	}
 	if l := s.unfeasible(&p.Manifest); len(l) > 0 {
 		(&reply.Problem{Status: http.StatusUnprocessableEntity, Title: "Manifest can't be honoured", Faults: l}).Write(w)
 		return
--- a/cells/watch.go
+++ b/cells/watch.go
@@ -20,7 +20,7 @@
 
 // meet starts the conversation with a target. The lock is held.
 func (c *Cell) meet(h fleet.Host) {
-	x := &gangs.Node{Host: h, Listed: true, Conn: c.Config.Connect(h, c.Config.Bounds.Lease), Contact: c.Taken, Strays: map[target.TaskID]jobs.Room{}}
+	x := &gangs.Node{ID: h.ID, Host: h, Listed: true, Conn: c.Config.Connect(h, c.Config.Bounds.Lease), Contact: c.Taken, Strays: map[target.TaskID]jobs.Room{}}
 	if o := c.Nodes[h.ID]; o != nil {
 		x.Health, x.Incarnation = o.Health, o.Incarnation
 	}
@@ -40,7 +40,7 @@
 		r, full, err := c.ask(ctx, x, wait)
 		switch {
 		case errors.Is(err, target.ErrStale):
-			c.Lost("target " + x.Host.ID + " has a newer epoch")
+			c.Lost("target " + x.ID + " has a newer epoch")
 			return
 		case err != nil:
 			c.silent(x)
@@ -119,7 +119,7 @@
 		return nil
 	}
 	m := &j.Members[t.ID.Member]
-	if m.Target != x.Host.ID || m.Ended() {
+	if m.Target != x.ID || m.Ended() {
 		return nil
 	}
 	m.State, m.Detail = t.State, t.Detail
@@ -159,7 +159,7 @@
 		for i := range j.Members {
 			m := &j.Members[i]
 			id := target.TaskID{Job: j.Key(), Attempt: j.Attempt, Member: i}
-			if m.Target != x.Host.ID || m.Ended() || said[id] || j.Record.State == jobs.Starting {
+			if m.Target != x.ID || m.Ended() || said[id] || j.Record.State == jobs.Starting {
 				continue
 			}
 			m.State, m.Detail = target.Lapsed, "unknown to its target"
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -199,6 +199,16 @@
 	}
 }
 
+// TestNotReady sends a request to a host that has not read the list of hosts:
+// it can't know yet what fits.
+func TestNotReady(t *testing.T) {
+	s, f := newServer(t)
+	s.c.View = fleet.NewView(fakeList{})
+	if w := send(s, "one-token", "POST", "/v1/jobs", goodJob); w.Code != http.StatusServiceUnavailable || f.inserts != 0 {
+		t.Errorf("status %d, %d inserts: %s", w.Code, f.inserts, w.Body)
+	}
+}
+
 // TestLimit sends more than an account may. What is refused is not recorded,
 // and what was accepted before is still answered.
 func TestLimit(t *testing.T) {
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -54,6 +54,12 @@
 		reply.BadInput(w, err)
 		return
 	}
+	if s.c.View.Read().IsZero() {
+		// Without the list every shape would seem to fit nowhere.
+		s.refuse(id.account, "NotReady")
+		reply.Unavailable(w, "the list of hosts was not read yet")
+		return
+	}
 	rev := s.c.Book.Current()
 	if rev == nil {
 		s.refuse(id.account, "NotReady")
--- a/gangs/launch.go
+++ b/gangs/launch.go
@@ -209,8 +209,8 @@
 			if w := c.orderNode(ctx, j, x, o); w != "" {
 				mu.Lock()
 				defer mu.Unlock()
-				if bad == "" || x.Host.ID < bad {
-					bad, why = x.Host.ID, w
+				if bad == "" || x.ID < bad {
+					bad, why = x.ID, w
 				}
 			}
 		}()
--- a/gangs/node.go
+++ b/gangs/node.go
@@ -14,6 +14,8 @@
 
 // Node is a target as its decider knows it.
 type Node struct {
+	// ID is the target's and never changes, so it is read without the lock.
+	ID          string
 	Host        fleet.Host
 	Conn        setup.Conn
 	Listed      bool
@@ -55,7 +57,7 @@
 	defer cancel()
 	r, err := x.Conn.Send(ctx, c.Hold.Epoch, o)
 	if errors.Is(err, target.ErrStale) {
-		c.Lost("target " + x.Host.ID + " has a newer epoch")
+		c.Lost("target " + x.ID + " has a newer epoch")
 	}
 	for i := range o {
 		res := "Unanswered"
--- a/gangs/suspect.go
+++ b/gangs/suspect.go
@@ -12,7 +12,7 @@
 		}
 	}
 	if x.Health.Judge(n, len(c.Nodes), c.Now()) {
-		c.Log.Warn().Str("target", x.Host.ID).Int("failed", len(x.Health.Failed)).Msg("target suspected")
+		c.Log.Warn().Str("target", x.ID).Int("failed", len(x.Health.Failed)).Msg("target suspected")
 	}
 }
 
