--- a/admin/admin.go
+++ b/admin/admin.go
@@ -28,7 +28,6 @@
 	// maxManifest bounds the body of a proposal, in bytes.
 	maxManifest  = 4 << 20
 	writeTimeout = 5 * time.Second
-	retryAfter   = time.Second
 	page         = 100
 )
 
