--- /dev/null
+++ b/assign/assign.go
@@ -0,0 +1,310 @@
+// Package assign chooses workers for tasks, as a function over plain data.
+package assign
+
+import (
+	"slices"
+	"time"
+
+	"citronbridge/work"
+)
+
+// Worker is one worker as the choice sees it.
+type Worker struct {
+	ID     string
+	Rack   string
+	Labels []string
+	Total  work.Amounts
+	// Free is what nothing holds, Coming what is being stopped.
+	Free, Coming work.Amounts
+	// Closed workers take no new tasks: they drain, fail or can't be reached.
+	Closed bool
+	Runs   []*Run
+
+	// claimed is room kept for units that rank before.
+	claimed work.Amounts
+	// until is when the claims on the worker are expected to be used.
+	until time.Duration
+}
+
+// Run is a task at work.
+type Run struct {
+	// Key names the task, Group the gang that ends with it, if any.
+	Key, Group string
+	Demand     work.Amounts
+	Priority   int
+	// Loss is the work that a stop throws away, in core-seconds.
+	Loss float64
+	// Ends is when the run is expected to end.
+	Ends time.Duration
+	// Fixed runs can't be stopped, or are being stopped already.
+	Fixed bool
+
+	worker *Worker
+}
+
+// Unit is the waiting tasks of one step of one occurrence.
+type Unit struct {
+	Key  string
+	Step *work.Step
+	// Indexes are the tasks that wait. A gang takes workers for all or none.
+	Indexes  []int
+	Priority int
+	// Rank orders units of one priority, lowest first.
+	Rank time.Duration
+	// Preempts says that tasks of lower priority may be stopped.
+	Preempts bool
+	// OnWorker counts the step's tasks by worker, for anti-affinity.
+	OnWorker map[string]int
+	// Avoid names workers on which the step's tasks failed.
+	Avoid map[string]bool
+	// Rack, if set, is where other tasks of a same-rack step are.
+	Rack string
+	// Waited is how long the unit has been ready.
+	Waited time.Duration
+}
+
+// Placement puts one task on a worker.
+type Placement struct {
+	Unit   *Unit
+	Index  int
+	Worker string
+}
+
+// Plan is what to start now and whom to stop for what can't start yet.
+type Plan struct {
+	Starts []Placement
+	Stops  []*Run
+}
+
+// maxClaims bounds the blocked units that keep room, as each costs the others
+// room that stands idle until it is used.
+const maxClaims = 6
+
+type planner struct {
+	now     time.Duration
+	workers []*Worker
+	racks   [][]*Worker
+	plan    Plan
+	claims  int
+}
+
+// Decide chooses for the units in the order of priority and rank. Workers are
+// changed on the way.
+func Decide(now time.Duration, workers []*Worker, units []*Unit) Plan {
+	p := &planner{now: now, workers: workers}
+	byRack := map[string]int{}
+	for _, w := range workers {
+		for _, r := range w.Runs {
+			r.worker = w
+		}
+		i, ok := byRack[w.Rack]
+		if !ok {
+			i = len(p.racks)
+			byRack[w.Rack] = i
+			p.racks = append(p.racks, nil)
+		}
+		p.racks[i] = append(p.racks[i], w)
+	}
+	slices.SortStableFunc(units, func(a, b *Unit) int {
+		if a.Priority != b.Priority {
+			return a.Priority - b.Priority
+		}
+		return int(min(max(a.Rank-b.Rank, -1), 1))
+	})
+	for _, u := range units {
+		if u.Step.Gang {
+			p.gang(u)
+		} else {
+			p.tasks(u)
+		}
+	}
+	return p.plan
+}
+
+// eligible reports whether the unit's tasks may run on w at all.
+func (u *Unit) eligible(w *Worker) bool {
+	if w.Closed || u.Avoid[w.ID] || !u.Step.Counted().Fits(w.Total) {
+		return false
+	}
+	return u.Step.Requires == "" || slices.Contains(w.Labels, u.Step.Requires)
+}
+
+// room returns how many of the unit's tasks fit within an amount on w.
+func (u *Unit) room(w *Worker, free work.Amounts) int {
+	d := u.Step.Counted()
+	n := len(u.Indexes)
+	for _, v := range [][2]int64{{free.MilliCPU, d.MilliCPU}, {free.MemoryMiB, d.MemoryMiB}, {free.Accelerators, d.Accelerators}} {
+		if v[1] > 0 {
+			n = min(n, int(max(v[0], 0)/v[1]))
+		}
+	}
+	if a := u.Step.AntiAffinity; a > 0 {
+		n = min(n, max(a-u.OnWorker[w.ID], 0))
+	}
+	return n
+}
+
+// free returns what the unit may use of w now: claims of units before it are
+// left alone, unless the unit is expected to end before they are used.
+func (p *planner) free(u *Unit, w *Worker) work.Amounts {
+	if u.Step.Estimate > 0 && p.now+u.Step.Estimate <= w.until {
+		return w.Free
+	}
+	return w.Free.Minus(w.claimed)
+}
+
+// take puts n tasks of the unit, from position i on, on w.
+func (p *planner) take(u *Unit, i, n int, w *Worker) {
+	d := u.Step.Counted()
+	for _, x := range u.Indexes[i : i+n] {
+		p.plan.Starts = append(p.plan.Starts, Placement{u, x, w.ID})
+		w.Free = w.Free.Minus(d)
+	}
+}
+
+// patience is how long a unit waits for its data's rack, in estimates: on
+// another rack the work takes a multiple of its time.
+const patience = 1
+
+// near returns the workers for a unit's data, and then the others if waiting
+// for these no longer pays.
+func (p *planner) near(u *Unit, racks [][]*Worker) [][]*Worker {
+	rack := u.Step.Affinity
+	if rack == "" {
+		rack = u.Rack
+	}
+	if rack == "" {
+		return racks
+	}
+	l := make([][]*Worker, 0, len(racks))
+	for _, r := range racks {
+		if len(r) > 0 && r[0].Rack == rack {
+			l = append(l, r)
+		}
+	}
+	if len(l) > 0 && u.Waited < patience*u.Step.Estimate {
+		return l
+	}
+	for _, r := range racks {
+		if len(r) > 0 && r[0].Rack != rack {
+			l = append(l, r)
+		}
+	}
+	return l
+}
+
+// tasks places single tasks, each where it leaves least room over.
+func (p *planner) tasks(u *Unit) {
+	i := 0
+	for _, group := range p.groups(u) {
+		l := p.fitting(u, group)
+		for _, w := range l {
+			n := min(u.room(w, p.free(u, w)), len(u.Indexes)-i)
+			p.take(u, i, n, w)
+			i += n
+			if i == len(u.Indexes) {
+				return
+			}
+		}
+	}
+	rest := *u
+	rest.Indexes = u.Indexes[i:]
+	for j := range rest.Indexes {
+		one := rest
+		one.Indexes = rest.Indexes[j : j+1]
+		if !p.wait(&one) {
+			return
+		}
+	}
+}
+
+// groups returns the sets of workers to try one after the other.
+func (p *planner) groups(u *Unit) [][]*Worker {
+	if u.Step.Affinity == "" && u.Rack == "" {
+		return [][]*Worker{p.workers}
+	}
+	return p.near(u, p.racks)
+}
+
+// fitting returns the workers that take a task now, tightest first.
+func (p *planner) fitting(u *Unit, group []*Worker) []*Worker {
+	var l []*Worker
+	for _, w := range group {
+		if u.eligible(w) && u.room(w, p.free(u, w)) > 0 {
+			l = append(l, w)
+		}
+	}
+	slices.SortStableFunc(l, func(a, b *Worker) int {
+		if a.Free.Accelerators != b.Free.Accelerators {
+			return int(a.Free.Accelerators - b.Free.Accelerators)
+		}
+		return int(min(max(a.Free.MilliCPU-b.Free.MilliCPU, -1), 1))
+	})
+	return l
+}
+
+// gang places all tasks of a unit or none.
+func (p *planner) gang(u *Unit) {
+	for _, group := range p.gangGroups(u) {
+		if p.whole(u, group) {
+			return
+		}
+	}
+	p.wait(u)
+}
+
+// gangGroups returns the sets of workers that may hold a whole gang: single
+// racks, those with least room first, and all workers unless the gang is slow
+// on several racks and one could hold it.
+func (p *planner) gangGroups(u *Unit) [][]*Worker {
+	racks := p.near(u, p.racks)
+	type scored struct {
+		group []*Worker
+		free  int
+	}
+	var l []scored
+	possible := false
+	for _, r := range racks {
+		free, total := 0, 0
+		for _, w := range r {
+			if u.eligible(w) {
+				free += u.room(w, p.free(u, w))
+				total += u.room(w, w.Total)
+			}
+		}
+		possible = possible || total >= len(u.Indexes)
+		if free >= len(u.Indexes) {
+			l = append(l, scored{r, free})
+		}
+	}
+	if u.Step.Affinity == "" && u.Rack == "" {
+		slices.SortStableFunc(l, func(a, b scored) int { return a.free - b.free })
+	}
+	g := make([][]*Worker, 0, len(l)+1)
+	for _, s := range l {
+		g = append(g, s.group)
+	}
+	if u.Step.SameRack && possible {
+		return g
+	}
+	return append(g, slices.Concat(racks...))
+}
+
+// whole places the gang on a group of workers if all of it fits.
+func (p *planner) whole(u *Unit, group []*Worker) bool {
+	l := p.fitting(u, group)
+	n := 0
+	for _, w := range l {
+		n += u.room(w, p.free(u, w))
+	}
+	if n < len(u.Indexes) {
+		return false
+	}
+	i := 0
+	for _, w := range l {
+		n := min(u.room(w, p.free(u, w)), len(u.Indexes)-i)
+		p.take(u, i, n, w)
+		i += n
+	}
+	return true
+}
--- /dev/null
+++ b/assign/wait.go
@@ -0,0 +1,219 @@
+package assign
+
+import (
+	"slices"
+	"time"
+)
+
+// wait keeps room for a unit that can't start: it stops what ranks lower if
+// the unit may, or else claims the workers that are expected to be free first.
+// It reports whether it is worth asking for further tasks of the same step.
+func (p *planner) wait(u *Unit) bool {
+	if u.Preempts && p.preempt(u) {
+		return true
+	}
+	if p.claims >= maxClaims {
+		return false
+	}
+	p.claims++
+	return p.claim(u)
+}
+
+// option is a set of workers that could hold a unit, and what it costs.
+type option struct {
+	on    []*Worker
+	count []int
+	stops []*Run
+	loss  float64
+}
+
+// preempt makes room where least work is lost.
+func (p *planner) preempt(u *Unit) bool {
+	groups := [][]*Worker{p.workers}
+	if u.Step.SameRack || u.Step.Affinity != "" {
+		groups = p.near(u, p.racks)
+	}
+	var best *option
+	for _, g := range groups {
+		if o := p.clear(u, g); o != nil && (best == nil || o.loss < best.loss) {
+			best = o
+		}
+	}
+	if best == nil && u.Step.SameRack && len(groups) > 1 {
+		best = p.clear(u, p.workers)
+	}
+	if best == nil {
+		return false
+	}
+	d := u.Step.Counted()
+	for i, w := range best.on {
+		for range best.count[i] {
+			w.claimed = w.claimed.Plus(d)
+		}
+	}
+	for _, r := range best.stops {
+		p.stop(r)
+	}
+	return true
+}
+
+// stop counts a run's room as coming, and that of its whole gang.
+func (p *planner) stop(r *Run) {
+	if r.Fixed {
+		return
+	}
+	r.Fixed = true
+	r.worker.Coming = r.worker.Coming.Plus(r.Demand)
+	p.plan.Stops = append(p.plan.Stops, r)
+	if r.Group == "" {
+		return
+	}
+	for _, w := range p.workers {
+		for _, o := range w.Runs {
+			if o.Group == r.Group {
+				p.stop(o)
+			}
+		}
+	}
+}
+
+// clear returns how the unit could be held by a group of workers, or nil.
+func (p *planner) clear(u *Unit, group []*Worker) *option {
+	type offer struct {
+		w     *Worker
+		room  int
+		stops []*Run
+		loss  float64
+	}
+	var l []offer
+	for _, w := range group {
+		if !u.eligible(w) {
+			continue
+		}
+		free := w.Free.Plus(w.Coming).Minus(w.claimed)
+		had := u.room(w, free)
+		if had > 0 {
+			l = append(l, offer{w, had, nil, 0})
+		}
+		stops, loss := []*Run(nil), 0.0
+		for _, r := range victims(w, u.Priority) {
+			stops = append(stops, r)
+			loss += r.Loss
+			free = free.Plus(r.Demand)
+			if n := u.room(w, free); n > had {
+				l = append(l, offer{w, n - had, stops, loss})
+				had, stops, loss = n, nil, 0
+			}
+			if had >= len(u.Indexes) {
+				break
+			}
+		}
+	}
+	slices.SortStableFunc(l, func(a, b offer) int {
+		x, y := a.loss/float64(a.room), b.loss/float64(b.room)
+		switch {
+		case x < y:
+			return -1
+		case x > y:
+			return 1
+		}
+		return 0
+	})
+	o := &option{}
+	n := len(u.Indexes)
+	for _, f := range l {
+		if n == 0 {
+			break
+		}
+		c := min(f.room, n)
+		n -= c
+		o.on = append(o.on, f.w)
+		o.count = append(o.count, c)
+		o.stops = append(o.stops, f.stops...)
+		o.loss += f.loss
+	}
+	if n > 0 {
+		return nil
+	}
+	return o
+}
+
+// victims returns the runs on w that a unit of a priority may stop, those
+// that lose least for what they hold first.
+func victims(w *Worker, priority int) []*Run {
+	var l []*Run
+	for _, r := range w.Runs {
+		if !r.Fixed && r.Priority > priority {
+			l = append(l, r)
+		}
+	}
+	slices.SortStableFunc(l, func(a, b *Run) int {
+		x, y := a.Loss/(1+a.Demand.Cores()), b.Loss/(1+b.Demand.Cores())
+		switch {
+		case x < y:
+			return -1
+		case x > y:
+			return 1
+		}
+		return 0
+	})
+	return l
+}
+
+// claim keeps the workers on which the unit is expected to fit first.
+func (p *planner) claim(u *Unit) bool {
+	groups := [][]*Worker{p.workers}
+	if u.Step.SameRack || u.Step.Affinity != "" {
+		groups = p.near(u, p.racks)
+	}
+	var best []slot
+	for _, g := range groups {
+		l := p.slots(u, g)
+		if len(l) == len(u.Indexes) && (best == nil || l[len(l)-1].at < best[len(best)-1].at) {
+			best = l
+		}
+	}
+	if best == nil {
+		return false
+	}
+	at := best[len(best)-1].at
+	for _, s := range best {
+		s.w.claimed = s.w.claimed.Plus(u.Step.Counted())
+		s.w.until = max(s.w.until, at)
+	}
+	return true
+}
+
+// slot is room for one task on a worker from a time on.
+type slot struct {
+	w  *Worker
+	at time.Duration
+}
+
+// slots returns the earliest room for the unit in a group, soonest first.
+func (p *planner) slots(u *Unit, group []*Worker) []slot {
+	var l []slot
+	for _, w := range group {
+		if !u.eligible(w) {
+			continue
+		}
+		free := w.Free.Plus(w.Coming).Minus(w.claimed)
+		had := u.room(w, free)
+		for range had {
+			l = append(l, slot{w, p.now})
+		}
+		runs := slices.Clone(w.Runs)
+		slices.SortStableFunc(runs, func(a, b *Run) int { return int(min(max(a.Ends-b.Ends, -1), 1)) })
+		for _, r := range runs {
+			if had >= len(u.Indexes) {
+				break
+			}
+			free = free.Plus(r.Demand)
+			for n := u.room(w, free); had < n; had++ {
+				l = append(l, slot{w, r.Ends})
+			}
+		}
+	}
+	slices.SortStableFunc(l, func(a, b slot) int { return int(min(max(a.at-b.at, -1), 1)) })
+	return l[:min(len(l), len(u.Indexes))]
+}
--- /dev/null
+++ b/cmds/node.go
@@ -0,0 +1,73 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+	"github.com/rs/zerolog"
+
+	"citronbridge/logs"
+	"citronbridge/node"
+	"citronbridge/platform"
+)
+
+// node declares the command that runs a host on the users' platform.
+func (a *app) node(to attach) command {
+	s := flaggy.NewSubcommand("node")
+	s.Description = "Run one host on the users' platform: node --settings node.yaml"
+	s.String(&a.settings, "", "settings", "The platform's settings file; the default is named by the environment's "+platform.SettingsVariable+".")
+	to(s, 1)
+	return command{s, (*app).runNode}
+}
+
+// runNode runs one host until it is told to stop.
+func (a *app) runNode() error {
+	file := a.settings
+	if file == "" {
+		file = os.Getenv(platform.SettingsVariable)
+	}
+	if file == "" {
+		return &exitError{ExitInvalid, errors.New("node needs --settings FILE or " + platform.SettingsVariable)}
+	}
+	s, err := platform.LoadSettings(file)
+	if err != nil {
+		return inputError(err)
+	}
+	w := logs.NewWriter(a.out)
+	defer w.Close()
+	log := zerolog.New(w).Level(zerolog.InfoLevel).With().Timestamp().Logger()
+	h, err := node.New(s, log)
+	if err != nil {
+		return &exitError{ExitFailed, err}
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	go func() {
+		for g := range signals {
+			if g != syscall.SIGHUP {
+				h.Drain()
+				continue
+			}
+			reload(file, log)
+		}
+	}()
+	if err := h.Run(context.Background()); err != nil {
+		return &exitError{ExitFailed, err}
+	}
+	return nil
+}
+
+// reload checks a settings file that has changed. What a host takes from it
+// holds from its next start.
+func reload(file string, log zerolog.Logger) {
+	if _, err := platform.LoadSettings(file); err != nil {
+		log.Error().Err(err).Msg("changed settings have faults; the former ones stay in force")
+		return
+	}
+	log.Info().Msg("settings read again; addresses and bounds hold from the next start")
+}
--- a/cmds/parse.go
+++ b/cmds/parse.go
@@ -11,7 +11,7 @@
 func (a *app) commands(p *flaggy.Parser) []command {
 	top := func(s *flaggy.Subcommand, n int) { p.AttachSubcommand(s, n) }
 	l := []command{
-		a.serve(top), a.demo(top), a.check(top),
+		a.serve(top), a.node(top), a.demo(top), a.check(top),
 		a.remote(top, "submit", "Send the request in FILE (JSON or YAML): submit job.json --host 127.0.0.1:8080", (*app).runSubmit, a.fileArg),
 		a.remote(top, "status", "Tell where a job stands: status ID --host 127.0.0.1:8080", (*app).runStatus, a.idArg),
 		a.remote(top, "answer", "Print a job's answer: answer ID --wait 5m --host 127.0.0.1:8080", (*app).runAnswer, a.idArg, a.waitFlag),
--- /dev/null
+++ b/node/decide.go
@@ -0,0 +1,261 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"citronbridge/platform"
+	"citronbridge/repo"
+	"citronbridge/sched"
+	"citronbridge/timer"
+	"citronbridge/work"
+)
+
+// Times of a decider.
+const (
+	// ownedFor is how long a decider goes on giving orders without proof
+	// that it still owns its pool.
+	ownedFor = 6 * time.Second
+	// leaseMargin is kept from the platform's bound on leases.
+	leaseMargin = 500 * time.Millisecond
+	// eventQueue bounds the events that wait for the decider.
+	eventQueue = 4096
+	// loadPause is kept between tries to read the pool's state.
+	loadPause = 100 * time.Millisecond
+)
+
+// decider runs the state machine of one pool while this host owns it.
+type decider struct {
+	h      *Host
+	pool   string
+	me     repo.Owner
+	held   repo.Condition
+	log    zerolog.Logger
+	ctx    context.Context
+	cancel context.CancelFunc
+	events chan sched.Event
+	state  *sched.State
+	writer *repo.Writer
+
+	mu        sync.Mutex
+	confirmed time.Duration
+	waiting   map[string]int
+	wg        sync.WaitGroup
+	leaving   sync.Once
+
+	// listed names the workers in the registry. Only the reader of the
+	// registry uses it.
+	listed map[string]bool
+}
+
+// startDecider begins to decide for a pool that was just taken.
+func (h *Host) startDecider(ctx context.Context, pool string, me repo.Owner, held repo.Condition) *decider {
+	d := &decider{
+		h: h, pool: pool, me: me, held: held, log: h.log.With().Str("pool", pool).Int64("epoch", me.Epoch).Logger(),
+		events: make(chan sched.Event, eventQueue), confirmed: timer.Boot(), waiting: map[string]int{}, listed: map[string]bool{},
+	}
+	d.ctx, d.cancel = context.WithCancel(ctx)
+	d.writer = repo.NewWriter(repo.WriterConfig{
+		Store: h.store, Owner: held, Deposed: d.deposed, Confirmed: d.confirm, Now: timer.Boot,
+		Failed: func(err error) { d.log.Warn().Err(err).Msg("write failed; it is tried again") },
+	})
+	h.meter.Epoch.WithLabelValues(pool).Set(float64(me.Epoch))
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		d.run()
+	}()
+	return d
+}
+
+func (d *decider) goes(f func()) {
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		f()
+	}()
+}
+
+// deposed ends the decider: another host owns the pool.
+func (d *decider) deposed() {
+	d.log.Warn().Msg("pool lost to another host")
+	d.cancel()
+}
+
+func (d *decider) confirm(at time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.confirmed = max(d.confirmed, at)
+}
+
+// stop ends the decider. With leave it tells the other hosts first.
+func (d *decider) stop(leave bool) {
+	d.leaving.Do(func() {
+		d.cancel()
+		d.wg.Wait()
+		if !leave {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), electTimeout)
+		defer cancel()
+		_, err := repo.PutBeat(ctx, d.h.store, d.held, repo.Beat{Epoch: d.me.Epoch, Host: d.me.Host, N: -1, Left: true})
+		d.log.Info().AnErr("cause", err).Msg("pool given up")
+	})
+}
+
+func (d *decider) rulesChanged(r *work.Rules) { d.tell(sched.RulesChanged{Rules: r}) }
+
+func (d *decider) tell(e sched.Event) {
+	select {
+	case d.events <- e:
+	case <-d.ctx.Done():
+	}
+}
+
+// run loads the pool's state and decides until the pool is lost.
+func (d *decider) run() {
+	defer d.h.lost(d)
+	defer d.h.meter.Epoch.WithLabelValues(d.pool).Set(0)
+	d.goes(d.beat)
+	began := timer.Boot()
+	l := d.load()
+	if l == nil {
+		return
+	}
+	b := d.h.s.Bounds
+	lease := platform.Milliseconds(b.MaxHoldMS) - leaseMargin
+	d.state = sched.New(sched.Config{
+		Pool: d.pool, Epoch: d.me.Epoch, Lease: lease, StopTime: platform.Milliseconds(b.StopMS), Inherit: ownedFor + lease + leaseMargin,
+		FarFactor: b.FarFactor,
+	}, d.clock(), d.h.gate.Rules())
+	var first []sched.Effect
+	for _, e := range l.events {
+		first = append(first, d.state.Step(d.clock(), e)...)
+	}
+	d.goes(func() { d.writer.Run(d.ctx) })
+	d.follow(l)
+	d.perform(first)
+	d.log.Info().Int("events", len(l.events)).Dur("took", timer.Boot()-began).Msg("decider starts")
+	d.h.meter.Takeover.Observe((timer.Boot() - began).Seconds())
+	d.loop()
+}
+
+var start = time.Now()
+
+// clock returns the time for the state machine.
+func (d *decider) clock() sched.Clock {
+	n := time.Now()
+	return sched.Clock{Steady: n.Sub(start), Wall: n.UnixMilli()}
+}
+
+// loop takes events in batches.
+func (d *decider) loop() {
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for {
+		var out []sched.Effect
+		select {
+		case <-d.ctx.Done():
+			return
+		case e := <-d.events:
+			out = append(out, d.state.Step(d.clock(), e)...)
+		case <-t.C:
+		}
+		for more := true; more; {
+			select {
+			case e := <-d.events:
+				out = append(out, d.state.Step(d.clock(), e)...)
+			default:
+				more = false
+			}
+		}
+		d.mu.Lock()
+		unproved := timer.Boot()-d.confirmed > ownedFor
+		d.mu.Unlock()
+		d.state.Halt(unproved)
+		n := d.clock()
+		effects, next := d.state.Flush(n)
+		t.Reset(max(next-n.Steady, time.Millisecond))
+		d.perform(append(out, effects...))
+		w := d.state.Waiting()
+		d.mu.Lock()
+		d.waiting = w
+		d.mu.Unlock()
+	}
+}
+
+// perform carries effects out.
+func (d *decider) perform(l []sched.Effect) {
+	for _, e := range l {
+		switch e := e.(type) {
+		case sched.Start:
+			d.goes(func() {
+				a := d.h.calls.Start(d.ctx, e)
+				d.h.meter.Orders.WithLabelValues("start", string(a.Outcome)).Inc()
+				if a.Outcome != sched.Accepted {
+					d.log.Info().Str("worker", e.Worker).Stringer("task", e.Task).Int("run", e.Run).Str("outcome", string(a.Outcome)).Msg("start not confirmed")
+				}
+				d.tell(a)
+			})
+		case sched.Stop:
+			d.goes(func() {
+				a := d.h.calls.Stop(d.ctx, e)
+				d.h.meter.Orders.WithLabelValues("stop", string(a.Outcome)).Inc()
+				d.tell(a)
+			})
+		case sched.Hold:
+			d.goes(func() {
+				a := d.h.calls.Hold(d.ctx, e)
+				d.h.meter.Orders.WithLabelValues("hold", string(a.Outcome)).Inc()
+				d.tell(a)
+			})
+		case sched.Save:
+			id, seq := e.ID, e.Seq
+			var forget []string
+			if e.Final {
+				forget = []string{repo.TableJobs}
+			}
+			d.writer.Put(repo.TableRecords, id, e.Record, func() { d.tell(sched.RecordSaved{ID: id, Seq: seq}) }, forget...)
+		case sched.RecordWorker:
+			id := e.ID
+			d.writer.Put(repo.TableWorkers, repo.WorkerKey(d.pool, id), []byte(e.Address), func() { d.tell(sched.WorkerRecorded{ID: id}) })
+		case sched.ForgetWorker:
+			d.writer.Put(repo.TableWorkers, repo.WorkerKey(d.pool, e.ID), nil, nil)
+		case sched.Note:
+			d.log.Info().Str("job", e.Job).Str("worker", e.Worker).Str("task", e.Task).Int("run", e.Run).Msg(e.Text)
+		}
+	}
+}
+
+// beat proves regularly that the pool is still owned, and tells what others
+// show of it.
+func (d *decider) beat() {
+	t := time.NewTicker(repo.BeatPeriod)
+	defer t.Stop()
+	for n := int64(1); ; n++ {
+		d.mu.Lock()
+		b := repo.Beat{Epoch: d.me.Epoch, Host: d.me.Host, N: n, Waiting: d.waiting}
+		d.mu.Unlock()
+		sent := timer.Boot()
+		held, err := repo.PutBeat(d.ctx, d.h.store, d.held, b)
+		switch {
+		case err != nil:
+			if d.ctx.Err() == nil {
+				d.log.Warn().Err(err).Msg("beat failed")
+			}
+		case !held:
+			d.deposed()
+			return
+		default:
+			d.confirm(sent)
+		}
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
--- /dev/null
+++ b/node/lead.go
@@ -0,0 +1,228 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"citronbridge/repo"
+	"citronbridge/timer"
+	"citronbridge/work"
+)
+
+// Times of elections.
+const (
+	// electPeriod is how often a host looks whether a pool needs an owner.
+	electPeriod = 150 * time.Millisecond
+	// stagger spreads the hosts that would take a pool at once.
+	stagger = 400 * time.Millisecond
+	// countAge is how old the count of waiting jobs may be when it is shown;
+	// the platform's bound.
+	countAge = 2 * time.Second
+	// electTimeout bounds a try to take a pool.
+	electTimeout = 2 * time.Second
+)
+
+// beats is what a host has heard of the deciders.
+type beats struct {
+	mu    sync.Mutex
+	pools map[string]heard
+	// fresh is when the store last answered, since is when it began to answer
+	// without a gap.
+	fresh, since time.Duration
+}
+
+// heard is the last beat of a pool's decider.
+type heard struct {
+	repo.Beat
+	at time.Duration
+}
+
+func newBeats() *beats { return &beats{pools: map[string]heard{}} }
+
+func (b *beats) take(rows []repo.Row) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var failed error
+	for _, r := range rows {
+		if r.Deleted {
+			continue
+		}
+		v, err := repo.DecodeBeat(r.Value)
+		if err != nil {
+			failed = err
+			continue
+		}
+		if o := b.pools[r.Key]; v.Epoch > o.Epoch || (v.Epoch == o.Epoch && v.N != o.N) {
+			b.pools[r.Key] = heard{v, timer.Boot()}
+		}
+	}
+	return failed
+}
+
+// answered notes that the store answers.
+func (b *beats) answered(time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := timer.Boot()
+	if now-b.fresh > repo.BeatTimeout {
+		b.since = now
+	}
+	b.fresh = now
+}
+
+// silent returns how long a pool's decider has been silent while the store
+// answered, and whether it has given the pool up.
+func (b *beats) silent(pool string) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := timer.Boot()
+	if now-b.fresh > repo.BeatTimeout {
+		return 0, false
+	}
+	h, ok := b.pools[pool]
+	return now - max(h.at, b.since), ok && h.Left
+}
+
+// waiting returns a queue's count as the pool's decider last told it.
+func (b *beats) waiting(pool, queue string) (int, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h, ok := b.pools[pool]
+	if !ok || h.Left || timer.Boot()-h.at > countAge {
+		return 0, false
+	}
+	return h.Waiting[queue], true
+}
+
+// candidate is a pool that this host may own.
+type candidate struct {
+	pool string
+	busy bool
+	// next is the earliest time of another try.
+	next time.Duration
+	// looked says that the owner's row was read once.
+	looked  bool
+	decider *decider
+}
+
+// tellRules passes a configuration on to the pool's decider, if it is here.
+func (c *candidate) tellRules(r *work.Rules) {
+	if c.decider != nil {
+		c.decider.rulesChanged(r)
+	}
+}
+
+// followBeats follows the beats of the deciders.
+func (h *Host) followBeats(ctx context.Context) {
+	take := func(rows []repo.Row) {
+		if err := h.beats.take(rows); err != nil {
+			h.log.Error().Err(err).Msg("beat can't be read")
+		}
+	}
+	f := &repo.Follower{
+		Store: h.store, Table: repo.TableBeats, Wait: feedWait, Now: timer.Boot, Listed: take, Changed: take, Confirmed: h.beats.answered,
+	}
+	f.Run(ctx, 0)
+}
+
+// elect looks for pools that need an owner.
+func (h *Host) elect(ctx context.Context, wg *sync.WaitGroup) {
+	r := h.gate.Rules()
+	if r == nil || h.leaving.Load() {
+		return
+	}
+	h.poolMu.Lock()
+	defer h.poolMu.Unlock()
+	for name := range r.Pools {
+		c := h.pools[name]
+		if c == nil {
+			c = &candidate{pool: name}
+			h.pools[name] = c
+		}
+		if c.busy || c.decider != nil || timer.Boot() < c.next {
+			continue
+		}
+		silent, left := h.beats.silent(name)
+		wait := repo.BeatTimeout
+		if left {
+			wait = 0
+		}
+		spread := time.Duration(xxhash.Sum64String(h.s.Host+"/"+name) % uint64(stagger))
+		if c.looked && silent < wait+spread {
+			continue
+		}
+		c.busy = true
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			h.tryTake(ctx, c, silent >= wait+spread)
+		}()
+	}
+}
+
+// tryTake takes a pool if nobody owns it, a former process of this host does,
+// or its owner is silent.
+func (h *Host) tryTake(ctx context.Context, c *candidate, silent bool) {
+	d, looked := h.take(ctx, c.pool, silent)
+	h.poolMu.Lock()
+	defer h.poolMu.Unlock()
+	c.busy = false
+	c.looked = c.looked || looked
+	c.next = timer.Boot() + stagger
+	if d != nil && !h.leaving.Load() {
+		c.decider = d
+	} else if d != nil {
+		d.stop(true)
+	}
+}
+
+// take returns the decider of a pool that was taken, and whether the owner's
+// row could be read.
+func (h *Host) take(ctx context.Context, pool string, silent bool) (*decider, bool) {
+	ctx2, cancel := context.WithTimeout(ctx, electTimeout)
+	defer cancel()
+	o, version, err := repo.ReadOwner(ctx2, h.store, pool)
+	if err != nil {
+		h.log.Warn().Err(err).Str("pool", pool).Msg("owner can't be read")
+		return nil, false
+	}
+	if version != 0 && !silent && o.Host != h.s.Host {
+		return nil, true
+	}
+	me := repo.Owner{Epoch: o.Epoch + 1, Host: h.s.Host, Boot: h.boot}
+	held, ok, err := repo.Take(ctx2, h.store, pool, me, version)
+	if err != nil || !ok {
+		h.log.Info().AnErr("cause", err).Str("pool", pool).Msg("pool not taken")
+		return nil, true
+	}
+	h.log.Info().Str("pool", pool).Int64("epoch", me.Epoch).Str("former", o.Host).Bool("silent", silent).Msg("pool taken")
+	return h.startDecider(ctx, pool, me, held), true
+}
+
+// lost takes a pool's decider out.
+func (h *Host) lost(d *decider) {
+	h.poolMu.Lock()
+	defer h.poolMu.Unlock()
+	if c := h.pools[d.pool]; c != nil && c.decider == d {
+		c.decider = nil
+		c.next = timer.Boot() + repo.BeatTimeout
+	}
+}
+
+// giveUp hands all pools over to other hosts.
+func (h *Host) giveUp() {
+	h.poolMu.Lock()
+	var l []*decider
+	for _, c := range h.pools {
+		if c.decider != nil {
+			l = append(l, c.decider)
+		}
+	}
+	h.poolMu.Unlock()
+	for _, d := range l {
+		d.stop(true)
+	}
+}
--- /dev/null
+++ b/repo/jobs.go
@@ -0,0 +1,162 @@
+package repo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"citronbridge/work"
+)
+
+// Tables of the project.
+const (
+	// TableJobs has a row for each open job, by ID: what was submitted.
+	TableJobs = "jobs"
+	// TableRecords has a row for each job, by ID: its progress.
+	TableRecords = "records"
+	// TableCancels has a row for each job that is to be cancelled, by ID.
+	TableCancels = "cancels"
+	// TableOwners has a row for each pool: who decides for it.
+	TableOwners = "owners"
+	// TableBeats has a row for each pool that its decider writes regularly.
+	TableBeats = "beats"
+	// TableWorkers has a row for each worker that may have tasks, by pool and
+	// ID.
+	TableWorkers = "workers"
+)
+
+// Verdict is how a call about a job came out.
+type Verdict string
+
+// Verdicts.
+const (
+	// Done: the call did what it asked for, durably.
+	Done Verdict = "Done"
+	// Absent: no such job is known to the store.
+	Absent Verdict = "Absent"
+	// NotRun: the call had no effect and will have none.
+	NotRun Verdict = "NotRun"
+	// Open: the call may still have its effect.
+	Open Verdict = "Open"
+)
+
+// retryPause is kept between two tries of a call of the store.
+const retryPause = 60 * time.Millisecond
+
+// Repo reads and writes jobs.
+type Repo struct{ store Store }
+
+// New returns a Repo on a store.
+func New(s Store) *Repo { return &Repo{store: s} }
+
+// Submit records a job. An ID that is known already is the same job. It tries
+// until ctx ends, as a lost answer leaves open whether the job is recorded;
+// NotRun is returned only if no try can still have an effect.
+func (r *Repo) Submit(ctx context.Context, j *work.Job) (Verdict, error) {
+	job, err := work.EncodeJob(j)
+	if err != nil {
+		return NotRun, fmt.Errorf("encode job: %w", err)
+	}
+	rec, err := (&work.Record{State: work.Pending, Queue: j.Queue}).Encode()
+	if err != nil {
+		return NotRun, fmt.Errorf("encode record: %w", err)
+	}
+	c := Change{
+		If:  []Condition{{TableRecords, j.ID, 0}},
+		Put: []Row{{Table: TableJobs, Key: j.ID, Value: job}, {Table: TableRecords, Key: j.ID, Value: rec}},
+	}
+	_, v, err := r.apply(ctx, c)
+	return v, err
+}
+
+// apply tries a change until it is answered or ctx ends. A change whose
+// conditions don't hold is Done too: somebody else has made it, or an earlier
+// try has.
+func (r *Repo) apply(ctx context.Context, c Change) (Result, Verdict, error) {
+	open := false
+	for {
+		a, err := r.store.Apply(ctx, c)
+		if err == nil {
+			return a, Done, nil
+		}
+		open = open || !errors.Is(err, ErrNotDone)
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryPause):
+			if ctx.Err() == nil {
+				continue
+			}
+		}
+		if open {
+			return Result{}, Open, err
+		}
+		return Result{}, NotRun, err
+	}
+}
+
+// Record reads a job's progress. It is nil with Absent.
+func (r *Repo) Record(ctx context.Context, id string) (*work.Record, Verdict, error) {
+	for {
+		p, err := r.store.List(ctx, TableRecords, id, 1)
+		switch {
+		case err == nil && (len(p.Rows) == 0 || p.Rows[0].Key != id):
+			return nil, Absent, nil
+		case err == nil:
+			rec, err := work.DecodeRecord(p.Rows[0].Value)
+			if err != nil {
+				return nil, NotRun, fmt.Errorf("record of %s: %w", id, err)
+			}
+			return rec, Done, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, NotRun, err
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// Cancel records that a job is to be cancelled.
+func (r *Repo) Cancel(ctx context.Context, id string) (Verdict, error) {
+	rec, v, err := r.Record(ctx, id)
+	if v != Done || rec.State.Final() {
+		return v, err
+	}
+	_, v, err = r.apply(ctx, Change{If: []Condition{{TableCancels, id, 0}}, Put: []Row{{Table: TableCancels, Key: id, Value: []byte("{}")}}})
+	return v, err
+}
+
+// pageSize is how many rows one call lists; the platform's bound.
+const pageSize = 500
+
+// All lists a whole table. Version is that of the first page, from which a
+// feed misses nothing.
+func All(ctx context.Context, s Store, table string) (Page, error) {
+	var all Page
+	from := ""
+	for {
+		p, err := s.List(ctx, table, from, pageSize)
+		if err != nil {
+			return Page{}, fmt.Errorf("list %s: %w", table, err)
+		}
+		if all.Version == 0 {
+			all.Version = p.Version
+		}
+		all.Rows = append(all.Rows, p.Rows...)
+		if !p.More || len(p.Rows) == 0 {
+			return all, nil
+		}
+		from = p.Rows[len(p.Rows)-1].Key + "\x00"
+	}
+}
+
+// WorkerKey names a worker's row in TableWorkers.
+func WorkerKey(pool, id string) string { return pool + "/" + id }
+
+// SplitWorkerKey undoes WorkerKey. Names of pools have no slash.
+func SplitWorkerKey(k string) (pool, id string) {
+	pool, id, _ = strings.Cut(k, "/")
+	return pool, id
+}
--- /dev/null
+++ b/sched/hold.go
@@ -0,0 +1,314 @@
+package sched
+
+import (
+	"time"
+
+	"citronbridge/work"
+)
+
+// hold keeps one Hold under way for a worker that has something to tell, and
+// returns when to look again.
+func (s *State) hold(w *worker) time.Duration {
+	now := s.now.Steady
+	idle := now + time.Second
+	if w.holding || w.gone || w.Address == "" || s.halted {
+		return idle
+	}
+	needed := len(w.runs) > 0 || !w.synced || w.durable > w.told || len(w.ends) > 0
+	if !needed {
+		return idle
+	}
+	if !w.listed && len(w.runs) == 0 && (!w.inherited || now-s.taken > s.c.Inherit) {
+		s.forget(w)
+		return idle
+	}
+	if now < w.nextHold {
+		return w.nextHold
+	}
+	h := Hold{Call: s.call(w), SeenUpto: w.durable}
+	if w.synced && w.silent == 0 && len(w.runs) > 0 {
+		h.DeadlineMS = s.deadline(w)
+		h.Wait = holdWait
+		if len(w.ends) > 0 {
+			h.Wait = 0
+		}
+	}
+	w.holding, w.telling = true, w.durable
+	s.do(h)
+	return idle
+}
+
+// forget drops a worker that is gone and holds nothing.
+func (s *State) forget(w *worker) {
+	if w.recorded || w.asked {
+		w.recorded, w.asked = false, false
+		s.do(ForgetWorker{w.id})
+	}
+	delete(s.pool, w.id)
+	for i, n := range s.names {
+		if n == w.id {
+			s.names = append(s.names[:i:i], s.names[i+1:]...)
+			break
+		}
+	}
+}
+
+// reported takes in the answer to a Hold.
+func (s *State) reported(e Reported) {
+	w := s.pool[e.Call.Worker]
+	if w == nil || w.life != e.Call.Life {
+		return
+	}
+	w.holding = false
+	w.nextHold = s.now.Steady
+	switch e.Outcome {
+	case Accepted:
+	case OtherLife:
+		s.ended(w)
+		return
+	default:
+		if w.silent == 0 {
+			s.note(nil, w, nil, "worker doesn't answer: "+string(e.Outcome))
+		}
+		w.silent++
+		w.nextHold = s.now.Steady + min(retryPause*time.Duration(w.silent), time.Second)
+		s.changed = true
+		return
+	}
+	if e.Born != 0 && w.Born != 0 && e.Born != w.Born {
+		if e.Born < w.Born {
+			return
+		}
+		s.reborn(w, e.Born)
+		return
+	}
+	w.Born = max(w.Born, e.Born)
+	if w.silent > 0 {
+		s.note(nil, w, nil, "worker answers again")
+		s.changed = true
+	}
+	w.silent = 0
+	s.clock(w, e.ClockMS)
+	if !w.synced {
+		w.synced = true
+		s.changed = true
+	}
+	w.told = max(w.told, w.telling)
+	for _, x := range e.Ended {
+		if x.N > w.processed {
+			w.processed = x.N
+			s.end(w, x)
+		}
+	}
+	s.compare(w, e)
+	w.heldAt = e.Call.Sent
+	if len(w.ends) > 0 {
+		w.nextHold = s.now.Steady + savePause
+	}
+	s.forgetEnds(w)
+}
+
+// end takes in one end that a worker lists.
+func (s *State) end(w *worker, x Ended) {
+	j := s.jobs[x.Task.Job]
+	var t *task
+	if j != nil {
+		if st := j.step(x.Task.Occurrence, x.Task.Step); st != nil && x.Task.Index < len(st.tasks) {
+			t = st.tasks[x.Task.Index]
+		}
+	}
+	if t == nil {
+		return
+	}
+	t.last = max(t.last, x.Run)
+	t.step.last = max(t.step.last, x.Run)
+	before := j.seq
+	if !j.rec.State.Final() {
+		switch x.How {
+		case Done:
+			s.taskDone(t, w)
+		case Failed:
+			s.taskFailed(t, w, x.Run)
+		}
+	}
+	if j.seq > before {
+		w.ends = append(w.ends, pendingEnd{x.N, j.spec.ID, j.seq})
+	} else if j.savedSeq < j.seq {
+		// What the end added may be in a write under way.
+		w.ends = append(w.ends, pendingEnd{x.N, j.spec.ID, j.seq})
+	}
+	if r := w.runs[x.Task]; r != nil && r.n <= x.Run {
+		s.release(r, x.How, x.Saved)
+	}
+}
+
+// taskDone marks a task, and with it the whole of a gang, as done.
+func (s *State) taskDone(t *task, w *worker) {
+	w.streak = 0
+	if t.step.spec.LongRunning {
+		return
+	}
+	l := []*task{t}
+	if t.step.spec.Gang {
+		l = t.step.tasks
+	}
+	j := t.step.job
+	before := t.step.left
+	for _, o := range l {
+		if !o.done {
+			o.done = true
+			t.step.left--
+			j.rec.SetDone(t.step.k, t.step.i, o.index)
+		}
+	}
+	if t.step.left == before {
+		return
+	}
+	if t.step.left == 0 {
+		j.left--
+	}
+	if j.finished() {
+		s.finish(j, work.Succeeded)
+		return
+	}
+	s.touch(j)
+}
+
+// taskFailed counts a failed run.
+func (s *State) taskFailed(t *task, w *worker, n int) {
+	j := t.step.job
+	s.note(j, w, t.run, "run failed")
+	if w.streakJob != j.spec.ID && j.failures == 0 {
+		w.streak++
+	}
+	w.streakJob = j.spec.ID
+	if w.streak >= badStreak {
+		w.closedUntil = s.now.Steady + badPause
+		s.note(nil, w, nil, "worker fails what it starts")
+	}
+	j.failures++
+	if t.step.spec.LongRunning || t.done {
+		return
+	}
+	t.step.avoid[w.id] = true
+	limit := 1
+	if q := s.rules.Queues[j.spec.Queue]; q != nil {
+		limit = q.MaxAttempts
+	}
+	if j.rec.AddFailure(t.key(), n) >= limit {
+		s.finish(j, work.Failed)
+		return
+	}
+	s.touch(j)
+}
+
+// compare matches what a worker lists as running with what is expected there.
+func (s *State) compare(w *worker, e Reported) {
+	seen := map[work.TaskID]bool{}
+	for _, x := range e.Running {
+		r := w.runs[x.Task]
+		if r == nil || r.n < x.Run {
+			s.adopt(w, x)
+			seen[x.Task] = true
+			continue
+		}
+		if r.n > x.Run {
+			continue
+		}
+		seen[x.Task] = true
+		if x.Saved != "" && x.Saved != r.saved {
+			r.saved, r.savedAt = x.Saved, s.now.Steady
+		}
+		r.percent = x.Percent
+		if r.phase == starting {
+			r.phase, r.waiting, r.settled = working, false, s.now.Steady
+			s.begun(r)
+		}
+	}
+	for _, r := range s.runsOf(w) {
+		if seen[r.id] || r.phase == marking {
+			continue
+		}
+		// Only an answer to a Hold that was sent after the last order about
+		// the run was answered tells that it isn't there.
+		late := r.settled
+		if r.phase == stopping {
+			late += s.c.StopTime
+		}
+		if !r.waiting && e.Call.Sent > late {
+			s.note(nil, w, r, "run is not at its worker")
+			s.release(r, Lapsed, "")
+		}
+	}
+}
+
+// adopt takes in a run that a worker lists and that isn't expected there.
+func (s *State) adopt(w *worker, x Running) {
+	if old := w.runs[x.Task]; old != nil {
+		s.release(old, Lapsed, "")
+	}
+	r := &run{id: x.Task, n: x.Run, w: w, phase: working, saved: x.Saved, since: s.now.Steady, settled: s.now.Steady, percent: x.Percent}
+	j := s.jobs[x.Task.Job]
+	var t *task
+	if j != nil {
+		if st := j.step(x.Task.Occurrence, x.Task.Step); st != nil && x.Task.Index < len(st.tasks) {
+			t = st.tasks[x.Task.Index]
+		}
+	}
+	wanted := false
+	if t != nil {
+		r.demand = t.step.spec.Counted()
+		t.last = max(t.last, x.Run)
+		t.step.last = max(t.step.last, x.Run)
+		wanted = !t.done && t.run == nil && !j.rec.State.Final() && t.step.joins(x.Run)
+		if t.run == nil {
+			r.task, t.run, t.hidden = t, r, false
+		}
+	}
+	w.runs[x.Task] = r
+	w.used = w.used.Plus(r.demand)
+	if wanted {
+		s.note(j, w, r, "run adopted")
+		s.begun(r)
+		return
+	}
+	s.note(j, w, r, "run isn't wanted")
+	s.stop(r)
+}
+
+// joins reports whether a run of a member belongs to what the gang runs now.
+func (st *step) joins(n int) bool {
+	if !st.spec.Gang {
+		return true
+	}
+	for _, t := range st.tasks {
+		if t.run != nil && t.run.n != n {
+			return false
+		}
+	}
+	return true
+}
+
+// settle moves on what may be forgotten at each worker.
+func (s *State) settle() {
+	for _, id := range s.names {
+		s.forgetEnds(s.pool[id])
+	}
+}
+
+// forgetEnds finds how far a worker's ends are durable.
+func (s *State) forgetEnds(w *worker) {
+	for len(w.ends) > 0 {
+		p := w.ends[0]
+		if j := s.jobs[p.job]; j != nil && j.savedSeq < p.seq {
+			w.durable = max(w.durable, p.n-1)
+			return
+		}
+		w.ends = w.ends[1:]
+		w.durable = max(w.durable, p.n)
+		if len(w.ends) == 0 {
+			w.nextHold = min(w.nextHold, s.now.Steady)
+		}
+	}
+	w.durable = max(w.durable, w.processed)
+}
--- /dev/null
+++ b/sched/place.go
@@ -0,0 +1,168 @@
+package sched
+
+import (
+	"time"
+
+	"citronbridge/assign"
+	"citronbridge/work"
+)
+
+// place chooses workers for what waits, and sends the orders.
+func (s *State) place() {
+	if s.halted || s.rules == nil {
+		return
+	}
+	units := s.units()
+	if len(units) == 0 {
+		return
+	}
+	byKey := map[string]*run{}
+	p := assign.Decide(s.now.Steady, s.assignable(byKey), units)
+	for _, r := range p.Stops {
+		if o := byKey[r.Key]; o != nil {
+			s.note(o.task.step.job, o.w, o, "stopped for more urgent work")
+			s.stop(o)
+		}
+	}
+	s.start(p.Starts)
+}
+
+// assignable converts the workers for placement.
+func (s *State) assignable(byKey map[string]*run) []*assign.Worker {
+	l := make([]*assign.Worker, 0, len(s.names))
+	for _, id := range s.names {
+		w := s.pool[id]
+		a := &assign.Worker{
+			ID: id, Rack: w.Rack, Labels: w.Labels, Total: w.Capacity, Free: w.Capacity.Minus(w.used), Closed: s.closed(w) || !w.recorded,
+		}
+		if !a.Closed || len(w.runs) > 0 {
+			l = append(l, a)
+		}
+		for _, r := range s.runsOf(w) {
+			b := s.runOf(r)
+			byKey[b.Key] = r
+			a.Runs = append(a.Runs, b)
+			if r.phase == stopping {
+				a.Coming = a.Coming.Plus(r.demand)
+			}
+		}
+	}
+	return l
+}
+
+// units returns the tasks that may start now.
+func (s *State) units() []*assign.Unit {
+	var l []*assign.Unit
+	unseen := s.unaccounted()
+	unsaved := s.unsaved > 0 && s.now.Steady-s.unsaved > unsavedLimit
+	for _, j := range s.order {
+		if j.rec.State.Final() || (unsaved && !j.marked) {
+			continue
+		}
+		q := s.rules.Queues[j.spec.Queue]
+		if q != nil {
+			j.queue = q
+		}
+		if j.queue == nil {
+			continue
+		}
+		for _, st := range j.steps {
+			if u := s.unit(st, unseen); u != nil {
+				l = append(l, u)
+			}
+		}
+	}
+	return l
+}
+
+// unit returns the waiting tasks of a step, or nil.
+func (s *State) unit(st *step, unseen bool) *assign.Unit {
+	if !st.open || st.left == 0 {
+		return nil
+	}
+	u := &assign.Unit{
+		Key: st.key, Step: st.spec, Priority: st.job.queue.Priority, Rank: s.rank(st), Preempts: st.job.queue.Priority == 0,
+		Avoid: st.avoid, Waited: s.now.Steady - st.ready,
+	}
+	if st.spec.AntiAffinity > 0 {
+		u.OnWorker = map[string]int{}
+	}
+	for _, t := range st.tasks {
+		switch {
+		case t.done:
+		case t.run != nil:
+			if st.spec.Gang {
+				return nil
+			}
+			if u.OnWorker != nil {
+				u.OnWorker[t.run.w.id]++
+			}
+			if st.spec.SameRack {
+				u.Rack = t.run.w.Rack
+			}
+		case t.hidden && unseen:
+			if st.spec.Gang {
+				return nil
+			}
+		default:
+			u.Indexes = append(u.Indexes, t.index)
+		}
+	}
+	if len(u.Indexes) == 0 {
+		return nil
+	}
+	return u
+}
+
+// rank orders the steps of one priority by when their job should be done.
+func (s *State) rank(st *step) time.Duration {
+	j := st.job
+	at := j.spec.Accepted
+	if j.spec.Times > 0 {
+		at = j.spec.Due(st.k)
+	}
+	return time.Duration(at)*time.Millisecond + time.Duration(j.queue.Stretch*float64(j.spec.Chain())) + j.queue.Slack
+}
+
+// start carries out placements.
+func (s *State) start(l []assign.Placement) {
+	gangs := map[string]int{}
+	for _, p := range l {
+		id, err := work.ParseTaskID(p.Unit.Key + ".0")
+		if err != nil {
+			panic("step key: " + err.Error())
+		}
+		j := s.jobs[id.Job]
+		st := j.step(id.Occurrence, id.Step)
+		t := st.tasks[p.Index]
+		n := s.nextRun(t.last)
+		saved := t.saved
+		if st.spec.Gang {
+			saved = st.saved
+			if gangs[st.key] == 0 {
+				gangs[st.key] = s.nextRun(st.last)
+			}
+			n = gangs[st.key]
+			st.last = n
+		}
+		w := s.pool[p.Worker]
+		r := &run{id: t.id(), n: n, task: t, w: w, demand: st.spec.Counted(), saved: saved, since: s.now.Steady, savedAt: s.now.Steady}
+		t.run, t.last, t.hidden = r, n, false
+		w.runs[r.id] = r
+		w.used = w.used.Plus(r.demand)
+		s.note(j, w, r, "task placed")
+		if j.marked {
+			s.sendStart(r)
+			continue
+		}
+		if j.rec.Pool == "" {
+			j.rec.State, j.rec.Pool = work.Running, s.c.Pool
+			s.touch(j)
+		}
+	}
+}
+
+// nextRun returns the run number behind the last one known.
+func (s *State) nextRun(last int) int {
+	return max(last, int(s.c.Epoch-1)*runsPerEpoch) + 1
+}
--- /dev/null
+++ b/sched/state.go
@@ -0,0 +1,257 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"citronbridge/assign"
+	"citronbridge/work"
+)
+
+// Config is what a State works by.
+type Config struct {
+	Pool string
+	// Epoch rises with each decider of the pool, from 1.
+	Epoch int64
+	// Lease is how long a worker may go on without a renewal, the platform's
+	// bound at most.
+	Lease time.Duration
+	// StopTime is how long a worker takes to stop a task.
+	StopTime time.Duration
+	// Inherit is how long after a takeover a worker that can't be asked may
+	// still run what the former decider started.
+	Inherit time.Duration
+	// FarFactor is how much longer work takes away from its data's rack.
+	FarFactor float64
+}
+
+// Times of the state machine.
+const (
+	// holdWait is how long a worker keeps an answer back until a task ends;
+	// the platform's bound is 2 s.
+	holdWait = 1900 * time.Millisecond
+	// planPause bounds the processor time spent on placement.
+	planPause = 12 * time.Millisecond
+	// retryPause is kept between two tries of one order.
+	retryPause = 250 * time.Millisecond
+	// savePause is kept between looks at a worker whose ends aren't durable.
+	savePause = 400 * time.Millisecond
+	// sickPause is how long a worker gets no new tasks after it refused one.
+	sickPause = time.Second
+	// badPause is how long a worker that fails what it starts gets none.
+	badPause = 6 * time.Second
+	// badStreak is how many jobs in a row must fail on a worker.
+	badStreak = 2
+	// clockDrift is how far a worker's clock may be off; the platform's bound.
+	clockDrift = 0.02
+	// leaseSlack covers the age of the last reading of a worker's clock.
+	leaseSlack = 300 * time.Millisecond
+	// unsavedLimit is how long a write may be under way before no start is
+	// planned that has to wait for one.
+	unsavedLimit = 300 * time.Millisecond
+)
+
+// runsPerEpoch spaces the run numbers of deciders, so that a successor's are
+// higher than any that it can't know of.
+const runsPerEpoch = 1000
+
+// fencesPerEpoch spaces the fences of deciders: each life of a worker gets a
+// higher one, so that orders for a former life are refused by the next.
+const fencesPerEpoch = 1 << 16
+
+// State is all that a decider knows of its pool.
+type State struct {
+	c     Config
+	now   Clock
+	rules *work.Rules
+	jobs  map[string]*job
+	// cancels names cancelled jobs that aren't known.
+	cancels map[string]bool
+	order   []*job
+	pool    map[string]*worker
+	names   []string
+	out     []Effect
+
+	taken   time.Duration
+	planAt  time.Duration
+	planned bool
+	changed bool
+	halted  bool
+	// unsaved is when the oldest write that isn't answered was asked for.
+	unsaved time.Duration
+	dirty   []*job
+}
+
+// New returns the state of a decider that has just taken the pool.
+func New(c Config, now Clock, rules *work.Rules) *State {
+	return &State{c: c, now: now, rules: rules, taken: now.Steady, jobs: map[string]*job{}, cancels: map[string]bool{}, pool: map[string]*worker{}}
+}
+
+// Step takes an event in and returns what is to be done.
+func (s *State) Step(now Clock, e Event) []Effect {
+	s.now = now
+	s.out = nil
+	switch e := e.(type) {
+	case JobAdded:
+		s.addJob(e)
+	case JobCanceled:
+		s.cancel(e.ID)
+	case WorkerListed:
+		s.listed(e.Worker)
+	case WorkerKnown:
+		s.known(e)
+	case WorkerUnlisted:
+		if w := s.pool[e.ID]; w != nil {
+			w.listed = false
+			s.changed = true
+		}
+	case WorkerRecorded:
+		if w := s.pool[e.ID]; w != nil {
+			w.recorded = true
+			s.changed = true
+		}
+	case RulesChanged:
+		s.rules = e.Rules
+		s.changed = true
+	case RecordSaved:
+		s.saved(e)
+	case Answered:
+		s.answered(e)
+	case Reported:
+		s.reported(e)
+	case Tick:
+	}
+	return s.out
+}
+
+// Flush does what is due after a batch of events: retries, leases that ran
+// out, placement, writes, holds. It returns the effects and the time at which
+// it wants to be called again.
+func (s *State) Flush(now Clock) ([]Effect, time.Duration) {
+	s.now = now
+	s.out = nil
+	next := now.Steady + time.Second
+	for _, id := range s.names {
+		next = min(next, s.tend(s.pool[id]))
+	}
+	next = min(next, s.due())
+	s.settle()
+	if s.changed && now.Steady >= s.planAt {
+		s.changed = false
+		s.planAt = now.Steady + planPause
+		s.place()
+	} else if s.changed {
+		next = min(next, s.planAt)
+	}
+	s.save()
+	for _, id := range s.names {
+		next = min(next, s.hold(s.pool[id]))
+	}
+	return s.out, next
+}
+
+// Halt stops new orders while ownership of the pool isn't confirmed, or lets
+// them go on.
+func (s *State) Halt(halted bool) {
+	if s.halted && !halted {
+		s.changed = true
+	}
+	s.halted = halted
+}
+
+// Waiting returns by queue how many jobs have no task that has started.
+func (s *State) Waiting() map[string]int {
+	m := map[string]int{}
+	for _, j := range s.order {
+		if !j.begun && !j.rec.State.Final() && j.spec.Times == 0 {
+			m[j.spec.Queue]++
+		}
+	}
+	return m
+}
+
+// Counts returns the numbers of open jobs, of runs and of listed workers.
+func (s *State) Counts() (jobs, runs, workers int) {
+	for _, w := range s.pool {
+		runs += len(w.runs)
+		if w.listed {
+			workers++
+		}
+	}
+	return len(s.order), runs, workers
+}
+
+func (s *State) do(e Effect) { s.out = append(s.out, e) }
+
+func (s *State) note(j *job, w *worker, r *run, text string) {
+	n := Note{Text: text}
+	if j != nil {
+		n.Job = j.spec.ID
+	}
+	if w != nil {
+		n.Worker = w.id
+	}
+	if r != nil {
+		n.Task, n.Run = r.id.String(), r.n
+	}
+	s.do(n)
+}
+
+// unaccounted reports whether a worker that a former decider may have used
+// can't be asked yet, so that tasks which aren't found may be there.
+func (s *State) unaccounted() bool {
+	if s.now.Steady-s.taken > s.c.Inherit {
+		return false
+	}
+	for _, w := range s.pool {
+		if !w.synced && w.inherited {
+			return true
+		}
+	}
+	return false
+}
+
+// due looks for occurrences whose time has come and returns when to look
+// again.
+func (s *State) due() time.Duration {
+	next := s.now.Steady + time.Second
+	for _, j := range s.order {
+		if j.spec.Times == 0 || j.rec.State.Final() {
+			continue
+		}
+		for j.next < j.spec.Times {
+			if d := j.spec.Due(j.next) - s.now.Wall; d > 0 {
+				next = min(next, s.now.Steady+time.Duration(d)*time.Millisecond)
+				break
+			}
+			j.open(j.next, s.now.Steady)
+			j.next++
+			s.changed = true
+		}
+	}
+	return next
+}
+
+// removeJob takes a job out of memory.
+func (s *State) removeJob(j *job) {
+	delete(s.jobs, j.spec.ID)
+	s.order = slices.DeleteFunc(s.order, func(o *job) bool { return o == j })
+}
+
+// runOf converts a run for placement.
+func (s *State) runOf(r *run) *assign.Run {
+	t := r.task
+	a := &assign.Run{Key: r.id.String(), Demand: r.demand, Ends: s.now.Steady}
+	if t == nil {
+		a.Fixed = true
+		return a
+	}
+	a.Priority = t.step.job.priority(s.rules)
+	a.Ends = r.since + t.step.spec.Estimate
+	a.Fixed = r.phase != working || t.step.job.rec.State.Final()
+	if t.step.spec.Gang {
+		a.Group = t.step.key
+	}
+	a.Loss = r.loss(s.now.Steady)
+	return a
+}
--- /dev/null
+++ b/sched/types.go
@@ -0,0 +1,221 @@
+// Package sched decides for one pool of workers what runs where. State is a
+// state machine: events in, effects out, without clock, lock or I/O.
+package sched
+
+import (
+	"time"
+
+	"citronbridge/work"
+)
+
+// Clock is the time of an event.
+type Clock struct {
+	// Steady never jumps.
+	Steady time.Duration
+	// Wall is in Unix milliseconds.
+	Wall int64
+}
+
+// Worker is what the registry says of a worker.
+type Worker struct {
+	ID, Address, Rack string
+	Labels            []string
+	Capacity          work.Amounts
+	// Born tells the worker's lives apart, in Unix milliseconds.
+	Born     int64
+	Draining bool
+	// Remaining is how long a draining worker is there at least, 0 if unknown.
+	Remaining time.Duration
+}
+
+// Event is something that happened: one of the types below.
+type Event interface{ event() }
+
+// JobAdded tells of an accepted job and its progress so far.
+type JobAdded struct {
+	Job    *work.Job
+	Record *work.Record
+	// Inherited jobs may have tasks at work that a former decider started.
+	Inherited bool
+}
+
+// JobCanceled tells that a cancel was recorded.
+type JobCanceled struct{ ID string }
+
+// WorkerListed tells of a worker's entry, new or changed.
+type WorkerListed struct{ Worker Worker }
+
+// WorkerKnown tells of a worker that a former decider has used.
+type WorkerKnown struct{ ID, Address string }
+
+// WorkerUnlisted tells that a worker's entry is gone. The worker may live.
+type WorkerUnlisted struct{ ID string }
+
+// WorkerRecorded tells that a worker is recorded as used.
+type WorkerRecorded struct{ ID string }
+
+// RulesChanged brings another configuration.
+type RulesChanged struct{ Rules *work.Rules }
+
+// RecordSaved tells that a record is durable up to a sequence number.
+type RecordSaved struct {
+	ID  string
+	Seq int64
+}
+
+// Answered is the outcome of a Start or a Stop.
+type Answered struct {
+	Call    Call
+	Outcome Outcome
+	// ClockMS is the worker's clock, 0 if there was no answer.
+	ClockMS int64
+}
+
+// Reported is the outcome of a Hold.
+type Reported struct {
+	Call    Call
+	Outcome Outcome
+	ClockMS int64
+	Born    int64
+	Running []Running
+	Ended   []Ended
+}
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (JobAdded) event()       {}
+func (JobCanceled) event()    {}
+func (WorkerListed) event()   {}
+func (WorkerKnown) event()    {}
+func (WorkerUnlisted) event() {}
+func (WorkerRecorded) event() {}
+func (RulesChanged) event()   {}
+func (RecordSaved) event()    {}
+func (Answered) event()       {}
+func (Reported) event()       {}
+func (Tick) event()           {}
+
+// Running is a run that a worker lists as at work.
+type Running struct {
+	Task    work.TaskID
+	Run     int
+	Saved   string
+	Percent int
+}
+
+// Ended is a run that a worker lists as ended. N counts within a life.
+type Ended struct {
+	N     int64
+	Task  work.TaskID
+	Run   int
+	How   How
+	Saved string
+}
+
+// How is how a run ended.
+type How string
+
+// Ways in which a run ends.
+const (
+	Done    How = "Done"
+	Failed  How = "Failed"
+	Stopped How = "Stopped"
+	Lapsed  How = "Lapsed"
+	Broken  How = "Broken"
+	Alone   How = "Alone"
+)
+
+// Outcome is how a call of a worker came out.
+type Outcome string
+
+// Outcomes of calls of workers.
+const (
+	Accepted Outcome = "Accepted"
+	// NoAnswer: the call may have been, or may still be, carried out.
+	NoAnswer Outcome = "NoAnswer"
+	// NotSent: nothing reached the worker.
+	NotSent Outcome = "NotSent"
+	// Fenced: the worker has seen a higher fence.
+	Fenced Outcome = "Fenced"
+	// Old: the worker has seen this run, or a higher one, end.
+	Old Outcome = "Old"
+	// Late: the deadline had passed.
+	Late Outcome = "Late"
+	// NoRoom: the task doesn't fit.
+	NoRoom Outcome = "NoRoom"
+	// Unhealthy: the worker has done nothing.
+	Unhealthy Outcome = "Unhealthy"
+	// OtherLife: the worker at the address is not the one that was named.
+	OtherLife Outcome = "OtherLife"
+	// Invalid: the worker can't read the call.
+	Invalid Outcome = "Invalid"
+)
+
+// Call is what all effects on a worker have in common, and comes back with
+// the outcome.
+type Call struct {
+	Worker, Address string
+	// Life counts the lives of the worker that the decider has seen.
+	Life  int64
+	Fence int64
+	// Sent is when the call was decided.
+	Sent time.Duration
+	Task work.TaskID
+	Run  int
+	// Stop tells a Stop from a Start in Answered.
+	Stop bool
+}
+
+// Effect is something to be done: one of the types below.
+type Effect interface{ effect() }
+
+// Start orders a worker to start a task.
+type Start struct {
+	Call
+	Spec, Saved string
+	// DeadlineMS is on the worker's clock.
+	DeadlineMS int64
+}
+
+// Stop orders a worker to stop a run.
+type Stop struct{ Call }
+
+// Hold asks a worker for its lists and extends its lease.
+type Hold struct {
+	Call
+	// DeadlineMS is on the worker's clock, 0 to leave the lease alone.
+	DeadlineMS int64
+	SeenUpto   int64
+	Wait       time.Duration
+}
+
+// Save makes a record durable.
+type Save struct {
+	ID     string
+	Seq    int64
+	Record []byte
+	// Final says that the job's own row is no longer needed.
+	Final bool
+}
+
+// RecordWorker makes it durable that a worker is used.
+type RecordWorker struct{ ID, Address string }
+
+// ForgetWorker takes back a RecordWorker.
+type ForgetWorker struct{ ID string }
+
+// Note is a line for the log: a decision and what it rests on.
+type Note struct {
+	Job, Worker, Text string
+	Task              string
+	Run               int
+}
+
+func (Start) effect()        {}
+func (Stop) effect()         {}
+func (Hold) effect()         {}
+func (Save) effect()         {}
+func (RecordWorker) effect() {}
+func (ForgetWorker) effect() {}
+func (Note) effect()         {}
--- /dev/null
+++ b/work/job.go
@@ -0,0 +1,229 @@
+// Package work holds jobs of steps and tasks, and what is known of their
+// progress, as plain data.
+package work
+
+import (
+	"errors"
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"citronbridge/fault"
+)
+
+// Limits of one job.
+const (
+	// MaxSpec is the longest Spec, in bytes; the platform's bound.
+	MaxSpec = 4000
+	// MaxSteps and MaxTasks bound what one job makes a decider hold: a row
+	// of progress must stay within the store's bound for rows.
+	MaxSteps = 100
+	MaxTasks = 20_000
+	// MaxTimes bounds the occurrences of a job.
+	MaxTimes = 10_000
+	// maxAmount bounds a task's demand for one resource.
+	maxAmount = 1 << 40
+)
+
+// Amounts is resources of a worker, or what a task asks for.
+type Amounts struct {
+	// MilliCPU is in thousandths of a core.
+	MilliCPU int64
+	// MemoryMiB is in MiB.
+	MemoryMiB int64
+	// Accelerators counts whole devices.
+	Accelerators int64
+}
+
+// Plus returns a + b.
+func (a Amounts) Plus(b Amounts) Amounts {
+	return Amounts{a.MilliCPU + b.MilliCPU, a.MemoryMiB + b.MemoryMiB, a.Accelerators + b.Accelerators}
+}
+
+// Minus returns a - b.
+func (a Amounts) Minus(b Amounts) Amounts {
+	return Amounts{a.MilliCPU - b.MilliCPU, a.MemoryMiB - b.MemoryMiB, a.Accelerators - b.Accelerators}
+}
+
+// Fits reports whether a is at most b in each resource.
+func (a Amounts) Fits(b Amounts) bool {
+	return a.MilliCPU <= b.MilliCPU && a.MemoryMiB <= b.MemoryMiB && a.Accelerators <= b.Accelerators
+}
+
+// coresPerAccelerator is what an accelerator counts for beside cores in the
+// platform's accounts.
+const coresPerAccelerator = 8
+
+// Cores weighs amounts as cores, an accelerator as eight.
+func (a Amounts) Cores() float64 {
+	return float64(a.MilliCPU)/1000 + coresPerAccelerator*float64(a.Accelerators)
+}
+
+// Step is a number of alike tasks.
+type Step struct {
+	Count  int
+	Demand Amounts
+	// Estimate is a rough duration of one task, 0 if unknown.
+	Estimate time.Duration
+	// After lists earlier steps whose tasks must all be done first.
+	After []int `json:",omitempty"`
+	// Checkpoint says that tasks save their progress.
+	Checkpoint bool `json:",omitempty"`
+	// Gang says that all tasks run together or not at all.
+	Gang bool `json:",omitempty"`
+	// SameRack says that the tasks are slow on more than one rack.
+	SameRack bool `json:",omitempty"`
+	// Speculative allows copies of a task to run in parallel.
+	Speculative bool `json:",omitempty"`
+	// LongRunning tasks run until the job is cancelled.
+	LongRunning bool `json:",omitempty"`
+	// Fills says that the tasks use processor that others leave idle.
+	Fills bool `json:",omitempty"`
+	// Requires is a label that the worker must have, Affinity the rack with
+	// the data.
+	Requires, Affinity string `json:",omitempty"`
+	// AntiAffinity, if positive, bounds the step's tasks on one worker.
+	AntiAffinity int `json:",omitempty"`
+	// MayMiss is how many long-running tasks may be away at a time.
+	MayMiss int    `json:",omitempty"`
+	Image   string `json:",omitempty"`
+	// Target bounds the tail of response times of a serving task.
+	Target time.Duration `json:",omitempty"`
+}
+
+// Counted returns what a task takes of a worker's capacity.
+func (s *Step) Counted() Amounts {
+	d := s.Demand
+	if s.Fills {
+		d.MilliCPU = 0
+	}
+	return d
+}
+
+// Job is what a client submitted. It doesn't change.
+type Job struct {
+	ID     string
+	Queue  string
+	Tenant string
+	// Spec is passed to each task as it is.
+	Spec  string
+	Steps []Step
+	// Times, if positive, is the number of occurrences; number K is due at
+	// Start + K x Interval. Start is in Unix milliseconds.
+	Times    int           `json:",omitempty"`
+	Start    int64         `json:",omitempty"`
+	Interval time.Duration `json:",omitempty"`
+	// Accepted is when a host recorded the job, in Unix milliseconds.
+	Accepted int64
+}
+
+// Occurrences returns how often the steps run: 1 for a job without times.
+func (j *Job) Occurrences() int { return max(j.Times, 1) }
+
+// Due returns when an occurrence may start, in Unix milliseconds, and 0 for a
+// job without times.
+func (j *Job) Due(k int) int64 {
+	if j.Times == 0 {
+		return 0
+	}
+	return j.Start + int64(k)*j.Interval.Milliseconds()
+}
+
+// Chain returns the longest chain of work by the estimates.
+func (j *Job) Chain() time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	var longest time.Duration
+	for i := range j.Steps {
+		for _, a := range j.Steps[i].After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		ends[i] += j.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// Lasts reports whether a job ends by being cancelled only.
+func (j *Job) Lasts() bool {
+	for i := range j.Steps {
+		if j.Steps[i].LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
+var idPattern = regexp.MustCompile(`^[0-9a-fA-F]{16}$`)
+
+// ValidID reports whether s can name a job: 16 hexadecimal digits.
+func ValidID(s string) bool { return idPattern.MatchString(s) }
+
+var _ fault.Checker = (*Job)(nil)
+
+// Check returns every fault of the job.
+func (j *Job) Check() fault.List {
+	var l fault.List
+	l.Check(ValidID(j.ID), "ID", j.ID, "16 hexadecimal digits")
+	l.Check(len(j.Spec) <= MaxSpec, "Spec", len(j.Spec), fmt.Sprintf("at most %d bytes", MaxSpec))
+	l.Range("Steps", int64(len(j.Steps)), 1, MaxSteps)
+	l.Range("Times", int64(j.Times), 0, MaxTimes)
+	l.Range("Interval", int64(j.Interval), 0, int64(365*24*time.Hour))
+	l.Check(j.Start >= 0, "Start", j.Start, "a time in Unix milliseconds")
+	n := 0
+	for i := range j.Steps {
+		l = append(l, j.Steps[i].check(i).Within(fmt.Sprintf("Steps[%d].", i))...)
+		n += min(max(j.Steps[i].Count, 0), MaxTasks)
+	}
+	l.Check(n <= MaxTasks, "Steps", n, fmt.Sprintf("at most %d tasks in all", MaxTasks))
+	return l
+}
+
+// check returns the faults of the step at position i.
+func (s *Step) check(i int) fault.List {
+	var l fault.List
+	l.Range("Count", int64(s.Count), 1, MaxTasks)
+	l.Range("MilliCPU", s.Demand.MilliCPU, 0, maxAmount)
+	l.Range("MemoryMiB", s.Demand.MemoryMiB, 0, maxAmount)
+	l.Range("Accelerators", s.Demand.Accelerators, 0, maxAmount)
+	l.Check(s.Estimate >= 0, "Estimate", s.Estimate, "a duration of 0 or more")
+	l.Check(s.AntiAffinity >= 0, "AntiAffinity", s.AntiAffinity, "0 or more")
+	l.Check(s.MayMiss >= 0, "MayMiss", s.MayMiss, "0 or more")
+	for _, a := range s.After {
+		l.Check(0 <= a && a < i, "After", a, "the number of an earlier step, counting from 0")
+	}
+	return l
+}
+
+// TaskID names one task of a job.
+type TaskID struct {
+	Job        string
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String returns JOB.OCCURRENCE.STEP.INDEX.
+func (t TaskID) String() string {
+	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+}
+
+var errTaskID = errors.New("a task ID has the form JOB.OCCURRENCE.STEP.INDEX")
+
+// ParseTaskID reads what String returns.
+func ParseTaskID(s string) (TaskID, error) {
+	p := strings.Split(s, ".")
+	if len(p) != 4 {
+		return TaskID{}, errTaskID
+	}
+	var n [3]int
+	for i := range n {
+		v, err := strconv.Atoi(p[i+1])
+		if err != nil || v < 0 {
+			return TaskID{}, errTaskID
+		}
+		n[i] = v
+	}
+	return TaskID{p[0], n[0], n[1], n[2]}, nil
+}
--- /dev/null
+++ b/work/record.go
@@ -0,0 +1,132 @@
+package work
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+
+	"citronbridge/fault"
+)
+
+// State is how far a job is, as clients are shown.
+type State string
+
+// States of a job. The last three are final.
+const (
+	Pending   State = "Pending"
+	Running   State = "Running"
+	Succeeded State = "Succeeded"
+	Failed    State = "Failed"
+	Canceled  State = "Canceled"
+)
+
+// Final reports whether a job in the state does nothing any more.
+func (s State) Final() bool { return s == Succeeded || s == Failed || s == Canceled }
+
+// Record is the durable progress of a job. What it doesn't hold is rebuilt
+// from the workers.
+type Record struct {
+	State State
+	Queue string
+	// Pool is where the job's tasks were first started, empty before that. A
+	// task may be on a worker that can't be asked only if Pool is set.
+	Pool string `json:",omitempty"`
+	// Done has a bit for each task that ended as done, by step.
+	Done map[string][]byte `json:",omitempty"`
+	// FailedRuns lists the runs that ended as failed, by task, or by step for
+	// gangs. Runs and not a count, so that an end that is listed again after
+	// a takeover isn't counted twice.
+	FailedRuns map[string][]int `json:",omitempty"`
+	// Saved is the last known checkpoint, by task, or by step for gangs.
+	Saved map[string]string `json:",omitempty"`
+}
+
+// StepKey names a step of an occurrence in a Record.
+func StepKey(occurrence, step int) string {
+	return strconv.Itoa(occurrence) + "." + strconv.Itoa(step)
+}
+
+// TaskKey names a task in a Record.
+func TaskKey(occurrence, step, index int) string {
+	return StepKey(occurrence, step) + "." + strconv.Itoa(index)
+}
+
+// SetDone marks a task as done.
+func (r *Record) SetDone(occurrence, step, index int) {
+	if r.Done == nil {
+		r.Done = map[string][]byte{}
+	}
+	k := StepKey(occurrence, step)
+	b := r.Done[k]
+	for len(b) <= index/8 {
+		b = append(b, 0)
+	}
+	b[index/8] |= 1 << (index % 8)
+	r.Done[k] = b
+}
+
+// IsDone reports whether a task is marked as done.
+func (r *Record) IsDone(occurrence, step, index int) bool {
+	b := r.Done[StepKey(occurrence, step)]
+	return index/8 < len(b) && b[index/8]&(1<<(index%8)) != 0
+}
+
+// AddFailure notes a failed run under key and returns the number of failed
+// runs. A run that is noted already isn't counted again.
+func (r *Record) AddFailure(key string, run int) int {
+	if r.FailedRuns == nil {
+		r.FailedRuns = map[string][]int{}
+	}
+	if !slices.Contains(r.FailedRuns[key], run) {
+		r.FailedRuns[key] = append(r.FailedRuns[key], run)
+	}
+	return len(r.FailedRuns[key])
+}
+
+// SetSaved notes a checkpoint under key.
+func (r *Record) SetSaved(key, checkpoint string) {
+	if checkpoint == "" {
+		return
+	}
+	if r.Saved == nil {
+		r.Saved = map[string]string{}
+	}
+	r.Saved[key] = checkpoint
+}
+
+// Encode returns the record's row. A final record keeps only its state.
+func (r *Record) Encode() ([]byte, error) {
+	if r.State.Final() {
+		return json.Marshal(&Record{State: r.State, Queue: r.Queue})
+	}
+	return json.Marshal(r)
+}
+
+// DecodeRecord reads a row and checks it.
+func DecodeRecord(b []byte) (*Record, error) {
+	r := &Record{}
+	if err := json.Unmarshal(b, r); err != nil {
+		return nil, fmt.Errorf("decode record: %w", err)
+	}
+	var l fault.List
+	switch r.State {
+	case Pending, Running, Succeeded, Failed, Canceled:
+	default:
+		l.Add("State", r.State, "Pending, Running, Succeeded, Failed or Canceled")
+	}
+	l.Check(r.Queue != "", "Queue", r.Queue, "the name of a queue")
+	return r, l.Err()
+}
+
+// EncodeJob returns a job's row.
+func EncodeJob(j *Job) ([]byte, error) { return json.Marshal(j) }
+
+// DecodeJob reads a job's row and checks it.
+func DecodeJob(b []byte) (*Job, error) {
+	j := &Job{}
+	if err := json.Unmarshal(b, j); err != nil {
+		return nil, fmt.Errorf("decode job: %w", err)
+	}
+	return j, j.Check().Err()
+}
--- /dev/null
+++ b/work/rules.go
@@ -0,0 +1,93 @@
+package work
+
+import (
+	"strings"
+	"time"
+)
+
+// Rules is the configuration in force: queues, pools and client accounts.
+type Rules struct {
+	// Version rises with each change, in uneven steps.
+	Version int64
+	Queues  map[string]*Queue
+	Pools   map[string]*Pool
+	// Accounts are by name.
+	Accounts map[string]*Account
+	Limits   Limits
+
+	routes []*Queue
+	keys   map[string]*Account
+}
+
+// Queue takes jobs and names the pool that runs them.
+type Queue struct {
+	Name string
+	// Host and Prefix select the queue of a call.
+	Host, Prefix string
+	Pool         string
+	// Priority 0 comes first and may stop others.
+	Priority int
+	// MaxAttempts is how many runs of a task may fail.
+	MaxAttempts int
+	// Stretch times the longest chain of work, and Slack, is the time in
+	// which a job should be done.
+	Stretch float64
+	Slack   time.Duration
+	// Timeout bounds one call.
+	Timeout time.Duration
+	// Public queues take calls without a key.
+	Public bool
+}
+
+// Pool is a number of workers for the same queues.
+type Pool struct {
+	Name string
+	// MaxConnections bounds the connections to one worker.
+	MaxConnections int
+	// EnforcesCapacity says that workers refuse what doesn't fit.
+	EnforcesCapacity bool
+}
+
+// Account is a client account.
+type Account struct {
+	Name string
+	Keys []string
+	// Guaranteed accelerators are the account's at all times, for jobs of
+	// priority 0.
+	Guaranteed int64
+}
+
+// Limits bound calls of clients.
+type Limits struct {
+	HeaderBytes, BodyBytes int64
+	HeaderTimeout          time.Duration
+	IdleTimeout            time.Duration
+}
+
+// Index prepares the look-ups. It is called once, before the rules are used.
+func (r *Rules) Index() {
+	r.keys = map[string]*Account{}
+	for _, a := range r.Accounts {
+		for _, k := range a.Keys {
+			r.keys[k] = a
+		}
+	}
+	r.routes = r.routes[:0]
+	for _, q := range r.Queues {
+		r.routes = append(r.routes, q)
+	}
+}
+
+// Route returns the queue with the longest prefix of path for a host, or nil.
+func (r *Rules) Route(host, path string) *Queue {
+	var best *Queue
+	for _, q := range r.routes {
+		if q.Host == host && strings.HasPrefix(path, q.Prefix) && (best == nil || len(q.Prefix) > len(best.Prefix)) {
+			best = q
+		}
+	}
+	return best
+}
+
+// AccountOf returns the account that a key belongs to, or nil.
+func (r *Rules) AccountOf(key string) *Account { return r.keys[key] }
