--- a/assign/assign.go
+++ b/assign/assign.go
@@ -112,6 +112,7 @@
 		return int(min(max(a.Rank-b.Rank, -1), 1))
 	})
 	for _, u := range units {
+		p.relent(u)
 		if u.Step.Gang {
 			p.gang(u)
 		} else {
@@ -121,6 +122,26 @@
 	return p.plan
 }
 
+// relent drops what a unit avoids if it could never fit without it.
+func (p *planner) relent(u *Unit) {
+	if len(u.Avoid) == 0 {
+		return
+	}
+	need := 1
+	if u.Step.Gang {
+		need = len(u.Indexes)
+	}
+	room := 0
+	for _, w := range p.workers {
+		if u.eligible(w) {
+			room += u.room(w, w.Total)
+		}
+	}
+	if room < need {
+		u.Avoid = nil
+	}
+}
+
 // eligible reports whether the unit's tasks may run on w at all.
 func (u *Unit) eligible(w *Worker) bool {
 	if w.Closed || u.Avoid[w.ID] || !u.Step.Counted().Fits(w.Total) {
--- /dev/null
+++ b/fakes/plat/model.go
@@ -0,0 +1,435 @@
+// Package plat is a stand-in of the users' platform: its workers as a model
+// on any clock, and its store, registry and workers over HTTP on loopback.
+package plat
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Shape is what the stand-in's workers know of a step's tasks. Tests put it
+// into a job's spec, by the number of the step.
+type Shape struct {
+	// Work is how long a task takes.
+	Work time.Duration
+	// Gang is the number of members, 0 for single tasks.
+	Gang int
+	// FailOneIn, if positive, makes one run in so many fail.
+	FailOneIn int
+	// Checkpoint says that a stop saves the progress.
+	Checkpoint bool
+	// Demand for each resource, in the platform's units.
+	CPU, Memory, Accelerators int64
+}
+
+// Spec returns the text of a job's spec.
+func Spec(l ...Shape) string {
+	b, err := json.Marshal(l)
+	if err != nil {
+		panic("shape can't be encoded: " + err.Error())
+	}
+	return string(b)
+}
+
+// Bounds of the model, as the platform's settings have them.
+type Bounds struct {
+	MaxHold, StopTime, GangTimeout time.Duration
+}
+
+// End is a run that has ended.
+type End struct {
+	N     int64
+	Task  string
+	Run   int
+	How   string
+	Saved string
+}
+
+// Present is a run at work.
+type Present struct {
+	Task  string
+	Run   int
+	Saved string
+
+	shape Shape
+	key   string
+	since time.Duration
+	// work is when the task began to work, 0 while a gang is incomplete.
+	work   time.Duration
+	had    time.Duration
+	stopAt time.Duration
+}
+
+// Worker is one life of a worker.
+type Worker struct {
+	ID   string
+	Born int64
+	// Dark workers can't be reached and don't beat.
+	Dark bool
+	// Hurt workers fail all that they start.
+	Hurt bool
+
+	CPU, Memory, Accelerators int64
+	// Lax workers start what doesn't fit.
+	Lax bool
+	// Rate is the speed of the worker's clock.
+	Rate float64
+
+	c        *Cluster
+	began    time.Duration
+	fence    int64
+	deadline int64
+	n        int64
+	runs     map[string]*Present
+	ends     []End
+	ended    map[string]int
+	up       bool
+	lapsed   time.Duration
+}
+
+// Cluster is workers that run gangs together.
+type Cluster struct {
+	Bounds  Bounds
+	Workers map[string]*Worker
+	// Started and Stopped, if set, are told what begins and ends.
+	Started func(w *Worker, p *Present)
+	Stopped func(w *Worker, e End)
+
+	now   time.Duration
+	order []string
+}
+
+// NewCluster returns a Cluster without workers.
+func NewCluster(b Bounds) *Cluster { return &Cluster{Bounds: b, Workers: map[string]*Worker{}} }
+
+// Add begins a life of a worker.
+func (c *Cluster) Add(now time.Duration, w *Worker) {
+	if c.Workers[w.ID] == nil {
+		c.order = append(c.order, w.ID)
+	}
+	if w.Rate == 0 {
+		w.Rate = 1
+	}
+	w.c, w.began, w.up = c, now, true
+	w.runs, w.ended = map[string]*Present{}, map[string]int{}
+	w.fence, w.deadline, w.n, w.ends = 0, 0, 0, nil
+	c.Workers[w.ID] = w
+}
+
+// Crash ends a worker's life: nothing of it is left.
+func (c *Cluster) Crash(id string) {
+	w := c.Workers[id]
+	if w == nil || !w.up {
+		return
+	}
+	w.up = false
+	for _, p := range w.list() {
+		if c.Stopped != nil {
+			c.Stopped(w, End{Task: p.Task, Run: p.Run, How: "crash"})
+		}
+		c.breakGang(p)
+	}
+	w.runs = map[string]*Present{}
+}
+
+// Up reports whether the worker lives.
+func (w *Worker) Up() bool { return w.up }
+
+// ClockMS is the worker's clock. It starts anew with each life.
+func (w *Worker) ClockMS() int64 { return 1 + int64(float64((w.c.now-w.began).Milliseconds())*w.Rate) }
+
+// at returns when the worker's clock shows ms.
+func (w *Worker) at(ms int64) time.Duration {
+	return w.began + time.Duration(float64(ms-1)/w.Rate*float64(time.Millisecond)) + time.Millisecond
+}
+
+func (w *Worker) list() []*Present {
+	l := make([]*Present, 0, len(w.runs))
+	for _, p := range w.runs {
+		l = append(l, p)
+	}
+	slices.SortFunc(l, func(a, b *Present) int {
+		if a.Task < b.Task {
+			return -1
+		}
+		return 1
+	})
+	return l
+}
+
+// Lapsed returns when the worker was last found with a lease that had run out.
+func (w *Worker) Lapsed() time.Duration {
+	if w.deadline < w.ClockMS() {
+		return w.c.now
+	}
+	return w.lapsed
+}
+
+// extend makes the lease longer, up to the platform's bound.
+func (w *Worker) extend(ms int64) {
+	if w.deadline < w.ClockMS() {
+		w.lapsed = w.c.now
+	}
+	ms = min(ms, w.ClockMS()+int64(float64(w.c.Bounds.MaxHold.Milliseconds())))
+	w.deadline = max(w.deadline, ms)
+}
+
+// Order is what a start carries.
+type Order struct {
+	Task       string
+	Run        int
+	Spec       string
+	Saved      string
+	Fence      int64
+	DeadlineMS int64
+}
+
+// Start takes an order. It returns the reason of a refusal, or "".
+func (w *Worker) Start(o Order) string {
+	if o.Fence < w.fence {
+		return "fence"
+	}
+	w.fence = o.Fence
+	if o.DeadlineMS <= w.ClockMS() {
+		return "late"
+	}
+	if p := w.runs[o.Task]; p != nil && p.Run == o.Run {
+		w.extend(o.DeadlineMS)
+		return ""
+	}
+	if o.Run <= w.ended[o.Task] || w.runs[o.Task] != nil {
+		w.extend(o.DeadlineMS)
+		return "old"
+	}
+	p, err := w.present(o)
+	if err != nil {
+		return "late"
+	}
+	if !w.Lax && !w.fits(p.shape) {
+		w.extend(o.DeadlineMS)
+		return "room"
+	}
+	w.extend(o.DeadlineMS)
+	w.runs[o.Task] = p
+	if w.c.Started != nil {
+		w.c.Started(w, p)
+	}
+	w.c.assemble(p)
+	return ""
+}
+
+// present reads what an order asks for.
+func (w *Worker) present(o Order) (*Present, error) {
+	var l []Shape
+	if err := json.Unmarshal([]byte(o.Spec), &l); err != nil {
+		return nil, err
+	}
+	var job string
+	var k, step, index int
+	if _, err := fmt.Sscanf(o.Task, "%16s.%d.%d.%d", &job, &k, &step, &index); err != nil {
+		return nil, err
+	}
+	if step >= len(l) {
+		return nil, fmt.Errorf("no shape for step %d", step)
+	}
+	p := &Present{Task: o.Task, Run: o.Run, Saved: o.Saved, shape: l[step], since: w.c.now, key: fmt.Sprintf("%s.%d.%d/%d", job, k, step, o.Run)}
+	if o.Saved != "" {
+		ms, err := strconv.ParseInt(o.Saved, 16, 64)
+		if err != nil {
+			return nil, err
+		}
+		p.had = time.Duration(ms) * time.Millisecond
+	}
+	return p, nil
+}
+
+// Over reports whether what runs is more than the worker has.
+func (w *Worker) Over() bool { return !w.fits(Shape{}) }
+
+// fits reports whether a task fits beside what runs.
+func (w *Worker) fits(s Shape) bool {
+	for _, p := range w.runs {
+		s.CPU += p.shape.CPU
+		s.Memory += p.shape.Memory
+		s.Accelerators += p.shape.Accelerators
+	}
+	return s.CPU <= w.CPU && s.Memory <= w.Memory && s.Accelerators <= w.Accelerators
+}
+
+// assemble lets a task work, or a gang once all its members are there.
+func (c *Cluster) assemble(p *Present) {
+	if p.shape.Gang == 0 {
+		p.work = c.now
+		return
+	}
+	l := c.gang(p.key)
+	if len(l) < p.shape.Gang {
+		return
+	}
+	for _, o := range l {
+		o.p.work = c.now
+	}
+}
+
+type member struct {
+	w *Worker
+	p *Present
+}
+
+func (c *Cluster) gang(key string) []member {
+	var l []member
+	for _, id := range c.order {
+		w := c.Workers[id]
+		if !w.up {
+			continue
+		}
+		for _, p := range w.list() {
+			if p.key == key {
+				l = append(l, member{w, p})
+			}
+		}
+	}
+	return l
+}
+
+// breakGang ends the other members of a gang.
+func (c *Cluster) breakGang(p *Present) {
+	if p.shape.Gang == 0 {
+		return
+	}
+	for _, m := range c.gang(p.key) {
+		if m.p != p {
+			m.w.end(m.p, "broken")
+		}
+	}
+}
+
+// Stop takes an order to stop a run. It returns the reason of a refusal.
+func (w *Worker) Stop(task string, run int, fence int64) string {
+	if fence < w.fence {
+		return "fence"
+	}
+	w.fence = fence
+	w.ended[task] = max(w.ended[task], run)
+	if p := w.runs[task]; p != nil && p.Run <= run && p.stopAt == 0 {
+		p.stopAt = w.c.now + w.c.Bounds.StopTime
+	}
+	return ""
+}
+
+// Hold extends the lease and returns what runs and what has ended.
+func (w *Worker) Hold(fence, seen, deadline int64) ([]Present, []End, string) {
+	if fence < w.fence {
+		return nil, nil, "fence"
+	}
+	w.fence = fence
+	if deadline > 0 {
+		w.extend(deadline)
+	}
+	w.ends = slices.DeleteFunc(w.ends, func(e End) bool { return e.N <= seen })
+	l := make([]Present, 0, len(w.runs))
+	for _, p := range w.list() {
+		l = append(l, *p)
+	}
+	return l, slices.Clone(w.ends), ""
+}
+
+// progress returns how much of a run's work is done.
+func (p *Present) progress(now time.Duration) time.Duration {
+	if p.work == 0 {
+		return p.had
+	}
+	return min(p.had+now-p.work, p.shape.Work)
+}
+
+// end takes a run off the worker.
+func (w *Worker) end(p *Present, how string) {
+	if w.runs[p.Task] != p {
+		return
+	}
+	delete(w.runs, p.Task)
+	w.ended[p.Task] = max(w.ended[p.Task], p.Run)
+	w.n++
+	e := End{N: w.n, Task: p.Task, Run: p.Run, How: how, Saved: p.Saved}
+	if how == "stopped" && p.shape.Checkpoint {
+		e.Saved = fmt.Sprintf("%016x", p.progress(w.c.now).Milliseconds())
+	}
+	w.ends = append(w.ends, e)
+	if w.c.Stopped != nil {
+		w.c.Stopped(w, e)
+	}
+	if how != "done" {
+		w.c.breakGang(p)
+		return
+	}
+	if p.shape.Gang > 0 {
+		for _, m := range w.c.gang(p.key) {
+			m.w.end(m.p, "done")
+		}
+	}
+}
+
+// due returns when something happens to a run, and what.
+func (w *Worker) due(p *Present) (time.Duration, string) {
+	at, how := w.at(w.deadline), "lapsed"
+	if p.work > 0 {
+		how2 := "done"
+		fails := p.shape.FailOneIn > 0 && xxhash.Sum64String(fmt.Sprint(p.Task, p.Run, w.ID))%uint64(p.shape.FailOneIn) == 0
+		if fails || w.Hurt {
+			how2 = "failed"
+		}
+		if t := p.work + p.shape.Work - p.had; t < at {
+			at, how = t, how2
+		}
+	} else if t := p.since + w.c.Bounds.GangTimeout; t < at {
+		at, how = t, "alone"
+	}
+	if p.stopAt > 0 && p.stopAt <= at {
+		at, how = p.stopAt, "stopped"
+	}
+	return at, how
+}
+
+// next returns the run to which something happens first.
+func (c *Cluster) next() (*Worker, *Present, time.Duration, string) {
+	var bw *Worker
+	var bp *Present
+	var bt time.Duration
+	var bh string
+	for _, id := range c.order {
+		w := c.Workers[id]
+		if !w.up {
+			continue
+		}
+		for _, p := range w.list() {
+			if t, how := w.due(p); bp == nil || t < bt {
+				bw, bp, bt, bh = w, p, t, how
+			}
+		}
+	}
+	return bw, bp, bt, bh
+}
+
+// Next returns when something happens by itself. It is false if nothing runs.
+func (c *Cluster) Next() (time.Duration, bool) {
+	_, p, t, _ := c.next()
+	return t, p != nil
+}
+
+// Advance lets time pass.
+func (c *Cluster) Advance(now time.Duration) {
+	for {
+		w, p, t, how := c.next()
+		if p == nil || t > now {
+			break
+		}
+		c.now = max(c.now, t)
+		w.end(p, how)
+	}
+	c.now = max(c.now, now)
+}
--- a/node/decide.go
+++ b/node/decide.go
@@ -16,9 +16,14 @@
 
 // Times of a decider.
 const (
-	// ownedFor is how long a decider goes on giving orders without proof
-	// that it still owns its pool.
+	// startsFor is how long a decider starts tasks without proof that it
+	// still owns its pool: a successor waits longer before it takes it.
+	startsFor = repo.BeatTimeout - 200*time.Millisecond
+	// ownedFor is how long it renews leases without one.
 	ownedFor = 6 * time.Second
+	// orderAge is how old a decision may be when its order is sent: a host
+	// that was suspended in between may have a successor.
+	orderAge = time.Second
 	// leaseMargin is kept from the platform's bound on leases.
 	leaseMargin = 500 * time.Millisecond
 	// eventQueue bounds the events that wait for the decider.
@@ -42,6 +47,7 @@
 
 	mu        sync.Mutex
 	confirmed time.Duration
+	beats     int64
 	waiting   map[string]int
 	wg        sync.WaitGroup
 	leaving   sync.Once
@@ -173,9 +179,9 @@
 			}
 		}
 		d.mu.Lock()
-		unproved := timer.Boot()-d.confirmed > ownedFor
+		age := timer.Boot() - d.confirmed
 		d.mu.Unlock()
-		d.state.Halt(unproved)
+		d.state.Limit(sched.Limits{NoStarts: age > startsFor, NoOrders: age > ownedFor})
 		n := d.clock()
 		effects, next := d.state.Flush(n)
 		t.Reset(max(next-n.Steady, time.Millisecond))
@@ -189,10 +195,15 @@
 
 // perform carries effects out.
 func (d *decider) perform(l []sched.Effect) {
+	decided := timer.Boot()
 	for _, e := range l {
 		switch e := e.(type) {
 		case sched.Start:
 			d.goes(func() {
+				if timer.Boot()-decided > orderAge {
+					d.tell(sched.Answered{Call: e.Call, Outcome: sched.NotSent})
+					return
+				}
 				a := d.h.calls.Start(d.ctx, e)
 				d.h.meter.Orders.WithLabelValues("start", string(a.Outcome)).Inc()
 				if a.Outcome != sched.Accepted {
@@ -224,38 +235,50 @@
 			d.writer.Put(repo.TableWorkers, repo.WorkerKey(d.pool, id), []byte(e.Address), func() { d.tell(sched.WorkerRecorded{ID: id}) })
 		case sched.ForgetWorker:
 			d.writer.Put(repo.TableWorkers, repo.WorkerKey(d.pool, e.ID), nil, nil)
+		case sched.Prove:
+			d.goes(func() {
+				if sent := d.clock().Steady; d.prove() {
+					d.tell(sched.Owned{At: sent})
+				}
+			})
 		case sched.Note:
 			d.log.Info().Str("job", e.Job).Str("worker", e.Worker).Str("task", e.Task).Int("run", e.Run).Msg(e.Text)
 		}
 	}
 }
 
-// beat proves regularly that the pool is still owned, and tells what others
-// show of it.
+// beat proves regularly that the pool is still owned.
 func (d *decider) beat() {
 	t := time.NewTicker(repo.BeatPeriod)
 	defer t.Stop()
-	for n := int64(1); ; n++ {
-		d.mu.Lock()
-		b := repo.Beat{Epoch: d.me.Epoch, Host: d.me.Host, N: n, Waiting: d.waiting}
-		d.mu.Unlock()
-		sent := timer.Boot()
-		held, err := repo.PutBeat(d.ctx, d.h.store, d.held, b)
-		switch {
-		case err != nil:
-			if d.ctx.Err() == nil {
-				d.log.Warn().Err(err).Msg("beat failed")
-			}
-		case !held:
-			d.deposed()
-			return
-		default:
-			d.confirm(sent)
-		}
+	for d.ctx.Err() == nil {
+		d.prove()
 		select {
 		case <-d.ctx.Done():
-			return
 		case <-t.C:
 		}
 	}
 }
+
+// prove writes the pool's beat, which tells the other hosts what they show of
+// it, and returns whether that proves that the pool is still owned.
+func (d *decider) prove() bool {
+	d.mu.Lock()
+	d.beats++
+	b := repo.Beat{Epoch: d.me.Epoch, Host: d.me.Host, N: d.beats, Waiting: d.waiting}
+	d.mu.Unlock()
+	sent := timer.Boot()
+	held, err := repo.PutBeat(d.ctx, d.h.store, d.held, b)
+	switch {
+	case err != nil:
+		if d.ctx.Err() == nil {
+			d.log.Warn().Err(err).Msg("beat failed")
+		}
+		return false
+	case !held:
+		d.deposed()
+		return false
+	}
+	d.confirm(sent)
+	return true
+}
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -11,10 +11,10 @@
 func (s *State) hold(w *worker) time.Duration {
 	now := s.now.Steady
 	idle := now + time.Second
-	if w.holding || w.gone || w.Address == "" || s.halted {
+	if w.holding || w.gone || w.Address == "" || s.limits.NoOrders {
 		return idle
 	}
-	needed := len(w.runs) > 0 || !w.synced || w.durable > w.told || len(w.ends) > 0
+	needed := len(w.runs) > 0 || !w.synced || w.silent > 0 || w.durable > w.told || len(w.ends) > 0
 	if !needed {
 		return idle
 	}
@@ -25,7 +25,12 @@
 	if now < w.nextHold {
 		return w.nextHold
 	}
-	h := Hold{Call: s.call(w), SeenUpto: w.durable}
+	h := Hold{Call: s.call(w)}
+	if w.durable > w.told {
+		// Only when there is something to forget: in a life that isn't known
+		// yet the number would forget ends that nobody has seen.
+		h.SeenUpto = w.durable
+	}
 	if w.synced && w.silent == 0 && len(w.runs) > 0 {
 		h.DeadlineMS = s.deadline(w)
 		h.Wait = holdWait
@@ -90,7 +95,7 @@
 	w.silent = 0
 	s.clock(w, e.ClockMS)
 	if !w.synced {
-		w.synced = true
+		w.synced, w.syncedAt = true, s.now.Steady
 		s.changed = true
 	}
 	w.told = max(w.told, w.telling)
@@ -265,6 +270,10 @@
 			r.task, t.run, t.hidden = t, r, false
 		}
 	}
+	if t == nil {
+		// What an unknown task takes isn't known: nothing goes beside it.
+		r.demand = w.Capacity
+	}
 	w.runs[x.Task] = r
 	w.used = w.used.Plus(r.demand)
 	if wanted {
--- a/sched/place.go
+++ b/sched/place.go
@@ -9,7 +9,7 @@
 
 // place chooses workers for what waits, and sends the orders.
 func (s *State) place() {
-	if s.halted || s.rules == nil {
+	if s.limits.NoStarts || s.limits.NoOrders || s.rules == nil {
 		return
 	}
 	units := s.units()
--- /dev/null
+++ b/sched/schedule_test.go
@@ -0,0 +1,357 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"citronbridge/fakes/plat"
+	"citronbridge/work"
+)
+
+// play runs one seeded schedule and returns the world at its end.
+func play(seed uint64, f faults, tracing bool) *world {
+	w := newWorld(seed, f)
+	w.tracing = tracing
+	w.workers()
+	w.decide(w.cuts())
+	w.submissions()
+	w.disturb()
+	w.run(w.quiet)
+	if len(w.broken) > 0 {
+		return w
+	}
+	w.calm()
+	w.run(w.quiet + 70*time.Second)
+	w.judge()
+	return w
+}
+
+// workers makes 4 to 7 workers on two racks.
+func (w *world) workers() {
+	for i := range 4 + w.rng.IntN(4) {
+		id := fmt.Sprintf("w%d%d", i%2, i)
+		w.cluster.Add(w.now, &plat.Worker{ID: id, Born: 1, CPU: 16000, Memory: 64000, Accelerators: 4, Lax: w.chance(0.5), Rate: 0.98 + 0.02*w.rng.Float64()})
+		w.listed[id] = true
+	}
+}
+
+// submissions hands jobs in over the first part of the schedule.
+func (w *world) submissions() {
+	for i := range 5 + w.rng.IntN(8) {
+		j := w.job(fmt.Sprintf("%016x", i+1))
+		w.after(w.between(0, 22*time.Second), func() { w.submit(j) })
+	}
+}
+
+// job draws a job of one to three steps.
+func (w *world) job(id string) *work.Job {
+	j := &work.Job{ID: id, Queue: "long"}
+	if w.chance(0.4) {
+		j.Queue = "urgent"
+	}
+	var shapes []plat.Shape
+	for i := range 1 + w.rng.IntN(3) {
+		s := work.Step{Count: 1 + w.rng.IntN(4), Demand: work.Amounts{MilliCPU: 2000, MemoryMiB: 4000, Accelerators: 1 + w.rng.Int64N(3)}}
+		s.Gang, s.Checkpoint, s.SameRack = w.chance(0.4), w.chance(0.5), w.chance(0.3)
+		if s.Count < 2 {
+			s.Gang = false
+		}
+		if !s.Gang && w.chance(0.2) {
+			s.AntiAffinity = 1
+		}
+		if i > 0 && w.chance(0.7) {
+			s.After = []int{i - 1}
+		}
+		d := w.between(300*time.Millisecond, 6*time.Second)
+		s.Estimate = d
+		x := plat.Shape{Work: d, Checkpoint: s.Checkpoint, CPU: 2000, Memory: 4000, Accelerators: s.Demand.Accelerators}
+		if s.Gang {
+			x.Gang = s.Count
+		}
+		if w.chance(0.2) {
+			x.FailOneIn = 4
+		}
+		j.Steps = append(j.Steps, s)
+		shapes = append(shapes, x)
+	}
+	j.Spec = plat.Spec(shapes...)
+	if w.chance(0.15) {
+		j.Times, j.Interval, j.Start = 2, 2*time.Second, wallStart+w.between(0, 15*time.Second).Milliseconds()
+	}
+	return j
+}
+
+func (w *world) submit(j *work.Job) {
+	if !w.storeUp {
+		w.after(200*time.Millisecond, func() { w.submit(j) })
+		return
+	}
+	j.Accepted = w.wall()
+	r := &work.Record{State: work.Pending, Queue: j.Queue}
+	b, err := r.Encode()
+	if err != nil {
+		w.fail("encode: %v", err)
+	}
+	w.jobs[j.ID], w.records[j.ID] = j, b
+	w.log("SUBMIT %s", j.ID)
+	for _, p := range w.deciders {
+		if !p.cut {
+			fresh, _ := work.DecodeRecord(b)
+			w.after(w.between(0, 5*time.Millisecond), func() { p.take(JobAdded{Job: j, Record: fresh}) })
+		}
+	}
+	if w.chance(0.2) {
+		w.after(w.between(0, 8*time.Second), func() { w.cancel(j.ID) })
+	}
+}
+
+func (w *world) cancel(id string) {
+	if !w.storeUp {
+		return
+	}
+	w.log("CANCEL %s", id)
+	w.acked[id] = w.now
+	if !w.faults.weakCancel {
+		w.canceled[id] = w.now
+	}
+	w.tell(JobCanceled{id})
+}
+
+// disturb plans kills, pauses, cuts, crashes and outages.
+func (w *world) disturb() {
+	for range 2 + w.rng.IntN(5) {
+		at := w.between(time.Second, 26*time.Second)
+		w.after(at, []func(){w.killDecider, w.pauseDecider, w.cutDecider, w.crashWorker, w.crashWorker, w.darkWorker, w.outage, w.hurtWorker, w.releaseDecider}[w.rng.IntN(9)])
+	}
+}
+
+// owner returns the decider that has the pool.
+func (w *world) owner() *player { return w.deciders[len(w.deciders)-1] }
+
+// succeed makes a successor after a time, unless there is one by then.
+func (w *world) succeed(d time.Duration) {
+	e := w.epoch
+	w.after(d, func() {
+		switch {
+		case w.epoch != e:
+		case !w.storeUp:
+			w.succeed(500 * time.Millisecond)
+		default:
+			w.decide(w.cuts())
+		}
+	})
+}
+
+// cuts draws the workers that a decider can't reach for a while.
+func (w *world) cuts() map[string]bool {
+	m := map[string]bool{}
+	if w.disturbed(0.4) {
+		for _, id := range sorted(w.cluster.Workers) {
+			if w.chance(0.3) {
+				m[id] = true
+				w.log("worker %s is cut from the next decider", id)
+				w.after(w.between(time.Second, 12*time.Second), func() { delete(m, id) })
+			}
+		}
+	}
+	return m
+}
+
+func (w *world) killDecider() {
+	w.log("KILL")
+	w.owner().dead = true
+	w.succeed(w.between(300*time.Millisecond, 3*time.Second))
+}
+
+func (w *world) releaseDecider() {
+	w.owner().dead = true
+	w.succeed(w.between(5*time.Millisecond, 50*time.Millisecond))
+}
+
+func (w *world) pauseDecider() {
+	p := w.owner()
+	d := w.between(time.Second, 7*time.Second)
+	w.log("PAUSE %v", d)
+	p.paused = w.now + d
+	w.after(d, func() {
+		l := p.backlog
+		p.backlog = nil
+		for _, f := range l {
+			f()
+		}
+		p.flush(w.now)
+	})
+	w.succeed(2 * time.Second)
+}
+
+// cutDecider parts the decider from the store, not from the workers.
+func (w *world) cutDecider() {
+	w.log("CUT")
+	p := w.owner()
+	p.cut = true
+	w.after(w.between(time.Second, 9*time.Second), func() { p.cut = false })
+	w.succeed(w.between(1500*time.Millisecond, 3*time.Second))
+}
+
+func (w *world) pick() *plat.Worker {
+	l := sorted(w.cluster.Workers)
+	return w.cluster.Workers[l[w.rng.IntN(len(l))]]
+}
+
+// crashWorker ends a worker's life; it comes back under its name, or not.
+func (w *world) crashWorker() {
+	x := w.pick()
+	if !x.Up() {
+		return
+	}
+	w.log("CRASH %s", x.ID)
+	w.cluster.Crash(x.ID)
+	back := w.between(100*time.Millisecond, 6*time.Second)
+	unlisted := back > 4500*time.Millisecond
+	if unlisted {
+		w.after(4500*time.Millisecond, func() { w.unlist(x.ID) })
+	}
+	w.after(back, func() {
+		w.cluster.Add(w.now, &plat.Worker{ID: x.ID, Born: x.Born + 1, CPU: x.CPU, Memory: x.Memory, Accelerators: x.Accelerators, Lax: x.Lax, Rate: x.Rate})
+		w.log("REBORN %s", x.ID)
+		w.after(w.between(0, 800*time.Millisecond), func() { w.list(x.ID) })
+	})
+}
+
+func (w *world) unlist(id string) {
+	w.listed[id] = false
+	w.tell(WorkerUnlisted{id})
+}
+
+func (w *world) list(id string) {
+	w.listed[id] = true
+	w.tell(WorkerListed{w.entry(id)})
+}
+
+// darkWorker parts a worker from everything; it runs on.
+func (w *world) darkWorker() {
+	x := w.pick()
+	w.log("DARK %s", x.ID)
+	x.Dark = true
+	d := w.between(time.Second, 14*time.Second)
+	if d > 4500*time.Millisecond {
+		w.after(4500*time.Millisecond, func() { w.unlist(x.ID) })
+	}
+	w.after(d, func() {
+		x.Dark = false
+		w.after(w.between(0, 800*time.Millisecond), func() { w.list(x.ID) })
+	})
+}
+
+func (w *world) hurtWorker() {
+	x := w.pick()
+	x.Hurt = true
+	w.after(w.between(time.Second, 6*time.Second), func() { x.Hurt = false })
+}
+
+// outage takes the store away from everybody.
+func (w *world) outage() {
+	w.log("OUTAGE")
+	w.storeUp = false
+	w.after(w.between(time.Second, 8*time.Second), func() { w.storeUp = true })
+}
+
+// calm ends all disturbances and makes sure that somebody decides.
+func (w *world) calm() {
+	w.log("CALM")
+	w.storeUp = true
+	for _, id := range sorted(w.cluster.Workers) {
+		x := w.cluster.Workers[id]
+		x.Dark, x.Hurt = false, false
+	}
+	for _, p := range w.deciders {
+		p.cut, p.cutFrom = false, nil
+	}
+	if p := w.owner(); p.dead || w.now < p.paused {
+		w.succeed(2 * time.Second)
+	}
+	w.after(8*time.Second, func() {
+		for _, id := range sorted(w.cluster.Workers) {
+			if w.cluster.Workers[id].Up() && !w.listed[id] {
+				w.list(id)
+			}
+		}
+	})
+}
+
+// judge checks that every job has come to its end.
+func (w *world) judge() {
+	for _, id := range sorted(w.jobs) {
+		r, err := work.DecodeRecord(w.records[id])
+		if err != nil {
+			w.fail("record of %s: %v", id, err)
+			continue
+		}
+		if !r.State.Final() {
+			w.fail("LOST: %s is %s at the end", id, r.State)
+		}
+		if _, ok := w.acked[id]; r.State == work.Canceled && !ok {
+			w.fail("LOST: %s is canceled and nobody asked", id)
+		}
+	}
+}
+
+// schedules is how many seeds a run of the test plays.
+const schedules = 1500
+
+func TestSchedules(t *testing.T) {
+	starts := 0
+	for seed := uint64(1); seed <= schedules; seed++ {
+		w := play(seed, faults{}, false)
+		starts += w.starts
+		if len(w.broken) > 0 {
+			t.Errorf("seed %d: %s", seed, w.broken[0])
+		}
+	}
+	t.Logf("%d schedules, %d starts", schedules, starts)
+	if starts < schedules {
+		t.Errorf("%d starts in %d schedules: they show nothing", starts, schedules)
+	}
+}
+
+// mutationSchedules is how many seeds may pass before a mutation is caught.
+const mutationSchedules = 3000
+
+// TestMutationsAreCaught takes mechanisms out, one at a time: the schedules
+// must notice each.
+func TestMutationsAreCaught(t *testing.T) {
+	for _, m := range []struct {
+		name string
+		f    faults
+	}{
+		{"without fences", faults{noFence: true}},
+		{"without waiting for workers that can't be asked", faults{noInherit: true}},
+		{"ends forgotten before they are durable", faults{earlySeen: true}},
+		{"cancels that aren't durable", faults{weakCancel: true}},
+	} {
+		t.Run(m.name, func(t *testing.T) {
+			for seed := uint64(1); seed <= mutationSchedules; seed++ {
+				if w := play(seed, m.f, false); len(w.broken) > 0 {
+					t.Logf("caught by seed %d: %s", seed, w.broken[0])
+					return
+				}
+			}
+			t.Errorf("no schedule of %d noticed", mutationSchedules)
+		})
+	}
+}
+
+// TestTrace prints one schedule: go test -run TestTrace -v -args SEED is not
+// needed in CI, so it plays a fixed one and checks that it repeats.
+func TestSchedulesRepeat(t *testing.T) {
+	a, b := play(3, faults{}, true), play(3, faults{}, true)
+	if len(a.trace) != len(b.trace) {
+		t.Fatalf("%d lines, then %d", len(a.trace), len(b.trace))
+	}
+	for i := range a.trace {
+		if a.trace[i] != b.trace[i] {
+			t.Fatalf("line %d: %q, then %q", i, a.trace[i], b.trace[i])
+		}
+	}
+}
--- a/sched/state.go
+++ b/sched/state.go
@@ -72,11 +72,16 @@
 	names   []string
 	out     []Effect
 
-	taken   time.Duration
-	planAt  time.Duration
-	planned bool
-	changed bool
-	halted  bool
+	taken time.Duration
+	// inheriting is set while tasks of a former decider may be at work unseen.
+	inheriting bool
+	planAt     time.Duration
+	changed    bool
+	// limits is what the decider may do while its ownership isn't proved.
+	limits Limits
+	// ownedAt is a time at which the pool was surely owned, proveAt the
+	// earliest time to ask for another proof.
+	ownedAt, proveAt time.Duration
 	// unsaved is when the oldest write that isn't answered was asked for.
 	unsaved time.Duration
 	dirty   []*job
@@ -84,7 +89,7 @@
 
 // New returns the state of a decider that has just taken the pool.
 func New(c Config, now Clock, rules *work.Rules) *State {
-	return &State{c: c, now: now, rules: rules, taken: now.Steady, jobs: map[string]*job{}, cancels: map[string]bool{}, pool: map[string]*worker{}}
+	return &State{c: c, now: now, rules: rules, taken: now.Steady, inheriting: true, jobs: map[string]*job{}, cancels: map[string]bool{}, pool: map[string]*worker{}}
 }
 
 // Step takes an event in and returns what is to be done.
@@ -113,6 +118,8 @@
 	case RulesChanged:
 		s.rules = e.Rules
 		s.changed = true
+	case Owned:
+		s.proved(e.At)
 	case RecordSaved:
 		s.saved(e)
 	case Answered:
@@ -136,6 +143,10 @@
 	}
 	next = min(next, s.due())
 	s.settle()
+	if s.inheriting && now.Steady-s.taken > s.c.Inherit {
+		s.inheriting = false
+		s.changed = true
+	}
 	if s.changed && now.Steady >= s.planAt {
 		s.changed = false
 		s.planAt = now.Steady + planPause
@@ -144,19 +155,54 @@
 		next = min(next, s.planAt)
 	}
 	s.save()
+	next = min(next, s.prove())
 	for _, id := range s.names {
 		next = min(next, s.hold(s.pool[id]))
 	}
 	return s.out, next
 }
 
-// Halt stops new orders while ownership of the pool isn't confirmed, or lets
-// them go on.
-func (s *State) Halt(halted bool) {
-	if s.halted && !halted {
+// Limits says what a decider holds back while it can't prove that it still
+// owns its pool.
+type Limits struct {
+	// NoStarts: a successor may exist by now.
+	NoStarts bool
+	// NoOrders: leases aren't renewed either, so that a successor knows when
+	// they have run out.
+	NoOrders bool
+}
+
+// Limit sets what the decider holds back.
+func (s *State) Limit(l Limits) {
+	if l != s.limits {
 		s.changed = true
 	}
-	s.halted = halted
+	s.limits = l
+}
+
+// proved takes in a proof of ownership. A worker's life that was first seen
+// before it may be used: a successor takes in what runs there.
+func (s *State) proved(at time.Duration) {
+	s.ownedAt = max(s.ownedAt, at)
+	s.changed = true
+}
+
+// prove asks for a proof while a worker's life waits for one, and returns when
+// to look again.
+func (s *State) prove() time.Duration {
+	next := s.now.Steady + time.Second
+	for _, id := range s.names {
+		if w := s.pool[id]; !w.synced || s.ownedAt > w.syncedAt {
+			continue
+		}
+		if s.now.Steady < s.proveAt {
+			return s.proveAt
+		}
+		s.proveAt = s.now.Steady + retryPause
+		s.do(Prove{})
+		return s.proveAt
+	}
+	return next
 }
 
 // Waiting returns by queue how many jobs have no task that has started.
@@ -200,7 +246,7 @@
 // unaccounted reports whether a worker that a former decider may have used
 // can't be asked yet, so that tasks which aren't found may be there.
 func (s *State) unaccounted() bool {
-	if s.now.Steady-s.taken > s.c.Inherit {
+	if !s.inheriting {
 		return false
 	}
 	for _, w := range s.pool {
--- a/sched/types.go
+++ b/sched/types.go
@@ -57,6 +57,9 @@
 // RulesChanged brings another configuration.
 type RulesChanged struct{ Rules *work.Rules }
 
+// Owned tells that the pool was still this decider's at a steady time.
+type Owned struct{ At time.Duration }
+
 // RecordSaved tells that a record is durable up to a sequence number.
 type RecordSaved struct {
 	ID  string
@@ -91,6 +94,7 @@
 func (WorkerUnlisted) event() {}
 func (WorkerRecorded) event() {}
 func (RulesChanged) event()   {}
+func (Owned) event()          {}
 func (RecordSaved) event()    {}
 func (Answered) event()       {}
 func (Reported) event()       {}
@@ -205,6 +209,9 @@
 // ForgetWorker takes back a RecordWorker.
 type ForgetWorker struct{ ID string }
 
+// Prove asks for a proof that the pool is still owned: an Owned follows.
+type Prove struct{}
+
 // Note is a line for the log: a decision and what it rests on.
 type Note struct {
 	Job, Worker, Text string
@@ -218,4 +225,5 @@
 func (Save) effect()         {}
 func (RecordWorker) effect() {}
 func (ForgetWorker) effect() {}
+func (Prove) effect()        {}
 func (Note) effect()         {}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -23,7 +23,8 @@
 	gone bool
 	// synced says that the worker has answered in this life, under this
 	// decider's fence.
-	synced bool
+	synced   bool
+	syncedAt time.Duration
 
 	// clockMS is the worker's clock as read at clockAt.
 	clockMS int64
@@ -134,7 +135,7 @@
 
 // closed reports whether the worker takes no new tasks now.
 func (s *State) closed(w *worker) bool {
-	return !w.listed || w.gone || w.Draining || !w.synced || w.silent > 0 || s.now.Steady < w.closedUntil
+	return !w.listed || w.gone || w.Draining || !w.synced || s.ownedAt <= w.syncedAt || w.silent > 0 || s.now.Steady < w.closedUntil
 }
 
 // tend looks after the orders and the lease of a worker, and returns when it
@@ -149,7 +150,7 @@
 	if w.leaseEnd > now {
 		next = min(next, w.leaseEnd)
 	}
-	if s.halted {
+	if s.limits.NoOrders {
 		return next
 	}
 	for _, r := range w.runs {
@@ -163,7 +164,7 @@
 		}
 		// A worker that doesn't answer is asked by Holds alone: each start
 		// would make its lease longer.
-		if r.phase == starting && w.silent == 0 && w.synced {
+		if r.phase == starting && w.silent == 0 && w.synced && s.ownedAt > w.syncedAt {
 			s.sendStart(r)
 		} else if r.phase == stopping && (w.silent == 0 || now >= r.sent+4*retryPause) {
 			s.sendStop(r)
@@ -248,7 +249,7 @@
 // sendStart orders a run's start.
 func (s *State) sendStart(r *run) {
 	w := r.w
-	if s.halted || w.clockMS == 0 {
+	if s.limits.NoStarts || s.limits.NoOrders || w.clockMS == 0 {
 		// The order stays due: tend sends it when it may.
 		r.phase, r.waiting, r.sent = starting, true, s.now.Steady
 		return
@@ -275,7 +276,7 @@
 
 func (s *State) sendStop(r *run) {
 	r.waiting, r.sent = true, s.now.Steady
-	if s.halted {
+	if s.limits.NoOrders {
 		return
 	}
 	c := s.call(r.w)
--- /dev/null
+++ b/sched/world_test.go
@@ -0,0 +1,570 @@
+package sched
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"citronbridge/fakes/plat"
+	"citronbridge/work"
+)
+
+// world plays a pool on virtual time: workers, a store, deciders that come
+// and go, and a network that loses, delays and repeats.
+type world struct {
+	rng     *rand.Rand
+	now     time.Duration
+	queue   timeline
+	cluster *plat.Cluster
+	rules   *work.Rules
+	faults  faults
+	quiet   time.Duration
+
+	// The store.
+	jobs     map[string]*work.Job
+	records  map[string][]byte
+	canceled map[string]time.Duration
+	acked    map[string]time.Duration
+	known    map[string]string
+	epoch    int64
+	storeUp  bool
+	listed   map[string]bool
+
+	deciders []*player
+	// What has happened.
+	active  map[string][]*act
+	ends    map[string][]*fact
+	failed  map[string]int
+	broken  []string
+	starts  int
+	trace   []string
+	tracing bool
+}
+
+// faults switch on what the network and the hosts do, and what is left out of
+// the decider on purpose.
+type faults struct {
+	noFence, noInherit, earlySeen, weakCancel bool
+}
+
+type act struct {
+	w   string
+	run int
+}
+
+// fact is an end as done.
+type fact struct {
+	at     time.Duration
+	worker string
+	born   int64
+	n      int64
+	noted  bool
+	later  bool
+}
+
+// player is a decider and what it can reach.
+type player struct {
+	w         *world
+	s         *State
+	epoch     int64
+	dead      bool
+	paused    time.Duration
+	cut       bool
+	cutFrom   map[string]bool
+	confirmed time.Duration
+	flushAt   time.Duration
+	saving    map[string]bool
+	backlog   []func()
+}
+
+type happening struct {
+	at time.Duration
+	n  int
+	f  func()
+}
+
+type timeline struct {
+	l []happening
+	n int
+}
+
+func (t *timeline) Len() int { return len(t.l) }
+func (t *timeline) Less(i, j int) bool {
+	return t.l[i].at < t.l[j].at || (t.l[i].at == t.l[j].at && t.l[i].n < t.l[j].n)
+}
+func (t *timeline) Swap(i, j int) { t.l[i], t.l[j] = t.l[j], t.l[i] }
+func (t *timeline) Push(x any)    { t.l = append(t.l, x.(happening)) }
+func (t *timeline) Pop() any {
+	x := t.l[len(t.l)-1]
+	t.l = t.l[:len(t.l)-1]
+	return x
+}
+
+// wallStart is the time of day at which worlds begin, in Unix milliseconds.
+const wallStart = 1_700_000_000_000
+
+func newWorld(seed uint64, f faults) *world {
+	w := &world{
+		rng: rand.New(rand.NewPCG(seed, 7)), faults: f, quiet: 30 * time.Second,
+		jobs: map[string]*work.Job{}, records: map[string][]byte{}, canceled: map[string]time.Duration{}, acked: map[string]time.Duration{},
+		known: map[string]string{}, storeUp: true, listed: map[string]bool{},
+		active: map[string][]*act{}, ends: map[string][]*fact{}, failed: map[string]int{},
+	}
+	w.rules = &work.Rules{Version: 1, Queues: map[string]*work.Queue{
+		"urgent": {Name: "urgent", Pool: "p", Priority: 0, MaxAttempts: 2, Stretch: 2, Slack: time.Second},
+		"long":   {Name: "long", Pool: "p", Priority: 1, MaxAttempts: 3, Stretch: 3, Slack: time.Second},
+	}, Pools: map[string]*work.Pool{"p": {Name: "p"}}}
+	w.rules.Index()
+	w.cluster = plat.NewCluster(plat.Bounds{MaxHold: 10 * time.Second, StopTime: 200 * time.Millisecond, GangTimeout: 3 * time.Second})
+	w.cluster.Started, w.cluster.Stopped = w.started, w.stopped
+	return w
+}
+
+// after schedules f.
+func (w *world) after(d time.Duration, f func()) {
+	w.queue.n++
+	heap.Push(&w.queue, happening{w.now + d, w.queue.n, f})
+}
+
+// run plays until a time.
+func (w *world) run(until time.Duration) {
+	for len(w.broken) == 0 {
+		at, ok := w.cluster.Next()
+		if len(w.queue.l) > 0 && (!ok || w.queue.l[0].at <= at) {
+			if w.queue.l[0].at > until {
+				return
+			}
+			h := heap.Pop(&w.queue).(happening)
+			w.now = max(w.now, h.at)
+			w.cluster.Advance(w.now)
+			h.f()
+			continue
+		}
+		if !ok || at > until {
+			return
+		}
+		w.now = max(w.now, at)
+		w.cluster.Advance(w.now)
+	}
+}
+
+func (w *world) fail(format string, a ...any) {
+	w.broken = append(w.broken, fmt.Sprintf("at %v: ", w.now)+fmt.Sprintf(format, a...))
+}
+
+func (w *world) log(format string, a ...any) {
+	if w.tracing {
+		w.trace = append(w.trace, fmt.Sprintf("%8.3f ", w.now.Seconds())+fmt.Sprintf(format, a...))
+	}
+}
+
+// between returns a time between two.
+func (w *world) between(a, b time.Duration) time.Duration {
+	return a + time.Duration(w.rng.Int64N(int64(b-a)+1))
+}
+
+func (w *world) chance(p float64) bool { return w.rng.Float64() < p }
+
+// disturbed is a chance that only counts while faults are played.
+func (w *world) disturbed(p float64) bool { return w.now < w.quiet && w.chance(p) }
+
+// started checks a start.
+func (w *world) started(x *plat.Worker, p *plat.Present) {
+	w.starts++
+	w.log("START %s run %d on %s (life %d)", p.Task, p.Run, x.ID, x.Born)
+	if l := w.active[p.Task]; len(l) > 0 {
+		w.fail("TWICE: %s run %d starts on %s while run %d is on %s", p.Task, p.Run, x.ID, l[0].run, l[0].w)
+	}
+	w.active[p.Task] = append(w.active[p.Task], &act{x.ID, p.Run})
+	for _, f := range w.ends[p.Task] {
+		f.later = true
+		if f.noted {
+			w.fail("TWICE: %s run %d starts after it was done", p.Task, p.Run)
+		}
+	}
+	if x.Lax && x.Over() {
+		w.fail("LIMIT: %s brings %s over its capacity", p.Task, x.ID)
+	}
+	id, err := work.ParseTaskID(p.Task)
+	if err != nil {
+		w.fail("task name %q", p.Task)
+		return
+	}
+	j := w.jobs[id.Job]
+	if due := j.Due(id.Occurrence); due > w.wall() {
+		w.fail("ORDER: %s starts %d ms early", p.Task, due-w.wall())
+	}
+	for _, a := range j.Steps[id.Step].After {
+		for i := range j.Steps[a].Count {
+			if t := (work.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: a, Index: i}).String(); len(w.ends[t]) == 0 {
+				w.fail("ORDER: %s starts before %s is done", p.Task, t)
+			}
+		}
+	}
+	if n := w.failed[w.attemptKey(id)]; n >= w.rules.Queues[j.Queue].MaxAttempts && !j.Steps[id.Step].LongRunning {
+		w.fail("BUDGET: %s starts after %d failures", p.Task, n)
+	}
+}
+
+func (w *world) attemptKey(id work.TaskID) string {
+	if w.jobs[id.Job].Steps[id.Step].Gang {
+		return id.Job + "." + work.StepKey(id.Occurrence, id.Step)
+	}
+	return id.String()
+}
+
+func (w *world) wall() int64 { return wallStart + w.now.Milliseconds() }
+
+// stopped notes an end.
+func (w *world) stopped(x *plat.Worker, e plat.End) {
+	w.log("END %s run %d on %s: %s", e.Task, e.Run, x.ID, e.How)
+	w.active[e.Task] = slices.DeleteFunc(w.active[e.Task], func(a *act) bool { return a.w == x.ID && a.run == e.Run })
+	if e.How == "done" {
+		w.ends[e.Task] = append(w.ends[e.Task], &fact{at: w.now, worker: x.ID, born: x.Born, n: e.N})
+	}
+}
+
+// noted takes in that a worker was told to forget its ends.
+func (w *world) noted(x *plat.Worker, seen int64, ends []plat.End) {
+	for _, l := range w.ends {
+		for _, f := range l {
+			if f.worker == x.ID && f.born == x.Born && f.n <= seen && !f.noted && x.Lapsed() < f.at {
+				f.noted = true
+				if f.later {
+					w.fail("TWICE: an end as done is noted after a later start, on %s number %d", x.ID, f.n)
+				}
+			}
+		}
+	}
+	for _, e := range ends {
+		if e.How == "failed" && e.N <= seen && x.Lapsed() == 0 {
+			id, _ := work.ParseTaskID(e.Task)
+			w.failed[w.attemptKey(id)]++
+		}
+	}
+}
+
+// decide makes a decider that has just taken the pool.
+func (w *world) decide(cutFrom map[string]bool) {
+	w.epoch++
+	p := &player{w: w, epoch: w.epoch, confirmed: w.now, cutFrom: cutFrom, saving: map[string]bool{}, flushAt: -1}
+	c := Config{Pool: "p", Epoch: w.epoch, Lease: 9500 * time.Millisecond, StopTime: 200 * time.Millisecond, Inherit: 16500 * time.Millisecond, FarFactor: 3}
+	if w.faults.noInherit {
+		c.Inherit = 0
+	}
+	p.s = New(c, p.clock(), w.rules)
+	w.deciders = append(w.deciders, p)
+	w.log("DECIDER %d", w.epoch)
+	var l []Event
+	for _, id := range sorted(w.known) {
+		l = append(l, WorkerKnown{id, w.known[id]})
+	}
+	for _, id := range sorted(w.listed) {
+		if w.listed[id] {
+			l = append(l, WorkerListed{w.entry(id)})
+		}
+	}
+	for _, id := range sorted(w.jobs) {
+		r, err := work.DecodeRecord(w.records[id])
+		if err != nil {
+			w.fail("record of %s: %v", id, err)
+			return
+		}
+		if !r.State.Final() {
+			l = append(l, JobAdded{w.jobs[id], r, true})
+		}
+	}
+	for _, id := range sorted(w.canceled) {
+		l = append(l, JobCanceled{id})
+	}
+	for _, e := range l {
+		p.take(e)
+	}
+	p.beat()
+}
+
+func sorted[V any](m map[string]V) []string {
+	l := make([]string, 0, len(m))
+	for k := range m {
+		l = append(l, k)
+	}
+	slices.Sort(l)
+	return l
+}
+
+func (w *world) entry(id string) Worker {
+	x := w.cluster.Workers[id]
+	return Worker{
+		ID: id, Address: "a/" + id, Rack: "r" + id[1:2], Labels: []string{"k", "r" + id[1:2]}, Born: x.Born,
+		Capacity: work.Amounts{MilliCPU: x.CPU, MemoryMiB: x.Memory, Accelerators: x.Accelerators},
+	}
+}
+
+// tell passes an event on to all deciders that reach the store.
+func (w *world) tell(e Event) {
+	for _, p := range w.deciders {
+		if !p.cut {
+			w.after(w.between(0, 5*time.Millisecond), func() { p.take(e) })
+		}
+	}
+}
+
+func (p *player) clock() Clock { return Clock{p.w.now, p.w.wall()} }
+
+// owned reports whether the decider still has the pool.
+func (p *player) owned() bool { return p.epoch == p.w.epoch }
+
+// take gives the decider an event, or keeps it while the host is paused.
+func (p *player) take(e Event) {
+	if p.dead {
+		return
+	}
+	if p.w.now < p.paused {
+		p.backlog = append(p.backlog, func() { p.take(e) })
+		return
+	}
+	p.perform(p.s.Step(p.clock(), e))
+	p.flush(p.w.now)
+}
+
+// flush makes the decider look after what is due at a time.
+func (p *player) flush(at time.Duration) {
+	if p.flushAt >= 0 && p.flushAt <= at {
+		return
+	}
+	p.flushAt = at
+	p.w.after(at-p.w.now, func() {
+		if p.dead || p.flushAt != at {
+			return
+		}
+		if p.w.now < p.paused {
+			p.flushAt = -1
+			p.backlog = append(p.backlog, func() { p.flush(p.w.now) })
+			return
+		}
+		p.flushAt = -1
+		age := p.w.now - p.confirmed
+		p.s.Limit(Limits{NoStarts: age > 1700*time.Millisecond, NoOrders: age > 6*time.Second})
+		l, next := p.s.Flush(p.clock())
+		p.perform(l)
+		p.flush(max(next, p.w.now+time.Millisecond))
+	})
+}
+
+// beat proves regularly that the pool is owned.
+func (p *player) beat() {
+	if !p.dead {
+		p.prove(func() {})
+		p.w.after(600*time.Millisecond, p.beat)
+	}
+}
+
+// prove asks the store whether the pool is owned.
+func (p *player) prove(done func()) {
+	w := p.w
+	if w.now < p.paused || !w.storeUp || p.cut || p.dead {
+		return
+	}
+	if !p.owned() {
+		p.dead = true
+		w.log("DECIDER %d deposed", p.epoch)
+		return
+	}
+	p.confirmed = w.now
+	done()
+}
+
+func (p *player) perform(l []Effect) {
+	w := p.w
+	for _, e := range l {
+		switch e := e.(type) {
+		case Start:
+			if w.faults.noFence {
+				e.Fence = 1
+			}
+			if at, ok := w.acked[e.Task.Job]; ok && p.owned() && !p.cut && w.now-at > 3*time.Second {
+				w.fail("UNASKED: %s is started %v after its cancel", e.Task, w.now-at)
+			}
+			p.order(e.Call, e.Fence, func(x *plat.Worker) string {
+				return x.Start(plat.Order{
+					Task: e.Task.String(), Run: e.Run, Spec: e.Spec, Saved: e.Saved, Fence: e.Fence, DeadlineMS: e.DeadlineMS,
+				})
+			})
+		case Stop:
+			if w.faults.noFence {
+				e.Fence = 1
+			}
+			p.order(e.Call, e.Fence, func(x *plat.Worker) string { return x.Stop(e.Task.String(), e.Run, e.Fence) })
+		case Hold:
+			if w.faults.noFence {
+				e.Fence = 1
+			}
+			p.hold(e)
+		case Save:
+			p.save(e)
+		case RecordWorker:
+			p.store(func() { w.known[e.ID] = e.Address }, func() { p.take(WorkerRecorded{e.ID}) })
+		case ForgetWorker:
+			p.store(func() { delete(w.known, e.ID) }, func() {})
+		case Prove:
+			at := w.now
+			w.after(w.between(0, 6*time.Millisecond), func() {
+				p.prove(func() { w.after(w.between(0, 6*time.Millisecond), func() { p.take(Owned{at}) }) })
+			})
+		case Note:
+			w.log("  %d: %s %s %s %d", p.epoch, e.Text, e.Worker, e.Task, e.Run)
+		}
+	}
+}
+
+// reach returns a worker that the decider can call.
+func (p *player) reach(id string) *plat.Worker {
+	x := p.w.cluster.Workers[id]
+	if x == nil || !x.Up() || x.Dark || p.cutFrom[id] {
+		return nil
+	}
+	return x
+}
+
+var reasons = map[string]Outcome{"": Accepted, "fence": Fenced, "old": Old, "late": Late, "room": NoRoom}
+
+// order carries a start or a stop out, with what the network does to it.
+func (p *player) order(c Call, _ int64, do func(*plat.Worker) string) {
+	w := p.w
+	none := func() { w.after(700*time.Millisecond, func() { p.take(Answered{Call: c, Outcome: NoAnswer}) }) }
+	switch {
+	case w.disturbed(0.02):
+		none()
+	case w.disturbed(0.05):
+		// Carried out late, after newer calls, by the life that received it.
+		none()
+		to := p.reach(c.Worker)
+		w.after(w.between(700*time.Millisecond, 9*time.Second), func() {
+			if x := p.reach(c.Worker); x != nil && x == to {
+				w.log("late order: %s run %d stop %v", c.Task, c.Run, c.Stop)
+				do(x)
+			}
+		})
+	default:
+		lost := w.disturbed(0.03)
+		w.after(w.between(0, 8*time.Millisecond), func() {
+			x := p.reach(c.Worker)
+			if x == nil {
+				none()
+				return
+			}
+			o, clock := reasons[do(x)], x.ClockMS()
+			if lost {
+				none()
+				return
+			}
+			w.after(w.between(0, 8*time.Millisecond), func() { p.take(Answered{Call: c, Outcome: o, ClockMS: clock}) })
+		})
+	}
+}
+
+// hold carries a Hold out.
+func (p *player) hold(e Hold) {
+	w := p.w
+	lost := w.disturbed(0.03)
+	sent := w.now
+	w.after(w.between(0, 8*time.Millisecond), func() {
+		var look func()
+		none := func() {
+			w.after(max(sent+e.Wait+900*time.Millisecond-w.now, 0), func() { p.take(Reported{Call: e.Call, Outcome: NoAnswer}) })
+		}
+		first := true
+		look = func() {
+			x := p.reach(e.Worker)
+			if x == nil {
+				none()
+				return
+			}
+			deadline := e.DeadlineMS
+			if !first {
+				deadline = 0
+			}
+			if first {
+				_, before, _ := x.Hold(e.Fence, 0, 0)
+				w.noted(x, e.SeenUpto, before)
+			}
+			first = false
+			running, ended, why := x.Hold(e.Fence, e.SeenUpto, deadline)
+			if why == "" && len(ended) == 0 && w.now < sent+e.Wait {
+				w.after(40*time.Millisecond, look)
+				return
+			}
+			r := Reported{Call: e.Call, Outcome: reasons[why], ClockMS: x.ClockMS(), Born: x.Born}
+			for _, q := range running {
+				id, _ := work.ParseTaskID(q.Task)
+				r.Running = append(r.Running, Running{id, q.Run, q.Saved, 0})
+			}
+			for _, q := range ended {
+				id, _ := work.ParseTaskID(q.Task)
+				r.Ended = append(r.Ended, Ended{q.N, id, q.Run, How(strings.ToUpper(q.How[:1]) + q.How[1:]), q.Saved})
+			}
+			if lost {
+				none()
+				return
+			}
+			w.after(w.between(0, 8*time.Millisecond), func() { p.take(r) })
+		}
+		look()
+	})
+}
+
+// store writes, trying until the store answers or the pool is lost.
+func (p *player) store(do, done func()) {
+	w := p.w
+	var try func()
+	try = func() {
+		switch {
+		case p.dead:
+		case !w.storeUp || p.cut || w.now < p.paused || w.disturbed(0.03):
+			w.after(60*time.Millisecond, try)
+		case !p.owned():
+			p.dead = true
+		default:
+			do()
+			w.after(w.between(0, 4*time.Millisecond), done)
+		}
+	}
+	w.after(w.between(time.Millisecond, 6*time.Millisecond), try)
+}
+
+func (p *player) save(e Save) {
+	w := p.w
+	saved := func() { p.take(RecordSaved{e.ID, e.Seq}) }
+	if w.faults.earlySeen {
+		w.after(0, saved)
+		w.after(w.between(100*time.Millisecond, time.Second), func() { p.store(func() { w.write(e) }, func() {}) })
+		return
+	}
+	p.store(func() { w.write(e) }, saved)
+}
+
+// write makes a record durable and checks what it claims.
+func (w *world) write(e Save) {
+	w.records[e.ID] = e.Record
+	r, err := work.DecodeRecord(e.Record)
+	if err != nil {
+		w.fail("record of %s: %v", e.ID, err)
+		return
+	}
+	if r.State != work.Succeeded {
+		return
+	}
+	j := w.jobs[e.ID]
+	for k := range j.Occurrences() {
+		for i := range j.Steps {
+			for n := range j.Steps[i].Count {
+				if t := (work.TaskID{Job: e.ID, Occurrence: k, Step: i, Index: n}).String(); len(w.ends[t]) == 0 {
+					w.fail("MIXED: %s is shown as succeeded, and %s isn't done", e.ID, t)
+				}
+			}
+		}
+	}
+}
