fakes: Stand in for the platform, and test whole hosts on it

Ruled out: mocks of our own clients, which would repeat their mistakes; a simulated network, as processes on loopback show signals and sockets too. Change: fakes/plat is the store with feed, history, lost and late answers for each host, the registry and workers with leases, fences and gangs; native tests whole processes on it: the path, cancels, preemption, deciders killed, stopped, frozen and cut off, workers that crash and fall silent, lost answers, revoked keys, 30 bad calls. A planned stop's write that gives a pool up is bounded and runs beside the quiet time.

--- /dev/null
+++ b/fakes/plat/serve.go
@@ -0,0 +1,230 @@
+package plat
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Platform is the stand-in as servers on loopback: doors of the store, and
+// workers that register there.
+type Platform struct {
+	Store   *Store
+	Cluster *Cluster
+
+	pool string
+	// mu guards the cluster.
+	mu      sync.Mutex
+	began   time.Time
+	changed chan struct{}
+	ctx     context.Context
+	cancel  context.CancelFunc
+	servers []*http.Server
+	seq     map[string]int64
+	ports   map[string]string
+	wg      sync.WaitGroup
+}
+
+// New returns a Platform whose workers serve a pool.
+func New(pool string, b Bounds) *Platform {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Platform{
+		Store: NewStore(), Cluster: NewCluster(b), pool: pool, began: time.Now(), changed: make(chan struct{}), ctx: ctx, cancel: cancel,
+		seq: map[string]int64{}, ports: map[string]string{},
+	}
+	p.wg.Add(1)
+	go p.advance()
+	return p
+}
+
+// Close ends all servers.
+func (p *Platform) Close() {
+	p.cancel()
+	for _, s := range p.servers {
+		s.Close()
+	}
+	p.wg.Wait()
+}
+
+// tick is how often the workers' time advances by itself.
+const tick = 5 * time.Millisecond
+
+func (p *Platform) now() time.Duration { return time.Since(p.began) }
+
+// advance lets the workers' time pass.
+func (p *Platform) advance() {
+	defer p.wg.Done()
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-t.C:
+			p.mu.Lock()
+			p.Cluster.Advance(p.now())
+			close(p.changed)
+			p.changed = make(chan struct{})
+			p.mu.Unlock()
+		}
+	}
+}
+
+// Lock runs f while no worker does anything.
+func (p *Platform) Lock(f func(c *Cluster)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Cluster.Advance(p.now())
+	f(p.Cluster)
+}
+
+// serve serves a handler on a free port, or on an address.
+func (p *Platform) serve(address string, h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", fmt.Errorf("listen: %w", err)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	p.servers = append(p.servers, s)
+	p.wg.Add(1)
+	go func() {
+		defer p.wg.Done()
+		s.Serve(l)
+	}()
+	return l.Addr().String(), nil
+}
+
+const anyPort = "127.0.0.1:0"
+
+// Open returns another door of the store and its address.
+func (p *Platform) Open(seed uint64) (*Door, string, error) {
+	d := NewDoor(p.Store, seed)
+	a, err := p.serve(anyPort, d)
+	return d, a, err
+}
+
+// AddWorker begins a life of a worker. A name that was used before comes back
+// at the address that it had.
+func (p *Platform) AddWorker(w *Worker, rack string) error {
+	p.mu.Lock()
+	p.Cluster.Add(p.now(), w)
+	p.mu.Unlock()
+	if p.ports[w.ID] == "" {
+		a, err := p.serve(anyPort, p.worker(w.ID))
+		if err != nil {
+			return err
+		}
+		p.ports[w.ID] = a
+	}
+	p.Register(w.ID, rack, "ready")
+	return nil
+}
+
+// Register writes a worker's entry.
+func (p *Platform) Register(id, rack, state string) {
+	p.mu.Lock()
+	w := p.Cluster.Workers[id]
+	p.seq[id]++
+	b, err := json.Marshal(map[string]any{
+		"service": p.pool, "address": p.ports[id], "zone": "z", "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0, "seq": p.seq[id],
+		"capacity": map[string]int64{"cpu": w.CPU, "mem-mb": w.Memory, "gpu": w.Accelerators}, "labels": []string{"k", rack},
+		"clock-ms": w.ClockMS(), "born": w.Born,
+	})
+	p.mu.Unlock()
+	if err != nil {
+		panic("entry can't be encoded: " + err.Error())
+	}
+	p.Store.Put("servers", id, b)
+}
+
+type orderBody struct {
+	Task       string `json:"task"`
+	Run        int    `json:"run"`
+	Spec       string `json:"spec"`
+	Saved      string `json:"last-checkpoint"`
+	Fence      int64  `json:"fence"`
+	DeadlineMS int64  `json:"deadline-ms"`
+	SeenUpto   int64  `json:"seen-upto"`
+	WaitMS     int64  `json:"wait-ms"`
+}
+
+// worker serves the calls of one worker.
+func (p *Platform) worker(id string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var b orderBody
+		if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		p.mu.Lock()
+		x := p.Cluster.Workers[id]
+		if !x.Up() || x.Dark {
+			p.mu.Unlock()
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+		if e := r.Header.Get("X-Expect-Instance"); e != "" && e != id {
+			p.mu.Unlock()
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		p.Cluster.Advance(p.now())
+		var why string
+		body := map[string]any{}
+		switch r.URL.Path {
+		case "/-/run-start":
+			why = x.Start(Order{b.Task, b.Run, b.Spec, b.Saved, b.Fence, b.DeadlineMS})
+		case "/-/run-stop":
+			why = x.Stop(b.Task, b.Run, b.Fence)
+		case "/-/hold":
+			why = p.hold(x, b, body, r.Context())
+		}
+		body["clock-ms"], body["born"] = x.ClockMS(), x.Born
+		p.mu.Unlock()
+		w.Header().Set("Content-Type", "application/json")
+		if why != "" {
+			body["reason"] = why
+			w.WriteHeader(http.StatusConflict)
+		}
+		json.NewEncoder(w).Encode(body)
+	})
+}
+
+// hold answers at once if there is an end, and waits for one otherwise. It is
+// called, and returns, with the lock held.
+func (p *Platform) hold(x *Worker, b orderBody, body map[string]any, ctx context.Context) string {
+	until := p.now() + time.Duration(b.WaitMS)*time.Millisecond
+	for {
+		running, ended, why := x.Hold(b.Fence, b.SeenUpto, b.DeadlineMS)
+		if why != "" {
+			return why
+		}
+		if len(ended) > 0 || p.now() >= until || ctx.Err() != nil || !x.Up() {
+			rows, ends := [][]any{}, [][]any{}
+			for _, q := range running {
+				rows = append(rows, []any{q.Task, q.Run, q.Saved, 0})
+			}
+			for _, q := range ended {
+				ends = append(ends, []any{q.N, q.Task, q.Run, q.How, q.Saved})
+			}
+			body["running"], body["ended"] = rows, ends
+			return ""
+		}
+		b.DeadlineMS = 0
+		changed := p.changed
+		p.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		case <-p.ctx.Done():
+		}
+		p.mu.Lock()
+		if p.ctx.Err() != nil {
+			until = 0
+		}
+	}
+}
--- /dev/null
+++ b/native/harness_test.go
@@ -0,0 +1,360 @@
+package native
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"citronbridge/fakes/plat"
+)
+
+// patience bounds how long an awaited event may take. It is no measure.
+const patience = 60 * time.Second
+
+// key is a client account's key in the deployments below.
+const key = "key-of-a"
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "citronbridge")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "citronbridge")
+	args := []string{"build", "-o", binary}
+	if raceEnabled {
+		args = append(args, "-race")
+	}
+	b := exec.Command("go", append(args, "citronbridge")...)
+	b.Stderr = os.Stderr
+	if err := b.Run(); err != nil {
+		panic(err)
+	}
+	status := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(status)
+}
+
+func must(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// deployment is hosts and workers on the stand-in.
+type deployment struct {
+	t       *testing.T
+	p       *plat.Platform
+	hosts   []*hostProcess
+	version int64
+	racks   map[string]string
+}
+
+// hostProcess is one host under test.
+type hostProcess struct {
+	name         string
+	front, ready string
+	door         *plat.Door
+	file         string
+	cmd          *exec.Cmd
+	ended        chan struct{}
+}
+
+var bounds = plat.Bounds{MaxHold: 10 * time.Second, StopTime: 200 * time.Millisecond, GangTimeout: 3 * time.Second}
+
+// deploy starts hosts and workers, and waits until all hosts are ready.
+func deploy(t *testing.T, hosts, workers int) *deployment {
+	d := &deployment{t: t, p: plat.New("pool", bounds), racks: map[string]string{}}
+	t.Cleanup(func() {
+		for _, h := range d.hosts {
+			h.kill()
+		}
+		d.p.Close()
+	})
+	for i := range workers {
+		d.addWorker(fmt.Sprintf("w%d", i), 1)
+	}
+	d.configure(map[string]any{"name": "tenant-a", "api-keys": []string{key}, "guaranteed": map[string]int{"gpu": 4}})
+	for i := range hosts {
+		d.addHost(fmt.Sprintf("host-%d", i))
+	}
+	for _, h := range d.hosts {
+		d.awaitReady(h)
+	}
+	return d
+}
+
+func (d *deployment) addWorker(id string, born int64) {
+	rack := "r" + string(id[1]%2+'0')
+	d.racks[id] = rack
+	must(d.t, d.p.AddWorker(&plat.Worker{ID: id, Born: born, CPU: 16000, Memory: 64000, Accelerators: 4}, rack))
+}
+
+// configure puts a configuration in force.
+func (d *deployment) configure(tenants ...map[string]any) {
+	d.version += 3
+	route := func(name, prefix string, priority int, public bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": "jobs.example", "path-prefix": prefix, "type": "unsafe", "timeout-ms": 3000, "slo-ms": 1000,
+			"priority": priority, "service": "pool", "max-attempts": 2, "stretch": 3.0, "public": public,
+		}
+	}
+	b, err := json.Marshal(map[string]any{
+		"version":  d.version,
+		"routes":   []any{route("urgent", "/urgent/", 0, false), route("batch", "/batch/", 2, false), route("open", "/open/", 1, true)},
+		"services": []any{map[string]any{"name": "pool", "max-conns": 64, "enforces-capacity": true}},
+		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 65536, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+		"tenants":  tenants,
+	})
+	must(d.t, err)
+	d.p.Store.Put("op", "config", b)
+}
+
+func freePort(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// addHost starts a host of its own name and ports.
+func (d *deployment) addHost(name string) *hostProcess {
+	door, address, err := d.p.Open(uint64(len(d.hosts) + 1))
+	must(d.t, err)
+	h := &hostProcess{name: name, door: door, front: freePort(d.t), ready: freePort(d.t), file: filepath.Join(d.t.TempDir(), name+".yaml")}
+	s := fmt.Sprintf(`node: %q
+zone: "z"
+listen: {front: %q, ready: %q}
+limits: {memory-mb: 300}
+bounds: {config-apply-ms: 2000, strict-revoke: true, revoke-ms: 5000, drain-ms: 2000, grace-s: 6, max-hold-ms: 10000, stop-ms: 200, far-factor: 3}
+platform: {address: %q, form: "table"}
+`, name, h.front, h.ready, address)
+	must(d.t, os.WriteFile(h.file, []byte(s), 0o600))
+	d.hosts = append(d.hosts, h)
+	d.start(h)
+	return h
+}
+
+// start starts a host's process.
+func (d *deployment) start(h *hostProcess) {
+	log, err := os.OpenFile(h.file+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	must(d.t, err)
+	h.cmd = exec.Command(binary, "node", "--settings", h.file)
+	h.cmd.Stdout, h.cmd.Stderr = log, log
+	must(d.t, h.cmd.Start())
+	h.ended = make(chan struct{})
+	go func() {
+		h.cmd.Wait()
+		log.Close()
+		close(h.ended)
+	}()
+}
+
+func (h *hostProcess) kill() {
+	h.cmd.Process.Kill()
+	<-h.ended
+}
+
+// await waits for an event.
+func (d *deployment) await(what string, f func() bool) {
+	d.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	for _, h := range d.hosts {
+		b, err := os.ReadFile(h.file + ".log")
+		if err == nil {
+			l := strings.Split(string(b), "\n")
+			d.t.Logf("%s:\n%s", h.name, strings.Join(l[max(len(l)-40, 0):], "\n"))
+		}
+	}
+	d.t.Fatalf("%s: not within %v", what, patience)
+}
+
+func (d *deployment) awaitReady(h *hostProcess) {
+	d.t.Helper()
+	d.await(h.name+" is ready", func() bool { return h.isReady() })
+}
+
+func (h *hostProcess) isReady() bool {
+	r, err := http.Get("http://" + h.ready + "/-/readyz")
+	if err != nil {
+		return false
+	}
+	r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
+// call sends a client's call and returns the status and the body. The status
+// is 0 if there was no answer.
+func (h *hostProcess) call(method, path, k, body string) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+h.front+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		panic(err)
+	}
+	q.Host = "jobs.example"
+	q.Header.Set("X-Deadline-Ms", "3000")
+	if k != "" {
+		q.Header.Set("X-Credential", k)
+	}
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return r.StatusCode, string(b)
+}
+
+// step is a step of a job that a test submits.
+type step struct {
+	shape plat.Shape
+	count int
+	after []int
+}
+
+// job returns a submission's body.
+func job(l ...step) string {
+	var shapes []plat.Shape
+	var steps []map[string]any
+	for _, s := range l {
+		shapes = append(shapes, s.shape)
+		steps = append(steps, map[string]any{
+			"count": s.count, "cpu": s.shape.CPU, "mem-mb": s.shape.Memory, "gpu": s.shape.Accelerators, "estimate-ms": s.shape.Work.Milliseconds(),
+			"after": s.after, "gang": s.shape.Gang > 0, "checkpoint": s.shape.Checkpoint,
+		})
+	}
+	b, err := json.Marshal(map[string]any{"spec": plat.Spec(shapes...), "steps": steps})
+	if err != nil {
+		panic(err)
+	}
+	return string(b)
+}
+
+// tasks returns single tasks of one accelerator each.
+func tasks(n int, d time.Duration) step {
+	return step{shape: plat.Shape{Work: d, CPU: 1000, Memory: 1000, Accelerators: 1}, count: n}
+}
+
+// submit submits a job, trying all hosts in turn until one accepts it.
+func (d *deployment) submit(id, path, body string) {
+	d.t.Helper()
+	i := 0
+	d.await("submission of "+id, func() bool {
+		i++
+		status, _ := d.hosts[i%len(d.hosts)].call(http.MethodPost, path+id, key, body)
+		return status == http.StatusOK
+	})
+}
+
+// state returns what a host shows of a job.
+func (h *hostProcess) state(path, id string) string {
+	status, b := h.call(http.MethodGet, path+id, key, "")
+	if status != http.StatusOK {
+		return fmt.Sprint(status)
+	}
+	var v struct{ State string }
+	if err := json.Unmarshal([]byte(b), &v); err != nil {
+		return err.Error()
+	}
+	return v.State
+}
+
+// awaitState waits until some host shows a job's state.
+func (d *deployment) awaitState(path, id, want string) {
+	d.t.Helper()
+	d.await(id+" is "+want, func() bool {
+		for _, h := range d.hosts {
+			if h.state(path, id) == want {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// decider returns the host that decides for the pool.
+func (d *deployment) decider() *hostProcess {
+	d.t.Helper()
+	var found *hostProcess
+	d.await("a decider", func() bool {
+		var b struct{ Host string }
+		if json.Unmarshal(d.p.Store.Value("beats", "pool"), &b) != nil {
+			return false
+		}
+		for _, h := range d.hosts {
+			if h.name == b.Host {
+				found = h
+			}
+		}
+		return found != nil
+	})
+	return found
+}
+
+// watch notes starts and ends at the workers, and fails on a second run of a
+// task that is at work or done.
+type watch struct {
+	started, done map[string]int
+	active        map[string]bool
+	wrong         []string
+}
+
+func (d *deployment) watch() *watch {
+	w := &watch{started: map[string]int{}, done: map[string]int{}, active: map[string]bool{}}
+	d.p.Lock(func(c *plat.Cluster) {
+		c.Started = func(x *plat.Worker, p *plat.Present) {
+			if w.active[p.Task] {
+				w.wrong = append(w.wrong, p.Task+" starts while a run of it is at work")
+			}
+			if w.done[p.Task] > 0 {
+				w.wrong = append(w.wrong, p.Task+" starts after it was done")
+			}
+			w.active[p.Task] = true
+			w.started[p.Task]++
+		}
+		c.Stopped = func(x *plat.Worker, e plat.End) {
+			w.active[e.Task] = false
+			if e.How == "done" {
+				w.done[e.Task]++
+			}
+		}
+	})
+	return w
+}
+
+// check fails if the watch saw something wrong, and returns the number of
+// tasks done.
+func (d *deployment) check(w *watch) int {
+	d.t.Helper()
+	n := 0
+	d.p.Lock(func(*plat.Cluster) {
+		for _, s := range w.wrong {
+			d.t.Error(s)
+		}
+		n = len(w.done)
+	})
+	return n
+}
+
+func (h *hostProcess) signal(t testing.TB, s syscall.Signal) { must(t, h.cmd.Process.Signal(s)) }
--- /dev/null
+++ b/native/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package native
+
+const raceEnabled = true
--- a/node/decide.go
+++ b/node/decide.go
@@ -97,15 +97,16 @@
 	d.confirmed = max(d.confirmed, at)
 }
 
-// stop ends the decider. With leave it tells the other hosts first.
-func (d *decider) stop(leave bool) {
+// leaveTimeout bounds the write that gives a pool up: a host that can't tell
+// is replaced when its beats stay out.
+const leaveTimeout = 500 * time.Millisecond
+
+// stop ends the decider and tells the other hosts.
+func (d *decider) stop(ctx context.Context) {
 	d.leaving.Do(func() {
 		d.cancel()
 		d.wg.Wait()
-		if !leave {
-			return
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), electTimeout)
+		ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 		defer cancel()
 		_, err := repo.PutBeat(ctx, d.h.store, d.held, repo.Beat{Epoch: d.me.Epoch, Host: d.me.Host, N: -1, Left: true})
 		d.log.Info().AnErr("cause", err).Msg("pool given up")
--- a/node/lead.go
+++ b/node/lead.go
@@ -175,7 +175,7 @@
 	if d != nil && !h.leaving.Load() {
 		c.decider = d
 	} else if d != nil {
-		d.stop(true)
+		d.stop(ctx)
 	}
 }
 
@@ -213,7 +213,7 @@
 }
 
 // giveUp hands all pools over to other hosts.
-func (h *Host) giveUp() {
+func (h *Host) giveUp(ctx context.Context) {
 	h.poolMu.Lock()
 	var l []*decider
 	for _, c := range h.pools {
@@ -223,6 +223,6 @@
 	}
 	h.poolMu.Unlock()
 	for _, d := range l {
-		d.stop(true)
+		d.stop(ctx)
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -152,13 +152,13 @@
 	h.log.Info().Msg("planned stop begins")
 	h.leaving.Store(true)
 	h.gate.Drain()
-	h.giveUp()
 	front.SetKeepAlivesEnabled(false)
 	limit := platform.Seconds(h.s.Bounds.GraceS) - drainSlack
-	quiet := min(drainQuiet, limit/2)
-	time.Sleep(quiet)
-	ctx, cancel := context.WithTimeout(context.Background(), limit-quiet)
+	quiet := time.After(min(drainQuiet, limit/2))
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	h.giveUp(ctx)
+	<-quiet
 	if err := front.Shutdown(ctx); err != nil {
 		h.log.Warn().Err(err).Msg("calls were still open at the end of the planned stop")
 	}
