repo: Spread jobs over parts that are taken one by one

Cause: all rows were in one part of the store, which takes one transaction after another: with the store 60 times slower it was behind (status 429 on beats and writes), and deciders lost their pool five times in 2.3 s. Conclusion: kept for slow stores and lost parts.

--- a/fakes/plat/store.go
+++ b/fakes/plat/store.go
@@ -74,10 +74,23 @@
 }
 
 // Value returns a row's value, or nil.
-func (s *Store) Value(table, key string) []byte {
+func (s *Store) Value(table, part, key string) []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.rows[rowName(table, "", key)].Value
+	return s.rows[rowName(table, part, key)].Value
+}
+
+// Rows returns how many rows a table has.
+func (s *Store) Rows(table string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, r := range s.rows {
+		if r.Table == table {
+			n++
+		}
+	}
+	return n
 }
 
 // Calls returns how often a call came.
@@ -114,6 +127,7 @@
 	If     []Row `json:"expect-rev"`
 	Put    []Row `json:"writes"`
 	Delete []Row `json:"remove"`
+	Across bool  `json:"across"`
 }
 
 // maxEntries bounds the entries of a transaction.
@@ -129,6 +143,11 @@
 	if len(t.If)+len(t.Put)+len(t.Delete) > maxEntries {
 		return http.StatusBadRequest, nil
 	}
+	for _, r := range slices.Concat(t.If, t.Put, t.Delete) {
+		if !t.Across && r.Part != slices.Concat(t.If, t.Put, t.Delete)[0].Part {
+			return http.StatusBadRequest, nil
+		}
+	}
 	for _, r := range slices.Concat(t.Put, t.Delete) {
 		if slices.Contains(reserved, r.Table) {
 			return http.StatusForbidden, nil
--- a/native/input_test.go
+++ b/native/input_test.go
@@ -58,8 +58,8 @@
 			t.Errorf("%s: the answer doesn't say why: %s", c.name, b)
 		}
 	}
-	if d.p.Store.Value("records", id(1)) != nil {
-		t.Error("a job was stored")
+	if n := d.p.Store.Rows("jobs") + d.p.Store.Rows("records"); n != 0 {
+		t.Errorf("%d rows were stored", n)
 	}
 	if status, _ := h.call(http.MethodPost, "/open/"+id(2), "", good); status != http.StatusOK {
 		t.Errorf("a public queue answers a call without a key with %d", status)
--- a/node/decide.go
+++ b/node/decide.go
@@ -37,13 +37,18 @@
 	h      *Host
 	pool   string
 	me     repo.Owner
-	held   repo.Condition
+	seat   *repo.Seat
 	log    zerolog.Logger
 	ctx    context.Context
 	cancel context.CancelFunc
 	events chan sched.Event
 	state  *sched.State
+	// writer writes what is beside jobs, shards what belongs to them.
 	writer *repo.Writer
+	shards map[string]*shard
+
+	// proving guards seat.
+	proving sync.Mutex
 
 	mu        sync.Mutex
 	confirmed time.Duration
@@ -58,16 +63,17 @@
 }
 
 // startDecider begins to decide for a pool that was just taken.
-func (h *Host) startDecider(ctx context.Context, pool string, me repo.Owner, held repo.Condition) *decider {
+func (h *Host) startDecider(ctx context.Context, pool string, me repo.Owner, seat *repo.Seat) *decider {
 	d := &decider{
-		h: h, pool: pool, me: me, held: held, log: h.log.With().Str("pool", pool).Int64("epoch", me.Epoch).Logger(),
+		h: h, pool: pool, me: me, seat: seat, log: h.log.With().Str("pool", pool).Int64("epoch", me.Epoch).Logger(),
 		events: make(chan sched.Event, eventQueue), confirmed: timer.Boot(), waiting: map[string]int{}, listed: map[string]bool{},
 	}
 	d.ctx, d.cancel = context.WithCancel(ctx)
-	d.writer = repo.NewWriter(repo.WriterConfig{
-		Store: h.store, Owner: held, Deposed: d.deposed, Confirmed: d.confirm, Now: timer.Boot,
-		Failed: func(err error) { d.log.Warn().Err(err).Msg("write failed; it is tried again") },
-	})
+	d.writer = d.newWriter(seat.Owner)
+	d.shards = map[string]*shard{}
+	for _, p := range repo.JobParts() {
+		d.shards[p] = &shard{d: d, part: p}
+	}
 	h.meter.Epoch.WithLabelValues(pool).Set(float64(me.Epoch))
 	d.wg.Add(1)
 	go func() {
@@ -77,6 +83,14 @@
 	return d
 }
 
+// newWriter returns a writer under a condition.
+func (d *decider) newWriter(c repo.Condition) *repo.Writer {
+	return repo.NewWriter(repo.WriterConfig{
+		Store: d.h.store, Owner: c, Deposed: d.deposed, Confirmed: d.confirm, Now: timer.Boot,
+		Failed: func(err error) { d.log.Warn().Err(err).Str("part", c.Part).Msg("write failed; it is tried again") },
+	})
+}
+
 func (d *decider) goes(f func()) {
 	d.wg.Add(1)
 	go func() {
@@ -108,7 +122,7 @@
 		d.wg.Wait()
 		ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 		defer cancel()
-		_, err := repo.PutBeat(ctx, d.h.store, d.held, repo.Beat{Epoch: d.me.Epoch, Host: d.me.Host, N: -1, Left: true})
+		_, err := d.h.seats.Beat(ctx, d.seat, repo.Beat{Epoch: d.me.Epoch, Host: d.me.Host, N: -1, Left: true})
 		d.log.Info().AnErr("cause", err).Msg("pool given up")
 	})
 }
@@ -136,13 +150,16 @@
 	lease := platform.Milliseconds(b.MaxHoldMS) - leaseMargin
 	d.state = sched.New(sched.Config{
 		Pool: d.pool, Epoch: d.me.Epoch, Lease: lease, StopTime: platform.Milliseconds(b.StopMS), Inherit: ownedFor + lease + leaseMargin,
-		FarFactor: b.FarFactor,
+		FarFactor: b.FarFactor, PartOf: func(id string) string { return repo.PartOf(repo.TableJobs, id) },
 	}, d.clock(), d.h.gate.Rules())
 	var first []sched.Effect
 	for _, e := range l.events {
 		first = append(first, d.state.Step(d.clock(), e)...)
 	}
 	d.goes(func() { d.writer.Run(d.ctx) })
+	for _, s := range d.shards {
+		d.goes(s.load)
+	}
 	d.follow(l)
 	d.perform(first)
 	d.log.Info().Int("events", len(l.events)).Dur("took", timer.Boot()-began).Msg("decider starts")
@@ -230,7 +247,7 @@
 			if e.Final {
 				forget = []string{repo.TableJobs}
 			}
-			d.writer.Put(repo.TableRecords, id, e.Record, func() { d.tell(sched.RecordSaved{ID: id, Seq: seq}) }, forget...)
+			d.shards[repo.PartOf(repo.TableRecords, id)].writer.Put(repo.TableRecords, id, e.Record, func() { d.tell(sched.RecordSaved{ID: id, Seq: seq}) }, forget...)
 		case sched.RecordWorker:
 			id := e.ID
 			d.writer.Put(repo.TableWorkers, repo.WorkerKey(d.pool, id), []byte(e.Address), func() { d.tell(sched.WorkerRecorded{ID: id}) })
@@ -264,12 +281,14 @@
 // prove writes the pool's beat, which tells the other hosts what they show of
 // it, and returns whether that proves that the pool is still owned.
 func (d *decider) prove() bool {
+	d.proving.Lock()
+	defer d.proving.Unlock()
 	d.mu.Lock()
 	d.beats++
 	b := repo.Beat{Epoch: d.me.Epoch, Host: d.me.Host, N: d.beats, Waiting: d.waiting}
 	d.mu.Unlock()
 	sent := timer.Boot()
-	held, err := repo.PutBeat(d.ctx, d.h.store, d.held, b)
+	held, err := d.h.seats.Beat(d.ctx, d.seat, b)
 	switch {
 	case err != nil:
 		if d.ctx.Err() == nil {
--- a/node/lead.go
+++ b/node/lead.go
@@ -184,7 +184,7 @@
 func (h *Host) take(ctx context.Context, pool string, silent bool) (*decider, bool) {
 	ctx2, cancel := context.WithTimeout(ctx, electTimeout)
 	defer cancel()
-	o, version, err := repo.ReadOwner(ctx2, h.store, pool)
+	o, version, err := h.seats.Read(ctx2, pool)
 	if err != nil {
 		h.log.Warn().Err(err).Str("pool", pool).Msg("owner can't be read")
 		return nil, false
@@ -193,13 +193,13 @@
 		return nil, true
 	}
 	me := repo.Owner{Epoch: o.Epoch + 1, Host: h.s.Host, Boot: h.boot}
-	held, ok, err := repo.Take(ctx2, h.store, pool, me, version)
-	if err != nil || !ok {
+	seat, err := h.seats.Take(ctx2, pool, me, version)
+	if seat == nil {
 		h.log.Info().AnErr("cause", err).Str("pool", pool).Msg("pool not taken")
 		return nil, true
 	}
 	h.log.Info().Str("pool", pool).Int64("epoch", me.Epoch).Str("former", o.Host).Bool("silent", silent).Msg("pool taken")
-	return h.startDecider(ctx, pool, me, held), true
+	return h.startDecider(ctx, pool, me, seat), true
 }
 
 // lost takes a pool's decider out.
--- a/node/node.go
+++ b/node/node.go
@@ -60,6 +60,7 @@
 	store *platform.Store
 	calls *platform.Workers
 	repo  *repo.Repo
+	seats *repo.Seats
 	gate  *gate.Gate
 	timer *timer.Service
 
@@ -82,6 +83,7 @@
 		gate: gate.New(gate.Config{MaxAge: maxAge, ReadyAge: min(readyAge, maxAge), Now: timer.Boot}), pools: map[string]*candidate{},
 	}
 	h.repo = repo.New(h.store)
+	h.seats = repo.NewSeats(h.store)
 	h.beats = newBeats()
 	var err error
 	if h.front, err = net.Listen("tcp", s.Listen.Front); err != nil {
--- /dev/null
+++ b/node/shard.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"context"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+
+	"citronbridge/repo"
+	"citronbridge/sched"
+	"citronbridge/work"
+)
+
+// shard is a part of the store with jobs. The decider takes each by a fence
+// of its own, so that one that is away keeps nothing else back.
+type shard struct {
+	d    *decider
+	part string
+	// writer is set before the first job of the part is taken in.
+	writer *repo.Writer
+
+	mu     sync.Mutex
+	loaded bool
+	// early is what changed before the part was loaded.
+	early []repo.Row
+}
+
+// load takes the part and reads its jobs, trying until it succeeds or the pool
+// is lost.
+func (s *shard) load() {
+	for s.d.ctx.Err() == nil {
+		c, mine, err := s.d.h.seats.Fence(s.d.ctx, s.d.pool, s.part, s.d.me.Epoch)
+		switch {
+		case err != nil:
+			s.d.log.Warn().Err(err).Str("part", s.part).Msg("part can't be taken yet")
+		case !mine:
+			s.d.deposed()
+			return
+		default:
+			if s.writer == nil {
+				s.writer = s.d.newWriter(c)
+			}
+			err = s.read(s.d.ctx)
+			if err == nil {
+				s.writer.Run(s.d.ctx)
+				return
+			}
+			s.d.log.Warn().Err(err).Str("part", s.part).Msg("part can't be read yet")
+		}
+		s.d.pause()
+	}
+}
+
+// read lists the part's jobs after it was fenced: nobody else changes a record
+// from then on.
+func (s *shard) read(ctx context.Context) error {
+	var pages [3]repo.Page
+	g, ctx := errgroup.WithContext(ctx)
+	for i, t := range []string{repo.TableCancels, repo.TableJobs, repo.TableRecords} {
+		g.Go(func() error {
+			var err error
+			pages[i], err = repo.All(ctx, s.d.h.store, t, s.part)
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	records := map[string]repo.Row{}
+	for _, r := range pages[2].Rows {
+		records[r.Key] = r
+	}
+	for _, r := range pages[0].Rows {
+		s.d.tell(sched.JobCanceled{ID: r.Key})
+	}
+	for _, r := range pages[1].Rows {
+		s.add(r, records[r.Key], true)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.early {
+		if r.Version > pages[1].Version {
+			s.add(r, repo.Row{}, false)
+		}
+	}
+	s.early, s.loaded = nil, true
+	s.d.tell(sched.PartLoaded{Part: s.part})
+	return nil
+}
+
+// changed takes in a job's row from the feed.
+func (s *shard) changed(r repo.Row) {
+	if r.Deleted {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.loaded {
+		s.early = append(s.early, r)
+		return
+	}
+	s.add(r, repo.Row{}, false)
+}
+
+// add passes a job on, unless it is another pool's.
+func (s *shard) add(r, record repo.Row, inherited bool) {
+	j, err := work.DecodeJob(r.Value)
+	if err != nil {
+		s.d.log.Error().Err(err).Str("job", r.Key).Msg("job can't be read")
+		return
+	}
+	rec := &work.Record{State: work.Pending, Queue: j.Queue}
+	version := r.Version
+	if record.Value != nil {
+		if rec, err = work.DecodeRecord(record.Value); err != nil {
+			s.d.log.Error().Err(err).Str("job", r.Key).Msg("record can't be read")
+			return
+		}
+		version = record.Version
+	}
+	// Without a record of its own: both rows of a job are written at once, so
+	// they have one version.
+	s.writer.Known(repo.TableRecords, r.Key, version)
+	pool := rec.Pool
+	if pool == "" {
+		if q := s.d.h.gate.Rules().Queues[j.Queue]; q != nil {
+			pool = q.Pool
+		}
+	}
+	if pool == s.d.pool {
+		s.d.tell(sched.JobAdded{Job: j, Record: rec, Inherited: inherited})
+	}
+}
--- a/repo/feed.go
+++ b/repo/feed.go
@@ -10,6 +10,8 @@
 type Follower struct {
 	Store Store
 	Table string
+	// Spread tables are in the parts of jobs.
+	Spread bool
 	// Wait is how long one call waits for a change.
 	Wait time.Duration
 	// Now tells the time for Confirmed; suspended time counts.
@@ -72,7 +74,13 @@
 
 func (f *Follower) list(ctx context.Context) (int64, error) {
 	sent := f.Now()
-	p, err := All(ctx, f.Store, f.Table)
+	var p Page
+	var err error
+	if f.Spread {
+		p, err = AllParts(ctx, f.Store, f.Table)
+	} else {
+		p, err = All(ctx, f.Store, f.Table, "")
+	}
 	if err != nil {
 		return 0, err
 	}
--- a/repo/jobs.go
+++ b/repo/jobs.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"citronbridge/work"
 )
 
@@ -22,6 +24,9 @@
 	TableOwners = "owners"
 	// TableBeats has a row for each pool that its decider writes regularly.
 	TableBeats = "beats"
+	// TableFences has a row for each pool in each part of jobs: the epoch that
+	// may write there.
+	TableFences = "fences"
 	// TableWorkers has a row for each worker that may have tasks, by pool and
 	// ID.
 	TableWorkers = "workers"
@@ -64,8 +69,8 @@
 		return NotRun, fmt.Errorf("encode record: %w", err)
 	}
 	c := Change{
-		If:  []Condition{{TableRecords, j.ID, 0}},
-		Put: []Row{{Table: TableJobs, Key: j.ID, Value: job}, {Table: TableRecords, Key: j.ID, Value: rec}},
+		If:  []Condition{at(TableRecords, j.ID, 0)},
+		Put: []Row{newRow(TableJobs, j.ID, job), newRow(TableRecords, j.ID, rec)},
 	}
 	_, v, err := r.apply(ctx, c)
 	return v, err
@@ -99,7 +104,7 @@
 // Record reads a job's progress. It is nil with Absent.
 func (r *Repo) Record(ctx context.Context, id string) (*work.Record, Verdict, error) {
 	for {
-		p, err := r.store.List(ctx, TableRecords, id, 1)
+		p, err := r.store.List(ctx, TableRecords, PartOf(TableRecords, id), id, 1)
 		switch {
 		case err == nil && (len(p.Rows) == 0 || p.Rows[0].Key != id):
 			return nil, Absent, nil
@@ -124,20 +129,20 @@
 	if v != Done || rec.State.Final() {
 		return v, err
 	}
-	_, v, err = r.apply(ctx, Change{If: []Condition{{TableCancels, id, 0}}, Put: []Row{{Table: TableCancels, Key: id, Value: []byte("{}")}}})
+	_, v, err = r.apply(ctx, Change{If: []Condition{at(TableCancels, id, 0)}, Put: []Row{newRow(TableCancels, id, []byte("{}"))}})
 	return v, err
 }
 
 // pageSize is how many rows one call lists; the platform's bound.
 const pageSize = 500
 
-// All lists a whole table. Version is that of the first page, from which a
-// feed misses nothing.
-func All(ctx context.Context, s Store, table string) (Page, error) {
+// All lists a part of a table. Version is that of the first page, from which
+// a feed misses nothing.
+func All(ctx context.Context, s Store, table, part string) (Page, error) {
 	var all Page
 	from := ""
 	for {
-		p, err := s.List(ctx, table, from, pageSize)
+		p, err := s.List(ctx, table, part, from, pageSize)
 		if err != nil {
 			return Page{}, fmt.Errorf("list %s: %w", table, err)
 		}
@@ -152,6 +157,30 @@
 	}
 }
 
+// AllParts lists a table that is spread over the parts of jobs. Version is the
+// oldest of the parts'.
+func AllParts(ctx context.Context, s Store, table string) (Page, error) {
+	names := JobParts()
+	pages := make([]Page, len(names))
+	g, ctx := errgroup.WithContext(ctx)
+	for i, p := range names {
+		g.Go(func() error {
+			var err error
+			pages[i], err = All(ctx, s, table, p)
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return Page{}, err
+	}
+	all := pages[0]
+	for _, p := range pages[1:] {
+		all.Rows = append(all.Rows, p.Rows...)
+		all.Version = min(all.Version, p.Version)
+	}
+	return all, nil
+}
+
 // WorkerKey names a worker's row in TableWorkers.
 func WorkerKey(pool, id string) string { return pool + "/" + id }
 
--- a/repo/store.go
+++ b/repo/store.go
@@ -8,11 +8,10 @@
 	"time"
 )
 
-// Row is one row of the table service. All rows of the project are in its
-// one part, so that each transaction is cheap.
+// Row is one row of the table service.
 type Row struct {
-	Table, Key string
-	Value      []byte
+	Table, Part, Key string
+	Value            []byte
 	// Version is 0 for a row that doesn't exist.
 	Version int64
 	Deleted bool
@@ -20,11 +19,12 @@
 
 // Condition is the version that a row must have, 0 if it must not exist.
 type Condition struct {
-	Table, Key string
-	Version    int64
+	Table, Part, Key string
+	Version          int64
 }
 
 // Change is one transaction: all of Put and Delete, if all conditions hold.
+// One over several parts takes twice as long.
 type Change struct {
 	If     []Condition
 	Put    []Row
@@ -60,8 +60,9 @@
 type Store interface {
 	// Apply carries out a change.
 	Apply(ctx context.Context, c Change) (Result, error)
-	// List returns rows of a table from key on, limit at most.
-	List(ctx context.Context, table, from string, limit int) (Page, error)
-	// Feed returns the rows that changed behind a version, waiting for one.
+	// List returns rows of a part of a table from key on, limit at most.
+	List(ctx context.Context, table, part, from string, limit int) (Page, error)
+	// Feed returns the rows of all parts that changed behind a version,
+	// waiting for one.
 	Feed(ctx context.Context, table string, after int64, wait time.Duration) (Page, error)
 }
--- a/repo/writer.go
+++ b/repo/writer.go
@@ -42,7 +42,8 @@
 // WriterConfig is what a Writer needs.
 type WriterConfig struct {
 	Store Store
-	// Owner is the condition under which the decider has its pool.
+	// Owner is the condition under which the decider may write. All rows are
+	// in its part.
 	Owner     Condition
 	Deposed   func()
 	Confirmed func(time.Duration)
@@ -193,15 +194,15 @@
 	defer w.mu.Unlock()
 	c := Change{If: []Condition{w.owner}}
 	for i, k := range keys {
-		c.If = append(c.If, Condition{k.table, k.key, w.versions[k]})
+		c.If = append(c.If, at(k.table, k.key, w.versions[k]))
 		if batch[i].value == nil {
-			c.Delete = append(c.Delete, Row{Table: k.table, Key: k.key})
+			c.Delete = append(c.Delete, newRow(k.table, k.key, nil))
 		} else {
-			c.Put = append(c.Put, Row{Table: k.table, Key: k.key, Value: batch[i].value})
+			c.Put = append(c.Put, newRow(k.table, k.key, batch[i].value))
 		}
 		for _, f := range batch[i].forget {
 			if !slices.ContainsFunc(c.Delete, func(r Row) bool { return r.Table == f.table && r.Key == f.key }) {
-				c.Delete = append(c.Delete, Row{Table: f.table, Key: f.key})
+				c.Delete = append(c.Delete, newRow(f.table, f.key, nil))
 			}
 		}
 	}
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -113,37 +113,99 @@
 	s.forgetEnds(w)
 }
 
+// find returns the task of an ID, or nil. An occurrence that a worker knows
+// of has been due.
+func (s *State) find(id work.TaskID) (*job, *task) {
+	j := s.jobs[id.Job]
+	if j == nil {
+		return nil, nil
+	}
+	for j.next <= id.Occurrence && j.next < j.spec.Occurrences() {
+		j.open(j.next, s.now.Steady)
+		j.next++
+	}
+	st := j.step(id.Occurrence, id.Step)
+	if st == nil || id.Index >= len(st.tasks) {
+		return j, nil
+	}
+	return j, st.tasks[id.Index]
+}
+
+// unknown reports whether the part of a job isn't known yet.
+func (s *State) unknown(job string) bool {
+	return s.jobs[job] == nil && !s.parts[s.c.PartOf(job)]
+}
+
 // end takes in one end that a worker lists.
 func (s *State) end(w *worker, x Ended) {
-	j := s.jobs[x.Task.Job]
-	var t *task
-	if j != nil {
-		if st := j.step(x.Task.Occurrence, x.Task.Step); st != nil && x.Task.Index < len(st.tasks) {
-			t = st.tasks[x.Task.Index]
-		}
+	if s.unknown(x.Task.Job) {
+		w.ends = append(w.ends, pendingEnd{n: x.N, job: x.Task.Job, unread: &x})
+	} else if j := s.apply(w, x); j != nil && j.savedSeq < j.seq {
+		w.ends = append(w.ends, pendingEnd{n: x.N, job: j.spec.ID, seq: j.seq})
+	}
+	if r := w.runs[x.Task]; r != nil && r.n <= x.Run {
+		s.release(r, x.How, x.Saved)
 	}
+}
+
+// apply notes what an end means for its job, which it returns.
+func (s *State) apply(w *worker, x Ended) *job {
+	j, t := s.find(x.Task)
 	if t == nil {
-		return
+		return nil
 	}
 	t.last = max(t.last, x.Run)
 	t.step.last = max(t.step.last, x.Run)
-	before := j.seq
-	if !j.rec.State.Final() {
-		switch x.How {
-		case Done:
-			s.taskDone(t, w)
-		case Failed:
-			s.taskFailed(t, w, x.Run)
-		}
+	if j.rec.State.Final() {
+		return j
 	}
-	if j.seq > before {
-		w.ends = append(w.ends, pendingEnd{x.N, j.spec.ID, j.seq})
-	} else if j.savedSeq < j.seq {
-		// What the end added may be in a write under way.
-		w.ends = append(w.ends, pendingEnd{x.N, j.spec.ID, j.seq})
+	switch x.How {
+	case Done:
+		s.taskDone(t, w)
+	case Failed:
+		s.taskFailed(t, w, x.Run)
 	}
-	if r := w.runs[x.Task]; r != nil && r.n <= x.Run {
-		s.release(r, x.How, x.Saved)
+	return j
+}
+
+// meet matches a job that has just become known with what workers have listed
+// of it before.
+func (s *State) meet(j *job) {
+	for _, id := range s.names {
+		w := s.pool[id]
+		for i := range w.ends {
+			p := &w.ends[i]
+			if p.unread == nil || p.job != j.spec.ID {
+				continue
+			}
+			s.apply(w, *p.unread)
+			p.unread, p.seq = nil, j.seq
+		}
+		for _, r := range s.runsOf(w) {
+			if r.task == nil && r.id.Job == j.spec.ID && r.phase == working {
+				delete(w.runs, r.id)
+				w.used = w.used.Minus(r.demand)
+				s.adopt(w, Running{Task: r.id, Run: r.n, Saved: r.saved, Percent: r.percent})
+			}
+		}
+	}
+}
+
+// dropUnknown stops the runs, and forgets the ends, of jobs that aren't open.
+func (s *State) dropUnknown() {
+	for _, id := range s.names {
+		w := s.pool[id]
+		for i := range w.ends {
+			if p := &w.ends[i]; p.unread != nil && !s.unknown(p.job) {
+				p.unread = nil
+			}
+		}
+		for _, r := range s.runsOf(w) {
+			if r.task == nil && r.phase == working && !s.unknown(r.id.Job) {
+				s.note(nil, w, r, "run isn't wanted")
+				s.stop(r)
+			}
+		}
 	}
 }
 
@@ -253,13 +315,7 @@
 		s.release(old, Lapsed, "")
 	}
 	r := &run{id: x.Task, n: x.Run, w: w, phase: working, saved: x.Saved, since: s.now.Steady, settled: s.now.Steady, percent: x.Percent}
-	j := s.jobs[x.Task.Job]
-	var t *task
-	if j != nil {
-		if st := j.step(x.Task.Occurrence, x.Task.Step); st != nil && x.Task.Index < len(st.tasks) {
-			t = st.tasks[x.Task.Index]
-		}
-	}
+	j, t := s.find(x.Task)
 	wanted := false
 	if t != nil {
 		r.demand = t.step.spec.Counted()
@@ -281,6 +337,9 @@
 		s.begun(r)
 		return
 	}
+	if s.unknown(x.Task.Job) {
+		return
+	}
 	s.note(j, w, r, "run isn't wanted")
 	s.stop(r)
 }
@@ -309,6 +368,10 @@
 func (s *State) forgetEnds(w *worker) {
 	for len(w.ends) > 0 {
 		p := w.ends[0]
+		if p.unread != nil {
+			w.durable = max(w.durable, p.n-1)
+			return
+		}
 		if j := s.jobs[p.job]; j != nil && j.savedSeq < p.seq {
 			w.durable = max(w.durable, p.n-1)
 			return
--- a/sched/job.go
+++ b/sched/job.go
@@ -182,7 +182,7 @@
 
 // addJob takes in a job.
 func (s *State) addJob(e JobAdded) {
-	if s.jobs[e.Job.ID] != nil || e.Record.State.Final() {
+	if s.jobs[e.Job.ID] != nil || s.over[e.Job.ID] || e.Record.State.Final() {
 		return
 	}
 	j := &job{spec: e.Job, rec: e.Record, added: s.now.Steady}
@@ -199,12 +199,13 @@
 	}
 	s.changed = true
 	s.note(j, nil, nil, "job taken in")
+	s.meet(j)
 	if s.cancels[j.spec.ID] {
 		delete(s.cancels, j.spec.ID)
 		s.finish(j, work.Canceled)
 		return
 	}
-	if j.finished() {
+	if j.finished() && !j.rec.State.Final() {
 		s.finish(j, work.Succeeded)
 	}
 }
@@ -270,7 +271,10 @@
 
 // saved takes in that a record is durable.
 func (s *State) saved(e RecordSaved) {
-	s.unsaved = 0
+	if s.unsaved > 0 {
+		s.unsaved = 0
+		s.changed = true
+	}
 	j := s.jobs[e.ID]
 	if j == nil {
 		return
--- a/sched/schedule_test.go
+++ b/sched/schedule_test.go
@@ -96,9 +96,14 @@
 	w.jobs[j.ID], w.records[j.ID] = j, b
 	w.log("SUBMIT %s", j.ID)
 	for _, p := range w.deciders {
-		if !p.cut {
+		if !p.cut && p.loaded[partOf(j.ID)] {
 			fresh, _ := work.DecodeRecord(b)
 			w.after(w.between(0, 5*time.Millisecond), func() { p.take(JobAdded{Job: j, Record: fresh}) })
+			if w.chance(0.2) {
+				// A feed that was read anew tells of a job again.
+				again, _ := work.DecodeRecord(b)
+				w.after(w.between(100*time.Millisecond, 20*time.Second), func() { p.take(JobAdded{Job: j, Record: again}) })
+			}
 		}
 	}
 	if w.chance(0.2) {
--- a/sched/state.go
+++ b/sched/state.go
@@ -21,6 +21,8 @@
 	// Inherit is how long after a takeover a worker that can't be asked may
 	// still run what the former decider started.
 	Inherit time.Duration
+	// PartOf names the part that a job is in. Parts are told one by one.
+	PartOf func(job string) string
 	// FarFactor is how much longer work takes away from its data's rack.
 	FarFactor float64
 }
@@ -69,10 +71,15 @@
 	jobs  map[string]*job
 	// cancels names cancelled jobs that aren't known.
 	cancels map[string]bool
-	order   []*job
-	pool    map[string]*worker
-	names   []string
-	out     []Effect
+	// over names the jobs that ended under this decider: a feed may tell of
+	// one again.
+	over map[string]bool
+	// parts names the parts whose jobs are known.
+	parts map[string]bool
+	order []*job
+	pool  map[string]*worker
+	names []string
+	out   []Effect
 
 	taken time.Duration
 	// inheriting is set while tasks of a former decider may be at work unseen.
@@ -91,7 +98,7 @@
 
 // New returns the state of a decider that has just taken the pool.
 func New(c Config, now Clock, rules *work.Rules) *State {
-	return &State{c: c, now: now, rules: rules, taken: now.Steady, inheriting: true, jobs: map[string]*job{}, cancels: map[string]bool{}, pool: map[string]*worker{}}
+	return &State{c: c, now: now, rules: rules, taken: now.Steady, inheriting: true, jobs: map[string]*job{}, cancels: map[string]bool{}, over: map[string]bool{}, parts: map[string]bool{}, pool: map[string]*worker{}}
 }
 
 // Step takes an event in and returns what is to be done.
@@ -101,6 +108,9 @@
 	switch e := e.(type) {
 	case JobAdded:
 		s.addJob(e)
+	case PartLoaded:
+		s.parts[e.Part] = true
+		s.dropUnknown()
 	case JobCanceled:
 		s.cancel(e.ID)
 	case WorkerListed:
@@ -283,6 +293,7 @@
 // removeJob takes a job out of memory.
 func (s *State) removeJob(j *job) {
 	delete(s.jobs, j.spec.ID)
+	s.over[j.spec.ID] = true
 	s.order = slices.DeleteFunc(s.order, func(o *job) bool { return o == j })
 }
 
--- a/sched/types.go
+++ b/sched/types.go
@@ -39,6 +39,10 @@
 	Inherited bool
 }
 
+// PartLoaded tells that all jobs of a part were told: what workers list of
+// others in it belongs to no open job.
+type PartLoaded struct{ Part string }
+
 // JobCanceled tells that a cancel was recorded.
 type JobCanceled struct{ ID string }
 
@@ -88,6 +92,7 @@
 type Tick struct{}
 
 func (JobAdded) event()       {}
+func (PartLoaded) event()     {}
 func (JobCanceled) event()    {}
 func (WorkerListed) event()   {}
 func (WorkerKnown) event()    {}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -59,6 +59,8 @@
 	n   int64
 	job string
 	seq int64
+	// unread is set until the part that the job is in is known.
+	unread *Ended
 }
 
 func (s *State) worker(id string) *worker {
@@ -150,13 +152,17 @@
 	if w.leaseEnd > now {
 		next = min(next, w.leaseEnd)
 	}
+	switch {
+	case w.closedUntil > now:
+		next = min(next, w.closedUntil)
+	case w.closedUntil > 0:
+		w.closedUntil = 0
+		s.changed = true
+	}
 	if s.limits.NoOrders {
 		return next
 	}
-	for _, r := range w.runs {
-		if r.phase == marking || !r.waiting {
-			continue
-		}
+	for _, r := range s.awaiting(w) {
 		at := r.sent + retryPause
 		if now < at {
 			next = min(next, at)
@@ -174,6 +180,17 @@
 	return next
 }
 
+// awaiting returns the runs about which an order has no answer, in the order
+// of their tasks.
+func (s *State) awaiting(w *worker) []*run {
+	for _, r := range w.runs {
+		if r.phase != marking && r.waiting {
+			return slices.DeleteFunc(s.runsOf(w), func(r *run) bool { return r.phase == marking || !r.waiting })
+		}
+	}
+	return nil
+}
+
 // lose takes all runs off a worker, whose life or lease is over.
 func (s *State) lose(w *worker) {
 	for _, r := range s.runsOf(w) {
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -32,6 +32,7 @@
 	epoch    int64
 	storeUp  bool
 	listed   map[string]bool
+	fences   map[string]int64
 
 	deciders []*player
 	// What has happened.
@@ -76,7 +77,7 @@
 	cutFrom   map[string]bool
 	confirmed time.Duration
 	flushAt   time.Duration
-	saving    map[string]bool
+	loaded    map[string]bool
 	backlog   []func()
 }
 
@@ -110,7 +111,7 @@
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 7)), faults: f, quiet: 30 * time.Second,
 		jobs: map[string]*work.Job{}, records: map[string][]byte{}, canceled: map[string]time.Duration{}, acked: map[string]time.Duration{},
-		known: map[string]string{}, storeUp: true, listed: map[string]bool{},
+		known: map[string]string{}, storeUp: true, listed: map[string]bool{}, fences: map[string]int64{},
 		active: map[string][]*act{}, ends: map[string][]*fact{}, failed: map[string]int{},
 	}
 	w.rules = &work.Rules{Version: 1, Queues: map[string]*work.Queue{
@@ -250,8 +251,8 @@
 // decide makes a decider that has just taken the pool.
 func (w *world) decide(cutFrom map[string]bool) {
 	w.epoch++
-	p := &player{w: w, epoch: w.epoch, confirmed: w.now, cutFrom: cutFrom, saving: map[string]bool{}, flushAt: -1}
-	c := Config{Pool: "p", Epoch: w.epoch, Lease: 9500 * time.Millisecond, StopTime: 200 * time.Millisecond, Inherit: 16500 * time.Millisecond, FarFactor: 3}
+	p := &player{w: w, epoch: w.epoch, confirmed: w.now, cutFrom: cutFrom, loaded: map[string]bool{}, flushAt: -1}
+	c := Config{Pool: "p", Epoch: w.epoch, Lease: 9500 * time.Millisecond, StopTime: 200 * time.Millisecond, Inherit: 16500 * time.Millisecond, FarFactor: 3, PartOf: partOf}
 	if w.faults.noInherit {
 		c.Inherit = 0
 	}
@@ -267,23 +268,56 @@
 			l = append(l, WorkerListed{w.entry(id)})
 		}
 	}
+	for _, id := range sorted(w.canceled) {
+		l = append(l, JobCanceled{id})
+	}
+	for _, e := range l {
+		p.take(e)
+	}
+	for i := range jobParts {
+		d := w.between(0, 40*time.Millisecond)
+		if w.disturbed(0.1) {
+			d = w.between(0, 4*time.Second)
+		}
+		w.after(d, func() { p.load(fmt.Sprint(i)) })
+	}
+	p.beat()
+}
+
+// jobParts is over how many parts the store spreads jobs.
+const jobParts = 3
+
+func partOf(id string) string { return fmt.Sprint(int(id[len(id)-1]) % jobParts) }
+
+// load takes a part and tells its jobs.
+func (p *player) load(part string) {
+	w := p.w
+	switch {
+	case p.dead:
+		return
+	case !w.storeUp || p.cut || w.now < p.paused:
+		w.after(100*time.Millisecond, func() { p.load(part) })
+		return
+	case w.fences[part] > p.epoch:
+		p.dead = true
+		return
+	}
+	w.fences[part] = p.epoch
+	p.loaded[part] = true
 	for _, id := range sorted(w.jobs) {
+		if partOf(id) != part {
+			continue
+		}
 		r, err := work.DecodeRecord(w.records[id])
 		if err != nil {
 			w.fail("record of %s: %v", id, err)
 			return
 		}
 		if !r.State.Final() {
-			l = append(l, JobAdded{w.jobs[id], r, true})
+			p.take(JobAdded{w.jobs[id], r, true})
 		}
 	}
-	for _, id := range sorted(w.canceled) {
-		l = append(l, JobCanceled{id})
-	}
-	for _, e := range l {
-		p.take(e)
-	}
-	p.beat()
+	p.take(PartLoaded{part})
 }
 
 func sorted[V any](m map[string]V) []string {
@@ -406,9 +440,9 @@
 		case Save:
 			p.save(e)
 		case RecordWorker:
-			p.store(func() { w.known[e.ID] = e.Address }, func() { p.take(WorkerRecorded{e.ID}) })
+			p.store(p.owned, func() { w.known[e.ID] = e.Address }, func() { p.take(WorkerRecorded{e.ID}) })
 		case ForgetWorker:
-			p.store(func() { delete(w.known, e.ID) }, func() {})
+			p.store(p.owned, func() { delete(w.known, e.ID) }, func() {})
 		case Prove:
 			at := w.now
 			w.after(w.between(0, 6*time.Millisecond), func() {
@@ -517,7 +551,7 @@
 }
 
 // store writes, trying until the store answers or the pool is lost.
-func (p *player) store(do, done func()) {
+func (p *player) store(may func() bool, do, done func()) {
 	w := p.w
 	var try func()
 	try = func() {
@@ -525,7 +559,7 @@
 		case p.dead:
 		case !w.storeUp || p.cut || w.now < p.paused || w.disturbed(0.03):
 			w.after(60*time.Millisecond, try)
-		case !p.owned():
+		case !may():
 			p.dead = true
 		default:
 			do()
@@ -538,12 +572,13 @@
 func (p *player) save(e Save) {
 	w := p.w
 	saved := func() { p.take(RecordSaved{e.ID, e.Seq}) }
+	may := func() bool { return w.fences[partOf(e.ID)] == p.epoch }
 	if w.faults.earlySeen {
 		w.after(0, saved)
-		w.after(w.between(100*time.Millisecond, time.Second), func() { p.store(func() { w.write(e) }, func() {}) })
+		w.after(w.between(100*time.Millisecond, time.Second), func() { p.store(may, func() { w.write(e) }, func() {}) })
 		return
 	}
-	p.store(func() { w.write(e) }, saved)
+	p.store(may, func() { w.write(e) }, saved)
 }
 
 // write makes a record durable and checks what it claims.
