--- a/assign/assign.go
+++ b/assign/assign.go
@@ -315,18 +315,19 @@
 // whole places the gang on a group of workers if all of it fits.
 func (p *planner) whole(u *Unit, group []*Worker) bool {
 	l := p.fitting(u, group)
-	n := 0
-	for _, w := range l {
-		n += u.room(w, p.free(u, w))
+	counts := make([]int, len(l))
+	left := len(u.Indexes)
+	for i, w := range l {
+		counts[i] = min(u.room(w, p.free(u, w)), left)
+		left -= counts[i]
 	}
-	if n < len(u.Indexes) {
+	if left > 0 {
 		return false
 	}
 	i := 0
-	for _, w := range l {
-		n := min(u.room(w, p.free(u, w)), len(u.Indexes)-i)
-		p.take(u, i, n, w)
-		i += n
+	for k, w := range l {
+		p.take(u, i, counts[k], w)
+		i += counts[k]
 	}
 	return true
 }
--- a/fakes/plat/model.go
+++ b/fakes/plat/model.go
@@ -55,6 +55,8 @@
 	Task  string
 	Run   int
 	Saved string
+	// Percent is how much of the work is done.
+	Percent int
 
 	shape Shape
 	key   string
@@ -90,6 +92,8 @@
 	ended    map[string]int
 	up       bool
 	lapsed   time.Duration
+	// hungAt is since when the tasks stand still, 0 if they don't.
+	hungAt time.Duration
 }
 
 // Cluster is workers that run gangs together.
@@ -137,6 +141,21 @@
 	w.runs = map[string]*Present{}
 }
 
+// Hang makes the worker's tasks stand still, or go on.
+func (w *Worker) Hang(hang bool) {
+	switch {
+	case hang && w.hungAt == 0:
+		w.hungAt = max(w.c.now, 1)
+	case !hang && w.hungAt > 0:
+		for _, p := range w.runs {
+			if p.work > 0 {
+				p.work += w.c.now - max(w.hungAt, p.work)
+			}
+		}
+		w.hungAt = 0
+	}
+}
+
 // Up reports whether the worker lives.
 func (w *Worker) Up() bool { return w.up }
 
@@ -334,14 +353,26 @@
 	w.ends = slices.DeleteFunc(w.ends, func(e End) bool { return e.N <= seen })
 	l := make([]Present, 0, len(w.runs))
 	for _, p := range w.list() {
-		l = append(l, *p)
+		q := *p
+		if p.shape.Work > 0 {
+			q.Percent = int(100 * p.progress(w.time()) / p.shape.Work)
+		}
+		l = append(l, q)
 	}
 	return l, slices.Clone(w.ends), ""
 }
 
+// time is the time up to which the worker's tasks have worked.
+func (w *Worker) time() time.Duration {
+	if w.hungAt > 0 {
+		return w.hungAt
+	}
+	return w.c.now
+}
+
 // progress returns how much of a run's work is done.
 func (p *Present) progress(now time.Duration) time.Duration {
-	if p.work == 0 {
+	if p.work == 0 || now < p.work {
 		return p.had
 	}
 	return min(p.had+now-p.work, p.shape.Work)
@@ -357,7 +388,7 @@
 	w.n++
 	e := End{N: w.n, Task: p.Task, Run: p.Run, How: how, Saved: p.Saved}
 	if how == "stopped" && p.shape.Checkpoint {
-		e.Saved = fmt.Sprintf("%016x", p.progress(w.c.now).Milliseconds())
+		e.Saved = fmt.Sprintf("%016x", p.progress(w.time()).Milliseconds())
 	}
 	w.ends = append(w.ends, e)
 	if w.c.Stopped != nil {
@@ -377,7 +408,9 @@
 // due returns when something happens to a run, and what.
 func (w *Worker) due(p *Present) (time.Duration, string) {
 	at, how := w.at(w.deadline), "lapsed"
-	if p.work > 0 {
+	if p.work > 0 && w.hungAt > 0 {
+		// It ends by an order or by its lease.
+	} else if p.work > 0 {
 		how2 := "done"
 		fails := p.shape.FailOneIn > 0 && xxhash.Sum64String(fmt.Sprint(p.Task, p.Run, w.ID))%uint64(p.shape.FailOneIn) == 0
 		if fails || w.Hurt {
--- a/fakes/plat/serve.go
+++ b/fakes/plat/serve.go
@@ -206,7 +206,7 @@
 		if len(ended) > 0 || p.now() >= until || ctx.Err() != nil || !x.Up() {
 			rows, ends := [][]any{}, [][]any{}
 			for _, q := range running {
-				rows = append(rows, []any{q.Task, q.Run, q.Saved, 0})
+				rows = append(rows, []any{q.Task, q.Run, q.Saved, q.Percent})
 			}
 			for _, q := range ended {
 				ends = append(ends, []any{q.N, q.Task, q.Run, q.How, q.Saved})
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -49,6 +49,7 @@
 		w.recorded, w.asked = false, false
 		s.do(ForgetWorker{w.id})
 	}
+	s.lives[w.id] = w.life
 	delete(s.pool, w.id)
 	for i, n := range s.names {
 		if n == w.id {
@@ -106,6 +107,7 @@
 		}
 	}
 	s.compare(w, e)
+	s.moveSlow(w)
 	w.heldAt = e.Call.Sent
 	if len(w.ends) > 0 {
 		w.nextHold = s.now.Steady + savePause
@@ -286,7 +288,7 @@
 		if x.Saved != "" && x.Saved != r.saved {
 			r.saved, r.savedAt = x.Saved, s.now.Steady
 		}
-		r.percent = x.Percent
+		r.measure(s.now.Steady, x.Percent)
 		if r.phase == starting {
 			r.phase, r.waiting, r.settled = working, false, s.now.Steady
 			s.begun(r)
--- a/sched/job.go
+++ b/sched/job.go
@@ -37,6 +37,14 @@
 	// tries counts the starts that were sent.
 	tries   int
 	percent int
+	// mark and markAt are an earlier reading of the progress, rate the
+	// progress since in percent a second, stuck that there was none.
+	mark   int
+	markAt time.Duration
+	rate   float64
+	stuck  bool
+	// wasAt is the reading before mark, slowAt since when the run is slow.
+	wasAt, slowAt time.Duration
 	// savedAt is when saved last changed.
 	savedAt time.Duration
 }
@@ -60,6 +68,8 @@
 	run   *run
 	last  int
 	saved string
+	// moves counts how often the task was moved off a slow worker.
+	moves int
 	// hidden says that a former decider's run may be at work unseen.
 	hidden bool
 }
--- a/sched/schedule_test.go
+++ b/sched/schedule_test.go
@@ -127,7 +127,7 @@
 func (w *world) disturb() {
 	for range 2 + w.rng.IntN(5) {
 		at := w.between(time.Second, 26*time.Second)
-		w.after(at, []func(){w.killDecider, w.pauseDecider, w.cutDecider, w.crashWorker, w.crashWorker, w.darkWorker, w.outage, w.hurtWorker, w.releaseDecider}[w.rng.IntN(9)])
+		w.after(at, []func(){w.killDecider, w.pauseDecider, w.cutDecider, w.crashWorker, w.crashWorker, w.darkWorker, w.outage, w.hurtWorker, w.hangWorker, w.releaseDecider}[w.rng.IntN(10)])
 	}
 }
 
@@ -255,6 +255,13 @@
 	w.after(w.between(time.Second, 6*time.Second), func() { x.Hurt = false })
 }
 
+func (w *world) hangWorker() {
+	x := w.pick()
+	w.log("HANG %s", x.ID)
+	x.Hang(true)
+	w.after(w.between(time.Second, 12*time.Second), func() { x.Hang(false) })
+}
+
 // outage takes the store away from everybody.
 func (w *world) outage() {
 	w.log("OUTAGE")
@@ -269,6 +276,7 @@
 	for _, id := range sorted(w.cluster.Workers) {
 		x := w.cluster.Workers[id]
 		x.Dark, x.Hurt = false, false
+		x.Hang(false)
 	}
 	for _, p := range w.deciders {
 		p.cut, p.cutFrom = false, nil
@@ -347,8 +355,47 @@
 	}
 }
 
-// TestTrace prints one schedule: go test -run TestTrace -v -args SEED is not
-// needed in CI, so it plays a fixed one and checks that it repeats.
+// TestHungWorkers lets the tasks on one worker stand still for good: single
+// tasks and gangs end elsewhere.
+func TestHungWorkers(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		w := newWorld(2, faults{})
+		w.quiet = 0
+		for i := range 4 {
+			id := fmt.Sprintf("w%d%d", i%2, i)
+			w.cluster.Add(0, &plat.Worker{ID: id, Born: 1, CPU: 16000, Memory: 64000, Accelerators: 4})
+			w.listed[id] = true
+		}
+		w.decide(nil)
+		w.run(time.Second)
+		s := work.Step{Count: 3, Demand: work.Amounts{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 4}, Estimate: 3 * time.Second, Gang: gang}
+		x := plat.Shape{Work: 3 * time.Second, CPU: 1000, Memory: 1000, Accelerators: 4}
+		if gang {
+			x.Gang = 3
+		}
+		w.submit(&work.Job{ID: "00000000000000aa", Queue: "long", Spec: plat.Spec(x), Steps: []work.Step{s}})
+		w.run(2 * time.Second)
+		for _, id := range sorted(w.cluster.Workers) {
+			if runs, _, _ := w.cluster.Workers[id].Hold(w.deciders[0].s.fence(w.deciders[0].s.pool[id]), 0, 0); len(runs) > 0 {
+				w.cluster.Workers[id].Hang(true)
+				break
+			}
+		}
+		w.run(60 * time.Second)
+		for _, b := range w.broken {
+			t.Errorf("gang %v: %s", gang, b)
+		}
+		r, err := work.DecodeRecord(w.records["00000000000000aa"])
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.State != work.Succeeded {
+			t.Errorf("gang %v: the job is %s", gang, r.State)
+		}
+	}
+}
+
+// TestSchedulesRepeat checks that a seed names one schedule.
 func TestSchedulesRepeat(t *testing.T) {
 	a, b := play(3, faults{}, true), play(3, faults{}, true)
 	if len(a.trace) != len(b.trace) {
--- a/sched/state.go
+++ b/sched/state.go
@@ -79,6 +79,8 @@
 	order []*job
 	pool  map[string]*worker
 	names []string
+	// lives counts the lives of workers that were forgotten: fences only rise.
+	lives map[string]int64
 	out   []Effect
 
 	taken time.Duration
@@ -98,7 +100,7 @@
 
 // New returns the state of a decider that has just taken the pool.
 func New(c Config, now Clock, rules *work.Rules) *State {
-	return &State{c: c, now: now, rules: rules, taken: now.Steady, inheriting: true, jobs: map[string]*job{}, cancels: map[string]bool{}, over: map[string]bool{}, parts: map[string]bool{}, pool: map[string]*worker{}}
+	return &State{c: c, now: now, rules: rules, taken: now.Steady, inheriting: true, jobs: map[string]*job{}, cancels: map[string]bool{}, over: map[string]bool{}, parts: map[string]bool{}, pool: map[string]*worker{}, lives: map[string]int64{}}
 }
 
 // Step takes an event in and returns what is to be done.
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -66,7 +66,7 @@
 func (s *State) worker(id string) *worker {
 	w := s.pool[id]
 	if w == nil {
-		w = &worker{id: id, runs: map[work.TaskID]*run{}, life: 1}
+		w = &worker{id: id, runs: map[work.TaskID]*run{}, life: s.lives[id] + 1}
 		s.pool[id] = w
 		s.names = append(s.names, id)
 		slices.Sort(s.names)
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -534,7 +534,7 @@
 			r := Reported{Call: e.Call, Outcome: reasons[why], ClockMS: x.ClockMS(), Born: x.Born}
 			for _, q := range running {
 				id, _ := work.ParseTaskID(q.Task)
-				r.Running = append(r.Running, Running{id, q.Run, q.Saved, 0})
+				r.Running = append(r.Running, Running{id, q.Run, q.Saved, q.Percent})
 			}
 			for _, q := range ended {
 				id, _ := work.ParseTaskID(q.Task)
