--- /dev/null
+++ b/assign/assign_test.go
@@ -0,0 +1,178 @@
+package assign
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"citronbridge/work"
+)
+
+// pool draws workers with runs on them.
+func pool(t *rapid.T) []*Worker {
+	var l []*Worker
+	for i := range rapid.IntRange(1, 10).Draw(t, "workers") {
+		w := &Worker{ID: fmt.Sprint("w", i), Rack: fmt.Sprint("r", i%3), Labels: []string{fmt.Sprint("l", i%2)}}
+		w.Total = work.Amounts{MilliCPU: 16000, MemoryMiB: 64000, Accelerators: 8}
+		w.Free = w.Total
+		w.Closed = rapid.IntRange(0, 5).Draw(t, "closed") == 0
+		for n := range rapid.IntRange(0, 4).Draw(t, "runs") {
+			r := &Run{Key: fmt.Sprint(i, ".", n), Priority: rapid.IntRange(0, 2).Draw(t, "priority")}
+			r.Demand = work.Amounts{MilliCPU: 2000, MemoryMiB: 8000, Accelerators: rapid.Int64Range(0, 3).Draw(t, "accelerators")}
+			r.Loss = float64(rapid.IntRange(0, 100).Draw(t, "loss"))
+			r.Ends = time.Duration(rapid.IntRange(0, 10).Draw(t, "ends")) * time.Second
+			r.Fixed = rapid.IntRange(0, 4).Draw(t, "fixed") == 0
+			if rapid.Bool().Draw(t, "member") {
+				r.Group = fmt.Sprint("g", rapid.IntRange(0, 2).Draw(t, "group"))
+			}
+			if r.Demand.Fits(w.Free) {
+				w.Free = w.Free.Minus(r.Demand)
+				w.Runs = append(w.Runs, r)
+			}
+		}
+		l = append(l, w)
+	}
+	return l
+}
+
+// waiting draws units.
+func waiting(t *rapid.T) []*Unit {
+	var l []*Unit
+	for i := range rapid.IntRange(0, 8).Draw(t, "units") {
+		s := &work.Step{Count: rapid.IntRange(1, 6).Draw(t, "count"), Estimate: time.Duration(rapid.IntRange(0, 9).Draw(t, "estimate")) * time.Second}
+		s.Demand = work.Amounts{MilliCPU: 1000, MemoryMiB: 4000, Accelerators: rapid.Int64Range(0, 8).Draw(t, "demand")}
+		s.Gang, s.SameRack = rapid.Bool().Draw(t, "gang"), rapid.Bool().Draw(t, "rack")
+		if rapid.Bool().Draw(t, "label") {
+			s.Requires = "l1"
+		}
+		if rapid.Bool().Draw(t, "near") {
+			s.Affinity = "r1"
+		}
+		s.AntiAffinity = rapid.IntRange(0, 2).Draw(t, "apart")
+		u := &Unit{Key: fmt.Sprint("u", i), Step: s, Priority: rapid.IntRange(0, 2).Draw(t, "priority"), OnWorker: map[string]int{}}
+		u.Preempts = u.Priority == 0
+		u.Waited = time.Duration(rapid.IntRange(0, 20).Draw(t, "waited")) * time.Second
+		for n := range s.Count {
+			u.Indexes = append(u.Indexes, n)
+		}
+		l = append(l, u)
+	}
+	return l
+}
+
+// TestDecideKeepsItsRules draws pools and units, and checks each plan.
+func TestDecideKeepsItsRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		workers, units := pool(t), waiting(t)
+		free := map[string]work.Amounts{}
+		byID := map[string]*Worker{}
+		for _, w := range workers {
+			free[w.ID], byID[w.ID] = w.Free, w
+		}
+		fixed := map[*Run]bool{}
+		least := 3
+		for _, w := range workers {
+			for _, r := range w.Runs {
+				fixed[r] = r.Fixed
+			}
+		}
+		for _, u := range units {
+			if u.Preempts {
+				least = 0
+			}
+		}
+		p := Decide(0, workers, units)
+		placed := map[*Unit]int{}
+		on := map[string]int{}
+		for _, s := range p.Starts {
+			w := byID[s.Worker]
+			d := s.Unit.Step.Counted()
+			if !d.Fits(free[w.ID]) {
+				t.Fatalf("%s doesn't fit on %s", s.Unit.Key, w.ID)
+			}
+			free[w.ID] = free[w.ID].Minus(d)
+			if w.Closed || (s.Unit.Step.Requires != "" && w.Labels[0] != s.Unit.Step.Requires) {
+				t.Fatalf("%s may not run on %s", s.Unit.Key, w.ID)
+			}
+			placed[s.Unit]++
+			on[s.Unit.Key+w.ID]++
+			if a := s.Unit.Step.AntiAffinity; a > 0 && on[s.Unit.Key+w.ID] > a {
+				t.Fatalf("%s has too many tasks on %s", s.Unit.Key, w.ID)
+			}
+		}
+		for u, n := range placed {
+			if u.Step.Gang && n != u.Step.Count {
+				t.Fatalf("%d of %d members of %s are placed", n, u.Step.Count, u.Key)
+			}
+		}
+		for _, r := range p.Stops {
+			if fixed[r] || (r.Priority <= least && r.Group == "") {
+				t.Fatalf("run %s of priority %d is stopped", r.Key, r.Priority)
+			}
+		}
+	})
+}
+
+func worker(id, rack string, runs ...*Run) *Worker {
+	w := &Worker{ID: id, Rack: rack, Total: work.Amounts{MilliCPU: 16000, MemoryMiB: 64000, Accelerators: 8}}
+	w.Free = w.Total
+	for _, r := range runs {
+		w.Free = w.Free.Minus(r.Demand)
+	}
+	w.Runs = runs
+	return w
+}
+
+func accelerators(n int64) work.Amounts { return work.Amounts{Accelerators: n} }
+
+// TestCheapestVictims makes room for an urgent task where least is lost: a
+// member of a gang costs what the whole gang has done.
+func TestCheapestVictims(t *testing.T) {
+	cheap := &Run{Key: "cheap", Demand: accelerators(8), Priority: 2, Loss: 10}
+	costly := &Run{Key: "costly", Demand: accelerators(8), Priority: 2, Loss: 500}
+	u := &Unit{Key: "u", Step: &work.Step{Count: 1, Demand: accelerators(8)}, Indexes: []int{0}, Preempts: true}
+	p := Decide(0, []*Worker{worker("a", "r", costly), worker("b", "r", cheap)}, []*Unit{u})
+	if len(p.Stops) != 1 || p.Stops[0] != cheap {
+		t.Errorf("stopped: %v", p.Stops)
+	}
+}
+
+// TestClaimsKeepRoom lets a long gang that is blocked keep the worker that is
+// free for it: a task that ends before the gang could begin may use it.
+func TestClaimsKeepRoom(t *testing.T) {
+	busy := &Run{Key: "busy", Demand: accelerators(8), Priority: 1, Ends: 5 * time.Second}
+	gang := &Unit{Key: "gang", Step: &work.Step{Count: 2, Demand: accelerators(8), Gang: true}, Indexes: []int{0, 1}, Priority: 1}
+	for _, c := range []struct {
+		estimate time.Duration
+		starts   int
+	}{{4 * time.Second, 1}, {9 * time.Second, 0}} {
+		later := &Unit{Key: "later", Step: &work.Step{Count: 1, Demand: accelerators(1), Estimate: c.estimate}, Indexes: []int{0}, Priority: 2}
+		p := Decide(0, []*Worker{worker("a", "r", busy), worker("b", "r")}, []*Unit{gang, later})
+		if len(p.Starts) != c.starts {
+			t.Errorf("a task of %v: %d starts, not %d", c.estimate, len(p.Starts), c.starts)
+		}
+	}
+}
+
+// TestRacks puts a gang that is slow on several racks on one that holds it,
+// and on several only if none ever could.
+func TestRacks(t *testing.T) {
+	for _, c := range []struct{ members, starts int }{{2, 2}, {3, 0}, {5, 5}} {
+		half := &Run{Key: "half", Demand: accelerators(8), Priority: 0, Ends: time.Second}
+		workers := []*Worker{worker("a1", "a"), worker("a2", "a", half), worker("b1", "b"), worker("b2", "b"), worker("a3", "a"), worker("c1", "c")}
+		if c.members == 5 {
+			workers[1] = worker("a2", "a")
+		}
+		s := &work.Step{Count: c.members, Demand: accelerators(8), Gang: true, SameRack: true}
+		u := &Unit{Key: "u", Step: s, Priority: 1}
+		for i := range c.members {
+			u.Indexes = append(u.Indexes, i)
+		}
+		p := Decide(0, workers, []*Unit{u})
+		if len(p.Starts) != c.starts {
+			t.Errorf("%d members: %d starts, not %d", c.members, len(p.Starts), c.starts)
+		}
+	}
+}
--- /dev/null
+++ b/gate/gate_test.go
@@ -0,0 +1,85 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"citronbridge/work"
+)
+
+func rules(version int64, keys ...string) *work.Rules {
+	r := &work.Rules{
+		Version: version,
+		Queues: map[string]*work.Queue{
+			"a":  {Name: "a", Host: "h", Prefix: "/a/"},
+			"ab": {Name: "ab", Host: "h", Prefix: "/a/b/", Public: true},
+		},
+		Accounts: map[string]*work.Account{"x": {Name: "x", Keys: keys}},
+	}
+	r.Index()
+	return r
+}
+
+// TestAdmit looks calls over at several ages of the confirmation.
+func TestAdmit(t *testing.T) {
+	now := time.Duration(0)
+	g := New(Config{MaxAge: 4 * time.Second, ReadyAge: 2 * time.Second, Now: func() time.Duration { return now }})
+	admit := func(path, key string) Verdict { return g.Admit("h", path, key).Verdict }
+	if v := admit("/a/1", "k"); v != NotReady || g.Ready() {
+		t.Error("a host without a configuration admits:", v)
+	}
+	g.Adopt(rules(5, "k"))
+	if v := admit("/a/1", "k"); v != NotReady {
+		t.Error("a configuration that was never confirmed admits:", v)
+	}
+	g.Confirm(0)
+	for _, c := range []struct {
+		path, key string
+		want      Verdict
+	}{
+		{"/a/1", "k", Pass}, {"/a/1", "other", BadKey}, {"/a/1", "", BadKey}, {"/a/b/1", "", Pass}, {"/c/1", "k", NoQueue},
+	} {
+		if v := admit(c.path, c.key); v != c.want {
+			t.Errorf("%s with key %q: %s, not %s", c.path, c.key, v, c.want)
+		}
+	}
+	if v := g.Admit("other", "/a/1", "k").Verdict; v != NoQueue {
+		t.Error("another host's call:", v)
+	}
+	now = 3 * time.Second
+	if admit("/a/1", "k") != Pass || g.Ready() {
+		t.Error("after 3 s calls pass and no new connections are wanted")
+	}
+	now = 5 * time.Second
+	if v := admit("/a/1", "k"); v != NotReady {
+		t.Error("after 5 s:", v)
+	}
+	g.Confirm(5 * time.Second)
+	if admit("/a/1", "k") != Pass || !g.Ready() {
+		t.Error("confirmed again")
+	}
+	g.Confirm(time.Second)
+	if g.Age() != 0 {
+		t.Error("an older confirmation counts")
+	}
+	g.Drain()
+	if g.Ready() || admit("/a/1", "k") != Pass {
+		t.Error("a leaving host wants no connections and serves those it has")
+	}
+}
+
+// TestConfigurationNeverGoesBack offers versions out of order.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	g := New(Config{MaxAge: time.Second, ReadyAge: time.Second, Now: func() time.Duration { return 0 }})
+	for _, c := range []struct {
+		version int64
+		adopted bool
+	}{{5, true}, {4, false}, {5, false}, {9, true}, {7, false}} {
+		if g.Adopt(rules(c.version)) != c.adopted {
+			t.Errorf("version %d: adopted is not %v", c.version, c.adopted)
+		}
+	}
+	if v := g.Rules().Version; v != 9 {
+		t.Errorf("version %d is in force", v)
+	}
+}
--- /dev/null
+++ b/logs/logs_test.go
@@ -0,0 +1,60 @@
+package logs
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"strings"
+	"testing"
+)
+
+// TestNobodyReads fills a pipe that nobody reads: no write waits, and what is
+// left out is counted and told once somebody reads.
+func TestNobodyReads(t *testing.T) {
+	r, p, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := NewWriter(p)
+	line := []byte(strings.Repeat("x", 200) + "\n")
+	const lines = 20_000
+	for range lines {
+		if n, err := w.Write(line); n != len(line) || err != nil {
+			t.Fatal(n, err)
+		}
+	}
+	if w.Dropped() == 0 {
+		t.Fatal("no line was left out: the pipe took all")
+	}
+	read := make(chan []byte)
+	go func() {
+		b, err := io.ReadAll(r)
+		if err != nil {
+			t.Error(err)
+		}
+		read <- b
+	}()
+	w.Close()
+	p.Close()
+	b := <-read
+	got := int64(bytes.Count(b, line))
+	if got+w.Dropped() != lines {
+		t.Errorf("%d lines written and %d left out of %d", got, w.Dropped(), lines)
+	}
+	if !bytes.Contains(b, []byte("log lines were left out")) {
+		t.Error("what was left out isn't told")
+	}
+}
+
+// TestOrder writes lines that all fit.
+func TestOrder(t *testing.T) {
+	var b bytes.Buffer
+	w := NewWriter(&b)
+	for _, s := range []string{"a\n", "b\n", "c\n"} {
+		w.Write([]byte(s))
+	}
+	w.Close()
+	if b.String() != "a\nb\nc\n" {
+		t.Errorf("got %q", b.String())
+	}
+}
