node: Count store calls, ends of runs and waits, and serve metrics

Ruled out: a listener of its own port number in our settings, as ports come from the platform's. Change: metrics on the first free port between hosts, named in the deploy file; store calls by call and outcome, ends of runs, waits by queue, dropped log lines, the age of the configuration.

--- a/cmds/node.go
+++ b/cmds/node.go
@@ -40,7 +40,7 @@
 	w := logs.NewWriter(a.out)
 	defer w.Close()
 	log := zerolog.New(w).Level(zerolog.InfoLevel).With().Timestamp().Logger()
-	h, err := node.New(s, log)
+	h, err := node.New(node.Config{Settings: s, Log: log, Dropped: w.Dropped})
 	if err != nil {
 		return &exitError{ExitFailed, err}
 	}
--- a/meter/host.go
+++ b/meter/host.go
@@ -15,29 +15,49 @@
 	// were turned away at the door, by reason.
 	Calls   *prometheus.CounterVec
 	Refused *prometheus.CounterVec
+	// Store counts calls of the platform's store, by call and outcome.
+	Store *prometheus.CounterVec
 	// Orders counts calls of workers, by kind and outcome.
 	Orders *prometheus.CounterVec
 	Epoch  *prometheus.GaugeVec
+	// Ends counts runs of tasks by how they ended.
+	Ends *prometheus.CounterVec
+	// Wait is the time from a job's acceptance to its first start, in seconds.
+	Wait *prometheus.HistogramVec
 	// Version is that of the configuration in force.
 	Version  prometheus.Gauge
 	Takeover prometheus.Histogram
 }
 
-// NewHost returns a Host on a registry of its own.
-func NewHost() *Host {
+// NewHost returns a Host on a registry of its own. Dropped counts the log lines
+// that were left out.
+func NewHost(dropped func() int64) *Host {
 	r := prometheus.NewRegistry()
 	r.MustRegister(collectors.NewGoCollector())
 	s := &Set{registry: r}
+	r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines left out as nobody read them in time.",
+	}, func() float64 { return float64(dropped()) }))
 	return &Host{
 		set:      s,
 		Calls:    s.counters("calls_total", "Calls of clients, by what came of them.", "call", "verdict"),
 		Refused:  s.counters("refused_total", "Calls of clients turned away, by reason.", "reason"),
 		Orders:   s.counters("worker_orders_total", "Calls of workers, by outcome.", "order", "outcome"),
+		Store:    s.counters("store_calls_total", "Calls of the platform's store, by outcome.", "call", "outcome"),
+		Ends:     s.counters("run_ends_total", "Runs of tasks by how they ended.", "how"),
+		Wait:     s.histograms("first_start_seconds", "Time from a job's acceptance to its first start.", "queue"),
 		Epoch:    s.gauges("pool_epoch", "Epoch under which this host decides for a pool, 0 if it doesn't.", "pool"),
 		Version:  s.gauge("configuration_version", "Version of the configuration in force."),
 		Takeover: s.histogram("takeover_seconds", "Time from taking a pool to its first decision.", waitBuckets),
 	}
 }
 
+// WatchAge shows the age of the newest confirmation of the configuration.
+func (h *Host) WatchAge(age func() float64) {
+	h.set.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "configuration_age_seconds", Help: "Age of the newest confirmation of the configuration.",
+	}, age))
+}
+
 // Handler serves the metrics.
 func (h *Host) Handler() http.Handler { return h.set.Handler() }
--- a/node/decide.go
+++ b/node/decide.go
@@ -259,12 +259,25 @@
 					d.tell(sched.Owned{At: sent})
 				}
 			})
+		case sched.Finished:
+			d.h.meter.Ends.WithLabelValues(string(e.How)).Inc()
+		case sched.Begun:
+			d.h.meter.Wait.WithLabelValues(d.h.queueLabel(e.Queue)).Observe(e.Wait.Seconds())
 		case sched.Note:
 			d.log.Info().Str("job", e.Job).Str("worker", e.Worker).Str("task", e.Task).Int("run", e.Run).Msg(e.Text)
 		}
 	}
 }
 
+// queueLabel names a queue in metrics: those that aren't configured share one
+// label, so that the labels stay bounded.
+func (h *Host) queueLabel(name string) string {
+	if r := h.gate.Rules(); r != nil && r.Queues[name] != nil {
+		return name
+	}
+	return "other"
+}
+
 // beat proves regularly that the pool is still owned.
 func (d *decider) beat() {
 	t := time.NewTicker(repo.BeatPeriod)
--- a/node/node.go
+++ b/node/node.go
@@ -57,7 +57,7 @@
 	log   zerolog.Logger
 	boot  string
 	meter *meter.Host
-	store *platform.Store
+	store repo.Store
 	calls *platform.Workers
 	repo  *repo.Repo
 	seats *repo.Seats
@@ -69,22 +69,38 @@
 	poolMu sync.Mutex
 
 	front, ready net.Listener
-	leaving      atomic.Bool
-	drain        chan struct{}
-	once         sync.Once
+	// metrics is nil if the settings name no port for it.
+	metrics net.Listener
+	leaving atomic.Bool
+	drain   chan struct{}
+	once    sync.Once
+}
+
+// Config is what a Host needs.
+type Config struct {
+	Settings *platform.Settings
+	Log      zerolog.Logger
+	// Dropped counts the log lines that were left out. It may be nil.
+	Dropped func() int64
 }
 
 // New returns a Host that listens, and serves once it runs.
-func New(s *platform.Settings, log zerolog.Logger) (*Host, error) {
+func New(c Config) (*Host, error) {
+	s := c.Settings
+	if c.Dropped == nil {
+		c.Dropped = func() int64 { return 0 }
+	}
 	maxAge := platform.Milliseconds(s.Bounds.RevokeMS) - revokeSlack
 	h := &Host{
-		s: s, log: log.With().Str("host", s.Host).Logger(), boot: xid.New().String(), meter: meter.NewHost(), timer: timer.New(),
-		store: platform.NewStore(s.Store.Address), calls: platform.NewWorkers(), drain: make(chan struct{}),
+		s: s, log: c.Log.With().Str("host", s.Host).Logger(), boot: xid.New().String(), meter: meter.NewHost(c.Dropped), timer: timer.New(),
+		calls: platform.NewWorkers(), drain: make(chan struct{}),
 		gate: gate.New(gate.Config{MaxAge: maxAge, ReadyAge: min(readyAge, maxAge), Now: timer.Boot}), pools: map[string]*candidate{},
 	}
+	h.store = meteredStore{platform.NewStore(s.Store.Address), h.meter.Store}
 	h.repo = repo.New(h.store)
 	h.seats = repo.NewSeats(h.store)
 	h.beats = newBeats()
+	h.meter.WatchAge(func() float64 { return h.gate.Age().Seconds() })
 	var err error
 	if h.front, err = net.Listen("tcp", s.Listen.Front); err != nil {
 		return nil, fmt.Errorf("listen for clients: %w", err)
@@ -93,6 +109,12 @@
 		h.front.Close()
 		return nil, fmt.Errorf("listen for the platform: %w", err)
 	}
+	if a := s.MetricsAddress(); a != "" {
+		if h.metrics, err = net.Listen("tcp", a); err != nil {
+			// Metrics are no reason not to serve.
+			h.log.Warn().Err(err).Str("address", a).Msg("metrics are served beside the ready check only")
+		}
+	}
 	if s.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB<<20)))
 	}
@@ -119,7 +141,7 @@
 		Handler: &platform.Front{Jobs: &service{h}}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
 	ready := &http.Server{Handler: h.mux(), ReadHeaderTimeout: headerTimeout}
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
 	serve := func(s *http.Server, l net.Listener) {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			failed <- err
@@ -127,6 +149,9 @@
 	}
 	goes(func() { serve(front, h.front) })
 	goes(func() { serve(ready, h.ready) })
+	if h.metrics != nil {
+		goes(func() { serve(ready, h.metrics) })
+	}
 	goes(func() { h.followRules(ctx) })
 	goes(func() { h.followBeats(ctx) })
 	goes(func() { h.timer.Run(ctx) })
--- /dev/null
+++ b/node/store.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"citronbridge/repo"
+)
+
+// meteredStore counts the calls of a store by what came of them.
+type meteredStore struct {
+	repo.Store
+	calls *prometheus.CounterVec
+}
+
+var _ repo.Store = meteredStore{}
+
+// Apply implements repo.Store.
+func (m meteredStore) Apply(ctx context.Context, c repo.Change) (repo.Result, error) {
+	r, err := m.Store.Apply(ctx, c)
+	if err == nil && !r.Applied {
+		m.calls.WithLabelValues("apply", "Conflict").Inc()
+		return r, nil
+	}
+	m.count("apply", err)
+	return r, err
+}
+
+// List implements repo.Store.
+func (m meteredStore) List(ctx context.Context, table, part, from string, limit int) (repo.Page, error) {
+	p, err := m.Store.List(ctx, table, part, from, limit)
+	m.count("list", err)
+	return p, err
+}
+
+// Feed implements repo.Store.
+func (m meteredStore) Feed(ctx context.Context, table string, after int64, wait time.Duration) (repo.Page, error) {
+	p, err := m.Store.Feed(ctx, table, after, wait)
+	m.count("feed "+table, err)
+	return p, err
+}
+
+func (m meteredStore) count(call string, err error) {
+	outcome := "Done"
+	switch {
+	case errors.Is(err, repo.ErrNotDone):
+		outcome = "Refused"
+	case errors.Is(err, repo.ErrHistoryGone):
+		outcome = "HistoryGone"
+	case err != nil:
+		outcome = "NoAnswer"
+	}
+	m.calls.WithLabelValues(call, outcome).Inc()
+}
--- a/sched/types.go
+++ b/sched/types.go
@@ -217,6 +217,15 @@
 // Prove asks for a proof that the pool is still owned: an Owned follows.
 type Prove struct{}
 
+// Finished tells how a run ended, for the counters.
+type Finished struct{ How How }
+
+// Begun tells how long a job waited for its first start, for the counters.
+type Begun struct {
+	Queue string
+	Wait  time.Duration
+}
+
 // Note is a line for the log: a decision and what it rests on.
 type Note struct {
 	Job, Worker, Text string
@@ -231,4 +240,6 @@
 func (RecordWorker) effect() {}
 func (ForgetWorker) effect() {}
 func (Prove) effect()        {}
+func (Finished) effect()     {}
+func (Begun) effect()        {}
 func (Note) effect()         {}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -230,6 +230,7 @@
 	delete(r.w.runs, r.id)
 	r.w.used = r.w.used.Minus(r.demand)
 	s.changed = true
+	s.do(Finished{how})
 	t := r.task
 	if t == nil || t.run != r {
 		return
@@ -367,6 +368,7 @@
 	j := r.task.step.job
 	if !j.begun {
 		j.begun = true
+		s.do(Begun{j.spec.Queue, s.now.Steady - j.added})
 		s.note(j, r.w, r, "first task has started")
 	}
 }
