sched: Place tasks in the record before they start

Ruled out: a shorter wait (the former decider's leases last 10 s); handing the state over at a planned stop alone, which a kill doesn't do. Change: the record names the worker that a task was placed on before the order is sent; a successor keeps back only tasks that were placed on workers it can't ask. A record too large drops the list and keeps back all. Jobs no longer wait apart for their first mark.

--- a/sched/hold.go
+++ b/sched/hold.go
@@ -325,7 +325,7 @@
 		t.step.last = max(t.step.last, x.Run)
 		wanted = !t.done && t.run == nil && !j.rec.State.Final() && t.step.joins(x.Run)
 		if t.run == nil {
-			r.task, t.run, t.hidden = t, r, false
+			r.task, t.run, t.inherited = t, r, false
 		}
 	}
 	if t == nil {
--- a/sched/job.go
+++ b/sched/job.go
@@ -10,7 +10,7 @@
 type phase int
 
 const (
-	// marking: the job's record must say first that tasks may be at work.
+	// marking: the job's record must say first where the task is placed.
 	marking phase = iota
 	// starting: the order is sent and not answered.
 	starting
@@ -29,6 +29,8 @@
 	demand work.Amounts
 	phase  phase
 	saved  string
+	// seq is the number of the record that says where the task was placed.
+	seq int64
 	// since is when the order was decided, sent when it was last sent,
 	// settled when the last order about it was answered.
 	since, sent, settled time.Duration
@@ -70,8 +72,9 @@
 	saved string
 	// moves counts how often the task was moved off a slow worker.
 	moves int
-	// hidden says that a former decider's run may be at work unseen.
-	hidden bool
+	// inherited says that a former decider may have started the task, and
+	// this one has not.
+	inherited bool
 }
 
 // step is a step of one occurrence.
@@ -104,8 +107,6 @@
 	added time.Duration
 	// begun says that a task has started.
 	begun bool
-	// marked says that the record durably allows tasks to be at work.
-	marked bool
 	// inherited is set for jobs that a former decider may have started.
 	inherited bool
 	seq       int64
@@ -127,7 +128,7 @@
 		st := &step{job: j, spec: &j.spec.Steps[i], k: k, i: i, key: j.spec.ID + "." + work.StepKey(k, i), avoid: map[string]bool{}}
 		st.saved = j.rec.Saved[work.StepKey(k, i)]
 		for n := range st.spec.Count {
-			t := &task{step: st, index: n, done: j.rec.IsDone(k, i, n), hidden: j.inherited, saved: j.rec.Saved[work.TaskKey(k, i, n)]}
+			t := &task{step: st, index: n, done: j.rec.IsDone(k, i, n), inherited: j.inherited, saved: j.rec.Saved[work.TaskKey(k, i, n)]}
 			st.tasks = append(st.tasks, t)
 			if !t.done {
 				st.left++
@@ -196,9 +197,8 @@
 		return
 	}
 	j := &job{spec: e.Job, rec: e.Record, added: s.now.Steady}
-	j.marked = e.Record.Pool != ""
-	j.inherited = e.Inherited && j.marked
-	j.begun = j.marked && e.Record.State == work.Running
+	j.inherited = e.Inherited && e.Record.Pool != ""
+	j.begun = j.inherited
 	s.jobs[j.spec.ID] = j
 	s.order = append(s.order, j)
 	if j.spec.Times == 0 {
@@ -271,9 +271,6 @@
 			}
 			j.asked = j.seq
 			s.do(Save{j.spec.ID, j.seq, b, j.rec.State.Final()})
-			if s.unsaved == 0 {
-				s.unsaved = s.now.Steady
-			}
 		}
 	}
 	s.dirty = rest
@@ -281,10 +278,6 @@
 
 // saved takes in that a record is durable.
 func (s *State) saved(e RecordSaved) {
-	if s.unsaved > 0 {
-		s.unsaved = 0
-		s.changed = true
-	}
 	j := s.jobs[e.ID]
 	if j == nil {
 		return
@@ -299,13 +292,10 @@
 		}
 		return
 	}
-	if j.rec.Pool != "" && !j.marked {
-		j.marked = true
-		for _, st := range j.steps {
-			for _, t := range st.tasks {
-				if t.run != nil && t.run.phase == marking {
-					s.sendStart(t.run)
-				}
+	for _, st := range j.steps {
+		for _, t := range st.tasks {
+			if t.run != nil && t.run.phase == marking && t.run.seq <= j.savedSeq {
+				s.sendStart(t.run)
 			}
 		}
 	}
--- a/sched/place.go
+++ b/sched/place.go
@@ -53,10 +53,8 @@
 // units returns the tasks that may start now.
 func (s *State) units() []*assign.Unit {
 	var l []*assign.Unit
-	unseen := s.unaccounted()
-	unsaved := s.unsaved > 0 && s.now.Steady-s.unsaved > unsavedLimit
 	for _, j := range s.order {
-		if j.rec.State.Final() || (unsaved && !j.marked) {
+		if j.rec.State.Final() {
 			continue
 		}
 		q := s.rules.Queues[j.spec.Queue]
@@ -67,7 +65,7 @@
 			continue
 		}
 		for _, st := range j.steps {
-			if u := s.unit(st, unseen); u != nil {
+			if u := s.unit(st); u != nil {
 				l = append(l, u)
 			}
 		}
@@ -76,7 +74,7 @@
 }
 
 // unit returns the waiting tasks of a step, or nil.
-func (s *State) unit(st *step, unseen bool) *assign.Unit {
+func (s *State) unit(st *step) *assign.Unit {
 	if !st.open || st.left == 0 {
 		return nil
 	}
@@ -100,7 +98,7 @@
 			if st.spec.SameRack {
 				u.Rack = t.run.w.Rack
 			}
-		case t.hidden && unseen:
+		case s.hidden(t):
 			if st.spec.Gang {
 				return nil
 			}
@@ -126,7 +124,7 @@
 
 // start carries out placements.
 func (s *State) start(l []assign.Placement) {
-	gangs := map[string]int{}
+	gangs, touched := map[string]int{}, map[*job]int64{}
 	for _, p := range l {
 		id, err := work.ParseTaskID(p.Unit.Key + ".0")
 		if err != nil {
@@ -147,18 +145,18 @@
 		}
 		w := s.pool[p.Worker]
 		r := &run{id: t.id(), n: n, task: t, w: w, demand: st.spec.Counted(), saved: saved, since: s.now.Steady, savedAt: s.now.Steady}
-		t.run, t.last, t.hidden = r, n, false
+		t.run, t.last, t.inherited = r, n, false
 		w.runs[r.id] = r
 		w.used = w.used.Plus(r.demand)
 		s.note(j, w, r, "task placed")
-		if j.marked {
-			s.sendStart(r)
-			continue
-		}
-		if j.rec.Pool == "" {
-			j.rec.State, j.rec.Pool = work.Running, s.c.Pool
+		// The order is sent once the record says where the task may be.
+		j.rec.State, j.rec.Pool = work.Running, s.c.Pool
+		j.rec.Place(st.k, st.i, t.index, w.id)
+		if touched[j] == 0 {
 			s.touch(j)
+			touched[j] = j.seq
 		}
+		r.seq = touched[j]
 	}
 }
 
--- a/sched/state.go
+++ b/sched/state.go
@@ -50,9 +50,6 @@
 	clockDrift = 0.02
 	// leaseSlack covers the age of the last reading of a worker's clock.
 	leaseSlack = 300 * time.Millisecond
-	// unsavedLimit is how long a write may be under way before no start is
-	// planned that has to wait for one.
-	unsavedLimit = 300 * time.Millisecond
 )
 
 // runsPerEpoch spaces the run numbers of deciders, so that a successor's are
@@ -93,9 +90,7 @@
 	// ownedAt is a time at which the pool was surely owned, proveAt the
 	// earliest time to ask for another proof.
 	ownedAt, proveAt time.Duration
-	// unsaved is when the oldest write that isn't answered was asked for.
-	unsaved time.Duration
-	dirty   []*job
+	dirty            []*job
 }
 
 // New returns the state of a decider that has just taken the pool.
@@ -257,14 +252,19 @@
 	s.do(n)
 }
 
-// unaccounted reports whether a worker that a former decider may have used
-// can't be asked yet, so that tasks which aren't found may be there.
-func (s *State) unaccounted() bool {
-	if !s.inheriting {
+// hidden reports whether a former decider's run of a task may be at work on a
+// worker that can't be asked yet.
+func (s *State) hidden(t *task) bool {
+	if !s.inheriting || !t.inherited {
 		return false
 	}
+	rec := t.step.job.rec
+	if !rec.Unsure {
+		w := s.pool[rec.Placed[work.TaskKey(t.step.k, t.step.i, t.index)]]
+		return w != nil && w.inherited && !w.synced
+	}
 	for _, w := range s.pool {
-		if !w.synced && w.inherited {
+		if w.inherited && !w.synced {
 			return true
 		}
 	}
--- a/work/record.go
+++ b/work/record.go
@@ -29,9 +29,14 @@
 type Record struct {
 	State State
 	Queue string
-	// Pool is where the job's tasks were first started, empty before that. A
-	// task may be on a worker that can't be asked only if Pool is set.
+	// Pool is where the job's tasks were first started, empty before that.
 	Pool string `json:",omitempty"`
+	// Placed names the worker that was last chosen for a task, by task. It is
+	// durable before the order is sent, so that after a takeover a task can
+	// be at work unseen only where it was placed.
+	Placed map[string]string `json:",omitempty"`
+	// Unsure says that Placed grew too large to keep.
+	Unsure bool `json:",omitempty"`
 	// Done has a bit for each task that ended as done, by step.
 	Done map[string][]byte `json:",omitempty"`
 	// FailedRuns lists the runs that ended as failed, by task, or by step for
@@ -64,6 +69,15 @@
 	}
 	b[index/8] |= 1 << (index % 8)
 	r.Done[k] = b
+	delete(r.Placed, TaskKey(occurrence, step, index))
+}
+
+// Place notes the worker that is chosen for a task.
+func (r *Record) Place(occurrence, step, index int, worker string) {
+	if r.Placed == nil {
+		r.Placed = map[string]string{}
+	}
+	r.Placed[TaskKey(occurrence, step, index)] = worker
 }
 
 // IsDone reports whether a task is marked as done.
@@ -95,12 +109,22 @@
 	r.Saved[key] = checkpoint
 }
 
-// Encode returns the record's row. A final record keeps only its state.
+// maxRecord bounds the bytes of a record, below the store's bound for rows.
+const maxRecord = 48 << 10
+
+// Encode returns the record's row. A final record keeps only its state, one
+// that is too large loses what it can do without.
 func (r *Record) Encode() ([]byte, error) {
 	if r.State.Final() {
 		return json.Marshal(&Record{State: r.State, Queue: r.Queue})
 	}
-	return json.Marshal(r)
+	b, err := json.Marshal(r)
+	if err != nil || len(b) <= maxRecord {
+		return b, err
+	}
+	short := *r
+	short.Placed, short.Unsure, short.Saved = nil, true, nil
+	return json.Marshal(&short)
 }
 
 // DecodeRecord reads a row and checks it.
