node: Wait less after deciders that have surely ended

Change: 10 s after a decider that gave the pool up or whose process was this host's own; 12.7 s after a silent one, as unproved leases are renewed for 4 s instead of 6.

--- a/node/decide.go
+++ b/node/decide.go
@@ -20,7 +20,7 @@
 	// still owns its pool: a successor waits longer before it takes it.
 	startsFor = repo.BeatTimeout - 200*time.Millisecond
 	// ownedFor is how long it renews leases without one.
-	ownedFor = 6 * time.Second
+	ownedFor = 4 * time.Second
 	// orderAge is how old a decision may be when its order is sent: a host
 	// that was suspended in between may have a successor.
 	orderAge = time.Second
@@ -38,6 +38,7 @@
 	pool   string
 	me     repo.Owner
 	seat   *repo.Seat
+	gone   bool
 	log    zerolog.Logger
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -62,10 +63,11 @@
 	listed map[string]bool
 }
 
-// startDecider begins to decide for a pool that was just taken.
-func (h *Host) startDecider(ctx context.Context, pool string, me repo.Owner, seat *repo.Seat) *decider {
+// startDecider begins to decide for a pool that was just taken. Gone says that
+// the former decider surely gives no more orders.
+func (h *Host) startDecider(ctx context.Context, pool string, me repo.Owner, seat *repo.Seat, gone bool) *decider {
 	d := &decider{
-		h: h, pool: pool, me: me, seat: seat, log: h.log.With().Str("pool", pool).Int64("epoch", me.Epoch).Logger(),
+		h: h, pool: pool, me: me, seat: seat, gone: gone, log: h.log.With().Str("pool", pool).Int64("epoch", me.Epoch).Logger(),
 		events: make(chan sched.Event, eventQueue), confirmed: timer.Boot(), waiting: map[string]int{}, listed: map[string]bool{},
 	}
 	d.ctx, d.cancel = context.WithCancel(ctx)
@@ -148,8 +150,13 @@
 	}
 	b := d.h.s.Bounds
 	lease := platform.Milliseconds(b.MaxHoldMS) - leaseMargin
+	inherit := lease + leaseMargin
+	if !d.gone {
+		// A silent one renews leases until it can't prove its ownership.
+		inherit += ownedFor - repo.BeatTimeout
+	}
 	d.state = sched.New(sched.Config{
-		Pool: d.pool, Epoch: d.me.Epoch, Lease: lease, StopTime: platform.Milliseconds(b.StopMS), Inherit: ownedFor + lease + leaseMargin,
+		Pool: d.pool, Epoch: d.me.Epoch, Lease: lease, StopTime: platform.Milliseconds(b.StopMS), Inherit: inherit,
 		FarFactor: b.FarFactor, PartOf: func(id string) string { return repo.PartOf(repo.TableJobs, id) },
 	}, d.clock(), d.h.gate.Rules())
 	var first []sched.Effect
--- a/node/lead.go
+++ b/node/lead.go
@@ -86,6 +86,14 @@
 	return now - max(h.at, b.since), ok && h.Left
 }
 
+// left reports whether the decider of an epoch has given the pool up.
+func (b *beats) left(pool string, epoch int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.pools[pool]
+	return h.Left && h.Epoch == epoch
+}
+
 // waiting returns a queue's count as the pool's decider last told it.
 func (b *beats) waiting(pool, queue string) (int, bool) {
 	b.mu.Lock()
@@ -198,8 +206,9 @@
 		h.log.Info().AnErr("cause", err).Str("pool", pool).Msg("pool not taken")
 		return nil, true
 	}
-	h.log.Info().Str("pool", pool).Int64("epoch", me.Epoch).Str("former", o.Host).Bool("silent", silent).Msg("pool taken")
-	return h.startDecider(ctx, pool, me, seat), true
+	gone := o.Host == h.s.Host || h.beats.left(pool, o.Epoch)
+	h.log.Info().Str("pool", pool).Int64("epoch", me.Epoch).Str("former", o.Host).Bool("silent", silent).Bool("gone", gone).Msg("pool taken")
+	return h.startDecider(ctx, pool, me, seat, gone), true
 }
 
 // lost takes a pool's decider out.
