node, sched: Ignore job rows older than a part's list

Mending the model raised a real one: a feed that lags behind a part's list tells of jobs that a former decider has ended since, and the decider would run them again. Ruled out: remembering ended jobs alone, as a successor has not seen them end. Change: a part drops rows that aren't newer than its list; a write that takes a row back drops whoever waited for it; the model writes workers' rows in order and catches cut deciders up.

--- a/node/shard.go
+++ b/node/shard.go
@@ -21,6 +21,9 @@
 
 	mu     sync.Mutex
 	loaded bool
+	// version is that of the list of jobs: a feed that tells of older rows
+	// tells nothing new.
+	version int64
 	// early is what changed before the part was loaded.
 	early []repo.Row
 }
@@ -78,12 +81,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.loaded, s.version = true, pages[1].Version
 	for _, r := range s.early {
-		if r.Version > pages[1].Version {
-			s.add(r, repo.Row{}, false)
-		}
+		s.addNew(r)
 	}
-	s.early, s.loaded = nil, true
+	s.early = nil
 	s.d.tell(sched.PartLoaded{Part: s.part})
 	return nil
 }
@@ -99,7 +101,14 @@
 		s.early = append(s.early, r)
 		return
 	}
-	s.add(r, repo.Row{}, false)
+	s.addNew(r)
+}
+
+// addNew passes a job on that came behind the list.
+func (s *shard) addNew(r repo.Row) {
+	if r.Version > s.version {
+		s.add(r, repo.Row{}, false)
+	}
 }
 
 // add passes a job on, unless it is another pool's.
--- a/repo/writer.go
+++ b/repo/writer.go
@@ -80,6 +80,10 @@
 		w.order = append(w.order, k)
 	}
 	q.value = value
+	if value == nil {
+		// The row that earlier callers wait for isn't written.
+		q.done = nil
+	}
 	for _, t := range forget {
 		q.forget = append(q.forget, rowKey{t, key})
 	}
--- a/sched/schedule_test.go
+++ b/sched/schedule_test.go
@@ -95,16 +95,22 @@
 	}
 	w.jobs[j.ID], w.records[j.ID] = j, b
 	w.log("SUBMIT %s", j.ID)
-	for _, p := range w.deciders {
-		if !p.cut && p.loaded[partOf(j.ID)] {
-			fresh, _ := work.DecodeRecord(b)
-			w.after(w.between(0, 5*time.Millisecond), func() { p.take(JobAdded{Job: j, Record: fresh}) })
-			if w.chance(0.2) {
-				// A feed that was read anew tells of a job again.
-				again, _ := work.DecodeRecord(b)
-				w.after(w.between(100*time.Millisecond, 20*time.Second), func() { p.take(JobAdded{Job: j, Record: again}) })
-			}
+	at := w.now
+	added := func(p *player) Event {
+		if since, ok := p.loaded[partOf(j.ID)]; !ok || since >= at {
+			// The part's list tells of the job.
+			return nil
+		}
+		r, err := work.DecodeRecord(b)
+		if err != nil {
+			w.fail("decode: %v", err)
 		}
+		return JobAdded{Job: j, Record: r}
+	}
+	w.tell(added)
+	if w.chance(0.2) {
+		// A feed that was read anew tells of a job again.
+		w.after(w.between(100*time.Millisecond, 20*time.Second), func() { w.tell(added) })
 	}
 	if w.chance(0.2) {
 		w.after(w.between(0, 8*time.Second), func() { w.cancel(j.ID) })
@@ -120,7 +126,7 @@
 	if !w.faults.weakCancel {
 		w.canceled[id] = w.now
 	}
-	w.tell(JobCanceled{id})
+	w.tell(always(JobCanceled{id}))
 }
 
 // disturb plans kills, pauses, cuts, crashes and outages.
@@ -195,7 +201,7 @@
 	w.log("CUT")
 	p := w.owner()
 	p.cut = true
-	w.after(w.between(time.Second, 9*time.Second), func() { p.cut = false })
+	w.after(w.between(time.Second, 9*time.Second), p.reconnect)
 	w.succeed(w.between(beatTimeout, 3*time.Second))
 }
 
@@ -226,12 +232,12 @@
 
 func (w *world) unlist(id string) {
 	w.listed[id] = false
-	w.tell(WorkerUnlisted{id})
+	w.tell(always(WorkerUnlisted{id}))
 }
 
 func (w *world) list(id string) {
 	w.listed[id] = true
-	w.tell(WorkerListed{w.entry(id)})
+	w.tell(always(WorkerListed{w.entry(id)}))
 }
 
 // darkWorker parts a worker from everything; it runs on.
@@ -279,7 +285,8 @@
 		x.Hang(false)
 	}
 	for _, p := range w.deciders {
-		p.cut, p.cutFrom = false, nil
+		p.cutFrom = nil
+		p.reconnect()
 	}
 	if p := w.owner(); p.dead || w.now < p.paused {
 		w.succeed(2 * time.Second)
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -77,8 +77,12 @@
 	cutFrom   map[string]bool
 	confirmed time.Duration
 	flushAt   time.Duration
-	loaded    map[string]bool
-	backlog   []func()
+	// loaded is when parts were listed.
+	loaded  map[string]time.Duration
+	backlog []func()
+	missed  []func()
+	// rows are the writes of workers' rows, one after the other.
+	rows []func()
 }
 
 type happening struct {
@@ -260,7 +264,7 @@
 // decide makes a decider that has just taken the pool.
 func (w *world) decide(cutFrom map[string]bool) {
 	w.epoch++
-	p := &player{w: w, epoch: w.epoch, confirmed: w.now, cutFrom: cutFrom, loaded: map[string]bool{}, flushAt: -1}
+	p := &player{w: w, epoch: w.epoch, confirmed: w.now, cutFrom: cutFrom, loaded: map[string]time.Duration{}, flushAt: -1}
 	c := Config{Pool: "p", Epoch: w.epoch, Lease: lease, StopTime: 200 * time.Millisecond, Inherit: maxHold, FarFactor: 3, PartOf: partOf}
 	if n := len(w.deciders); n > 0 && !w.deciders[n-1].dead {
 		c.Inherit += ownedFor - beatTimeout
@@ -315,7 +319,7 @@
 		return
 	}
 	w.fences[part] = p.epoch
-	p.loaded[part] = true
+	p.loaded[part] = w.now
 	for _, id := range sorted(w.jobs) {
 		if partOf(id) != part {
 			continue
@@ -349,15 +353,36 @@
 	}
 }
 
-// tell passes an event on to all deciders that reach the store.
-func (w *world) tell(e Event) {
+// tell passes an event on to all deciders, to those that are cut from the
+// store once they aren't.
+func (w *world) tell(e func(p *player) Event) {
 	for _, p := range w.deciders {
-		if !p.cut {
-			w.after(w.between(0, 5*time.Millisecond), func() { p.take(e) })
+		f := func() {
+			if x := e(p); x != nil {
+				p.take(x)
+			}
+		}
+		if p.cut {
+			p.missed = append(p.missed, f)
+		} else {
+			w.after(w.between(0, 5*time.Millisecond), f)
 		}
 	}
 }
 
+// reconnect ends a decider's cut.
+func (p *player) reconnect() {
+	p.cut = false
+	l := p.missed
+	p.missed = nil
+	for _, f := range l {
+		p.w.after(p.w.between(0, 5*time.Millisecond), f)
+	}
+}
+
+// always tells every decider the same.
+func always(e Event) func(*player) Event { return func(*player) Event { return e } }
+
 func (p *player) clock() Clock { return Clock{p.w.now, p.w.wall()} }
 
 // owned reports whether the decider still has the pool.
@@ -452,9 +477,9 @@
 		case Save:
 			p.save(e)
 		case RecordWorker:
-			p.store(p.owned, func() { w.known[e.ID] = e.Address }, func() { p.take(WorkerRecorded{e.ID}) })
+			p.row(func() { w.known[e.ID] = e.Address }, func() { p.take(WorkerRecorded{e.ID}) })
 		case ForgetWorker:
-			p.store(p.owned, func() { delete(w.known, e.ID) }, func() {})
+			p.row(func() { delete(w.known, e.ID) }, func() {})
 		case Prove:
 			at := w.now
 			w.after(w.between(0, 6*time.Millisecond), func() {
@@ -581,6 +606,24 @@
 	w.after(w.between(time.Millisecond, 6*time.Millisecond), try)
 }
 
+// row writes a worker's row after those before it.
+func (p *player) row(do, done func()) {
+	var next func()
+	next = func() {
+		p.store(p.owned, do, func() {
+			done()
+			p.rows = p.rows[1:]
+			if len(p.rows) > 0 {
+				p.rows[0]()
+			}
+		})
+	}
+	p.rows = append(p.rows, next)
+	if len(p.rows) == 1 {
+		next()
+	}
+}
+
 func (p *player) save(e Save) {
 	w := p.w
 	saved := func() { p.take(RecordSaved{e.ID, e.Seq}) }
