decide, model: Split what had grown, and name the wire in one place of the stand-in

Cause: node, platform and the stand-in were larger than a package should be, and the stand-in carried the platform's names as tags beside its types. Ruled out: one package for all that a host does. Change: decide runs a pool's state machine, node keeps elections and serving; the workers' model is fakes/model; the adaptive timeout is retry's; the stand-in reads and writes names in four functions. sched is left, as its parts share their state.

--- a/node/decide.go
+++ b/decide/decide.go
@@ -1,4 +1,6 @@
-package node
+// Package decide runs the state machine of a pool while this host owns the
+// pool: it feeds it events, and carries its effects out.
+package decide
 
 import (
 	"context"
@@ -7,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"citronbridge/meter"
 	"citronbridge/platform"
 	"citronbridge/repo"
 	"citronbridge/sched"
@@ -28,17 +31,43 @@
 	leaseMargin = 500 * time.Millisecond
 	// eventQueue bounds the events that wait for the decider.
 	eventQueue = 4096
+	// feedWait is how long one call waits for a change.
+	feedWait = time.Second
 	// loadPause is kept between tries to read the pool's state.
 	loadPause = 100 * time.Millisecond
 )
 
-// decider runs the state machine of one pool while this host owns it.
-type decider struct {
-	h      *Host
-	pool   string
-	me     repo.Owner
-	seat   *repo.Seat
-	gone   bool
+// Workers calls the pool's workers.
+type Workers interface {
+	Start(ctx context.Context, e sched.Start) sched.Answered
+	Stop(ctx context.Context, e sched.Stop) sched.Answered
+	Hold(ctx context.Context, e sched.Hold) sched.Reported
+}
+
+var _ Workers = (*platform.Workers)(nil)
+
+// Config is what a Decider needs.
+type Config struct {
+	Pool string
+	// Owner and Seat are what the pool was taken with.
+	Owner repo.Owner
+	Seat  *repo.Seat
+	// Gone says that the former decider surely gives no more orders.
+	Gone    bool
+	Store   repo.Store
+	Seats   *repo.Seats
+	Workers Workers
+	Rules   func() *work.Rules
+	Bounds  platform.Bounds
+	Meter   *meter.Host
+	Log     zerolog.Logger
+	// Lost is told that the decider has ended.
+	Lost func(*Decider)
+}
+
+// Decider decides for one pool while this host owns it.
+type Decider struct {
+	c      Config
 	log    zerolog.Logger
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -48,7 +77,7 @@
 	writer *repo.Writer
 	shards map[string]*shard
 
-	// proving guards seat.
+	// proving guards the seat.
 	proving sync.Mutex
 
 	mu        sync.Mutex
@@ -63,37 +92,36 @@
 	listed map[string]bool
 }
 
-// startDecider begins to decide for a pool that was just taken. Gone says that
-// the former decider surely gives no more orders.
-func (h *Host) startDecider(ctx context.Context, pool string, me repo.Owner, seat *repo.Seat, gone bool) *decider {
-	d := &decider{
-		h: h, pool: pool, me: me, seat: seat, gone: gone, log: h.log.With().Str("pool", pool).Int64("epoch", me.Epoch).Logger(),
-		events: make(chan sched.Event, eventQueue), confirmed: timer.Boot(), waiting: map[string]int{}, listed: map[string]bool{},
+// Go begins to decide for a pool that was just taken, until ctx ends or the
+// pool is lost.
+func Go(ctx context.Context, c Config) *Decider {
+	d := &Decider{
+		c: c, log: c.Log.With().Str("pool", c.Pool).Int64("epoch", c.Owner.Epoch).Logger(), events: make(chan sched.Event, eventQueue),
+		confirmed: timer.Boot(), waiting: map[string]int{}, listed: map[string]bool{},
 	}
 	d.ctx, d.cancel = context.WithCancel(ctx)
-	d.writer = d.newWriter(seat.Owner)
+	d.writer = d.newWriter(c.Seat.Owner)
 	d.shards = map[string]*shard{}
 	for _, p := range repo.JobParts() {
 		d.shards[p] = &shard{d: d, part: p}
 	}
-	h.meter.Epoch.WithLabelValues(pool).Set(float64(me.Epoch))
-	d.wg.Add(1)
-	go func() {
-		defer d.wg.Done()
-		d.run()
-	}()
+	c.Meter.Epoch.WithLabelValues(c.Pool).Set(float64(c.Owner.Epoch))
+	d.goes(d.run)
 	return d
 }
 
+// Pool returns the pool's name.
+func (d *Decider) Pool() string { return d.c.Pool }
+
 // newWriter returns a writer under a condition.
-func (d *decider) newWriter(c repo.Condition) *repo.Writer {
+func (d *Decider) newWriter(c repo.Condition) *repo.Writer {
 	return repo.NewWriter(repo.WriterConfig{
-		Store: d.h.store, Owner: c, Deposed: d.deposed, Confirmed: d.confirm, Now: timer.Boot,
+		Store: d.c.Store, Owner: c, Deposed: d.deposed, Confirmed: d.confirm, Now: timer.Boot,
 		Failed: func(err error) { d.log.Warn().Err(err).Str("part", c.Part).Msg("write failed; it is tried again") },
 	})
 }
 
-func (d *decider) goes(f func()) {
+func (d *Decider) goes(f func()) {
 	d.wg.Add(1)
 	go func() {
 		defer d.wg.Done()
@@ -102,12 +130,12 @@
 }
 
 // deposed ends the decider: another host owns the pool.
-func (d *decider) deposed() {
+func (d *Decider) deposed() {
 	d.log.Warn().Msg("pool lost to another host")
 	d.cancel()
 }
 
-func (d *decider) confirm(at time.Duration) {
+func (d *Decider) confirm(at time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.confirmed = max(d.confirmed, at)
@@ -117,21 +145,22 @@
 // is replaced when its beats stay out.
 const leaveTimeout = 500 * time.Millisecond
 
-// stop ends the decider and tells the other hosts.
-func (d *decider) stop(ctx context.Context) {
+// Stop ends the decider and tells the other hosts.
+func (d *Decider) Stop(ctx context.Context) {
 	d.leaving.Do(func() {
 		d.cancel()
 		d.wg.Wait()
 		ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 		defer cancel()
-		_, err := d.h.seats.Beat(ctx, d.seat, repo.Beat{Epoch: d.me.Epoch, Host: d.me.Host, N: -1, Left: true})
+		_, err := d.c.Seats.Beat(ctx, d.c.Seat, repo.Beat{Epoch: d.c.Owner.Epoch, Host: d.c.Owner.Host, N: -1, Left: true})
 		d.log.Info().AnErr("cause", err).Msg("pool given up")
 	})
 }
 
-func (d *decider) rulesChanged(r *work.Rules) { d.tell(sched.RulesChanged{Rules: r}) }
+// RulesChanged passes a configuration on.
+func (d *Decider) RulesChanged(r *work.Rules) { d.tell(sched.RulesChanged{Rules: r}) }
 
-func (d *decider) tell(e sched.Event) {
+func (d *Decider) tell(e sched.Event) {
 	select {
 	case d.events <- e:
 	case <-d.ctx.Done():
@@ -139,26 +168,26 @@
 }
 
 // run loads the pool's state and decides until the pool is lost.
-func (d *decider) run() {
-	defer d.h.lost(d)
-	defer d.h.meter.Epoch.WithLabelValues(d.pool).Set(0)
+func (d *Decider) run() {
+	defer d.c.Lost(d)
+	defer d.c.Meter.Epoch.WithLabelValues(d.c.Pool).Set(0)
 	d.goes(d.beat)
 	began := timer.Boot()
 	l := d.load()
 	if l == nil {
 		return
 	}
-	b := d.h.s.Bounds
+	b := d.c.Bounds
 	lease := platform.Milliseconds(b.MaxHoldMS) - leaseMargin
 	inherit := lease + leaseMargin
-	if !d.gone {
+	if !d.c.Gone {
 		// A silent one renews leases until it can't prove its ownership.
 		inherit += ownedFor - repo.BeatTimeout
 	}
 	d.state = sched.New(sched.Config{
-		Pool: d.pool, Epoch: d.me.Epoch, Lease: lease, StopTime: platform.Milliseconds(b.StopMS), Inherit: inherit,
+		Pool: d.c.Pool, Epoch: d.c.Owner.Epoch, Lease: lease, StopTime: platform.Milliseconds(b.StopMS), Inherit: inherit,
 		FarFactor: b.FarFactor, PartOf: func(id string) string { return repo.PartOf(repo.TableJobs, id) },
-	}, d.clock(), d.h.gate.Rules())
+	}, d.clock(), d.c.Rules())
 	var first []sched.Effect
 	for _, e := range l.events {
 		first = append(first, d.state.Step(d.clock(), e)...)
@@ -170,20 +199,20 @@
 	d.follow(l)
 	d.perform(first)
 	d.log.Info().Int("events", len(l.events)).Dur("took", timer.Boot()-began).Msg("decider starts")
-	d.h.meter.Takeover.Observe((timer.Boot() - began).Seconds())
+	d.c.Meter.Takeover.Observe((timer.Boot() - began).Seconds())
 	d.loop()
 }
 
 var start = time.Now()
 
 // clock returns the time for the state machine.
-func (d *decider) clock() sched.Clock {
+func (d *Decider) clock() sched.Clock {
 	n := time.Now()
 	return sched.Clock{Steady: n.Sub(start), Wall: n.UnixMilli()}
 }
 
 // loop takes events in batches.
-func (d *decider) loop() {
+func (d *Decider) loop() {
 	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
@@ -219,7 +248,7 @@
 }
 
 // perform carries effects out.
-func (d *decider) perform(l []sched.Effect) {
+func (d *Decider) perform(l []sched.Effect) {
 	decided := timer.Boot()
 	for _, e := range l {
 		switch e := e.(type) {
@@ -229,8 +258,8 @@
 					d.tell(sched.Answered{Call: e.Call, Outcome: sched.NotSent})
 					return
 				}
-				a := d.h.calls.Start(d.ctx, e)
-				d.h.meter.Orders.WithLabelValues("start", string(a.Outcome)).Inc()
+				a := d.c.Workers.Start(d.ctx, e)
+				d.c.Meter.Orders.WithLabelValues("start", string(a.Outcome)).Inc()
 				if a.Outcome != sched.Accepted {
 					d.log.Info().Str("worker", e.Worker).Stringer("task", e.Task).Int("run", e.Run).Str("outcome", string(a.Outcome)).Msg("start not confirmed")
 				}
@@ -238,14 +267,14 @@
 			})
 		case sched.Stop:
 			d.goes(func() {
-				a := d.h.calls.Stop(d.ctx, e)
-				d.h.meter.Orders.WithLabelValues("stop", string(a.Outcome)).Inc()
+				a := d.c.Workers.Stop(d.ctx, e)
+				d.c.Meter.Orders.WithLabelValues("stop", string(a.Outcome)).Inc()
 				d.tell(a)
 			})
 		case sched.Hold:
 			d.goes(func() {
-				a := d.h.calls.Hold(d.ctx, e)
-				d.h.meter.Orders.WithLabelValues("hold", string(a.Outcome)).Inc()
+				a := d.c.Workers.Hold(d.ctx, e)
+				d.c.Meter.Orders.WithLabelValues("hold", string(a.Outcome)).Inc()
 				d.tell(a)
 			})
 		case sched.Save:
@@ -257,9 +286,9 @@
 			d.shards[repo.PartOf(repo.TableRecords, id)].writer.Put(repo.TableRecords, id, e.Record, func() { d.tell(sched.RecordSaved{ID: id, Seq: seq}) }, forget...)
 		case sched.RecordWorker:
 			id := e.ID
-			d.writer.Put(repo.TableWorkers, repo.WorkerKey(d.pool, id), []byte(e.Address), func() { d.tell(sched.WorkerRecorded{ID: id}) })
+			d.writer.Put(repo.TableWorkers, repo.WorkerKey(d.c.Pool, id), []byte(e.Address), func() { d.tell(sched.WorkerRecorded{ID: id}) })
 		case sched.ForgetWorker:
-			d.writer.Put(repo.TableWorkers, repo.WorkerKey(d.pool, e.ID), nil, nil)
+			d.writer.Put(repo.TableWorkers, repo.WorkerKey(d.c.Pool, e.ID), nil, nil)
 		case sched.Prove:
 			d.goes(func() {
 				if sent := d.clock().Steady; d.prove() {
@@ -267,9 +296,9 @@
 				}
 			})
 		case sched.Finished:
-			d.h.meter.Ends.WithLabelValues(string(e.How)).Inc()
+			d.c.Meter.Ends.WithLabelValues(string(e.How)).Inc()
 		case sched.Begun:
-			d.h.meter.Wait.WithLabelValues(d.h.queueLabel(e.Queue)).Observe(e.Wait.Seconds())
+			d.c.Meter.Wait.WithLabelValues(d.queueLabel(e.Queue)).Observe(e.Wait.Seconds())
 		case sched.Note:
 			d.log.Info().Str("job", e.Job).Str("worker", e.Worker).Str("task", e.Task).Int("run", e.Run).Msg(e.Text)
 		}
@@ -278,15 +307,15 @@
 
 // queueLabel names a queue in metrics: those that aren't configured share one
 // label, so that the labels stay bounded.
-func (h *Host) queueLabel(name string) string {
-	if r := h.gate.Rules(); r != nil && r.Queues[name] != nil {
+func (d *Decider) queueLabel(name string) string {
+	if r := d.c.Rules(); r != nil && r.Queues[name] != nil {
 		return name
 	}
 	return "other"
 }
 
 // beat proves regularly that the pool is still owned.
-func (d *decider) beat() {
+func (d *Decider) beat() {
 	t := time.NewTicker(repo.BeatPeriod)
 	defer t.Stop()
 	for d.ctx.Err() == nil {
@@ -300,15 +329,15 @@
 
 // prove writes the pool's beat, which tells the other hosts what they show of
 // it, and returns whether that proves that the pool is still owned.
-func (d *decider) prove() bool {
+func (d *Decider) prove() bool {
 	d.proving.Lock()
 	defer d.proving.Unlock()
 	d.mu.Lock()
 	d.beats++
-	b := repo.Beat{Epoch: d.me.Epoch, Host: d.me.Host, N: d.beats, Waiting: d.waiting}
+	b := repo.Beat{Epoch: d.c.Owner.Epoch, Host: d.c.Owner.Host, N: d.beats, Waiting: d.waiting}
 	d.mu.Unlock()
 	sent := timer.Boot()
-	held, err := d.h.seats.Beat(d.ctx, d.seat, b)
+	held, err := d.c.Seats.Beat(d.ctx, d.c.Seat, b)
 	switch {
 	case err != nil:
 		if d.ctx.Err() == nil {
--- a/node/load.go
+++ b/decide/load.go
@@ -1,4 +1,4 @@
-package node
+package decide
 
 import (
 	"context"
@@ -20,7 +20,7 @@
 }
 
 // load reads the pool's workers, trying until it succeeds or the pool is lost.
-func (d *decider) load() *loaded {
+func (d *Decider) load() *loaded {
 	for d.ctx.Err() == nil {
 		l, err := d.read(d.ctx)
 		if err == nil {
@@ -33,20 +33,20 @@
 }
 
 // pause waits before another try.
-func (d *decider) pause() {
+func (d *Decider) pause() {
 	select {
 	case <-d.ctx.Done():
 	case <-time.After(loadPause):
 	}
 }
 
-func (d *decider) read(ctx context.Context) (*loaded, error) {
+func (d *Decider) read(ctx context.Context) (*loaded, error) {
 	var workers, servers repo.Page
 	g, ctx := errgroup.WithContext(ctx)
 	list := func(to *repo.Page, table string) {
 		g.Go(func() error {
 			var err error
-			*to, err = repo.All(ctx, d.h.store, table, "")
+			*to, err = repo.All(ctx, d.c.Store, table, "")
 			return err
 		})
 	}
@@ -57,7 +57,7 @@
 	}
 	l := &loaded{version: workers.Version, servers: servers.Version}
 	for _, r := range workers.Rows {
-		if pool, id := repo.SplitWorkerKey(r.Key); pool == d.pool {
+		if pool, id := repo.SplitWorkerKey(r.Key); pool == d.c.Pool {
 			d.writer.Known(r.Table, r.Key, r.Version)
 			l.events = append(l.events, sched.WorkerKnown{ID: id, Address: string(r.Value)})
 		}
@@ -69,13 +69,13 @@
 }
 
 // entry converts a row of the registry.
-func (d *decider) entry(r repo.Row) []sched.Event {
+func (d *Decider) entry(r repo.Row) []sched.Event {
 	if r.Deleted {
 		delete(d.listed, r.Key)
 		return []sched.Event{sched.WorkerUnlisted{ID: r.Key}}
 	}
 	e, err := platform.DecodeEntry(r.Key, r.Value)
-	if err != nil || e.Pool != d.pool {
+	if err != nil || e.Pool != d.c.Pool {
 		if err != nil {
 			d.log.Warn().Err(err).Msg("registry entry can't be used")
 		}
@@ -90,9 +90,9 @@
 }
 
 // follow passes on what changes in the pool.
-func (d *decider) follow(l *loaded) {
+func (d *Decider) follow(l *loaded) {
 	f := func(w repo.Follower, after int64) {
-		w.Store, w.Wait, w.Now = d.h.store, feedWait, timer.Boot
+		w.Store, w.Wait, w.Now = d.c.Store, feedWait, timer.Boot
 		w.Lost = func(err error) { d.log.Warn().Err(err).Str("table", w.Table).Msg("feed is lost") }
 		d.goes(func() { w.Run(d.ctx, after) })
 	}
@@ -122,7 +122,7 @@
 }
 
 // relisted takes in the whole registry anew.
-func (d *decider) relisted(rows []repo.Row) {
+func (d *Decider) relisted(rows []repo.Row) {
 	before := d.listed
 	d.listed = map[string]bool{}
 	for _, r := range rows {
--- a/node/shard.go
+++ b/decide/shard.go
@@ -1,4 +1,4 @@
-package node
+package decide
 
 import (
 	"context"
@@ -14,7 +14,7 @@
 // shard is a part of the store with jobs. The decider takes each by a fence
 // of its own, so that one that is away keeps nothing else back.
 type shard struct {
-	d    *decider
+	d    *Decider
 	part string
 	// writer is set before the first job of the part is taken in.
 	writer *repo.Writer
@@ -32,7 +32,7 @@
 // is lost.
 func (s *shard) load() {
 	for s.d.ctx.Err() == nil {
-		c, mine, err := s.d.h.seats.Fence(s.d.ctx, s.d.pool, s.part, s.d.me.Epoch)
+		c, mine, err := s.d.c.Seats.Fence(s.d.ctx, s.d.c.Pool, s.part, s.d.c.Owner.Epoch)
 		switch {
 		case err != nil:
 			s.d.log.Warn().Err(err).Str("part", s.part).Msg("part can't be taken yet")
@@ -62,7 +62,7 @@
 	for i, t := range []string{repo.TableCancels, repo.TableJobs, repo.TableRecords} {
 		g.Go(func() error {
 			var err error
-			pages[i], err = repo.All(ctx, s.d.h.store, t, s.part)
+			pages[i], err = repo.All(ctx, s.d.c.Store, t, s.part)
 			return err
 		})
 	}
@@ -132,11 +132,11 @@
 	s.writer.Known(repo.TableRecords, r.Key, version)
 	pool := rec.Pool
 	if pool == "" {
-		if q := s.d.h.gate.Rules().Queues[j.Queue]; q != nil {
+		if q := s.d.c.Rules().Queues[j.Queue]; q != nil {
 			pool = q.Pool
 		}
 	}
-	if pool == s.d.pool {
+	if pool == s.d.c.Pool {
 		s.d.tell(sched.JobAdded{Job: j, Record: rec, Inherited: inherited})
 	}
 }
--- a/fakes/plat/model.go
+++ b/fakes/model/model.go
@@ -1,6 +1,6 @@
-// Package plat is a stand-in of the users' platform: its workers as a model
-// on any clock, and its store, registry and workers over HTTP on loopback.
-package plat
+// Package model is the workers of the users' platform on any clock: leases,
+// fences, gangs, ends and lives.
+package model
 
 import (
 	"encoding/json"
--- a/fakes/plat/serve.go
+++ b/fakes/plat/serve.go
@@ -1,3 +1,5 @@
+// Package plat is a stand-in of the users' platform over HTTP on loopback: its
+// store, its registry and its workers.
 package plat
 
 import (
@@ -8,13 +10,15 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"citronbridge/fakes/model"
 )
 
 // Platform is the stand-in as servers on loopback: doors of the store, and
 // workers that register there.
 type Platform struct {
 	Store   *Store
-	Cluster *Cluster
+	Cluster *model.Cluster
 
 	pool string
 	// mu guards the cluster.
@@ -30,10 +34,10 @@
 }
 
 // New returns a Platform whose workers serve a pool.
-func New(pool string, b Bounds) *Platform {
+func New(pool string, b model.Bounds) *Platform {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Platform{
-		Store: NewStore(), Cluster: NewCluster(b), pool: pool, began: time.Now(), changed: make(chan struct{}), ctx: ctx, cancel: cancel,
+		Store: NewStore(), Cluster: model.NewCluster(b), pool: pool, began: time.Now(), changed: make(chan struct{}), ctx: ctx, cancel: cancel,
 		seq: map[string]int64{}, ports: map[string]string{},
 	}
 	p.wg.Add(1)
@@ -75,7 +79,7 @@
 }
 
 // Lock runs f while no worker does anything.
-func (p *Platform) Lock(f func(c *Cluster)) {
+func (p *Platform) Lock(f func(c *model.Cluster)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.Cluster.Advance(p.now())
@@ -109,7 +113,7 @@
 
 // AddWorker begins a life of a worker. A name that was used before comes back
 // at the address that it had.
-func (p *Platform) AddWorker(w *Worker, rack string) error {
+func (p *Platform) AddWorker(w *model.Worker, rack string) error {
 	p.mu.Lock()
 	p.Cluster.Add(p.now(), w)
 	p.mu.Unlock()
@@ -141,22 +145,32 @@
 	p.Store.Put("servers", id, b)
 }
 
+// orderBody is what an order or a hold carries.
 type orderBody struct {
-	Task       string `json:"task"`
-	Run        int    `json:"run"`
-	Spec       string `json:"spec"`
-	Saved      string `json:"last-checkpoint"`
-	Fence      int64  `json:"fence"`
-	DeadlineMS int64  `json:"deadline-ms"`
-	SeenUpto   int64  `json:"seen-upto"`
-	WaitMS     int64  `json:"wait-ms"`
+	Task, Spec, Saved                   string
+	Run                                 int
+	Fence, DeadlineMS, SeenUpto, WaitMS int64
+}
+
+// readOrder reads a body by the names on the wire.
+func readOrder(r *http.Request) (orderBody, error) {
+	var m map[string]any
+	if err := json.NewDecoder(r.Body).Decode(&m); err != nil {
+		return orderBody{}, fmt.Errorf("read order: %w", err)
+	}
+	text := func(k string) string { v, _ := m[k].(string); return v }
+	number := func(k string) int64 { v, _ := m[k].(float64); return int64(v) }
+	return orderBody{
+		Task: text("task"), Spec: text("spec"), Saved: text("last-checkpoint"), Run: int(number("run")), Fence: number("fence"),
+		DeadlineMS: number("deadline-ms"), SeenUpto: number("seen-upto"), WaitMS: number("wait-ms"),
+	}, nil
 }
 
 // worker serves the calls of one worker.
 func (p *Platform) worker(id string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		var b orderBody
-		if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
+		b, err := readOrder(r)
+		if err != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
@@ -177,7 +191,7 @@
 		body := map[string]any{}
 		switch r.URL.Path {
 		case "/-/run-start":
-			why = x.Start(Order{b.Task, b.Run, b.Spec, b.Saved, b.Fence, b.DeadlineMS})
+			why = x.Start(model.Order{Task: b.Task, Run: b.Run, Spec: b.Spec, Saved: b.Saved, Fence: b.Fence, DeadlineMS: b.DeadlineMS})
 		case "/-/run-stop":
 			why = x.Stop(b.Task, b.Run, b.Fence)
 		case "/-/hold":
@@ -196,7 +210,7 @@
 
 // hold answers at once if there is an end, and waits for one otherwise. It is
 // called, and returns, with the lock held.
-func (p *Platform) hold(x *Worker, b orderBody, body map[string]any, ctx context.Context) string {
+func (p *Platform) hold(x *model.Worker, b orderBody, body map[string]any, ctx context.Context) string {
 	until := p.now() + time.Duration(b.WaitMS)*time.Millisecond
 	for {
 		running, ended, why := x.Hold(b.Fence, b.SeenUpto, b.DeadlineMS)
--- a/fakes/plat/store.go
+++ b/fakes/plat/store.go
@@ -13,12 +13,37 @@
 
 // Row is a row of the store.
 type Row struct {
-	Table   string `json:"table"`
-	Part    string `json:"part"`
-	Key     string `json:"key"`
-	Value   []byte `json:"value,omitempty"`
-	Version int64  `json:"ver"`
-	Deleted bool   `json:"tombstone,omitempty"`
+	Table, Part, Key string
+	Value            []byte
+	Version          int64
+	Deleted          bool
+}
+
+// MarshalJSON writes the row by the names on the wire.
+func (r Row) MarshalJSON() ([]byte, error) {
+	m := map[string]any{"table": r.Table, "part": r.Part, "key": r.Key, "ver": r.Version}
+	if r.Deleted {
+		m["tombstone"] = true
+	} else {
+		m["value"] = r.Value
+	}
+	return json.Marshal(m)
+}
+
+// UnmarshalJSON reads the row by the names on the wire.
+func (r *Row) UnmarshalJSON(b []byte) error {
+	var m map[string]json.RawMessage
+	if err := json.Unmarshal(b, &m); err != nil {
+		return err
+	}
+	for k, to := range map[string]any{"table": &r.Table, "part": &r.Part, "key": &r.Key, "value": &r.Value, "ver": &r.Version} {
+		if v, ok := m[k]; ok {
+			if err := json.Unmarshal(v, to); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
 }
 
 // Trouble is what a door of the store does to calls.
@@ -123,11 +148,27 @@
 	s.changed = make(chan struct{})
 }
 
+// txBody is a transaction.
 type txBody struct {
-	If     []Row `json:"expect-rev"`
-	Put    []Row `json:"writes"`
-	Delete []Row `json:"remove"`
-	Across bool  `json:"across"`
+	If, Put, Delete []Row
+	Across          bool
+}
+
+// readTx reads a transaction by the names on the wire.
+func readTx(r *http.Request) (txBody, error) {
+	var t txBody
+	var m map[string]json.RawMessage
+	if err := json.NewDecoder(r.Body).Decode(&m); err != nil {
+		return t, err
+	}
+	for k, to := range map[string]any{"expect-rev": &t.If, "writes": &t.Put, "remove": &t.Delete, "across": &t.Across} {
+		if v, ok := m[k]; ok {
+			if err := json.Unmarshal(v, to); err != nil {
+				return t, err
+			}
+		}
+	}
+	return t, nil
 }
 
 // maxEntries bounds the entries of a transaction.
@@ -280,8 +321,8 @@
 	var body map[string]any
 	switch r.URL.Path {
 	case "/-/rows-tx":
-		var b txBody
-		if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
+		b, err := readTx(r)
+		if err != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
--- a/native/harness_test.go
+++ b/native/harness_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"citronbridge/fakes/model"
 	"citronbridge/fakes/plat"
 )
 
@@ -73,7 +74,7 @@
 	ended        chan struct{}
 }
 
-var bounds = plat.Bounds{MaxHold: 10 * time.Second, StopTime: 200 * time.Millisecond, GangTimeout: 3 * time.Second}
+var bounds = model.Bounds{MaxHold: 10 * time.Second, StopTime: 200 * time.Millisecond, GangTimeout: 3 * time.Second}
 
 // deploy starts hosts and workers, and waits until all hosts are ready.
 func deploy(t *testing.T, hosts, workers int) *deployment {
@@ -100,7 +101,7 @@
 func (d *deployment) addWorker(id string, born int64) {
 	rack := "r" + string(id[1]%2+'0')
 	d.racks[id] = rack
-	must(d.t, d.p.AddWorker(&plat.Worker{ID: id, Born: born, CPU: 16000, Memory: 64000, Accelerators: 4}, rack))
+	must(d.t, d.p.AddWorker(&model.Worker{ID: id, Born: born, CPU: 16000, Memory: 64000, Accelerators: 4}, rack))
 }
 
 // configure puts a configuration in force.
@@ -228,14 +229,14 @@
 
 // step is a step of a job that a test submits.
 type step struct {
-	shape plat.Shape
+	shape model.Shape
 	count int
 	after []int
 }
 
 // job returns a submission's body.
 func job(l ...step) string {
-	var shapes []plat.Shape
+	var shapes []model.Shape
 	var steps []map[string]any
 	for _, s := range l {
 		shapes = append(shapes, s.shape)
@@ -244,7 +245,7 @@
 			"after": s.after, "gang": s.shape.Gang > 0, "checkpoint": s.shape.Checkpoint,
 		})
 	}
-	b, err := json.Marshal(map[string]any{"spec": plat.Spec(shapes...), "steps": steps})
+	b, err := json.Marshal(map[string]any{"spec": model.Spec(shapes...), "steps": steps})
 	if err != nil {
 		panic(err)
 	}
@@ -253,7 +254,7 @@
 
 // tasks returns single tasks of one accelerator each.
 func tasks(n int, d time.Duration) step {
-	return step{shape: plat.Shape{Work: d, CPU: 1000, Memory: 1000, Accelerators: 1}, count: n}
+	return step{shape: model.Shape{Work: d, CPU: 1000, Memory: 1000, Accelerators: 1}, count: n}
 }
 
 // submit submits a job, trying all hosts in turn until one accepts it.
@@ -322,8 +323,8 @@
 
 func (d *deployment) watch() *watch {
 	w := &watch{started: map[string]int{}, done: map[string]int{}, active: map[string]bool{}}
-	d.p.Lock(func(c *plat.Cluster) {
-		c.Started = func(x *plat.Worker, p *plat.Present) {
+	d.p.Lock(func(c *model.Cluster) {
+		c.Started = func(x *model.Worker, p *model.Present) {
 			if w.active[p.Task] {
 				w.wrong = append(w.wrong, p.Task+" starts while a run of it is at work")
 			}
@@ -333,7 +334,7 @@
 			w.active[p.Task] = true
 			w.started[p.Task]++
 		}
-		c.Stopped = func(x *plat.Worker, e plat.End) {
+		c.Stopped = func(x *model.Worker, e model.End) {
 			w.active[e.Task] = false
 			if e.How == "done" {
 				w.done[e.Task]++
@@ -348,7 +349,7 @@
 func (d *deployment) check(w *watch) int {
 	d.t.Helper()
 	n := 0
-	d.p.Lock(func(*plat.Cluster) {
+	d.p.Lock(func(*model.Cluster) {
 		for _, s := range w.wrong {
 			d.t.Error(s)
 		}
--- a/native/path_test.go
+++ b/native/path_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"citronbridge/fakes/model"
 	"citronbridge/fakes/plat"
 )
 
@@ -19,7 +20,7 @@
 	t.Parallel()
 	d := deploy(t, 3, 4)
 	w := d.watch()
-	gang := step{shape: plat.Shape{Work: 200 * time.Millisecond, Gang: 3, CPU: 1000, Memory: 1000, Accelerators: 3}, count: 3}
+	gang := step{shape: model.Shape{Work: 200 * time.Millisecond, Gang: 3, CPU: 1000, Memory: 1000, Accelerators: 3}, count: 3}
 	second := tasks(2, 100*time.Millisecond)
 	second.after = []int{0}
 	d.submit(id(1), "/urgent/", job(tasks(4, 100*time.Millisecond)))
@@ -79,14 +80,14 @@
 // idle reports whether no worker runs anything.
 func (d *deployment) idle() bool {
 	idle := false
-	d.p.Lock(func(c *plat.Cluster) { _, busy := c.Next(); idle = !busy })
+	d.p.Lock(func(c *model.Cluster) { _, busy := c.Next(); idle = !busy })
 	return idle
 }
 
 // starts returns how many tasks have started.
 func (d *deployment) starts(w *watch) int {
 	n := 0
-	d.p.Lock(func(*plat.Cluster) { n = len(w.started) })
+	d.p.Lock(func(*model.Cluster) { n = len(w.started) })
 	return n
 }
 
@@ -103,11 +104,11 @@
 	w := d.watch()
 	d.submit(id(1), "/batch/", job(tasks(8, 3*time.Second)))
 	d.awaitStarts(w, 8)
-	gang := step{shape: plat.Shape{Work: 100 * time.Millisecond, Gang: 2, CPU: 1000, Memory: 1000, Accelerators: 4}, count: 2}
+	gang := step{shape: model.Shape{Work: 100 * time.Millisecond, Gang: 2, CPU: 1000, Memory: 1000, Accelerators: 4}, count: 2}
 	d.submit(id(2), "/urgent/", job(gang))
 	d.awaitState("/urgent/", id(2), "succeeded")
 	var batch int
-	d.p.Lock(func(*plat.Cluster) {
+	d.p.Lock(func(*model.Cluster) {
 		for n := range w.done {
 			if strings.HasPrefix(n, id(1)) {
 				batch++
@@ -158,7 +159,7 @@
 			if n := d.check(w); n != 18 {
 				t.Errorf("%d tasks are done, not 18", n)
 			}
-			d.p.Lock(func(*plat.Cluster) {
+			d.p.Lock(func(*model.Cluster) {
 				for n, s := range w.started {
 					if s != 1 {
 						t.Errorf("%s has started %d times", n, s)
@@ -195,10 +196,10 @@
 	w := d.watch()
 	d.submit(id(1), "/batch/", job(tasks(12, time.Second)))
 	d.awaitStarts(w, 12)
-	d.p.Lock(func(c *plat.Cluster) { c.Crash("w0"); c.Workers["w1"].Dark = true })
+	d.p.Lock(func(c *model.Cluster) { c.Crash("w0"); c.Workers["w1"].Dark = true })
 	d.addWorker("w0", 2)
-	d.await("the end of what could be seen", func() bool { n := 0; d.p.Lock(func(*plat.Cluster) { n = len(w.done) }); return n == 12 })
-	d.p.Lock(func(c *plat.Cluster) { c.Workers["w1"].Dark = false })
+	d.await("the end of what could be seen", func() bool { n := 0; d.p.Lock(func(*model.Cluster) { n = len(w.done) }); return n == 12 })
+	d.p.Lock(func(c *model.Cluster) { c.Workers["w1"].Dark = false })
 	d.awaitState("/batch/", id(1), "succeeded")
 	d.check(w)
 }
--- a/node/lead.go
+++ b/node/lead.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"citronbridge/decide"
 	"citronbridge/repo"
 	"citronbridge/timer"
 	"citronbridge/work"
@@ -113,13 +114,13 @@
 	next time.Duration
 	// looked says that the owner's row was read once.
 	looked  bool
-	decider *decider
+	decider *decide.Decider
 }
 
 // tellRules passes a configuration on to the pool's decider, if it is here.
 func (c *candidate) tellRules(r *work.Rules) {
 	if c.decider != nil {
-		c.decider.rulesChanged(r)
+		c.decider.RulesChanged(r)
 	}
 }
 
@@ -183,13 +184,13 @@
 	if d != nil && !h.leaving.Load() {
 		c.decider = d
 	} else if d != nil {
-		d.stop(ctx)
+		d.Stop(ctx)
 	}
 }
 
 // take returns the decider of a pool that was taken, and whether the owner's
 // row could be read.
-func (h *Host) take(ctx context.Context, pool string, silent bool) (*decider, bool) {
+func (h *Host) take(ctx context.Context, pool string, silent bool) (*decide.Decider, bool) {
 	ctx2, cancel := context.WithTimeout(ctx, electTimeout)
 	defer cancel()
 	o, version, err := h.seats.Read(ctx2, pool)
@@ -208,14 +209,17 @@
 	}
 	gone := o.Host == h.s.Host || h.beats.left(pool, o.Epoch)
 	h.log.Info().Str("pool", pool).Int64("epoch", me.Epoch).Str("former", o.Host).Bool("silent", silent).Bool("gone", gone).Msg("pool taken")
-	return h.startDecider(ctx, pool, me, seat, gone), true
+	return decide.Go(ctx, decide.Config{
+		Pool: pool, Owner: me, Seat: seat, Gone: gone, Store: h.store, Seats: h.seats, Workers: h.calls, Rules: h.gate.Rules, Bounds: h.s.Bounds,
+		Meter: h.meter, Log: h.log, Lost: h.lost,
+	}), true
 }
 
 // lost takes a pool's decider out.
-func (h *Host) lost(d *decider) {
+func (h *Host) lost(d *decide.Decider) {
 	h.poolMu.Lock()
 	defer h.poolMu.Unlock()
-	if c := h.pools[d.pool]; c != nil && c.decider == d {
+	if c := h.pools[d.Pool()]; c != nil && c.decider == d {
 		c.decider = nil
 		c.next = timer.Boot() + repo.BeatTimeout
 	}
@@ -224,7 +228,7 @@
 // giveUp hands all pools over to other hosts.
 func (h *Host) giveUp(ctx context.Context) {
 	h.poolMu.Lock()
-	var l []*decider
+	var l []*decide.Decider
 	for _, c := range h.pools {
 		if c.decider != nil {
 			l = append(l, c.decider)
@@ -232,6 +236,6 @@
 	}
 	h.poolMu.Unlock()
 	for _, d := range l {
-		d.stop(ctx)
+		d.Stop(ctx)
 	}
 }
--- /dev/null
+++ b/retry/timeout_test.go
@@ -0,0 +1,30 @@
+package retry
+
+import (
+	"testing"
+	"time"
+)
+
+// TestTimeout follows a service that is fast, silent, slow and fast again.
+func TestTimeout(t *testing.T) {
+	var x Timeout
+	if x.Next() != minTimeout {
+		t.Error("the first timeout is", x.Next())
+	}
+	for range 5 {
+		x.Expired()
+	}
+	if x.Next() != maxTimeout {
+		t.Error("after silence it is", x.Next())
+	}
+	x.Answered(300 * time.Millisecond)
+	if x.Next() < timeoutFactor*200*time.Millisecond {
+		t.Error("after a slow answer it is", x.Next())
+	}
+	for range 40 {
+		x.Answered(4 * time.Millisecond)
+	}
+	if x.Next() != minTimeout {
+		t.Error("after fast answers it is", x.Next())
+	}
+}
--- a/sched/schedule_test.go
+++ b/sched/schedule_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"citronbridge/fakes/plat"
+	"citronbridge/fakes/model"
 	"citronbridge/work"
 )
 
@@ -31,7 +31,7 @@
 func (w *world) workers() {
 	for i := range 4 + w.rng.IntN(4) {
 		id := fmt.Sprintf("w%d%d", i%2, i)
-		w.cluster.Add(w.now, &plat.Worker{ID: id, Born: 1, CPU: 16000, Memory: 64000, Accelerators: 4, Lax: w.chance(0.5), Rate: 0.98 + 0.02*w.rng.Float64()})
+		w.cluster.Add(w.now, &model.Worker{ID: id, Born: 1, CPU: 16000, Memory: 64000, Accelerators: 4, Lax: w.chance(0.5), Rate: 0.98 + 0.02*w.rng.Float64()})
 		w.listed[id] = true
 	}
 }
@@ -50,7 +50,7 @@
 	if w.chance(0.4) {
 		j.Queue = "urgent"
 	}
-	var shapes []plat.Shape
+	var shapes []model.Shape
 	for i := range 1 + w.rng.IntN(3) {
 		s := work.Step{Count: 1 + w.rng.IntN(4), Demand: work.Amounts{MilliCPU: 2000, MemoryMiB: 4000, Accelerators: 1 + w.rng.Int64N(3)}}
 		s.Gang, s.Checkpoint, s.SameRack = w.chance(0.4), w.chance(0.5), w.chance(0.3)
@@ -65,7 +65,7 @@
 		}
 		d := w.between(300*time.Millisecond, 6*time.Second)
 		s.Estimate = d
-		x := plat.Shape{Work: d, Checkpoint: s.Checkpoint, CPU: 2000, Memory: 4000, Accelerators: s.Demand.Accelerators}
+		x := model.Shape{Work: d, Checkpoint: s.Checkpoint, CPU: 2000, Memory: 4000, Accelerators: s.Demand.Accelerators}
 		if s.Gang {
 			x.Gang = s.Count
 		}
@@ -75,7 +75,7 @@
 		j.Steps = append(j.Steps, s)
 		shapes = append(shapes, x)
 	}
-	j.Spec = plat.Spec(shapes...)
+	j.Spec = model.Spec(shapes...)
 	if w.chance(0.15) {
 		j.Times, j.Interval, j.Start = 2, 2*time.Second, wallStart+w.between(0, 15*time.Second).Milliseconds()
 	}
@@ -205,7 +205,7 @@
 	w.succeed(w.between(beatTimeout, 3*time.Second))
 }
 
-func (w *world) pick() *plat.Worker {
+func (w *world) pick() *model.Worker {
 	l := sorted(w.cluster.Workers)
 	return w.cluster.Workers[l[w.rng.IntN(len(l))]]
 }
@@ -224,7 +224,7 @@
 		w.after(4500*time.Millisecond, func() { w.unlist(x.ID) })
 	}
 	w.after(back, func() {
-		w.cluster.Add(w.now, &plat.Worker{ID: x.ID, Born: x.Born + 1, CPU: x.CPU, Memory: x.Memory, Accelerators: x.Accelerators, Lax: x.Lax, Rate: x.Rate})
+		w.cluster.Add(w.now, &model.Worker{ID: x.ID, Born: x.Born + 1, CPU: x.CPU, Memory: x.Memory, Accelerators: x.Accelerators, Lax: x.Lax, Rate: x.Rate})
 		w.log("REBORN %s", x.ID)
 		w.after(w.between(0, 800*time.Millisecond), func() { w.list(x.ID) })
 	})
@@ -370,17 +370,17 @@
 		w.quiet = 0
 		for i := range 4 {
 			id := fmt.Sprintf("w%d%d", i%2, i)
-			w.cluster.Add(0, &plat.Worker{ID: id, Born: 1, CPU: 16000, Memory: 64000, Accelerators: 4})
+			w.cluster.Add(0, &model.Worker{ID: id, Born: 1, CPU: 16000, Memory: 64000, Accelerators: 4})
 			w.listed[id] = true
 		}
 		w.decide(nil)
 		w.run(time.Second)
 		s := work.Step{Count: 3, Demand: work.Amounts{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 4}, Estimate: 3 * time.Second, Gang: gang}
-		x := plat.Shape{Work: 3 * time.Second, CPU: 1000, Memory: 1000, Accelerators: 4}
+		x := model.Shape{Work: 3 * time.Second, CPU: 1000, Memory: 1000, Accelerators: 4}
 		if gang {
 			x.Gang = 3
 		}
-		w.submit(&work.Job{ID: "00000000000000aa", Queue: "long", Spec: plat.Spec(x), Steps: []work.Step{s}})
+		w.submit(&work.Job{ID: "00000000000000aa", Queue: "long", Spec: model.Spec(x), Steps: []work.Step{s}})
 		w.run(2 * time.Second)
 		for _, id := range sorted(w.cluster.Workers) {
 			if runs, _, _ := w.cluster.Workers[id].Hold(w.deciders[0].s.fence(w.deciders[0].s.pool[id]), 0, 0); len(runs) > 0 {
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"citronbridge/fakes/plat"
+	"citronbridge/fakes/model"
 	"citronbridge/work"
 )
 
@@ -18,7 +18,7 @@
 	rng     *rand.Rand
 	now     time.Duration
 	queue   timeline
-	cluster *plat.Cluster
+	cluster *model.Cluster
 	rules   *work.Rules
 	faults  faults
 	quiet   time.Duration
@@ -123,7 +123,7 @@
 		"long":   {Name: "long", Pool: "p", Priority: 1, MaxAttempts: 3, Stretch: 3, Slack: time.Second},
 	}, Pools: map[string]*work.Pool{"p": {Name: "p"}}}
 	w.rules.Index()
-	w.cluster = plat.NewCluster(plat.Bounds{MaxHold: maxHold, StopTime: 200 * time.Millisecond, GangTimeout: 3 * time.Second})
+	w.cluster = model.NewCluster(model.Bounds{MaxHold: maxHold, StopTime: 200 * time.Millisecond, GangTimeout: 3 * time.Second})
 	w.cluster.Started, w.cluster.Stopped = w.started, w.stopped
 	return w
 }
@@ -177,7 +177,7 @@
 func (w *world) disturbed(p float64) bool { return w.now < w.quiet && w.chance(p) }
 
 // started checks a start.
-func (w *world) started(x *plat.Worker, p *plat.Present) {
+func (w *world) started(x *model.Worker, p *model.Present) {
 	w.starts++
 	w.log("START %s run %d on %s (life %d)", p.Task, p.Run, x.ID, x.Born)
 	if l := w.active[p.Task]; len(l) > 0 {
@@ -224,7 +224,7 @@
 func (w *world) wall() int64 { return wallStart + w.now.Milliseconds() }
 
 // stopped notes an end.
-func (w *world) stopped(x *plat.Worker, e plat.End) {
+func (w *world) stopped(x *model.Worker, e model.End) {
 	w.log("END %s run %d on %s: %s", e.Task, e.Run, x.ID, e.How)
 	w.active[e.Task] = slices.DeleteFunc(w.active[e.Task], func(a *act) bool { return a.w == x.ID && a.run == e.Run })
 	if e.How == "done" {
@@ -233,7 +233,7 @@
 }
 
 // noted takes in that a worker was told to forget its ends.
-func (w *world) noted(x *plat.Worker, seen int64, ends []plat.End) {
+func (w *world) noted(x *model.Worker, seen int64, ends []model.End) {
 	for _, l := range w.ends {
 		for _, f := range l {
 			if f.worker == x.ID && f.born == x.Born && f.n <= seen && !f.noted && x.Lapsed() < f.at {
@@ -459,8 +459,8 @@
 			if at, ok := w.acked[e.Task.Job]; ok && p.owned() && !p.cut && w.now-at > 3*time.Second {
 				w.fail("UNASKED: %s is started %v after its cancel", e.Task, w.now-at)
 			}
-			p.order(e.Call, e.Fence, func(x *plat.Worker) string {
-				return x.Start(plat.Order{
+			p.order(e.Call, e.Fence, func(x *model.Worker) string {
+				return x.Start(model.Order{
 					Task: e.Task.String(), Run: e.Run, Spec: e.Spec, Saved: e.Saved, Fence: e.Fence, DeadlineMS: e.DeadlineMS,
 				})
 			})
@@ -468,7 +468,7 @@
 			if w.faults.noFence {
 				e.Fence = 1
 			}
-			p.order(e.Call, e.Fence, func(x *plat.Worker) string { return x.Stop(e.Task.String(), e.Run, e.Fence) })
+			p.order(e.Call, e.Fence, func(x *model.Worker) string { return x.Stop(e.Task.String(), e.Run, e.Fence) })
 		case Hold:
 			if w.faults.noFence {
 				e.Fence = 1
@@ -492,7 +492,7 @@
 }
 
 // reach returns a worker that the decider can call.
-func (p *player) reach(id string) *plat.Worker {
+func (p *player) reach(id string) *model.Worker {
 	x := p.w.cluster.Workers[id]
 	if x == nil || !x.Up() || x.Dark || p.cutFrom[id] {
 		return nil
@@ -503,7 +503,7 @@
 var reasons = map[string]Outcome{"": Accepted, "fence": Fenced, "old": Old, "late": Late, "room": NoRoom}
 
 // order carries a start or a stop out, with what the network does to it.
-func (p *player) order(c Call, _ int64, do func(*plat.Worker) string) {
+func (p *player) order(c Call, _ int64, do func(*model.Worker) string) {
 	w := p.w
 	none := func() { w.after(700*time.Millisecond, func() { p.take(Answered{Call: c, Outcome: NoAnswer}) }) }
 	switch {
