native: Give each host of a test addresses of its own

A port was looked up, let go, and taken by a listener or a connection of a test in parallel before the host had it. Ruled out: a slow host (its log ends with the bind's error). Change: each host has a loopback address of its own, and both ports are held while they are chosen. Conclusion: a fault of the harness, mended.

--- a/native/harness_test.go
+++ b/native/harness_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -124,25 +125,36 @@
 	d.p.Store.Put("op", "config", b)
 }
 
-func freePort(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// hostsMade counts the hosts of all tests.
+var hostsMade atomic.Int32
+
+// addresses returns two addresses of a host's own on loopback: no other
+// listener and no connection takes its ports meanwhile, nor while the host
+// restarts.
+func addresses(t testing.TB, host int32) (string, string) {
+	ip := fmt.Sprintf("127.77.%d.%d:0", host/250, host%250+1)
+	a, err := net.Listen("tcp", ip)
+	must(t, err)
+	defer a.Close()
+	b, err := net.Listen("tcp", ip)
 	must(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	defer b.Close()
+	return a.Addr().String(), b.Addr().String()
 }
 
 // addHost starts a host of its own name and ports.
 func (d *deployment) addHost(name string) *hostProcess {
-	door, address, err := d.p.Open(uint64(len(d.hosts) + 1))
+	door, store, err := d.p.Open(uint64(len(d.hosts) + 1))
 	must(d.t, err)
-	h := &hostProcess{name: name, door: door, front: freePort(d.t), ready: freePort(d.t), file: filepath.Join(d.t.TempDir(), name+".yaml")}
+	h := &hostProcess{name: name, door: door, file: filepath.Join(d.t.TempDir(), name+".yaml")}
+	h.front, h.ready = addresses(d.t, hostsMade.Add(1))
 	s := fmt.Sprintf(`node: %q
 zone: "z"
 listen: {front: %q, ready: %q}
 limits: {memory-mb: 300}
 bounds: {config-apply-ms: 2000, strict-revoke: true, revoke-ms: 5000, drain-ms: 2000, grace-s: 6, max-hold-ms: 10000, stop-ms: 200, far-factor: 3}
 platform: {address: %q, form: "table"}
-`, name, h.front, h.ready, address)
+`, name, h.front, h.ready, store)
 	must(d.t, os.WriteFile(h.file, []byte(s), 0o600))
 	d.hosts = append(d.hosts, h)
 	d.start(h)
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -347,11 +347,11 @@
 }
 
 // joins reports whether a run of a member belongs to what the gang runs now.
-func (st *step) joins(n int) bool {
-	if !st.spec.Gang {
+func (s *step) joins(n int) bool {
+	if !s.spec.Gang {
 		return true
 	}
-	for _, t := range st.tasks {
+	for _, t := range s.tasks {
 		if t.run != nil && t.run.n != n {
 			return false
 		}
