decide: Remove records once they need not be shown any more

Ruled out: expiry by the store, which has none. Change: a final record carries when its job ended; each part's rows go after twice the time for which the platform wants states shown; what a decider remembers of ended jobs goes after ten minutes.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -103,7 +103,7 @@
 	d.writer = d.newWriter(c.Seat.Owner)
 	d.shards = map[string]*shard{}
 	for _, p := range repo.JobParts() {
-		d.shards[p] = &shard{d: d, part: p}
+		d.shards[p] = &shard{d: d, part: p, ended: map[string]int64{}}
 	}
 	c.Meter.Epoch.WithLabelValues(c.Pool).Set(float64(c.Owner.Epoch))
 	d.goes(d.run)
@@ -196,6 +196,7 @@
 	for _, s := range d.shards {
 		d.goes(s.load)
 	}
+	d.goes(d.sweep)
 	d.follow(l)
 	d.perform(first)
 	d.log.Info().Int("events", len(l.events)).Dur("took", timer.Boot()-began).Msg("decider starts")
@@ -278,12 +279,7 @@
 				d.tell(a)
 			})
 		case sched.Save:
-			id, seq := e.ID, e.Seq
-			var forget []string
-			if e.Final {
-				forget = []string{repo.TableJobs}
-			}
-			d.shards[repo.PartOf(repo.TableRecords, id)].writer.Put(repo.TableRecords, id, e.Record, func() { d.tell(sched.RecordSaved{ID: id, Seq: seq}) }, forget...)
+			d.shards[repo.PartOf(repo.TableRecords, e.ID)].save(e)
 		case sched.RecordWorker:
 			id := e.ID
 			d.writer.Put(repo.TableWorkers, repo.WorkerKey(d.c.Pool, id), []byte(e.Address), func() { d.tell(sched.WorkerRecorded{ID: id}) })
@@ -305,6 +301,28 @@
 	}
 }
 
+// minKeep is the shortest time for which records of ended jobs are kept.
+const minKeep = time.Second
+
+// sweep removes records once they need not be shown any more.
+func (d *Decider) sweep() {
+	// Twice the platform's bound, as clocks differ.
+	keep := max(2*platform.Seconds(d.c.Bounds.StatusS), minKeep)
+	t := time.NewTicker(keep / 4)
+	defer t.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-t.C:
+			before := time.Now().Add(-keep).UnixMilli()
+			for _, s := range d.shards {
+				s.sweep(before)
+			}
+		}
+	}
+}
+
 // queueLabel names a queue in metrics: those that aren't configured share one
 // label, so that the labels stay bounded.
 func (d *Decider) queueLabel(name string) string {
--- a/decide/shard.go
+++ b/decide/shard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -24,6 +25,9 @@
 	// version is that of the list of jobs: a feed that tells of older rows
 	// tells nothing new.
 	version int64
+	// ended is when the jobs whose records are final ended, in Unix
+	// milliseconds.
+	ended map[string]int64
 	// early is what changed before the part was loaded.
 	early []repo.Row
 }
@@ -72,6 +76,7 @@
 	records := map[string]repo.Row{}
 	for _, r := range pages[2].Rows {
 		records[r.Key] = r
+		s.noteEnd(r)
 	}
 	for _, r := range pages[0].Rows {
 		s.d.tell(sched.JobCanceled{ID: r.Key})
@@ -90,6 +95,48 @@
 	return nil
 }
 
+// save makes a record durable. The job's own row goes with a final one.
+func (s *shard) save(e sched.Save) {
+	id, seq := e.ID, e.Seq
+	done := func() { s.d.tell(sched.RecordSaved{ID: id, Seq: seq}) }
+	if !e.Final {
+		s.writer.Put(repo.TableRecords, id, e.Record, done)
+		return
+	}
+	s.writer.Put(repo.TableRecords, id, e.Record, done, repo.TableJobs)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended[id] = time.Now().UnixMilli()
+}
+
+// noteEnd remembers a record that is final.
+func (s *shard) noteEnd(r repo.Row) {
+	rec, err := work.DecodeRecord(r.Value)
+	if err != nil || !rec.State.Final() {
+		return
+	}
+	s.writer.Known(repo.TableRecords, r.Key, r.Version)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended[r.Key] = rec.Ended
+}
+
+// sweep removes the records of jobs that ended before a time, in Unix
+// milliseconds, and the cancels with them.
+func (s *shard) sweep(before int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.loaded {
+		return
+	}
+	for id, at := range s.ended {
+		if at < before {
+			delete(s.ended, id)
+			s.writer.Put(repo.TableRecords, id, nil, nil, repo.TableCancels)
+		}
+	}
+}
+
 // changed takes in a job's row from the feed.
 func (s *shard) changed(r repo.Row) {
 	if r.Deleted {
--- a/native/harness_test.go
+++ b/native/harness_test.go
@@ -63,6 +63,8 @@
 	hosts   []*hostProcess
 	version int64
 	racks   map[string]string
+	// status is how long hosts show ended jobs at least.
+	status time.Duration
 }
 
 // hostProcess is one host under test.
@@ -79,7 +81,12 @@
 
 // deploy starts hosts and workers, and waits until all hosts are ready.
 func deploy(t *testing.T, hosts, workers int) *deployment {
-	d := &deployment{t: t, p: plat.New("pool", bounds), racks: map[string]string{}}
+	return deployFor(t, hosts, workers, 2*time.Minute)
+}
+
+// deployFor is deploy with a time for which ended jobs are shown at least.
+func deployFor(t *testing.T, hosts, workers int, status time.Duration) *deployment {
+	d := &deployment{t: t, p: plat.New("pool", bounds), racks: map[string]string{}, status: status}
 	t.Cleanup(func() {
 		for _, h := range d.hosts {
 			h.kill()
@@ -152,9 +159,9 @@
 zone: "z"
 listen: {front: %q, ready: %q}
 limits: {memory-mb: 300}
-bounds: {config-apply-ms: 2000, strict-revoke: true, revoke-ms: 5000, drain-ms: 2000, grace-s: 6, max-hold-ms: 10000, stop-ms: 200, far-factor: 3}
+bounds: {config-apply-ms: 2000, strict-revoke: true, revoke-ms: 5000, drain-ms: 2000, grace-s: 6, max-hold-ms: 10000, stop-ms: 200, far-factor: 3, status_s: %g}
 platform: {address: %q, form: "table"}
-`, name, h.front, h.ready, store)
+`, name, h.front, h.ready, d.status.Seconds(), store)
 	must(d.t, os.WriteFile(h.file, []byte(s), 0o600))
 	d.hosts = append(d.hosts, h)
 	d.start(h)
--- a/native/store_test.go
+++ b/native/store_test.go
@@ -115,3 +115,29 @@
 	h.door.Set(plat.Trouble{})
 	d.awaitStatus(http.StatusUnauthorized)
 }
+
+// TestOldRecordsGo lets jobs end, and awaits that the store holds nothing of
+// them any more, under the decider that saw them end and under its successor.
+func TestOldRecordsGo(t *testing.T) {
+	t.Parallel()
+	d := deployFor(t, 2, 2, time.Second)
+	submit := func(from int) {
+		for n := range 5 {
+			d.submit(id(from+n), "/batch/", job(tasks(1, time.Millisecond)))
+		}
+		d.submit(id(from+5), "/batch/", job(tasks(1, time.Hour)))
+		if status, b := d.hosts[0].call(http.MethodDelete, "/batch/"+id(from+5), key, ""); status != http.StatusOK {
+			t.Fatalf("cancel: %d %s", status, b)
+		}
+	}
+	gone := func() bool {
+		return d.p.Store.Rows("jobs")+d.p.Store.Rows("records")+d.p.Store.Rows("cancels") == 0
+	}
+	submit(0)
+	d.await("no rows of ended jobs", gone)
+	submit(10)
+	h := d.decider()
+	h.kill()
+	d.start(h)
+	d.await("no rows of ended jobs after a takeover", gone)
+}
--- a/sched/job.go
+++ b/sched/job.go
@@ -193,7 +193,7 @@
 
 // addJob takes in a job.
 func (s *State) addJob(e JobAdded) {
-	if s.jobs[e.Job.ID] != nil || s.over[e.Job.ID] || e.Record.State.Final() {
+	if s.jobs[e.Job.ID] != nil || s.over[e.Job.ID] > 0 || e.Record.State.Final() {
 		return
 	}
 	j := &job{spec: e.Job, rec: e.Record, added: s.now.Steady}
@@ -210,7 +210,7 @@
 	s.changed = true
 	s.note(j, nil, nil, "job taken in")
 	s.meet(j)
-	if s.cancels[j.spec.ID] {
+	if s.cancels[j.spec.ID] > 0 {
 		delete(s.cancels, j.spec.ID)
 		s.finish(j, work.Canceled)
 		return
@@ -226,7 +226,7 @@
 	switch {
 	case j == nil:
 		// The feeds of jobs and of cancels may overtake each other.
-		s.cancels[id] = true
+		s.cancels[id] = max(s.now.Steady, 1)
 	case !j.rec.State.Final():
 		s.finish(j, work.Canceled)
 	}
@@ -234,7 +234,7 @@
 
 // finish ends a job: nothing of it starts any more, and what runs is stopped.
 func (s *State) finish(j *job, state work.State) {
-	j.rec.State = state
+	j.rec.State, j.rec.Ended = state, s.now.Wall
 	s.touch(j)
 	s.note(j, nil, nil, "job ends as "+string(state))
 	s.changed = true
--- a/sched/state.go
+++ b/sched/state.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -66,11 +67,13 @@
 	now   Clock
 	rules *work.Rules
 	jobs  map[string]*job
-	// cancels names cancelled jobs that aren't known.
-	cancels map[string]bool
-	// over names the jobs that ended under this decider: a feed may tell of
-	// one again.
-	over map[string]bool
+	// cancels says when cancelled jobs that aren't known were heard of.
+	cancels map[string]time.Duration
+	// over says when jobs ended under this decider: a feed may tell of one
+	// again.
+	over map[string]time.Duration
+	// prunedAt is when both were last shortened.
+	prunedAt time.Duration
 	// parts names the parts whose jobs are known.
 	parts map[string]bool
 	order []*job
@@ -95,7 +98,7 @@
 
 // New returns the state of a decider that has just taken the pool.
 func New(c Config, now Clock, rules *work.Rules) *State {
-	return &State{c: c, now: now, rules: rules, taken: now.Steady, inheriting: true, jobs: map[string]*job{}, cancels: map[string]bool{}, over: map[string]bool{}, parts: map[string]bool{}, pool: map[string]*worker{}, lives: map[string]int64{}}
+	return &State{c: c, now: now, rules: rules, taken: now.Steady, inheriting: true, jobs: map[string]*job{}, cancels: map[string]time.Duration{}, over: map[string]time.Duration{}, parts: map[string]bool{}, pool: map[string]*worker{}, lives: map[string]int64{}}
 }
 
 // Step takes an event in and returns what is to be done.
@@ -152,6 +155,7 @@
 	}
 	next = min(next, s.due())
 	s.settle()
+	s.prune()
 	if s.inheriting && now.Steady-s.taken > s.c.Inherit {
 		s.inheriting = false
 		s.changed = true
@@ -292,10 +296,25 @@
 	return next
 }
 
+// memory is how long ended jobs and early cancels are remembered, far longer
+// than a feed lags.
+const memory = 10 * time.Minute
+
+// prune forgets what is older than the memory.
+func (s *State) prune() {
+	if s.now.Steady-s.prunedAt < memory/10 {
+		return
+	}
+	s.prunedAt = s.now.Steady
+	for _, m := range []map[string]time.Duration{s.over, s.cancels} {
+		maps.DeleteFunc(m, func(_ string, at time.Duration) bool { return s.now.Steady-at > memory })
+	}
+}
+
 // removeJob takes a job out of memory.
 func (s *State) removeJob(j *job) {
 	delete(s.jobs, j.spec.ID)
-	s.over[j.spec.ID] = true
+	s.over[j.spec.ID] = max(s.now.Steady, 1)
 	s.order = slices.DeleteFunc(s.order, func(o *job) bool { return o == j })
 }
 
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -608,8 +608,7 @@
 
 // row writes a worker's row after those before it.
 func (p *player) row(do, done func()) {
-	var next func()
-	next = func() {
+	next := func() {
 		p.store(p.owned, do, func() {
 			done()
 			p.rows = p.rows[1:]
--- a/work/record.go
+++ b/work/record.go
@@ -29,6 +29,8 @@
 type Record struct {
 	State State
 	Queue string
+	// Ended is when the job came to its end, in Unix milliseconds.
+	Ended int64 `json:",omitempty"`
 	// Pool is where the job's tasks were first started, empty before that.
 	Pool string `json:",omitempty"`
 	// Placed names the worker that was last chosen for a task, by task. It is
@@ -116,7 +118,7 @@
 // that is too large loses what it can do without.
 func (r *Record) Encode() ([]byte, error) {
 	if r.State.Final() {
-		return json.Marshal(&Record{State: r.State, Queue: r.Queue})
+		return json.Marshal(&Record{State: r.State, Queue: r.Queue, Ended: r.Ended})
 	}
 	b, err := json.Marshal(r)
 	if err != nil || len(b) <= maxRecord {
