repo, sched: Use the field's names, and drop what nothing reads

Cause: a reading as a newcomer found metaphors of our own (seat, beat, relent, meet, blames, tend) and fields that were written and never read. Ruled out: renaming record, proof and fence, which the field uses so.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -113,7 +113,7 @@
 		return int(min(max(a.Rank-b.Rank, -1), 1))
 	})
 	for _, u := range units {
-		p.relent(u)
+		p.dropAvoided(u)
 		if u.Step.Gang {
 			p.gang(u)
 		} else {
@@ -123,8 +123,8 @@
 	return p.plan
 }
 
-// relent drops what a unit avoids if it could never fit without it.
-func (p *planner) relent(u *Unit) {
+// dropAvoided drops what a unit avoids if it could never fit without it.
+func (p *planner) dropAvoided(u *Unit) {
 	if len(u.Avoid) == 0 {
 		return
 	}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -21,7 +21,7 @@
 const (
 	// startsFor is how long a decider starts tasks without proof that it
 	// still owns its pool: a successor waits longer before it takes it.
-	startsFor = repo.BeatTimeout - 200*time.Millisecond
+	startsFor = repo.HeartbeatTimeout - 200*time.Millisecond
 	// ownedFor is how long it renews leases without one.
 	ownedFor = 4 * time.Second
 	// orderAge is how old a decision may be when its order is sent: a host
@@ -49,13 +49,13 @@
 // Config is what a Decider needs.
 type Config struct {
 	Pool string
-	// Owner and Seat are what the pool was taken with.
-	Owner repo.Owner
-	Seat  *repo.Seat
+	// Owner and Ownership are what the pool was taken with.
+	Owner     repo.Owner
+	Ownership *repo.Ownership
 	// Gone says that the former decider surely gives no more orders.
 	Gone    bool
 	Store   repo.Store
-	Seats   *repo.Seats
+	Owners  *repo.Owners
 	Workers Workers
 	Rules   func() *work.Rules
 	Bounds  platform.Bounds
@@ -77,15 +77,15 @@
 	writer *repo.Writer
 	shards map[string]*shard
 
-	// proving guards the seat.
+	// proving guards the ownership.
 	proving sync.Mutex
 
-	mu        sync.Mutex
-	confirmed time.Duration
-	beats     int64
-	waiting   map[string]int
-	wg        sync.WaitGroup
-	leaving   sync.Once
+	mu         sync.Mutex
+	confirmed  time.Duration
+	heartbeats int64
+	waiting    map[string]int
+	wg         sync.WaitGroup
+	leaving    sync.Once
 
 	// listed names the workers in the registry. Only the reader of the
 	// registry uses it.
@@ -100,7 +100,7 @@
 		confirmed: timer.Boot(), waiting: map[string]int{}, listed: map[string]bool{},
 	}
 	d.ctx, d.cancel = context.WithCancel(ctx)
-	d.writer = d.newWriter(c.Seat.Owner)
+	d.writer = d.newWriter(c.Ownership.Owner)
 	d.shards = map[string]*shard{}
 	for _, p := range repo.JobParts() {
 		d.shards[p] = &shard{d: d, part: p, ended: map[string]int64{}}
@@ -142,7 +142,7 @@
 }
 
 // leaveTimeout bounds the write that gives a pool up: a host that can't tell
-// is replaced when its beats stay out.
+// is replaced when its heartbeats stay out.
 const leaveTimeout = 500 * time.Millisecond
 
 // Stop ends the decider and tells the other hosts.
@@ -152,7 +152,7 @@
 		d.wg.Wait()
 		ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 		defer cancel()
-		_, err := d.c.Seats.Beat(ctx, d.c.Seat, repo.Beat{Epoch: d.c.Owner.Epoch, Host: d.c.Owner.Host, N: -1, Left: true})
+		_, err := d.c.Owners.Heartbeat(ctx, d.c.Ownership, repo.Heartbeat{Epoch: d.c.Owner.Epoch, Host: d.c.Owner.Host, N: -1, Left: true})
 		d.log.Info().AnErr("cause", err).Msg("pool given up")
 	})
 }
@@ -171,7 +171,7 @@
 func (d *Decider) run() {
 	defer d.c.Lost(d)
 	defer d.c.Meter.Epoch.WithLabelValues(d.c.Pool).Set(0)
-	d.goes(d.beat)
+	d.goes(d.heartbeat)
 	began := timer.Boot()
 	l := d.load()
 	if l == nil {
@@ -182,7 +182,7 @@
 	inherit := lease + leaseMargin
 	if !d.c.Gone {
 		// A silent one renews leases until it can't prove its ownership.
-		inherit += ownedFor - repo.BeatTimeout
+		inherit += ownedFor - repo.HeartbeatTimeout
 	}
 	d.state = sched.New(sched.Config{
 		Pool: d.c.Pool, Epoch: d.c.Owner.Epoch, Lease: lease, StopTime: platform.Milliseconds(b.StopMS), Inherit: inherit,
@@ -332,9 +332,9 @@
 	return "other"
 }
 
-// beat proves regularly that the pool is still owned.
-func (d *Decider) beat() {
-	t := time.NewTicker(repo.BeatPeriod)
+// heartbeat proves regularly that the pool is still owned.
+func (d *Decider) heartbeat() {
+	t := time.NewTicker(repo.HeartbeatPeriod)
 	defer t.Stop()
 	for d.ctx.Err() == nil {
 		d.prove()
@@ -345,21 +345,21 @@
 	}
 }
 
-// prove writes the pool's beat, which tells the other hosts what they show of
+// prove writes the pool's heartbeat, which tells the other hosts what they show of
 // it, and returns whether that proves that the pool is still owned.
 func (d *Decider) prove() bool {
 	d.proving.Lock()
 	defer d.proving.Unlock()
 	d.mu.Lock()
-	d.beats++
-	b := repo.Beat{Epoch: d.c.Owner.Epoch, Host: d.c.Owner.Host, N: d.beats, Waiting: d.waiting}
+	d.heartbeats++
+	b := repo.Heartbeat{Epoch: d.c.Owner.Epoch, Host: d.c.Owner.Host, N: d.heartbeats, Waiting: d.waiting}
 	d.mu.Unlock()
 	sent := timer.Boot()
-	held, err := d.c.Seats.Beat(d.ctx, d.c.Seat, b)
+	held, err := d.c.Owners.Heartbeat(d.ctx, d.c.Ownership, b)
 	switch {
 	case err != nil:
 		if d.ctx.Err() == nil {
-			d.log.Warn().Err(err).Msg("beat failed")
+			d.log.Warn().Err(err).Msg("heartbeat failed")
 		}
 		return false
 	case !held:
--- a/decide/shard.go
+++ b/decide/shard.go
@@ -36,7 +36,7 @@
 // is lost.
 func (s *shard) load() {
 	for s.d.ctx.Err() == nil {
-		c, mine, err := s.d.c.Seats.Fence(s.d.ctx, s.d.c.Pool, s.part, s.d.c.Owner.Epoch)
+		c, mine, err := s.d.c.Owners.Fence(s.d.ctx, s.d.c.Pool, s.part, s.d.c.Owner.Epoch)
 		switch {
 		case err != nil:
 			s.d.log.Warn().Err(err).Str("part", s.part).Msg("part can't be taken yet")
--- a/native/harness_test.go
+++ b/native/harness_test.go
@@ -319,7 +319,7 @@
 	var found *hostProcess
 	d.await("a decider", func() bool {
 		var b struct{ Host string }
-		if json.Unmarshal(d.p.Store.Value("beats", "", "pool"), &b) != nil {
+		if json.Unmarshal(d.p.Store.Value("heartbeats", "", "pool"), &b) != nil {
 			return false
 		}
 		for _, h := range d.hosts {
--- a/native/path_test.go
+++ b/native/path_test.go
@@ -42,7 +42,7 @@
 	if s := d.hosts[0].state("/urgent/", id(99)); s != "410" {
 		t.Errorf("an unknown job is shown as %s", s)
 	}
-	// The count may be as old as the decider's last beat.
+	// The count may be as old as the decider's last heartbeat.
 	d.await("an empty queue", func() bool {
 		status, b := d.hosts[1].call(http.MethodGet, "/urgent/", key, "")
 		return status == http.StatusOK && strings.Contains(b, `"waiting":0`)
--- a/node/lead.go
+++ b/node/lead.go
@@ -26,8 +26,8 @@
 	electTimeout = 2 * time.Second
 )
 
-// beats is what a host has heard of the deciders.
-type beats struct {
+// heartbeats is what a host has heard of the deciders.
+type heartbeats struct {
 	mu    sync.Mutex
 	pools map[string]heard
 	// fresh is when the store last answered, since is when it began to answer
@@ -35,15 +35,15 @@
 	fresh, since time.Duration
 }
 
-// heard is the last beat of a pool's decider.
+// heard is the last heartbeat of a pool's decider.
 type heard struct {
-	repo.Beat
+	repo.Heartbeat
 	at time.Duration
 }
 
-func newBeats() *beats { return &beats{pools: map[string]heard{}} }
+func newHeartbeats() *heartbeats { return &heartbeats{pools: map[string]heard{}} }
 
-func (b *beats) take(rows []repo.Row) error {
+func (b *heartbeats) take(rows []repo.Row) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var failed error
@@ -51,7 +51,7 @@
 		if r.Deleted {
 			continue
 		}
-		v, err := repo.DecodeBeat(r.Value)
+		v, err := repo.DecodeHeartbeat(r.Value)
 		if err != nil {
 			failed = err
 			continue
@@ -64,11 +64,11 @@
 }
 
 // answered notes that the store answers.
-func (b *beats) answered(time.Duration) {
+func (b *heartbeats) answered(time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := timer.Boot()
-	if now-b.fresh > repo.BeatTimeout {
+	if now-b.fresh > repo.HeartbeatTimeout {
 		b.since = now
 	}
 	b.fresh = now
@@ -76,11 +76,11 @@
 
 // silent returns how long a pool's decider has been silent while the store
 // answered, and whether it has given the pool up.
-func (b *beats) silent(pool string) (time.Duration, bool) {
+func (b *heartbeats) silent(pool string) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := timer.Boot()
-	if now-b.fresh > repo.BeatTimeout {
+	if now-b.fresh > repo.HeartbeatTimeout {
 		return 0, false
 	}
 	h, ok := b.pools[pool]
@@ -88,7 +88,7 @@
 }
 
 // left reports whether the decider of an epoch has given the pool up.
-func (b *beats) left(pool string, epoch int64) bool {
+func (b *heartbeats) left(pool string, epoch int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h := b.pools[pool]
@@ -96,7 +96,7 @@
 }
 
 // waiting returns a queue's count as the pool's decider last told it.
-func (b *beats) waiting(pool, queue string) (int, bool) {
+func (b *heartbeats) waiting(pool, queue string) (int, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h, ok := b.pools[pool]
@@ -124,15 +124,15 @@
 	}
 }
 
-// followBeats follows the beats of the deciders.
-func (h *Host) followBeats(ctx context.Context) {
+// followHeartbeats follows the heartbeats of the deciders.
+func (h *Host) followHeartbeats(ctx context.Context) {
 	take := func(rows []repo.Row) {
-		if err := h.beats.take(rows); err != nil {
-			h.log.Error().Err(err).Msg("beat can't be read")
+		if err := h.heartbeats.take(rows); err != nil {
+			h.log.Error().Err(err).Msg("heartbeat can't be read")
 		}
 	}
 	f := &repo.Follower{
-		Store: h.store, Table: repo.TableBeats, Wait: feedWait, Now: timer.Boot, Listed: take, Changed: take, Confirmed: h.beats.answered,
+		Store: h.store, Table: repo.TableHeartbeats, Wait: feedWait, Now: timer.Boot, Listed: take, Changed: take, Confirmed: h.heartbeats.answered,
 	}
 	f.Run(ctx, 0)
 }
@@ -154,8 +154,8 @@
 		if c.busy || c.decider != nil || timer.Boot() < c.next {
 			continue
 		}
-		silent, left := h.beats.silent(name)
-		wait := repo.BeatTimeout
+		silent, left := h.heartbeats.silent(name)
+		wait := repo.HeartbeatTimeout
 		if left {
 			wait = 0
 		}
@@ -193,7 +193,7 @@
 func (h *Host) take(ctx context.Context, pool string, silent bool) (*decide.Decider, bool) {
 	ctx2, cancel := context.WithTimeout(ctx, electTimeout)
 	defer cancel()
-	o, version, err := h.seats.Read(ctx2, pool)
+	o, version, err := h.owners.Read(ctx2, pool)
 	if err != nil {
 		h.log.Warn().Err(err).Str("pool", pool).Msg("owner can't be read")
 		return nil, false
@@ -202,15 +202,15 @@
 		return nil, true
 	}
 	me := repo.Owner{Epoch: o.Epoch + 1, Host: h.s.Host, Boot: h.boot}
-	seat, err := h.seats.Take(ctx2, pool, me, version)
-	if seat == nil {
+	ownership, err := h.owners.Take(ctx2, pool, me, version)
+	if ownership == nil {
 		h.log.Info().AnErr("cause", err).Str("pool", pool).Msg("pool not taken")
 		return nil, true
 	}
-	gone := o.Host == h.s.Host || h.beats.left(pool, o.Epoch)
+	gone := o.Host == h.s.Host || h.heartbeats.left(pool, o.Epoch)
 	h.log.Info().Str("pool", pool).Int64("epoch", me.Epoch).Str("former", o.Host).Bool("silent", silent).Bool("gone", gone).Msg("pool taken")
 	return decide.Go(ctx, decide.Config{
-		Pool: pool, Owner: me, Seat: seat, Gone: gone, Store: h.store, Seats: h.seats, Workers: h.calls, Rules: h.gate.Rules, Bounds: h.s.Bounds,
+		Pool: pool, Owner: me, Ownership: ownership, Gone: gone, Store: h.store, Owners: h.owners, Workers: h.calls, Rules: h.gate.Rules, Bounds: h.s.Bounds,
 		Meter: h.meter, Log: h.log, Lost: h.lost,
 	}), true
 }
@@ -221,7 +221,7 @@
 	defer h.poolMu.Unlock()
 	if c := h.pools[d.Pool()]; c != nil && c.decider == d {
 		c.decider = nil
-		c.next = timer.Boot() + repo.BeatTimeout
+		c.next = timer.Boot() + repo.HeartbeatTimeout
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -53,20 +53,20 @@
 
 // Host is one host.
 type Host struct {
-	s     *platform.Settings
-	log   zerolog.Logger
-	boot  string
-	meter *meter.Host
-	store repo.Store
-	calls *platform.Workers
-	repo  *repo.Repo
-	seats *repo.Seats
-	gate  *gate.Gate
-	timer *timer.Service
+	s      *platform.Settings
+	log    zerolog.Logger
+	boot   string
+	meter  *meter.Host
+	store  repo.Store
+	calls  *platform.Workers
+	repo   *repo.Repo
+	owners *repo.Owners
+	gate   *gate.Gate
+	timer  *timer.Service
 
-	beats  *beats
-	pools  map[string]*candidate
-	poolMu sync.Mutex
+	heartbeats *heartbeats
+	pools      map[string]*candidate
+	poolMu     sync.Mutex
 
 	front, ready net.Listener
 	// metrics is nil if the settings name no port for it.
@@ -98,8 +98,8 @@
 	}
 	h.store = meteredStore{platform.NewStore(s.Store.Address), h.meter.Store}
 	h.repo = repo.New(h.store)
-	h.seats = repo.NewSeats(h.store)
-	h.beats = newBeats()
+	h.owners = repo.NewOwners(h.store)
+	h.heartbeats = newHeartbeats()
 	h.meter.WatchAge(func() float64 { return h.gate.Age().Seconds() })
 	var err error
 	if h.front, err = net.Listen("tcp", s.Listen.Front); err != nil {
@@ -153,7 +153,7 @@
 		goes(func() { serve(ready, h.metrics) })
 	}
 	goes(func() { h.followRules(ctx) })
-	goes(func() { h.followBeats(ctx) })
+	goes(func() { h.followHeartbeats(ctx) })
 	goes(func() { h.timer.Run(ctx) })
 	lead := h.timer.Every(electPeriod, func(time.Time) { h.elect(ctx, &wg) })
 	defer lead.Cancel()
@@ -288,4 +288,4 @@
 }
 
 // Waiting implements platform.Jobs.
-func (s *service) Waiting(q *work.Queue) (int, bool) { return s.h.beats.waiting(q.Pool, q.Name) }
+func (s *service) Waiting(q *work.Queue) (int, bool) { return s.h.heartbeats.waiting(q.Pool, q.Name) }
--- a/repo/jobs.go
+++ b/repo/jobs.go
@@ -22,8 +22,8 @@
 	TableCancels = "cancels"
 	// TableOwners has a row for each pool: who decides for it.
 	TableOwners = "owners"
-	// TableBeats has a row for each pool that its decider writes regularly.
-	TableBeats = "beats"
+	// TableHeartbeats has a row for each pool that its decider writes regularly.
+	TableHeartbeats = "heartbeats"
 	// TableFences has a row for each pool in each part of jobs: the epoch that
 	// may write there.
 	TableFences = "fences"
--- a/repo/owner.go
+++ b/repo/owner.go
@@ -16,8 +16,8 @@
 	Boot string
 }
 
-// Beat is the row that a decider writes regularly.
-type Beat struct {
+// Heartbeat is the row that a decider writes regularly.
+type Heartbeat struct {
 	Epoch int64
 	Host  string
 	N     int64
@@ -27,24 +27,24 @@
 	Left bool
 }
 
-// Seat is what a host holds a pool by.
-type Seat struct {
+// Ownership is what a host holds a pool by.
+type Ownership struct {
 	// Owner is the version of the owner's row: what the decider writes beside
 	// jobs is conditional on it.
 	Owner Condition
-	// Beat is the version of the last beat, which each one is conditional on.
+	// Heartbeat is the version of the last heartbeat, which each one is conditional on.
 	// Taking the pool writes both rows.
-	Beat Condition
+	Heartbeat Condition
 }
 
-// Seats reads and takes the ownership of pools.
-type Seats struct{ store Store }
+// Owners reads and takes the ownership of pools.
+type Owners struct{ store Store }
 
-// NewSeats returns Seats on a store.
-func NewSeats(s Store) *Seats { return &Seats{s} }
+// NewOwners returns Owners on a store.
+func NewOwners(s Store) *Owners { return &Owners{s} }
 
 // Read returns who decides for a pool. The version is 0 if nobody has.
-func (s *Seats) Read(ctx context.Context, pool string) (Owner, int64, error) {
+func (s *Owners) Read(ctx context.Context, pool string) (Owner, int64, error) {
 	p, err := s.store.List(ctx, TableOwners, PartOf(TableOwners, pool), pool, 1)
 	if err != nil {
 		return Owner{}, 0, fmt.Errorf("read owner: %w", err)
@@ -61,18 +61,18 @@
 
 // Take makes me the owner of a pool after the owner whose row has a version.
 // It returns nil if another host was first.
-func (s *Seats) Take(ctx context.Context, pool string, me Owner, version int64) (*Seat, error) {
+func (s *Owners) Take(ctx context.Context, pool string, me Owner, version int64) (*Ownership, error) {
 	b, err := json.Marshal(me)
 	if err != nil {
 		return nil, fmt.Errorf("encode owner: %w", err)
 	}
-	beat, err := json.Marshal(Beat{Epoch: me.Epoch, Host: me.Host})
+	heartbeat, err := json.Marshal(Heartbeat{Epoch: me.Epoch, Host: me.Host})
 	if err != nil {
-		return nil, fmt.Errorf("encode beat: %w", err)
+		return nil, fmt.Errorf("encode heartbeat: %w", err)
 	}
 	a, err := s.store.Apply(ctx, Change{
 		If:  []Condition{at(TableOwners, pool, version)},
-		Put: []Row{newRow(TableOwners, pool, b), newRow(TableBeats, pool, beat)},
+		Put: []Row{newRow(TableOwners, pool, b), newRow(TableHeartbeats, pool, heartbeat)},
 	})
 	if err == nil && !a.Applied {
 		return nil, nil
@@ -80,7 +80,7 @@
 	beatAt := a.Version
 	if err != nil {
 		// The answer is lost: the row tells, if it can be read. The version
-		// of the beat is learnt from the first try to write the next.
+		// of the heartbeat is learnt from the first try to write the next.
 		o, v, e := s.Read(ctx, pool)
 		if e != nil {
 			return nil, fmt.Errorf("take pool: %w", err)
@@ -90,34 +90,34 @@
 		}
 		a.Version, beatAt = v, 0
 	}
-	return &Seat{at(TableOwners, pool, a.Version), at(TableBeats, pool, beatAt)}, nil
+	return &Ownership{at(TableOwners, pool, a.Version), at(TableHeartbeats, pool, beatAt)}, nil
 }
 
-// Beat writes a beat and returns whether the pool is still held. The answer
+// Heartbeat writes a heartbeat and returns whether the pool is still held. The answer
 // proves it, or its opposite.
-func (s *Seats) Beat(ctx context.Context, seat *Seat, b Beat) (bool, error) {
+func (s *Owners) Heartbeat(ctx context.Context, ownership *Ownership, b Heartbeat) (bool, error) {
 	v, err := json.Marshal(b)
 	if err != nil {
-		return false, fmt.Errorf("encode beat: %w", err)
+		return false, fmt.Errorf("encode heartbeat: %w", err)
 	}
-	a, err := s.store.Apply(ctx, Change{If: []Condition{seat.Beat}, Put: []Row{newRow(TableBeats, seat.Beat.Key, v)}})
+	a, err := s.store.Apply(ctx, Change{If: []Condition{ownership.Heartbeat}, Put: []Row{newRow(TableHeartbeats, ownership.Heartbeat.Key, v)}})
 	if err != nil {
-		return true, fmt.Errorf("write beat: %w", err)
+		return true, fmt.Errorf("write heartbeat: %w", err)
 	}
 	if a.Applied {
-		seat.Beat.Version = a.Version
+		ownership.Heartbeat.Version = a.Version
 		return true, nil
 	}
 	for _, r := range a.Current {
-		if r.Table != TableBeats || r.Key != seat.Beat.Key {
+		if r.Table != TableHeartbeats || r.Key != ownership.Heartbeat.Key {
 			continue
 		}
-		c, err := DecodeBeat(r.Value)
+		c, err := DecodeHeartbeat(r.Value)
 		if err != nil {
 			return false, err
 		}
-		// An earlier beat of this epoch whose answer was lost.
-		seat.Beat.Version = r.Version
+		// An earlier heartbeat of this epoch whose answer was lost.
+		ownership.Heartbeat.Version = r.Version
 		return c.Epoch == b.Epoch, nil
 	}
 	return false, nil
@@ -129,7 +129,7 @@
 // Fence gives an epoch the right to write a part of jobs, and takes it from
 // all before. It returns the condition to write under, and false if a higher
 // epoch has the part.
-func (s *Seats) Fence(ctx context.Context, pool, part string, epoch int64) (Condition, bool, error) {
+func (s *Owners) Fence(ctx context.Context, pool, part string, epoch int64) (Condition, bool, error) {
 	p, err := s.store.List(ctx, TableFences, part, pool, 1)
 	if err != nil {
 		return Condition{}, false, fmt.Errorf("read fence: %w", err)
@@ -165,18 +165,18 @@
 // read again.
 var errFenceRace = errors.New("the fence has changed")
 
-// DecodeBeat reads a row of TableBeats.
-func DecodeBeat(b []byte) (Beat, error) {
-	var v Beat
+// DecodeHeartbeat reads a row of TableHeartbeats.
+func DecodeHeartbeat(b []byte) (Heartbeat, error) {
+	var v Heartbeat
 	if err := json.Unmarshal(b, &v); err != nil {
-		return Beat{}, fmt.Errorf("decode beat: %w", err)
+		return Heartbeat{}, fmt.Errorf("decode heartbeat: %w", err)
 	}
 	return v, nil
 }
 
-// BeatPeriod is how often a decider writes its row, BeatTimeout how long it
+// HeartbeatPeriod is how often a decider writes its row, HeartbeatTimeout how long it
 // may be silent before another host takes the pool.
 const (
-	BeatPeriod  = 400 * time.Millisecond
-	BeatTimeout = 1300 * time.Millisecond
+	HeartbeatPeriod  = 400 * time.Millisecond
+	HeartbeatTimeout = 1300 * time.Millisecond
 )
--- a/repo/store_test.go
+++ b/repo/store_test.go
@@ -180,7 +180,7 @@
 // newTestWriter returns a writer of the part that jobID is in.
 func newTestWriter(t *testing.T, m *memory) (*Writer, *bool) {
 	part := PartOf(TableRecords, jobID)
-	c, mine, err := NewSeats(m).Fence(context.Background(), "pool", part, 3)
+	c, mine, err := NewOwners(m).Fence(context.Background(), "pool", part, 3)
 	if err != nil || !mine {
 		t.Fatal(mine, err)
 	}
@@ -251,7 +251,7 @@
 	m := newMemory()
 	w, deposed := newTestWriter(t, m)
 	settle(w, "mine")
-	s := NewSeats(m)
+	s := NewOwners(m)
 	part := PartOf(TableRecords, jobID)
 	if _, mine, err := s.Fence(context.Background(), "pool", part, 4); err != nil || !mine {
 		t.Fatal(mine, err)
@@ -264,15 +264,15 @@
 	}
 }
 
-// TestTakeAndBeat plays two hosts that want one pool, and lost answers.
-func TestTakeAndBeat(t *testing.T) {
+// TestTakeAndHeartbeat plays two hosts that want one pool, and lost answers.
+func TestTakeAndHeartbeat(t *testing.T) {
 	m := newMemory()
-	s := NewSeats(m)
+	s := NewOwners(m)
 	ctx := context.Background()
 	a, b := Owner{1, "a", "x"}, Owner{1, "b", "y"}
 	m.spoil = func(int, Change) (bool, error) { return true, errLost }
-	seat, err := s.Take(ctx, "pool", a, 0)
-	if err != nil || seat == nil {
+	ownership, err := s.Take(ctx, "pool", a, 0)
+	if err != nil || ownership == nil {
 		t.Fatal("a lost answer wasn't settled:", err)
 	}
 	m.spoil = nil
@@ -280,15 +280,15 @@
 		t.Error("two hosts have the pool:", err)
 	}
 	for n := range 3 {
-		if held, err := s.Beat(ctx, seat, Beat{Epoch: 1, Host: "a", N: int64(n)}); !held || err != nil {
-			t.Error("the owner's beat:", held, err)
+		if held, err := s.Heartbeat(ctx, ownership, Heartbeat{Epoch: 1, Host: "a", N: int64(n)}); !held || err != nil {
+			t.Error("the owner's heartbeat:", held, err)
 		}
 	}
 	m.spoil = func(int, Change) (bool, error) { return true, errLost }
-	s.Beat(ctx, seat, Beat{Epoch: 1, Host: "a", N: 8})
+	s.Heartbeat(ctx, ownership, Heartbeat{Epoch: 1, Host: "a", N: 8})
 	m.spoil = nil
-	if held, _ := s.Beat(ctx, seat, Beat{Epoch: 1, Host: "a", N: 9}); !held {
-		t.Error("a beat whose answer was lost has cost the pool")
+	if held, _ := s.Heartbeat(ctx, ownership, Heartbeat{Epoch: 1, Host: "a", N: 9}); !held {
+		t.Error("a heartbeat whose answer was lost has cost the pool")
 	}
 	_, v, err := s.Read(ctx, "pool")
 	if err != nil {
@@ -297,7 +297,7 @@
 	if next, err := s.Take(ctx, "pool", Owner{2, "b", "y"}, v); next == nil {
 		t.Fatal("a successor can't take the pool:", err)
 	}
-	if held, _ := s.Beat(ctx, seat, Beat{Epoch: 1, Host: "a", N: 10}); held {
+	if held, _ := s.Heartbeat(ctx, ownership, Heartbeat{Epoch: 1, Host: "a", N: 10}); held {
 		t.Error("a former owner believes that it has the pool")
 	}
 }
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -108,7 +108,6 @@
 	}
 	s.compare(w, e)
 	s.moveSlow(w)
-	w.heldAt = e.Call.Sent
 	if len(w.ends) > 0 {
 		w.nextHold = s.now.Steady + savePause
 	}
@@ -170,9 +169,9 @@
 	return j
 }
 
-// meet matches a job that has just become known with what workers have listed
+// match matches a job that has just become known with what workers have listed
 // of it before.
-func (s *State) meet(j *job) {
+func (s *State) match(j *job) {
 	for _, id := range s.names {
 		w := s.pool[id]
 		for i := range w.ends {
@@ -286,7 +285,7 @@
 		}
 		seen[x.Task] = true
 		if x.Saved != "" && x.Saved != r.saved {
-			r.saved, r.savedAt = x.Saved, s.now.Steady
+			r.saved = x.Saved
 		}
 		r.measure(s.now.Steady, x.Percent)
 		if r.phase == starting {
--- a/sched/job.go
+++ b/sched/job.go
@@ -47,8 +47,6 @@
 	stuck  bool
 	// wasAt is the reading before mark, slowAt since when the run is slow.
 	wasAt, slowAt time.Duration
-	// savedAt is when saved last changed.
-	savedAt time.Duration
 }
 
 // loss returns the core-seconds that a stop throws away.
@@ -209,7 +207,7 @@
 	}
 	s.changed = true
 	s.note(j, nil, nil, "job taken in")
-	s.meet(j)
+	s.match(j)
 	if s.cancels[j.spec.ID] > 0 {
 		delete(s.cancels, j.spec.ID)
 		s.finish(j, work.Canceled)
--- a/sched/place.go
+++ b/sched/place.go
@@ -98,7 +98,7 @@
 			if st.spec.SameRack {
 				u.Rack = t.run.w.Rack
 			}
-		case s.hidden(t):
+		case s.maybeRunning(t):
 			if st.spec.Gang {
 				return nil
 			}
@@ -144,7 +144,7 @@
 			st.last = n
 		}
 		w := s.pool[p.Worker]
-		r := &run{id: t.id(), n: n, task: t, w: w, demand: st.spec.Counted(), saved: saved, since: s.now.Steady, savedAt: s.now.Steady}
+		r := &run{id: t.id(), n: n, task: t, w: w, demand: st.spec.Counted(), saved: saved, since: s.now.Steady}
 		t.run, t.last, t.inherited = r, n, false
 		w.runs[r.id] = r
 		w.used = w.used.Plus(r.demand)
--- a/sched/speed.go
+++ b/sched/speed.go
@@ -77,7 +77,7 @@
 		if r.slowAt == 0 {
 			r.slowAt = r.wasAt
 		}
-		if r.task.moves >= maxMoves || !s.worthMoving(r) || !s.blames(r, v) {
+		if r.task.moves >= maxMoves || !s.worthMoving(r) || !s.workerAtFault(r, v) {
 			continue
 		}
 		s.note(r.task.step.job, w, r, "run is slow here and moves")
@@ -105,9 +105,9 @@
 	return rest > again+moveCost.Seconds()
 }
 
-// blames reports whether a slow run's worker is at fault: other jobs are slow
+// workerAtFault reports whether a slow run's worker is at fault: other jobs are slow
 // there too, or the same step's tasks are faster elsewhere, or nothing moves.
-func (s *State) blames(r *run, v float64) bool {
+func (s *State) workerAtFault(r *run, v float64) bool {
 	var here, elsewhere []float64
 	for _, o := range s.runsOf(r.w) {
 		if o.task == nil || o.task.step.job == r.task.step.job {
--- a/sched/state.go
+++ b/sched/state.go
@@ -151,7 +151,7 @@
 	s.out = nil
 	next := now.Steady + time.Second
 	for _, id := range s.names {
-		next = min(next, s.tend(s.pool[id]))
+		next = min(next, s.maintain(s.pool[id]))
 	}
 	next = min(next, s.due())
 	s.settle()
@@ -256,9 +256,9 @@
 	s.do(n)
 }
 
-// hidden reports whether a former decider's run of a task may be at work on a
+// maybeRunning reports whether a former decider's run of a task may be at work on a
 // worker that can't be asked yet.
-func (s *State) hidden(t *task) bool {
+func (s *State) maybeRunning(t *task) bool {
 	if !s.inheriting || !t.inherited {
 		return false
 	}
--- a/sched/types.go
+++ b/sched/types.go
@@ -24,8 +24,6 @@
 	// Born tells the worker's lives apart, in Unix milliseconds.
 	Born     int64
 	Draining bool
-	// Remaining is how long a draining worker is there at least, 0 if unknown.
-	Remaining time.Duration
 }
 
 // Event is something that happened: one of the types below.
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -32,10 +32,9 @@
 	// leaseEnd is when all that runs there is dead unless renewed.
 	leaseEnd time.Duration
 
-	// holding says that a Hold has no answer yet. heldAt is when the last
-	// answered one was sent, nextHold the earliest time of the next.
+	// holding says that a Hold has no answer yet, nextHold is the earliest
+	// time of the next.
 	holding  bool
-	heldAt   time.Duration
 	nextHold time.Duration
 	// silent counts the calls in a row without an answer.
 	silent int
@@ -140,9 +139,9 @@
 	return !w.listed || w.gone || w.Draining || !w.synced || s.ownedAt <= w.syncedAt || w.silent > 0 || s.now.Steady < w.closedUntil
 }
 
-// tend looks after the orders and the lease of a worker, and returns when it
+// maintain looks after the orders and the lease of a worker, and returns when it
 // wants to be called again.
-func (s *State) tend(w *worker) time.Duration {
+func (s *State) maintain(w *worker) time.Duration {
 	now := s.now.Steady
 	next := now + time.Second
 	if len(w.runs) > 0 && w.leaseEnd > 0 && now >= w.leaseEnd && w.silent > 0 {
@@ -268,7 +267,7 @@
 func (s *State) sendStart(r *run) {
 	w := r.w
 	if s.limits.NoStarts || s.limits.NoOrders || w.clockMS == 0 {
-		// The order stays due: tend sends it when it may.
+		// The order stays due: maintain sends it when it may.
 		r.phase, r.waiting, r.sent = starting, true, s.now.Steady
 		return
 	}
@@ -329,7 +328,6 @@
 	switch e.Outcome {
 	case Accepted:
 		r.phase, r.waiting, r.settled = working, false, s.now.Steady
-		r.savedAt = s.now.Steady
 		s.begun(r)
 	case NoAnswer, NotSent, Fenced:
 		// The order may have been carried out: the same one is sent again, or
--- a/work/job.go
+++ b/work/job.go
@@ -145,16 +145,6 @@
 	return longest
 }
 
-// Lasts reports whether a job ends by being cancelled only.
-func (j *Job) Lasts() bool {
-	for i := range j.Steps {
-		if j.Steps[i].LongRunning {
-			return true
-		}
-	}
-	return false
-}
-
 var idPattern = regexp.MustCompile(`^[0-9a-fA-F]{16}$`)
 
 // ValidID reports whether s can name a job: 16 hexadecimal digits.
