native: Let urgent work of tests not depend on the machine's speed

Cause: two checks were timed. TestDeciderDies wanted each task to start once, but its urgent job asked for accelerators while batch work held all of them: if the first tasks ended one worker at a time, the urgent job arrived while the pool was full and rightly stopped two of the tasks that had just begun (the log of a failing run: tasks 12 and 13 placed, "stopped for more urgent work", placed again). TestPreemption wanted the urgent gang to be done before batch work of 3 s was, which a busy machine may miss. Ruled out: a second run by the former decider (all starts in the log are the successor's), a stop by the takeover itself. Change: the urgent job of TestDeciderDies needs no accelerators, the check stays as it was; the batch work of TestPreemption lasts an hour until the test ends it, so nothing but preemption lets the gang run, and all of it must run again and be done. Logs of the hosts are shown whenever a test fails.

--- a/fakes/model/model.go
+++ b/fakes/model/model.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -156,6 +157,17 @@
 	}
 }
 
+// Finish makes all that is at work of a job come to its end at once.
+func (c *Cluster) Finish(job string) {
+	for _, w := range c.Workers {
+		for _, p := range w.runs {
+			if strings.HasPrefix(p.Task, job+".") {
+				p.had = p.shape.Work
+			}
+		}
+	}
+}
+
 // Up reports whether the worker lives.
 func (w *Worker) Up() bool { return w.up }
 
--- a/native/harness_test.go
+++ b/native/harness_test.go
@@ -11,7 +11,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -63,6 +62,8 @@
 	hosts   []*hostProcess
 	version int64
 	racks   map[string]string
+	// dir holds the hosts' settings and logs.
+	dir string
 	// status is how long hosts show ended jobs at least.
 	status time.Duration
 }
@@ -86,12 +87,15 @@
 
 // deployFor is deploy with a time for which ended jobs are shown at least.
 func deployFor(t *testing.T, hosts, workers int, status time.Duration) *deployment {
-	d := &deployment{t: t, p: plat.New("pool", bounds), racks: map[string]string{}, status: status}
+	d := &deployment{t: t, p: plat.New("pool", bounds), racks: map[string]string{}, dir: t.TempDir(), status: status}
 	t.Cleanup(func() {
 		for _, h := range d.hosts {
 			h.kill()
 		}
 		d.p.Close()
+		if t.Failed() {
+			d.showLogs()
+		}
 	})
 	for i := range workers {
 		d.addWorker(fmt.Sprintf("w%d", i), 1)
@@ -153,7 +157,7 @@
 func (d *deployment) addHost(name string) *hostProcess {
 	door, store, err := d.p.Open(uint64(len(d.hosts) + 1))
 	must(d.t, err)
-	h := &hostProcess{name: name, door: door, file: filepath.Join(d.t.TempDir(), name+".yaml")}
+	h := &hostProcess{name: name, door: door, file: filepath.Join(d.dir, name+".yaml")}
 	h.front, h.ready = addresses(d.t, hostsMade.Add(1))
 	s := fmt.Sprintf(`node: %q
 zone: "z"
@@ -196,14 +200,20 @@
 			return
 		}
 	}
+	d.t.Fatalf("%s: not within %v", what, patience)
+}
+
+// showLogs prints what the hosts wrote: a failure that shows once must be
+// traceable.
+func (d *deployment) showLogs() {
 	for _, h := range d.hosts {
 		b, err := os.ReadFile(h.file + ".log")
-		if err == nil {
-			l := strings.Split(string(b), "\n")
-			d.t.Logf("%s:\n%s", h.name, strings.Join(l[max(len(l)-40, 0):], "\n"))
+		if err != nil {
+			d.t.Logf("%s: log can't be read: %v", h.name, err)
+			continue
 		}
+		d.t.Logf("%s:\n%s", h.name, b)
 	}
-	d.t.Fatalf("%s: not within %v", what, patience)
 }
 
 func (d *deployment) awaitReady(h *hostProcess) {
--- a/native/path_test.go
+++ b/native/path_test.go
@@ -97,29 +97,33 @@
 	d.await(fmt.Sprint(n, " starts"), func() bool { return d.starts(w) == n })
 }
 
-// TestPreemption lets an urgent gang take the room of batch work.
+// TestPreemption lets an urgent gang take the room of batch work that never
+// ends by itself; what was stopped for it starts again.
 func TestPreemption(t *testing.T) {
 	t.Parallel()
 	d := deploy(t, 2, 2)
 	w := d.watch()
-	d.submit(id(1), "/batch/", job(tasks(8, 3*time.Second)))
+	d.submit(id(1), "/batch/", job(tasks(8, time.Hour)))
 	d.awaitStarts(w, 8)
 	gang := step{shape: model.Shape{Work: 100 * time.Millisecond, Gang: 2, CPU: 1000, Memory: 1000, Accelerators: 4}, count: 2}
 	d.submit(id(2), "/urgent/", job(gang))
 	d.awaitState("/urgent/", id(2), "succeeded")
-	var batch int
-	d.p.Lock(func(*model.Cluster) {
-		for n := range w.done {
-			if strings.HasPrefix(n, id(1)) {
-				batch++
+	d.await("the batch work's return", func() bool {
+		n := 0
+		d.p.Lock(func(*model.Cluster) {
+			for task, at := range w.active {
+				if at && strings.HasPrefix(task, id(1)) {
+					n++
+				}
 			}
-		}
+		})
+		return n == 8
 	})
-	if batch == 8 {
-		t.Error("the urgent gang waited until the batch work was done")
-	}
+	d.p.Lock(func(c *model.Cluster) { c.Finish(id(1)) })
 	d.awaitState("/batch/", id(1), "succeeded")
-	d.check(w)
+	if n := d.check(w); n != 10 {
+		t.Errorf("%d tasks are done, not 10", n)
+	}
 }
 
 // TestDeciderDies kills, stops and freezes the host that decides while tasks
@@ -153,7 +157,9 @@
 			d.submit(id(1), "/batch/", job(tasks(16, 1500*time.Millisecond)))
 			d.awaitStarts(w, 12)
 			c.do(d, d.decider())
-			d.submit(id(2), "/urgent/", job(tasks(2, 100*time.Millisecond)))
+			// It needs no accelerators, so nothing is stopped for it.
+			beside := step{shape: model.Shape{Work: 100 * time.Millisecond, CPU: 1000, Memory: 1000}, count: 2}
+			d.submit(id(2), "/urgent/", job(beside))
 			d.awaitState("/urgent/", id(2), "succeeded")
 			d.awaitState("/batch/", id(1), "succeeded")
 			if n := d.check(w); n != 18 {
