relay, node: Reach the store through other hosts, and take changed settings

Cause: a host that the store turned away, or that was cut off from it alone, refused its clients after 2.5 s, and a decider there lost its pool: some 2 s without starts each time. SIGHUP and a changed settings file had no effect before the next start. Change: package relay is the store as a host sees it: directly, and after two failed calls in a row through a host that the store answers, by yamux and protobuf. The settings file is looked at each second and on SIGHUP; bounds, the store's address and the memory's bound hold at once. TestTurnedAway, run with a host that knew no other host, failed (no submission was taken there in 60 s); with the others known it passes.

--- a/cmds/node.go
+++ b/cmds/node.go
@@ -40,7 +40,7 @@
 	w := logs.NewWriter(a.out)
 	defer w.Close()
 	log := zerolog.New(w).Level(zerolog.InfoLevel).With().Timestamp().Logger()
-	h, err := node.New(node.Config{Settings: s, Log: log, Dropped: w.Dropped})
+	h, err := node.New(node.Config{Settings: s, File: file, Log: log, Dropped: w.Dropped})
 	if err != nil {
 		return &exitError{ExitFailed, err}
 	}
@@ -53,7 +53,7 @@
 				h.Drain()
 				continue
 			}
-			reload(file, log)
+			h.Reload(true)
 		}
 	}()
 	if err := h.Run(context.Background()); err != nil {
@@ -61,13 +61,3 @@
 	}
 	return nil
 }
-
-// reload checks a settings file that has changed. What a host takes from it
-// holds from its next start.
-func reload(file string, log zerolog.Logger) {
-	if _, err := platform.LoadSettings(file); err != nil {
-		log.Error().Err(err).Msg("changed settings have faults; the former ones stay in force")
-		return
-	}
-	log.Info().Msg("settings read again; addresses and bounds hold from the next start")
-}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -160,6 +160,26 @@
 // RulesChanged passes a configuration on.
 func (d *Decider) RulesChanged(r *work.Rules) { d.tell(sched.RulesChanged{Rules: r}) }
 
+// BoundsChanged passes changed bounds on.
+func (d *Decider) BoundsChanged(b platform.Bounds) {
+	d.mu.Lock()
+	d.c.Bounds = b
+	d.mu.Unlock()
+	d.tell(sched.BoundsChanged{Bounds: schedBounds(b)})
+}
+
+// bounds returns the platform's bounds in force.
+func (d *Decider) bounds() platform.Bounds {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.c.Bounds
+}
+
+// schedBounds converts the platform's bounds.
+func schedBounds(b platform.Bounds) sched.Bounds {
+	return sched.Bounds{Lease: platform.Milliseconds(b.MaxHoldMS) - leaseMargin, StopTime: platform.Milliseconds(b.StopMS), FarFactor: b.FarFactor}
+}
+
 func (d *Decider) tell(e sched.Event) {
 	select {
 	case d.events <- e:
@@ -177,16 +197,15 @@
 	if l == nil {
 		return
 	}
-	b := d.c.Bounds
-	lease := platform.Milliseconds(b.MaxHoldMS) - leaseMargin
-	inherit := lease + leaseMargin
+	b := schedBounds(d.bounds())
+	inherit := b.Lease + leaseMargin
 	if !d.c.Gone {
 		// A silent one renews leases until it can't prove its ownership.
 		inherit += ownedFor - repo.HeartbeatTimeout
 	}
 	d.state = sched.New(sched.Config{
-		Pool: d.c.Pool, Epoch: d.c.Owner.Epoch, Lease: lease, StopTime: platform.Milliseconds(b.StopMS), Inherit: inherit,
-		FarFactor: b.FarFactor, PartOf: func(id string) string { return repo.PartOf(repo.TableJobs, id) },
+		Pool: d.c.Pool, Epoch: d.c.Owner.Epoch, Bounds: b, Inherit: inherit,
+		PartOf: func(id string) string { return repo.PartOf(repo.TableJobs, id) },
 	}, d.clock(), d.c.Rules())
 	var first []sched.Effect
 	for _, e := range l.events {
@@ -307,7 +326,7 @@
 // sweep removes records once they need not be shown any more.
 func (d *Decider) sweep() {
 	// Twice the platform's bound, as clocks differ.
-	keep := max(2*platform.Seconds(d.c.Bounds.StatusS), minKeep)
+	keep := max(2*platform.Seconds(d.bounds().StatusS), minKeep)
 	t := time.NewTicker(keep / 4)
 	defer t.Stop()
 	for {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -68,6 +68,14 @@
 	}
 }
 
+// Limit changes how old a confirmation may be, as MaxAge and ReadyAge of the
+// configuration say.
+func (g *Gate) Limit(maxAge, readyAge time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.c.MaxAge, g.c.ReadyAge = maxAge, readyAge
+}
+
 // Drain makes the gate want no new connections. Calls still pass.
 func (g *Gate) Drain() {
 	g.mu.Lock()
@@ -112,13 +120,13 @@
 func (g *Gate) Admit(host, path, key string) Admission {
 	g.mu.RLock()
 	r, age := g.rules, g.c.Now()-g.confirmed
-	known := g.known
+	known, maxAge := g.known, g.c.MaxAge
 	g.mu.RUnlock()
 	if r == nil || !known {
 		return Admission{Verdict: NotReady}
 	}
 	a := Admission{Version: r.Version, Age: age, Limits: r.Limits, Verdict: Pass}
-	if age > g.c.MaxAge {
+	if age > maxAge {
 		a.Verdict = NotReady
 		return a
 	}
--- a/meter/host.go
+++ b/meter/host.go
@@ -17,6 +17,8 @@
 	Refused *prometheus.CounterVec
 	// Store counts calls of the platform's store, by call and outcome.
 	Store *prometheus.CounterVec
+	// Relayed counts calls of the store that went through other hosts.
+	Relayed *prometheus.CounterVec
 	// Orders counts calls of workers, by kind and outcome.
 	Orders *prometheus.CounterVec
 	Epoch  *prometheus.GaugeVec
@@ -44,6 +46,7 @@
 		Refused:  s.counters("refused_total", "Calls of clients turned away, by reason.", "reason"),
 		Orders:   s.counters("worker_orders_total", "Calls of workers, by outcome.", "order", "outcome"),
 		Store:    s.counters("store_calls_total", "Calls of the platform's store, by outcome.", "call", "outcome"),
+		Relayed:  s.counters("store_calls_relayed_total", "Calls of the platform's store through other hosts, by outcome.", "outcome"),
 		Ends:     s.counters("run_ends_total", "Runs of tasks by how they ended.", "how"),
 		Wait:     s.histograms("first_start_seconds", "Time from a job's acceptance to its first start.", "queue"),
 		Epoch:    s.gauges("pool_epoch", "Epoch under which this host decides for a pool, 0 if it doesn't.", "pool"),
--- a/native/harness_test.go
+++ b/native/harness_test.go
@@ -11,6 +11,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -72,10 +74,13 @@
 type hostProcess struct {
 	name         string
 	front, ready string
-	door         *plat.Door
-	file         string
-	cmd          *exec.Cmd
-	ended        chan struct{}
+	control      string
+	// store is the address of the host's door.
+	store string
+	door  *plat.Door
+	file  string
+	cmd   *exec.Cmd
+	ended chan struct{}
 }
 
 var bounds = model.Bounds{MaxHold: 10 * time.Second, StopTime: 200 * time.Millisecond, GangTimeout: 3 * time.Second}
@@ -104,6 +109,10 @@
 	for i := range hosts {
 		d.addHost(fmt.Sprintf("host-%d", i))
 	}
+	for _, h := range d.hosts {
+		d.write(h, 5000)
+		d.start(h)
+	}
 	for _, h := range d.hosts {
 		d.awaitReady(h)
 	}
@@ -139,37 +148,49 @@
 // hostsMade counts the hosts of all tests.
 var hostsMade atomic.Int32
 
-// addresses returns two addresses of a host's own on loopback: no other
+// addresses returns three addresses of a host's own on loopback: no other
 // listener and no connection takes its ports meanwhile, nor while the host
 // restarts.
-func addresses(t testing.TB, host int32) (string, string) {
+func addresses(t testing.TB, host int32) [3]string {
 	ip := fmt.Sprintf("127.77.%d.%d:0", host/250, host%250+1)
-	a, err := net.Listen("tcp", ip)
-	must(t, err)
-	defer a.Close()
-	b, err := net.Listen("tcp", ip)
-	must(t, err)
-	defer b.Close()
-	return a.Addr().String(), b.Addr().String()
+	var l [3]string
+	for i := range l {
+		a, err := net.Listen("tcp", ip)
+		must(t, err)
+		defer a.Close()
+		l[i] = a.Addr().String()
+	}
+	return l
 }
 
-// addHost starts a host of its own name and ports.
-func (d *deployment) addHost(name string) *hostProcess {
+// addHost adds a host of its own name and ports.
+func (d *deployment) addHost(name string) {
 	door, store, err := d.p.Open(uint64(len(d.hosts) + 1))
 	must(d.t, err)
-	h := &hostProcess{name: name, door: door, file: filepath.Join(d.dir, name+".yaml")}
-	h.front, h.ready = addresses(d.t, hostsMade.Add(1))
+	h := &hostProcess{name: name, door: door, store: store, file: filepath.Join(d.dir, name+".yaml")}
+	l := addresses(d.t, hostsMade.Add(1))
+	h.front, h.ready, h.control = l[0], l[1], l[2]
+	d.hosts = append(d.hosts, h)
+}
+
+// write writes a host's settings, with the bound for revoked keys.
+func (d *deployment) write(h *hostProcess, revokeMS int) {
+	var seeds []string
+	for _, o := range d.hosts {
+		if o == h {
+			continue
+		}
+		seeds = append(seeds, strconv.Quote(o.control))
+	}
 	s := fmt.Sprintf(`node: %q
 zone: "z"
-listen: {front: %q, ready: %q}
+listen: {front: %q, ready: %q, control: %q}
+seeds: [%s]
 limits: {memory-mb: 300}
-bounds: {config-apply-ms: 2000, strict-revoke: true, revoke-ms: 5000, drain-ms: 2000, grace-s: 6, max-hold-ms: 10000, stop-ms: 200, far-factor: 3, status_s: %g}
+bounds: {config-apply-ms: 2000, strict-revoke: true, revoke-ms: %d, drain-ms: 2000, grace-s: 6, max-hold-ms: 10000, stop-ms: 200, far-factor: 3, status_s: %g}
 platform: {address: %q, form: "table"}
-`, name, h.front, h.ready, d.status.Seconds(), store)
+`, h.name, h.front, h.ready, h.control, strings.Join(seeds, ", "), revokeMS, d.status.Seconds(), h.store)
 	must(d.t, os.WriteFile(h.file, []byte(s), 0o600))
-	d.hosts = append(d.hosts, h)
-	d.start(h)
-	return h
 }
 
 // start starts a host's process.
--- /dev/null
+++ b/native/relay_test.go
@@ -0,0 +1,97 @@
+package native
+
+import (
+	"bytes"
+	"net/http"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"citronbridge/fakes/plat"
+)
+
+// TestTurnedAway lets the store turn one host away in each of its ways: the
+// host serves on through the others, adopts what the operator changes, and a
+// decider keeps its pool.
+func TestTurnedAway(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name    string
+		trouble plat.Trouble
+	}{
+		{"refused", plat.Trouble{Status: http.StatusServiceUnavailable}},
+		{"too many", plat.Trouble{Status: http.StatusTooManyRequests}},
+		{"silent", plat.Trouble{Silent: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t, 3, 3)
+			w := d.watch()
+			h := d.decider()
+			h.door.Set(c.trouble)
+			d.await("a submission there", func() bool {
+				status, _ := h.call(http.MethodPost, "/batch/"+id(1), key, job(tasks(4, 50*time.Millisecond)))
+				return status == http.StatusOK
+			})
+			d.await("the end there", func() bool { return h.state("/batch/", id(1)) == "succeeded" })
+			d.configure(map[string]any{"name": "tenant-a", "api-keys": []string{"another-key"}, "guaranteed": map[string]int{"gpu": 4}})
+			d.await("the revoked key's refusal", func() bool {
+				status, _ := h.call(http.MethodGet, "/batch/"+id(1), key, "")
+				return status == http.StatusUnauthorized
+			})
+			d.await("the new key's call", func() bool {
+				status, _ := h.call(http.MethodDelete, "/batch/"+id(1), "another-key", "")
+				return status == http.StatusOK
+			})
+			d.awaitReady(h)
+			h.door.Set(plat.Trouble{})
+			if n := d.check(w); n != 4 {
+				t.Errorf("%d tasks are done, not 4", n)
+			}
+		})
+	}
+}
+
+// logged reports whether the host's log has a text.
+func (h *hostProcess) logged(text string) bool {
+	b, err := os.ReadFile(h.file + ".log")
+	return err == nil && bytes.Contains(b, []byte(text))
+}
+
+// TestSettingsChange changes a host's settings file with and without a signal:
+// what it says holds at once, and settings with faults change nothing.
+func TestSettingsChange(t *testing.T) {
+	t.Parallel()
+	for _, signal := range []bool{true, false} {
+		d := deploy(t, 1, 1)
+		h := d.hosts[0]
+		door, store, err := d.p.Open(9)
+		must(t, err)
+		tell := func() {
+			if signal {
+				h.signal(t, syscall.SIGHUP)
+			}
+		}
+		must(t, os.WriteFile(h.file, []byte("node: ''\n"), 0o600))
+		tell()
+		d.await("the refusal of bad settings", func() bool { return h.logged("changed settings have faults") })
+		// The store's new address takes over from the former one.
+		h.store = store
+		d.write(h, 5000)
+		tell()
+		d.await("the settings in force", func() bool { return h.logged("settings are in force") })
+		h.door.Set(plat.Trouble{Status: http.StatusServiceUnavailable})
+		d.submit(id(1), "/batch/", job(tasks(1, 20*time.Millisecond)))
+		d.awaitState("/batch/", id(1), "succeeded")
+		// A bound for revoked keys below the age of any confirmation lets no
+		// call pass.
+		d.write(h, 401)
+		tell()
+		d.await("calls that don't pass", func() bool {
+			status, _ := h.call(http.MethodGet, "/batch/"+id(1), key, "")
+			return status == http.StatusServiceUnavailable
+		})
+		door.Set(plat.Trouble{})
+	}
+}
--- a/node/lead.go
+++ b/node/lead.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"citronbridge/decide"
+	"citronbridge/platform"
 	"citronbridge/repo"
 	"citronbridge/timer"
 	"citronbridge/work"
@@ -124,6 +125,13 @@
 	}
 }
 
+// tellBounds passes changed bounds on to the pool's decider, if it is here.
+func (c *candidate) tellBounds(b platform.Bounds) {
+	if c.decider != nil {
+		c.decider.BoundsChanged(b)
+	}
+}
+
 // followHeartbeats follows the heartbeats of the deciders.
 func (h *Host) followHeartbeats(ctx context.Context) {
 	take := func(rows []repo.Row) {
@@ -159,7 +167,7 @@
 		if left {
 			wait = 0
 		}
-		spread := time.Duration(xxhash.Sum64String(h.s.Host+"/"+name) % uint64(stagger))
+		spread := time.Duration(xxhash.Sum64String(h.now().Host+"/"+name) % uint64(stagger))
 		if c.looked && silent < wait+spread {
 			continue
 		}
@@ -198,19 +206,19 @@
 		h.log.Warn().Err(err).Str("pool", pool).Msg("owner can't be read")
 		return nil, false
 	}
-	if version != 0 && !silent && o.Host != h.s.Host {
+	if version != 0 && !silent && o.Host != h.now().Host {
 		return nil, true
 	}
-	me := repo.Owner{Epoch: o.Epoch + 1, Host: h.s.Host, Boot: h.boot}
+	me := repo.Owner{Epoch: o.Epoch + 1, Host: h.now().Host, Boot: h.boot}
 	ownership, err := h.owners.Take(ctx2, pool, me, version)
 	if ownership == nil {
 		h.log.Info().AnErr("cause", err).Str("pool", pool).Msg("pool not taken")
 		return nil, true
 	}
-	gone := o.Host == h.s.Host || h.heartbeats.left(pool, o.Epoch)
+	gone := o.Host == h.now().Host || h.heartbeats.left(pool, o.Epoch)
 	h.log.Info().Str("pool", pool).Int64("epoch", me.Epoch).Str("former", o.Host).Bool("silent", silent).Bool("gone", gone).Msg("pool taken")
 	return decide.Go(ctx, decide.Config{
-		Pool: pool, Owner: me, Ownership: ownership, Gone: gone, Store: h.store, Owners: h.owners, Workers: h.calls, Rules: h.gate.Rules, Bounds: h.s.Bounds,
+		Pool: pool, Owner: me, Ownership: ownership, Gone: gone, Store: h.store, Owners: h.owners, Workers: h.calls, Rules: h.gate.Rules, Bounds: h.now().Bounds,
 		Meter: h.meter, Log: h.log, Lost: h.lost,
 	}), true
 }
--- a/node/node.go
+++ b/node/node.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"os"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +21,7 @@
 	"citronbridge/gate"
 	"citronbridge/meter"
 	"citronbridge/platform"
+	"citronbridge/relay"
 	"citronbridge/repo"
 	"citronbridge/timer"
 	"citronbridge/work"
@@ -48,12 +48,18 @@
 	maxHeader     = 32 << 10
 )
 
-// memoryShare is the part of the memory's bound that the runtime aims for.
-const memoryShare = 0.7
-
 // Host is one host.
 type Host struct {
-	s      *platform.Settings
+	settings atomic.Pointer[platform.Settings]
+	// file is where the settings come from, empty if they don't change.
+	file string
+	// reloading guards read, the version that was read last.
+	reloading sync.Mutex
+	read      fileVersion
+	// direct is the store at the settings' address, store the same or, while
+	// it turns this host away, other hosts' way to it.
+	direct *platform.Store
+	relay  *relay.Relay
 	log    zerolog.Logger
 	boot   string
 	meter  *meter.Host
@@ -79,7 +85,9 @@
 // Config is what a Host needs.
 type Config struct {
 	Settings *platform.Settings
-	Log      zerolog.Logger
+	// File, if set, is where the settings came from and are read again.
+	File string
+	Log  zerolog.Logger
 	// Dropped counts the log lines that were left out. It may be nil.
 	Dropped func() int64
 }
@@ -90,18 +98,22 @@
 	if c.Dropped == nil {
 		c.Dropped = func() int64 { return 0 }
 	}
-	maxAge := platform.Milliseconds(s.Bounds.RevokeMS) - revokeSlack
 	h := &Host{
-		s: s, log: c.Log.With().Str("host", s.Host).Logger(), boot: xid.New().String(), meter: meter.NewHost(c.Dropped), timer: timer.New(),
+		file: c.File, log: c.Log.With().Str("host", s.Host).Logger(), boot: xid.New().String(), meter: meter.NewHost(c.Dropped), timer: timer.New(),
 		calls: platform.NewWorkers(), drain: make(chan struct{}),
-		gate: gate.New(gate.Config{MaxAge: maxAge, ReadyAge: min(readyAge, maxAge), Now: timer.Boot}), pools: map[string]*candidate{},
+		gate: gate.New(gate.Config{Now: timer.Boot}), pools: map[string]*candidate{}, direct: platform.NewStore(s.Store.Address),
+	}
+	h.apply(s)
+	h.read = versionOf(c.File)
+	var err error
+	if err = h.openRelay(s); err != nil {
+		return nil, err
 	}
-	h.store = meteredStore{platform.NewStore(s.Store.Address), h.meter.Store}
+	h.store = h.relay
 	h.repo = repo.New(h.store)
 	h.owners = repo.NewOwners(h.store)
 	h.heartbeats = newHeartbeats()
 	h.meter.WatchAge(func() float64 { return h.gate.Age().Seconds() })
-	var err error
 	if h.front, err = net.Listen("tcp", s.Listen.Front); err != nil {
 		return nil, fmt.Errorf("listen for clients: %w", err)
 	}
@@ -115,18 +127,34 @@
 			h.log.Warn().Err(err).Str("address", a).Msg("metrics are served beside the ready check only")
 		}
 	}
-	if s.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB<<20)))
-	}
 	return h, nil
 }
 
+// openRelay listens for other hosts, if the settings say where.
+func (h *Host) openRelay(s *platform.Settings) error {
+	c := relay.Config{
+		Host: s.Host, Direct: meteredStore{h.direct, h.meter.Store}, Seeds: s.Seeds, Log: h.log,
+		Relayed: func(outcome string) { h.meter.Relayed.WithLabelValues(outcome).Inc() },
+	}
+	var err error
+	if s.Listen.Control != "" {
+		if c.Listener, err = net.Listen("tcp", s.Listen.Control); err != nil {
+			return fmt.Errorf("listen for other hosts: %w", err)
+		}
+	}
+	h.relay, err = relay.New(c)
+	return err
+}
+
+// now returns the settings in force.
+func (h *Host) now() *platform.Settings { return h.settings.Load() }
+
 // Drain begins a planned stop.
 func (h *Host) Drain() { h.once.Do(func() { close(h.drain) }) }
 
 // Run serves until a planned stop is over.
 func (h *Host) Run(ctx context.Context) error {
-	h.log.Info().Str("boot", h.boot).Str("front", h.s.Listen.Front).Int("pid", os.Getpid()).Msg("host starts")
+	h.log.Info().Str("boot", h.boot).Str("front", h.now().Listen.Front).Int("pid", os.Getpid()).Msg("host starts")
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -152,11 +180,16 @@
 	if h.metrics != nil {
 		goes(func() { serve(ready, h.metrics) })
 	}
+	goes(func() { h.relay.Run(ctx) })
 	goes(func() { h.followRules(ctx) })
 	goes(func() { h.followHeartbeats(ctx) })
 	goes(func() { h.timer.Run(ctx) })
 	lead := h.timer.Every(electPeriod, func(time.Time) { h.elect(ctx, &wg) })
 	defer lead.Cancel()
+	if h.file != "" {
+		look := h.timer.Every(settingsPeriod, func(time.Time) { h.Reload(false) })
+		defer look.Cancel()
+	}
 	var err error
 	select {
 	case <-ctx.Done():
@@ -180,11 +213,14 @@
 	h.leaving.Store(true)
 	h.gate.Drain()
 	front.SetKeepAlivesEnabled(false)
-	limit := platform.Seconds(h.s.Bounds.GraceS) - drainSlack
+	limit := platform.Seconds(h.now().Bounds.GraceS) - drainSlack
 	quiet := time.After(min(drainQuiet, limit/2))
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	h.giveUp(ctx)
+	if err := h.relay.Withdraw(ctx); err != nil {
+		h.log.Warn().Err(err).Msg("host couldn't be taken off the list")
+	}
 	<-quiet
 	if err := front.Shutdown(ctx); err != nil {
 		h.log.Warn().Err(err).Msg("calls were still open at the end of the planned stop")
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,274 @@
+// Package relay carries calls of the table service through other hosts while
+// the table service turns this one away.
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"citronbridge/fault"
+	"citronbridge/repo"
+	"citronbridge/wire"
+)
+
+// Times and limits of a Relay.
+const (
+	// lostAfter is how many calls in a row must fail before others are asked:
+	// a single answer may be lost.
+	lostAfter = 2
+	// probePause is kept between looks whether the table service answers this
+	// host again.
+	probePause = 400 * time.Millisecond
+	// probeTimeout bounds one look.
+	probeTimeout = time.Second
+	// peerPause is how long a host that couldn't help isn't asked again.
+	peerPause = 300 * time.Millisecond
+	// maxPeers bounds the hosts that one call is offered to.
+	maxPeers = 3
+	// callTimeout bounds a call through another host, beside its wait.
+	callTimeout = 700 * time.Millisecond
+	// firstLook and listPeriod say when the list of hosts is read: hosts that
+	// start together see each other at the second look.
+	firstLook  = 3 * time.Second
+	listPeriod = 15 * time.Second
+)
+
+// Config is what a Relay needs.
+type Config struct {
+	Host string
+	// Direct is the table service itself.
+	Direct repo.Store
+	// Listener takes the calls of other hosts. It may be nil.
+	Listener net.Listener
+	// Seeds are addresses of hosts to ask before the list of hosts is known.
+	Seeds []string
+	Log   zerolog.Logger
+	// Relayed, if set, counts calls through other hosts by what came of them.
+	Relayed func(outcome string)
+}
+
+// Check returns every fault of the configuration.
+func (c *Config) Check() fault.List {
+	var l fault.List
+	l.Check(c.Host != "", "Host", c.Host, "the name of the host")
+	l.Check(c.Direct != nil, "Direct", nil, "a table service")
+	for _, s := range c.Seeds {
+		_, err := netip.ParseAddrPort(s)
+		l.Check(err == nil, "Seeds", s, "an IP number and a port")
+	}
+	return l
+}
+
+// Relay is the table service as a host sees it: directly while it answers,
+// and else through hosts that it answers.
+type Relay struct {
+	c Config
+
+	mu sync.Mutex
+	// failures counts direct calls that failed in a row.
+	failures int
+	probing  bool
+	peers    []*peer
+	// next is the peer that is asked first.
+	next int
+	// ctx ends with Run. Probes may begin before it.
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+var _ repo.Store = (*Relay)(nil)
+
+// New returns a Relay. Run drives it.
+func New(c Config) (*Relay, error) {
+	if c.Relayed == nil {
+		c.Relayed = func(string) {}
+	}
+	if err := c.Check().Err(); err != nil {
+		return nil, fmt.Errorf("relay: %w", err)
+	}
+	r := &Relay{c: c}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	for _, s := range c.Seeds {
+		r.meet("", s)
+	}
+	return r, nil
+}
+
+// Run serves other hosts and keeps the list of them until ctx ends.
+func (r *Relay) Run(ctx context.Context) {
+	defer context.AfterFunc(ctx, r.cancel)()
+	if r.c.Listener != nil {
+		r.wg.Add(1)
+		go func() {
+			defer r.wg.Done()
+			r.accept(ctx)
+		}()
+	}
+	r.list(ctx)
+	r.cancel()
+	if r.c.Listener != nil {
+		r.c.Listener.Close()
+	}
+	r.mu.Lock()
+	for _, p := range r.peers {
+		p.close()
+	}
+	r.mu.Unlock()
+	r.wg.Wait()
+}
+
+// Lost reports whether the table service turns this host away.
+func (r *Relay) Lost() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failures >= lostAfter
+}
+
+// Apply implements repo.Store.
+func (r *Relay) Apply(ctx context.Context, c repo.Change) (repo.Result, error) {
+	if a, ok, err := r.through(ctx, encodeChange(c), 0); ok {
+		if err != nil {
+			return repo.Result{}, fmt.Errorf("apply change: %w", err)
+		}
+		res := repo.Result{Applied: a.Applied, Version: a.Version}
+		if !a.Applied {
+			res.Current = decodeRows(a.Rows)
+		}
+		return res, nil
+	}
+	a, err := r.c.Direct.Apply(ctx, c)
+	r.noted(ctx, err)
+	return a, err
+}
+
+// List implements repo.Store.
+func (r *Relay) List(ctx context.Context, table, part, from string, limit int) (repo.Page, error) {
+	q := &wire.StoreCall{Body: &wire.StoreCall_List{List: &wire.StoreList{Table: table, Part: part, From: from, Limit: int64(limit)}}}
+	if a, ok, err := r.through(ctx, q, 0); ok {
+		return page(a, err)
+	}
+	p, err := r.c.Direct.List(ctx, table, part, from, limit)
+	r.noted(ctx, err)
+	return p, err
+}
+
+// Feed implements repo.Store.
+func (r *Relay) Feed(ctx context.Context, table string, after int64, wait time.Duration) (repo.Page, error) {
+	q := &wire.StoreCall{Body: &wire.StoreCall_Feed{Feed: &wire.StoreFeed{Table: table, After: after, WaitMilliseconds: wait.Milliseconds()}}}
+	if a, ok, err := r.through(ctx, q, wait); ok {
+		return page(a, err)
+	}
+	p, err := r.c.Direct.Feed(ctx, table, after, wait)
+	r.noted(ctx, err)
+	return p, err
+}
+
+// noted takes in how a direct call came out.
+func (r *Relay) noted(ctx context.Context, err error) {
+	if ctx.Err() != nil && err != nil {
+		// The caller gave up: that says nothing of the table service.
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil || errors.Is(err, repo.ErrHistoryGone) {
+		if r.failures >= lostAfter {
+			r.c.Log.Info().Msg("table service answers this host again")
+		}
+		r.failures = 0
+		return
+	}
+	r.failures++
+	if r.failures == lostAfter {
+		r.c.Log.Warn().Err(err).Int("peers", len(r.peers)).Msg("table service turns this host away; other hosts are asked")
+	}
+	if r.failures >= lostAfter && !r.probing && r.ctx.Err() == nil {
+		r.probing = true
+		r.wg.Add(1)
+		go r.probe(r.ctx)
+	}
+}
+
+// probe looks whether the table service answers this host until it does.
+func (r *Relay) probe(ctx context.Context) {
+	defer r.wg.Done()
+	for r.Lost() && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(probePause):
+		}
+		c, cancel := context.WithTimeout(ctx, probeTimeout)
+		_, err := r.c.Direct.List(c, repo.TableHosts, "", "", 1)
+		cancel()
+		if err == nil {
+			r.noted(ctx, nil)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.probing = false
+}
+
+// through makes a call through another host. It reports false if none could
+// be asked or nobody can reach the table service.
+func (r *Relay) through(ctx context.Context, q *wire.StoreCall, wait time.Duration) (*wire.StoreAnswer, bool, error) {
+	for _, p := range r.helpers() {
+		a, err := p.call(ctx, q, wait)
+		switch {
+		case errors.Is(err, errNotSent), err == nil && a.Outcome == wire.StoreAnswer_NOT_DONE:
+			r.c.Relayed("Refused")
+			p.rest()
+		case err != nil:
+			r.c.Relayed("NoAnswer")
+			p.rest()
+			return nil, true, fmt.Errorf("through host at %s: %w", p.address, err)
+		default:
+			r.c.Relayed(a.Outcome.String())
+			r.keep(p)
+			return a, true, answerError(a)
+		}
+		if ctx.Err() != nil {
+			return nil, true, fmt.Errorf("through other hosts: %w: %w", repo.ErrNotDone, ctx.Err())
+		}
+	}
+	return nil, false, nil
+}
+
+// helpers returns the hosts to ask, none while the table service answers.
+func (r *Relay) helpers() []*peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.failures < lostAfter {
+		return nil
+	}
+	var l []*peer
+	for i := range r.peers {
+		p := r.peers[(r.next+i)%len(r.peers)]
+		if p.rested() {
+			l = append(l, p)
+		}
+		if len(l) == maxPeers {
+			break
+		}
+	}
+	return l
+}
+
+// keep makes a host that helped the first to be asked.
+func (r *Relay) keep(p *peer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, o := range r.peers {
+		if o == p {
+			r.next = i
+		}
+	}
+}
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,305 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"citronbridge/repo"
+	"citronbridge/wire"
+)
+
+// memory is a table service that keeps rows in memory and may fail.
+type memory struct {
+	mu      sync.Mutex
+	rows    map[string]repo.Row
+	version int64
+	calls   int
+}
+
+var errLost = errors.New("answer is lost")
+
+// Apply implements repo.Store.
+func (m *memory) Apply(_ context.Context, c repo.Change) (repo.Result, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls++
+	var current []repo.Row
+	holds := true
+	for _, i := range c.If {
+		r := m.rows[i.Table+"/"+i.Key]
+		current = append(current, r)
+		holds = holds && r.Version == i.Version
+	}
+	if !holds {
+		return repo.Result{Version: m.version, Current: current}, nil
+	}
+	m.version++
+	for _, r := range c.Put {
+		r.Version = m.version
+		m.rows[r.Table+"/"+r.Key] = r
+	}
+	for _, r := range c.Delete {
+		delete(m.rows, r.Table+"/"+r.Key)
+	}
+	return repo.Result{Applied: true, Version: m.version}, nil
+}
+
+// List implements repo.Store.
+func (m *memory) List(_ context.Context, table, _, from string, _ int) (repo.Page, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls++
+	p := repo.Page{Version: m.version}
+	for _, r := range m.rows {
+		if r.Table == table && r.Key >= from {
+			p.Rows = append(p.Rows, r)
+		}
+	}
+	return p, nil
+}
+
+// Feed implements repo.Store.
+func (m *memory) Feed(ctx context.Context, table string, after int64, _ time.Duration) (repo.Page, error) {
+	m.mu.Lock()
+	gone := after < 0
+	m.mu.Unlock()
+	if gone {
+		return repo.Page{}, repo.ErrHistoryGone
+	}
+	return m.List(ctx, table, "", "", 0)
+}
+
+// door is one host's way to a shared memory.
+type door struct {
+	*memory
+	mu   sync.Mutex
+	fail error
+	// loses names the table whose changes get no answer.
+	loses string
+}
+
+func (d *door) set(err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fail = err
+}
+
+func (d *door) failure() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fail
+}
+
+// Apply implements repo.Store.
+func (d *door) Apply(ctx context.Context, c repo.Change) (repo.Result, error) {
+	if err := d.failure(); err != nil {
+		return repo.Result{}, err
+	}
+	if c.Put != nil && c.Put[0].Table == d.loses {
+		return repo.Result{}, errLost
+	}
+	return d.memory.Apply(ctx, c)
+}
+
+// List implements repo.Store.
+func (d *door) List(ctx context.Context, table, part, from string, limit int) (repo.Page, error) {
+	if err := d.failure(); err != nil {
+		return repo.Page{}, err
+	}
+	return d.memory.List(ctx, table, part, from, limit)
+}
+
+// Feed implements repo.Store.
+func (d *door) Feed(ctx context.Context, table string, after int64, wait time.Duration) (repo.Page, error) {
+	if err := d.failure(); err != nil {
+		return repo.Page{}, err
+	}
+	return d.memory.Feed(ctx, table, after, wait)
+}
+
+// start runs a Relay on a door until the test ends.
+func start(t *testing.T, host string, d *door, seeds ...string) (*Relay, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := New(Config{Host: host, Direct: d, Listener: l, Seeds: seeds, Log: zerolog.Nop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		r.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return r, l.Addr().String()
+}
+
+// lose lets a relay find out that it is turned away.
+func lose(t *testing.T, r *Relay) {
+	t.Helper()
+	for !r.Lost() {
+		if _, err := r.List(t.Context(), "t", "", "", 1); err == nil && !r.Lost() {
+			t.Fatal("a call succeeded that should fail")
+		}
+	}
+}
+
+func put(key string) repo.Change {
+	return repo.Change{If: []repo.Condition{{Table: "t", Key: key}}, Put: []repo.Row{{Table: "t", Key: key, Value: []byte("v")}}}
+}
+
+// TestThroughAnotherHost turns one host away: its calls go through the other
+// one, with the answers that the table service itself gives.
+func TestThroughAnotherHost(t *testing.T) {
+	m := &memory{rows: map[string]repo.Row{}}
+	near, far := &door{memory: m}, &door{memory: m}
+	_, address := start(t, "far", far)
+	near.set(repo.ErrNotDone)
+	r, _ := start(t, "near", near, address)
+	lose(t, r)
+	ctx := t.Context()
+	a, err := r.Apply(ctx, put("k"))
+	if err != nil || !a.Applied {
+		t.Fatalf("%+v %v", a, err)
+	}
+	a, err = r.Apply(ctx, put("k"))
+	if err != nil || a.Applied || len(a.Current) != 1 || string(a.Current[0].Value) != "v" || a.Current[0].Version == 0 {
+		t.Fatalf("a conflict comes back as %+v %v", a, err)
+	}
+	p, err := r.List(ctx, "t", "", "", 10)
+	if err != nil || len(p.Rows) != 1 || p.Version != a.Version {
+		t.Fatalf("%+v %v", p, err)
+	}
+	if p, err = r.Feed(ctx, "t", 0, time.Millisecond); err != nil || len(p.Rows) != 1 {
+		t.Fatalf("%+v %v", p, err)
+	}
+	if _, err = r.Feed(ctx, "t", -1, time.Millisecond); !errors.Is(err, repo.ErrHistoryGone) {
+		t.Fatalf("a history that is gone comes back as %v", err)
+	}
+}
+
+// TestWhatIsntKnownStaysSo loses the answer behind the other host: the caller
+// must not take the call for one that did nothing.
+func TestWhatIsntKnownStaysSo(t *testing.T) {
+	m := &memory{rows: map[string]repo.Row{}}
+	near, far := &door{memory: m}, &door{memory: m, loses: "t"}
+	_, address := start(t, "far", far)
+	near.set(repo.ErrNotDone)
+	r, _ := start(t, "near", near, address)
+	lose(t, r)
+	if _, err := r.Apply(t.Context(), put("k")); err == nil || errors.Is(err, repo.ErrNotDone) {
+		t.Errorf("a lost answer comes back as %v", err)
+	}
+}
+
+// TestNobodyReachesIt turns both hosts away: the call ends as the table
+// service's own refusal does, and isn't passed round.
+func TestNobodyReachesIt(t *testing.T) {
+	m := &memory{rows: map[string]repo.Row{}}
+	near, far := &door{memory: m}, &door{memory: m}
+	near.set(repo.ErrNotDone)
+	far.set(repo.ErrNotDone)
+	other, address := start(t, "far", far)
+	r, _ := start(t, "near", near, address)
+	lose(t, other)
+	lose(t, r)
+	if _, err := r.Apply(t.Context(), put("k")); !errors.Is(err, repo.ErrNotDone) {
+		t.Errorf("a refusal comes back as %v", err)
+	}
+	if m.calls != 0 {
+		t.Errorf("%d calls reached a table service that turns both away", m.calls)
+	}
+}
+
+// TestDirectAgain lets the table service answer again: calls go there.
+func TestDirectAgain(t *testing.T) {
+	m := &memory{rows: map[string]repo.Row{}}
+	near := &door{memory: m}
+	near.set(repo.ErrNotDone)
+	r, _ := start(t, "near", near)
+	lose(t, r)
+	near.set(nil)
+	for end := time.Now().Add(30 * time.Second); r.Lost(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the table service's return isn't noticed")
+		}
+	}
+}
+
+// TestListOfHosts lets hosts find each other, follow a change of address and
+// forget who leaves.
+func TestListOfHosts(t *testing.T) {
+	m := &memory{rows: map[string]repo.Row{}}
+	a, address := start(t, "a", &door{memory: m})
+	for end := time.Now().Add(30 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		l, err := repo.Hosts(t.Context(), m)
+		if err == nil && l["a"].Address == address {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("the host isn't listed: %v %v", l, err)
+		}
+	}
+	if err := a.Withdraw(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	r := &Relay{c: Config{Host: "b", Direct: m, Log: zerolog.Nop()}, ctx: t.Context()}
+	now := time.Now().UnixMilli()
+	r.meet("", "127.0.0.1:9")
+	r.update(t.Context(), map[string]repo.HostRow{"b": {Address: "127.0.0.1:1", Announced: now}, "c": {Address: "127.0.0.1:2", Announced: now}, "d": {Address: "127.0.0.1:3", Announced: now}})
+	if len(r.peers) != 3 {
+		t.Errorf("%d hosts are known, not the seed and two that are listed", len(r.peers))
+	}
+	r.update(t.Context(), map[string]repo.HostRow{"e": {Address: "127.0.0.1:9", Announced: now}, "c": {Address: "127.0.0.1:4", Announced: now}, "old": {Address: "127.0.0.1:5", Announced: 7}})
+	got := map[string]string{}
+	for _, p := range r.peers {
+		got[p.name()] = p.address
+	}
+	if len(r.peers) != 2 || got["c"] != "127.0.0.1:4" || got["e"] != "127.0.0.1:9" {
+		t.Errorf("hosts %v", got)
+	}
+}
+
+// TestConfigFaults names every fault of a configuration at once.
+func TestConfigFaults(t *testing.T) {
+	c := Config{Seeds: []string{"here"}}
+	if l := c.Check(); len(l) != 3 {
+		t.Errorf("%d faults: %v", len(l), l)
+	}
+}
+
+// FuzzCall decodes anything as a call, and answers what can be read.
+func FuzzCall(f *testing.F) {
+	var b bytes.Buffer
+	if _, err := protodelim.MarshalTo(&b, encodeChange(put("k"))); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b.Bytes())
+	f.Add([]byte{2, 0x12, 0})
+	f.Add([]byte{0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		q := &wire.StoreCall{}
+		if protodelim.UnmarshalFrom(bytes.NewReader(b), q) != nil {
+			return
+		}
+		r := &Relay{c: Config{Host: "h", Direct: &memory{rows: map[string]repo.Row{}}, Log: zerolog.Nop()}, ctx: t.Context()}
+		if r.perform(t.Context(), q) == nil {
+			t.Error("no answer")
+		}
+	})
+}
--- /dev/null
+++ b/relay/serve.go
@@ -0,0 +1,116 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"citronbridge/repo"
+	"citronbridge/wire"
+)
+
+// acceptPause is kept after a connection couldn't be taken.
+const acceptPause = 100 * time.Millisecond
+
+// maxWait bounds how long one call of another host may wait for a change.
+const maxWait = 30 * time.Second
+
+// accept serves connections of other hosts until ctx ends.
+func (r *Relay) accept(ctx context.Context) {
+	for {
+		c, err := r.c.Listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			r.c.Log.Warn().Err(err).Msg("another host's connection couldn't be taken")
+			time.Sleep(acceptPause)
+			continue
+		}
+		r.wg.Add(1)
+		go func() {
+			defer r.wg.Done()
+			defer c.Close()
+			r.serve(ctx, c)
+		}()
+	}
+}
+
+// serve takes the calls that come over one connection.
+func (r *Relay) serve(ctx context.Context, c net.Conn) {
+	s, err := yamux.Server(c, sessionConfig())
+	if err != nil {
+		return
+	}
+	defer s.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { s.Close() })
+	defer stop()
+	for {
+		t, err := s.AcceptStream()
+		if err != nil {
+			return
+		}
+		r.wg.Add(1)
+		go func() {
+			defer r.wg.Done()
+			defer t.Close()
+			r.answer(ctx, t)
+		}()
+	}
+}
+
+// answer makes one call for another host.
+func (r *Relay) answer(ctx context.Context, t *yamux.Stream) {
+	q := &wire.StoreCall{}
+	if err := (protodelim.UnmarshalOptions{MaxSize: maxMessage}).UnmarshalFrom(bufio.NewReader(t), q); err != nil {
+		r.c.Log.Warn().Err(err).Msg("another host's call can't be read")
+		return
+	}
+	if _, err := protodelim.MarshalTo(t, r.perform(ctx, q)); err != nil {
+		r.c.Log.Info().Err(err).Msg("another host didn't wait for its answer")
+	}
+}
+
+// perform makes a call directly. A host that is turned away itself says so at
+// once: calls are never passed on twice.
+func (r *Relay) perform(ctx context.Context, q *wire.StoreCall) *wire.StoreAnswer {
+	if r.Lost() {
+		return &wire.StoreAnswer{Outcome: wire.StoreAnswer_NOT_DONE, Cause: "the table service turns this host away too"}
+	}
+	switch b := q.Body.(type) {
+	case *wire.StoreCall_Apply:
+		a, err := r.c.Direct.Apply(ctx, decodeChange(b.Apply))
+		r.noted(ctx, err)
+		return answerOf(&wire.StoreAnswer{Applied: a.Applied, Version: a.Version, Rows: encodeRows(a.Current)}, err)
+	case *wire.StoreCall_List:
+		p, err := r.c.Direct.List(ctx, b.List.Table, b.List.Part, b.List.From, int(b.List.Limit))
+		r.noted(ctx, err)
+		return answerOf(&wire.StoreAnswer{Rows: encodeRows(p.Rows), More: p.More, Version: p.Version}, err)
+	case *wire.StoreCall_Feed:
+		wait := min(time.Duration(b.Feed.WaitMilliseconds)*time.Millisecond, maxWait)
+		p, err := r.c.Direct.Feed(ctx, b.Feed.Table, b.Feed.After, wait)
+		r.noted(ctx, err)
+		return answerOf(&wire.StoreAnswer{Rows: encodeRows(p.Rows), More: p.More, Version: p.Version}, err)
+	}
+	return &wire.StoreAnswer{Outcome: wire.StoreAnswer_NOT_DONE, Cause: "no call of the table service"}
+}
+
+// answerOf returns a, or how the call failed.
+func answerOf(a *wire.StoreAnswer, err error) *wire.StoreAnswer {
+	switch {
+	case err == nil:
+		return a
+	case errors.Is(err, repo.ErrHistoryGone):
+		return &wire.StoreAnswer{Outcome: wire.StoreAnswer_HISTORY_GONE, Cause: err.Error()}
+	case errors.Is(err, repo.ErrNotDone):
+		return &wire.StoreAnswer{Outcome: wire.StoreAnswer_NOT_DONE, Cause: err.Error()}
+	}
+	return &wire.StoreAnswer{Outcome: wire.StoreAnswer_UNKNOWN, Cause: err.Error()}
+}
--- a/sched/state.go
+++ b/sched/state.go
@@ -14,16 +14,21 @@
 	Pool string
 	// Epoch rises with each decider of the pool, from 1.
 	Epoch int64
-	// Lease is how long a worker may go on without a renewal, the platform's
-	// bound at most.
-	Lease time.Duration
-	// StopTime is how long a worker takes to stop a task.
-	StopTime time.Duration
+	Bounds
 	// Inherit is how long after a takeover a worker that can't be asked may
 	// still run what the former decider started.
 	Inherit time.Duration
 	// PartOf names the part that a job is in. Parts are told one by one.
 	PartOf func(job string) string
+}
+
+// Bounds are the platform's figures that a State works by.
+type Bounds struct {
+	// Lease is how long a worker may go on without a renewal, the platform's
+	// bound at most.
+	Lease time.Duration
+	// StopTime is how long a worker takes to stop a task.
+	StopTime time.Duration
 	// FarFactor is how much longer work takes away from its data's rack.
 	FarFactor float64
 }
@@ -130,6 +135,8 @@
 	case RulesChanged:
 		s.rules = e.Rules
 		s.changed = true
+	case BoundsChanged:
+		s.c.Bounds = e.Bounds
 	case Owned:
 		s.proved(e.At)
 	case RecordSaved:
--- a/sched/types.go
+++ b/sched/types.go
@@ -59,6 +59,9 @@
 // RulesChanged brings another configuration.
 type RulesChanged struct{ Rules *work.Rules }
 
+// BoundsChanged brings other bounds: they hold for orders from now on.
+type BoundsChanged struct{ Bounds Bounds }
+
 // Owned tells that the pool was still this decider's at a steady time.
 type Owned struct{ At time.Duration }
 
@@ -97,6 +100,7 @@
 func (WorkerUnlisted) event() {}
 func (WorkerRecorded) event() {}
 func (RulesChanged) event()   {}
+func (BoundsChanged) event()  {}
 func (Owned) event()          {}
 func (RecordSaved) event()    {}
 func (Answered) event()       {}
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -265,7 +265,7 @@
 func (w *world) decide(cutFrom map[string]bool) {
 	w.epoch++
 	p := &player{w: w, epoch: w.epoch, confirmed: w.now, cutFrom: cutFrom, loaded: map[string]time.Duration{}, flushAt: -1}
-	c := Config{Pool: "p", Epoch: w.epoch, Lease: lease, StopTime: 200 * time.Millisecond, Inherit: maxHold, FarFactor: 3, PartOf: partOf}
+	c := Config{Pool: "p", Epoch: w.epoch, Bounds: Bounds{Lease: lease, StopTime: 200 * time.Millisecond, FarFactor: 3}, Inherit: maxHold, PartOf: partOf}
 	if n := len(w.deciders); n > 0 && !w.deciders[n-1].dead {
 		c.Inherit += ownedFor - beatTimeout
 	}
