trace, cmds: Explain jobs and workers from hosts' logs

Cause: on the platform a job's history was to be had only by searching all hosts' lines by hand, and lines had whole seconds, so those of several hosts had no order; check took no settings of the platform. Ruled out: a call between hosts that collects the history (hosts may be gone, logs are there).

--- a/cmds/cmds.go
+++ b/cmds/cmds.go
@@ -40,11 +40,13 @@
 
 // app is one run of the program.
 type app struct {
+	in       io.Reader
 	out, err io.Writer
 
 	settings, manifest string
 	file, id, key      string
-	hosts              []string
+	hosts, logs        []string
+	nodeFile           string
 	token, account     string
 	authority          string
 	asJSON, keep       bool
@@ -69,7 +71,7 @@
 
 // Run parses the arguments, runs a command and returns the exit status.
 func Run(args []string, out, errOut io.Writer) int {
-	a := &app{out: out, err: errOut, wait: time.Minute, token: os.Getenv("CITRONBRIDGE_TOKEN"), base: -1}
+	a := &app{in: os.Stdin, out: out, err: errOut, wait: time.Minute, token: os.Getenv("CITRONBRIDGE_TOKEN"), base: -1}
 	p := flaggy.NewParser("citronbridge")
 	p.Description = "Schedules jobs that need several accelerators, under guarantees to client accounts."
 	p.Version = version
--- a/cmds/cmds_test.go
+++ b/cmds/cmds_test.go
@@ -194,6 +194,12 @@
 		{"no host", []string{"status", "a"}, ExitInvalid, ""},
 		{"check manifests", []string{"check", "--manifest", "../examples/agency/manifest.yaml"}, ExitOK, "no faults"},
 		{"check bad settings", []string{"check", "--settings", "../config/testdata/bad.yaml"}, ExitInvalid, ""},
+		{"check platform settings", []string{"check", "--node", "../platform/testdata/node.yaml"}, ExitOK, "no faults"},
+		{"check bad platform settings", []string{"check", "--node", "../config/testdata/bad.yaml"}, ExitInvalid, ""},
+		{"explain a job by logs", []string{"explain", "5c0e7a21d94b36f8", "--log", "../trace/testdata/hosts.log"}, ExitOK, "job ends as Failed"},
+		{"explain a worker by logs", []string{"explain", "i-7", "--log", "../trace/testdata/hosts.log", "--json"}, ExitOK, `"Worker": "i-7"`},
+		{"explain what no log names", []string{"explain", "ffff", "--log", "../trace/testdata/hosts.log"}, ExitRefused, ""},
+		{"explain without its log", []string{"explain", "ffff", "--log", "../trace/testdata/none.log"}, ExitInvalid, ""},
 		{"check nothing", []string{"check"}, ExitInvalid, ""},
 		{"serve nothing", []string{"serve"}, ExitInvalid, ""},
 	} {
--- a/cmds/local.go
+++ b/cmds/local.go
@@ -14,6 +14,7 @@
 	"citronbridge/demo"
 	"citronbridge/fault"
 	"citronbridge/host"
+	"citronbridge/platform"
 	"citronbridge/rules"
 )
 
@@ -62,14 +63,14 @@
 
 // runCheck checks files and tells every fault.
 func (a *app) runCheck() error {
-	if a.settings == "" && a.manifest == "" {
-		return &exitError{ExitInvalid, errors.New("check needs --settings FILE or --manifest FILE")}
+	if a.settings == "" && a.manifest == "" && a.nodeFile == "" {
+		return &exitError{ExitInvalid, errors.New("check needs --settings FILE, --manifest FILE or --node FILE")}
 	}
 	var all fault.List
 	for _, f := range []struct {
 		file string
 		load func(string) error
-	}{{a.settings, checkSettings}, {a.manifest, checkManifest}} {
+	}{{a.settings, checkSettings}, {a.manifest, checkManifest}, {a.nodeFile, checkNode}} {
 		if f.file == "" {
 			continue
 		}
@@ -92,6 +93,11 @@
 	return err
 }
 
+func checkNode(file string) error {
+	_, err := platform.LoadSettings(file)
+	return err
+}
+
 func checkManifest(file string) error {
 	_, err := loadManifest(file)
 	return err
--- a/cmds/node.go
+++ b/cmds/node.go
@@ -8,7 +8,6 @@
 	"syscall"
 
 	"github.com/integrii/flaggy"
-	"github.com/rs/zerolog"
 
 	"citronbridge/logs"
 	"citronbridge/node"
@@ -39,7 +38,7 @@
 	}
 	w := logs.NewWriter(a.out)
 	defer w.Close()
-	log := zerolog.New(w).Level(zerolog.InfoLevel).With().Timestamp().Logger()
+	log := logs.New(w)
 	h, err := node.New(node.Config{Settings: s, File: file, Log: log, Dropped: w.Dropped})
 	if err != nil {
 		return &exitError{ExitFailed, err}
--- a/cmds/parse.go
+++ b/cmds/parse.go
@@ -16,7 +16,7 @@
 		a.remote(top, "status", "Tell where a job stands: status ID --host 127.0.0.1:8080", (*app).runStatus, a.idArg),
 		a.remote(top, "answer", "Print a job's answer: answer ID --wait 5m --host 127.0.0.1:8080", (*app).runAnswer, a.idArg, a.waitFlag),
 		a.remote(top, "cancel", "Ask for a job to be stopped: cancel ID --host 127.0.0.1:8080", (*app).runCancel, a.idArg),
-		a.remote(top, "explain", "Tell why a job waits, or what became of it: explain ID --host 127.0.0.1:8080", (*app).runExplain, a.idArg),
+		a.remote(top, "explain", "Tell why a job waits, or what became of it: explain ID --host 127.0.0.1:8080, or from hosts' logs: explain ID --log a.log --log b.log", (*app).runExplain, a.idArg, a.logFlag),
 		a.remote(top, "jobs", "List an account's jobs: jobs --host 127.0.0.1:8080", (*app).runJobs),
 		a.remote(top, "hosts", "List the live hosts and their cells.", (*app).runHosts),
 		a.remote(top, "targets", "List the targets, what is free there and what runs.", (*app).runTargets),
@@ -71,6 +71,10 @@
 	s.Duration(&a.wait, "", "wait", "How long to wait for the job to end.")
 }
 
+func (a *app) logFlag(s *flaggy.Subcommand) {
+	s.StringSlice(&a.logs, "", "log", "A file with hosts' log lines, - for standard input; repeat it. ID may name a worker too.")
+}
+
 func (a *app) baseFlags(s *flaggy.Subcommand) {
 	s.Int(&a.base, "", "base", "The revision that the proposal follows; the default is the one in force.")
 	s.String(&a.key, "", "id", "The proposal's ID; the default is made from the file.")
@@ -98,8 +102,9 @@
 
 func (a *app) check(to attach) command {
 	s := flaggy.NewSubcommand("check")
-	s.Description = "Check a settings or a manifest file: check --settings host.yaml, check --manifest m.yaml"
+	s.Description = "Check files: check --settings host.yaml, check --manifest m.yaml, check --node node.yaml"
 	s.String(&a.settings, "", "settings", "The settings file.")
+	s.String(&a.nodeFile, "", "node", "The users' platform's settings file.")
 	s.String(&a.manifest, "", "manifest", "The manifest file.")
 	to(s, 1)
 	return command{s, (*app).runCheck}
--- a/cmds/remote.go
+++ b/cmds/remote.go
@@ -111,6 +111,9 @@
 }
 
 func (a *app) runExplain() error {
+	if len(a.logs) > 0 {
+		return a.explainLogs()
+	}
 	return a.call(func(ctx context.Context, c *client.Client) error {
 		v, err := c.Explain(ctx, a.id)
 		if err != nil {
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -6,12 +6,31 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
 )
 
 // queueLines bounds the lines that wait to be written. At some 300 bytes a
 // line they hold about a MB.
 const queueLines = 4096
 
+// timeFormat orders lines of several hosts.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+// stamp adds the time to each line.
+type stamp struct{}
+
+// Run implements zerolog.Hook.
+func (stamp) Run(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Str("time", time.Now().UTC().Format(timeFormat))
+}
+
+// New returns a logger of lines that tell of decisions and changes.
+func New(w io.Writer) zerolog.Logger {
+	return zerolog.New(w).Level(zerolog.InfoLevel).Hook(stamp{})
+}
+
 // Writer passes lines on to another writer, in the background. Lines that
 // don't fit its queue are left out and counted.
 type Writer struct {
--- /dev/null
+++ b/trace/trace_test.go
@@ -0,0 +1,52 @@
+package trace
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+
+	"citronbridge/golden"
+)
+
+// TestHistory compares histories of a job and of a worker, from the lines of
+// several hosts with other text between, with golden files.
+func TestHistory(t *testing.T) {
+	f, err := os.Open("testdata/hosts.log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	l, skipped, err := Read(f)
+	if err != nil || skipped != 2 {
+		t.Fatalf("%d lines skipped, %v", skipped, err)
+	}
+	for id, file := range map[string]string{"5c0e7a21d94b36f8": "job", "i-7": "worker", "i-8": "none"} {
+		h := Of(id, l)
+		var b bytes.Buffer
+		if err := h.Print(&b); err != nil {
+			t.Fatal(err)
+		}
+		golden.Check(t, "testdata/"+file+".golden", b.String())
+	}
+}
+
+// TestLongLine reads a line that is longer than any of the log's, and goes on.
+func TestLongLine(t *testing.T) {
+	good := `{"time":"2026-01-02T03:04:05.006Z","host":"h","message":"host starts"}`
+	l, skipped, err := Read(strings.NewReader(strings.Repeat("x", 2*maxLine) + "\n" + good))
+	if err != nil || skipped != 0 && skipped != 1 || len(l) != 1 || l[0].Text != "host starts" {
+		t.Errorf("%d lines, %d skipped, %v", len(l), skipped, err)
+	}
+}
+
+// FuzzDecode reads anything as a line.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`12.5 edge-1 {"time":"2026-01-02T03:04:05Z","host":"h","message":"m","run":1}`))
+	f.Add([]byte(`{"time":7,"message":"m"}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if l, ok := Decode(b); ok && (l.Text == "" || l.Time.IsZero() && !bytes.Contains(b, []byte("0001"))) {
+			t.Errorf("%q is taken as %+v", b, l)
+		}
+	})
+}
