decide: Look at the registry each 0.2 s at most

Ruled out: the feeds of hosts (2 calls a second each), jobs' rows. Change: 0.2 s between two calls of that feed; a leaving worker may get tasks for 2 s.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,6 +33,10 @@
 	eventQueue = 4096
 	// feedWait is how long one call waits for a change.
 	feedWait = time.Second
+	// registryPause is kept between looks at the registry, which changes all
+	// the time as workers count; a leaving worker may get tasks for the
+	// platform's bound on draining, some seconds.
+	registryPause = 200 * time.Millisecond
 	// loadPause is kept between tries to read the pool's state.
 	loadPause = 100 * time.Millisecond
 )
--- a/decide/load.go
+++ b/decide/load.go
@@ -112,7 +112,8 @@
 	}
 	f(repo.Follower{Table: repo.TableJobs, Spread: true, Listed: jobs, Changed: jobs}, l.version)
 	f(repo.Follower{Table: repo.TableCancels, Spread: true, Listed: cancels, Changed: cancels}, l.version)
-	f(repo.Follower{Table: platform.TableServers, Listed: d.relisted, Changed: func(rows []repo.Row) {
+	pause := func() time.Duration { return registryPause }
+	f(repo.Follower{Table: platform.TableServers, Pause: pause, Listed: d.relisted, Changed: func(rows []repo.Row) {
 		for _, r := range rows {
 			for _, e := range d.entry(r) {
 				d.tell(e)
