relay: Take a host for turned away only when nothing is answered

Ruled out: the hosts that were asked (they answered at once), the probe. Change: nothing may have been answered for 0.3 s either. TestLostAnswers.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -20,9 +20,11 @@
 
 // Times and limits of a Relay.
 const (
-	// lostAfter is how many calls in a row must fail before others are asked:
-	// a single answer may be lost.
+	// lostAfter is how many calls in a row must fail, and lostFor how long none
+	// may have been answered, before others are asked: answers may be lost, and
+	// several at once.
 	lostAfter = 2
+	lostFor   = 300 * time.Millisecond
 	// probePause is kept between looks whether the table service answers this
 	// host again.
 	probePause = 400 * time.Millisecond
@@ -76,8 +78,11 @@
 	c Config
 
 	mu sync.Mutex
-	// failures counts direct calls that failed in a row.
+	// failures counts direct calls that failed in a row, answered is when one
+	// last didn't, lost says that others are asked.
 	failures int
+	answered time.Time
+	lost     bool
 	probing  bool
 	peers    []*peer
 	// next is the peer that is asked first.
@@ -135,7 +140,7 @@
 func (r *Relay) Lost() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.failures >= lostAfter
+	return r.lost
 }
 
 // Apply implements repo.Store.
@@ -186,17 +191,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err == nil || errors.Is(err, repo.ErrHistoryGone) {
-		if r.failures >= lostAfter {
+		if r.lost {
 			r.c.Log.Info().Msg("table service answers this host again")
 		}
-		r.failures = 0
+		r.failures, r.lost, r.answered = 0, false, time.Now()
 		return
 	}
 	r.failures++
-	if r.failures == lostAfter {
+	if !r.lost && r.failures >= lostAfter && time.Since(r.answered) >= lostFor {
+		r.lost = true
 		r.c.Log.Warn().Err(err).Int("peers", len(r.peers)).Msg("table service turns this host away; other hosts are asked")
 	}
-	if r.failures >= lostAfter && !r.probing && r.ctx.Err() == nil {
+	if r.lost && !r.probing && r.ctx.Err() == nil {
 		r.probing = true
 		r.wg.Add(1)
 		go r.probe(r.ctx)
@@ -252,7 +258,7 @@
 func (r *Relay) helpers() []*peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.failures < lostAfter {
+	if !r.lost {
 		return nil
 	}
 	var l []*peer
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -226,6 +226,29 @@
 	}
 }
 
+// TestLostAnswers lets a table service lose many answers but not all: the host
+// isn't turned away.
+func TestLostAnswers(t *testing.T) {
+	r := &Relay{c: Config{Host: "h", Direct: &memory{rows: map[string]repo.Row{}}, Log: zerolog.Nop()}, ctx: t.Context()}
+	for range 20 {
+		r.noted(t.Context(), nil)
+		for range 2 * lostAfter {
+			r.noted(t.Context(), errLost)
+		}
+		if r.Lost() {
+			t.Fatal("lost answers are taken for a table service that turns the host away")
+		}
+	}
+	r.answered = time.Now().Add(-lostFor)
+	r.noted(t.Context(), errLost)
+	if !r.Lost() {
+		t.Error("a table service that answers nothing any more isn't noticed")
+	}
+	// The probe ends with the answer.
+	r.noted(t.Context(), nil)
+	r.wg.Wait()
+}
+
 // TestDirectAgain lets the table service answer again: calls go there.
 func TestDirectAgain(t *testing.T) {
 	m := &memory{rows: map[string]repo.Row{}}
