event, sched: Give events and effects a package of their own

Ruled out: moving jobs, runs and workers out as well, as every field would have to be exported for one user. Change: package event holds clocks, events, outcomes and effects; no behaviour changes.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"citronbridge/advice"
+	"citronbridge/event"
 	"citronbridge/meter"
 	"citronbridge/platform"
 	"citronbridge/repo"
@@ -44,15 +45,15 @@
 
 // Workers calls the pool's workers.
 type Workers interface {
-	Start(ctx context.Context, e sched.Start) sched.Answered
-	Stop(ctx context.Context, e sched.Stop) sched.Answered
-	Hold(ctx context.Context, e sched.Hold) sched.Reported
-	Pace(ctx context.Context, e sched.Pace) sched.Paced
+	Start(ctx context.Context, e event.Start) event.Answered
+	Stop(ctx context.Context, e event.Stop) event.Answered
+	Hold(ctx context.Context, e event.Hold) event.Reported
+	Pace(ctx context.Context, e event.Pace) event.Paced
 }
 
 // Advisor calls the advice service.
 type Advisor interface {
-	Advise(ctx context.Context, c advice.Call) sched.Advised
+	Advise(ctx context.Context, c advice.Call) event.Advised
 }
 
 var _ Advisor = (*platform.Advisor)(nil)
@@ -85,7 +86,7 @@
 	log    zerolog.Logger
 	ctx    context.Context
 	cancel context.CancelFunc
-	events chan sched.Event
+	events chan event.Event
 	state  *sched.State
 	// writer writes what is beside jobs, shards what belongs to them.
 	writer *repo.Writer
@@ -110,7 +111,7 @@
 // pool is lost.
 func Go(ctx context.Context, c Config) *Decider {
 	d := &Decider{
-		c: c, log: c.Log.With().Str("pool", c.Pool).Int64("epoch", c.Owner.Epoch).Logger(), events: make(chan sched.Event, eventQueue),
+		c: c, log: c.Log.With().Str("pool", c.Pool).Int64("epoch", c.Owner.Epoch).Logger(), events: make(chan event.Event, eventQueue),
 		confirmed: timer.Boot(), waiting: map[string]int{}, listed: map[string]bool{},
 	}
 	d.ctx, d.cancel = context.WithCancel(ctx)
@@ -172,14 +173,14 @@
 }
 
 // RulesChanged passes a configuration on.
-func (d *Decider) RulesChanged(r *work.Rules) { d.tell(sched.RulesChanged{Rules: r}) }
+func (d *Decider) RulesChanged(r *work.Rules) { d.tell(event.RulesChanged{Rules: r}) }
 
 // BoundsChanged passes changed bounds on.
 func (d *Decider) BoundsChanged(b platform.Bounds) {
 	d.mu.Lock()
 	d.c.Bounds = b
 	d.mu.Unlock()
-	d.tell(sched.BoundsChanged{Bounds: schedBounds(b)})
+	d.tell(event.BoundsChanged{Bounds: schedBounds(b)})
 }
 
 // bounds returns the platform's bounds in force.
@@ -190,11 +191,11 @@
 }
 
 // schedBounds converts the platform's bounds.
-func schedBounds(b platform.Bounds) sched.Bounds {
-	return sched.Bounds{Lease: platform.Milliseconds(b.MaxHoldMS) - leaseMargin, StopTime: platform.Milliseconds(b.StopMS), FarFactor: b.FarFactor}
+func schedBounds(b platform.Bounds) event.Bounds {
+	return event.Bounds{Lease: platform.Milliseconds(b.MaxHoldMS) - leaseMargin, StopTime: platform.Milliseconds(b.StopMS), FarFactor: b.FarFactor}
 }
 
-func (d *Decider) tell(e sched.Event) {
+func (d *Decider) tell(e event.Event) {
 	select {
 	case d.events <- e:
 	case <-d.ctx.Done():
@@ -221,7 +222,7 @@
 		Pool: d.c.Pool, Epoch: d.c.Owner.Epoch, Bounds: b, Inherit: inherit,
 		PartOf: func(id string) string { return repo.PartOf(repo.TableJobs, id) },
 	}, d.clock(), d.c.Rules())
-	var first []sched.Effect
+	var first []event.Effect
 	for _, e := range l.events {
 		first = append(first, d.state.Step(d.clock(), e)...)
 	}
@@ -240,9 +241,9 @@
 var start = time.Now()
 
 // clock returns the time for the state machine.
-func (d *Decider) clock() sched.Clock {
+func (d *Decider) clock() event.Clock {
 	n := time.Now()
-	return sched.Clock{Steady: n.Sub(start), Wall: n.UnixMilli()}
+	return event.Clock{Steady: n.Sub(start), Wall: n.UnixMilli()}
 }
 
 // loop takes events in batches.
@@ -250,7 +251,7 @@
 	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
-		var out []sched.Effect
+		var out []event.Effect
 		select {
 		case <-d.ctx.Done():
 			return
@@ -282,61 +283,61 @@
 }
 
 // perform carries effects out.
-func (d *Decider) perform(l []sched.Effect) {
+func (d *Decider) perform(l []event.Effect) {
 	decided := timer.Boot()
 	for _, e := range l {
 		switch e := e.(type) {
-		case sched.Start:
+		case event.Start:
 			d.goes(func() {
 				if timer.Boot()-decided > orderAge {
-					d.tell(sched.Answered{Call: e.Call, Outcome: sched.NotSent})
+					d.tell(event.Answered{Call: e.Call, Outcome: event.NotSent})
 					return
 				}
 				a := d.c.Workers.Start(d.ctx, e)
 				d.c.Meter.Orders.WithLabelValues("start", string(a.Outcome)).Inc()
-				if a.Outcome != sched.Accepted {
+				if a.Outcome != event.Accepted {
 					d.log.Info().Str("worker", e.Worker).Stringer("task", e.Task).Int("run", e.Run).Str("outcome", string(a.Outcome)).Msg("start not confirmed")
 				}
 				d.tell(a)
 			})
-		case sched.Stop:
+		case event.Stop:
 			d.goes(func() {
 				a := d.c.Workers.Stop(d.ctx, e)
 				d.c.Meter.Orders.WithLabelValues("stop", string(a.Outcome)).Inc()
 				d.tell(a)
 			})
-		case sched.Hold:
+		case event.Hold:
 			d.goes(func() {
 				a := d.c.Workers.Hold(d.ctx, e)
 				d.c.Meter.Orders.WithLabelValues("hold", string(a.Outcome)).Inc()
 				d.tell(a)
 			})
-		case sched.Pace:
+		case event.Pace:
 			d.goes(func() {
 				a := d.c.Workers.Pace(d.ctx, e)
 				d.c.Meter.Orders.WithLabelValues("pace", string(a.Outcome)).Inc()
 				d.tell(a)
 			})
-		case sched.Advise:
+		case event.Advise:
 			d.goes(func() { d.advise(e.Call) })
-		case sched.Save:
+		case event.Save:
 			d.shards[repo.PartOf(repo.TableRecords, e.ID)].save(e)
-		case sched.RecordWorker:
+		case event.RecordWorker:
 			id := e.ID
-			d.writer.Put(repo.TableWorkers, repo.WorkerKey(d.c.Pool, id), []byte(e.Address), func() { d.tell(sched.WorkerRecorded{ID: id}) })
-		case sched.ForgetWorker:
+			d.writer.Put(repo.TableWorkers, repo.WorkerKey(d.c.Pool, id), []byte(e.Address), func() { d.tell(event.WorkerRecorded{ID: id}) })
+		case event.ForgetWorker:
 			d.writer.Put(repo.TableWorkers, repo.WorkerKey(d.c.Pool, e.ID), nil, nil)
-		case sched.Prove:
+		case event.Prove:
 			d.goes(func() {
 				if sent := d.clock().Steady; d.prove() {
-					d.tell(sched.Owned{At: sent})
+					d.tell(event.Owned{At: sent})
 				}
 			})
-		case sched.Finished:
+		case event.Finished:
 			d.c.Meter.Ends.WithLabelValues(string(e.How)).Inc()
-		case sched.Begun:
+		case event.Begun:
 			d.c.Meter.Wait.WithLabelValues(d.queueLabel(e.Queue)).Observe(e.Wait.Seconds())
-		case sched.Note:
+		case event.Note:
 			d.log.Info().Str("job", e.Job).Str("worker", e.Worker).Str("task", e.Task).Int("run", e.Run).Msg(e.Text)
 		}
 	}
@@ -347,9 +348,9 @@
 	sent := d.clock().Steady
 	a := d.c.Advisor.Advise(d.ctx, c)
 	a.Sent = sent
-	outcome := sched.Accepted
+	outcome := event.Accepted
 	if !a.OK {
-		outcome = sched.NoAnswer
+		outcome = event.NoAnswer
 	}
 	d.c.Meter.Orders.WithLabelValues("advise", string(outcome)).Inc()
 	d.log.Info().Str("step", c.Step).Int("asked", len(c.Workers)).Int("good", len(a.Tickets)).Bool("answered", a.OK).Dur("valid", a.Valid).Msg("advice on a step")
--- a/decide/load.go
+++ b/decide/load.go
@@ -6,15 +6,15 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"citronbridge/event"
 	"citronbridge/platform"
 	"citronbridge/repo"
-	"citronbridge/sched"
 	"citronbridge/timer"
 )
 
 // loaded is what is read of a pool before its decider begins.
 type loaded struct {
-	events []sched.Event
+	events []event.Event
 	// The feeds follow on from these versions.
 	version, servers int64
 }
@@ -59,7 +59,7 @@
 	for _, r := range workers.Rows {
 		if pool, id := repo.SplitWorkerKey(r.Key); pool == d.c.Pool {
 			d.writer.Known(r.Table, r.Key, r.Version)
-			l.events = append(l.events, sched.WorkerKnown{ID: id, Address: string(r.Value)})
+			l.events = append(l.events, event.WorkerKnown{ID: id, Address: string(r.Value)})
 		}
 	}
 	for _, r := range servers.Rows {
@@ -69,10 +69,10 @@
 }
 
 // entry converts a row of the registry.
-func (d *Decider) entry(r repo.Row) []sched.Event {
+func (d *Decider) entry(r repo.Row) []event.Event {
 	if r.Deleted {
 		delete(d.listed, r.Key)
-		return []sched.Event{sched.WorkerUnlisted{ID: r.Key}}
+		return []event.Event{event.WorkerUnlisted{ID: r.Key}}
 	}
 	e, err := platform.DecodeEntry(r.Key, r.Value)
 	if err != nil || e.Pool != d.c.Pool {
@@ -81,12 +81,12 @@
 		}
 		if d.listed[r.Key] {
 			delete(d.listed, r.Key)
-			return []sched.Event{sched.WorkerUnlisted{ID: r.Key}}
+			return []event.Event{event.WorkerUnlisted{ID: r.Key}}
 		}
 		return nil
 	}
 	d.listed[r.Key] = true
-	return []sched.Event{sched.WorkerListed{Worker: e.Worker}}
+	return []event.Event{event.WorkerListed{Worker: e.Worker}}
 }
 
 // follow passes on what changes in the pool.
@@ -106,7 +106,7 @@
 	cancels := func(rows []repo.Row) {
 		for _, r := range rows {
 			if !r.Deleted {
-				d.tell(sched.JobCanceled{ID: r.Key})
+				d.tell(event.JobCanceled{ID: r.Key})
 			}
 		}
 	}
@@ -133,7 +133,7 @@
 	}
 	for id := range before {
 		if !d.listed[id] {
-			d.tell(sched.WorkerUnlisted{ID: id})
+			d.tell(event.WorkerUnlisted{ID: id})
 		}
 	}
 }
--- a/decide/shard.go
+++ b/decide/shard.go
@@ -7,8 +7,8 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"citronbridge/event"
 	"citronbridge/repo"
-	"citronbridge/sched"
 	"citronbridge/work"
 )
 
@@ -79,7 +79,7 @@
 		s.noteEnd(r)
 	}
 	for _, r := range pages[0].Rows {
-		s.d.tell(sched.JobCanceled{ID: r.Key})
+		s.d.tell(event.JobCanceled{ID: r.Key})
 	}
 	for _, r := range pages[1].Rows {
 		s.add(r, records[r.Key], true)
@@ -91,14 +91,14 @@
 		s.addNew(r)
 	}
 	s.early = nil
-	s.d.tell(sched.PartLoaded{Part: s.part})
+	s.d.tell(event.PartLoaded{Part: s.part})
 	return nil
 }
 
 // save makes a record durable. The job's own row goes with a final one.
-func (s *shard) save(e sched.Save) {
+func (s *shard) save(e event.Save) {
 	id, seq := e.ID, e.Seq
-	done := func() { s.d.tell(sched.RecordSaved{ID: id, Seq: seq}) }
+	done := func() { s.d.tell(event.RecordSaved{ID: id, Seq: seq}) }
 	if !e.Final {
 		s.writer.Put(repo.TableRecords, id, e.Record, done)
 		return
@@ -184,6 +184,6 @@
 		}
 	}
 	if pool == s.d.c.Pool {
-		s.d.tell(sched.JobAdded{Job: j, Record: rec, Inherited: inherited})
+		s.d.tell(event.JobAdded{Job: j, Record: rec, Inherited: inherited})
 	}
 }
--- a/sched/types.go
+++ b/event/event.go
@@ -1,6 +1,6 @@
-// Package sched decides for one pool of workers what runs where. State is a
-// state machine: events in, effects out, without clock, lock or I/O.
-package sched
+// Package event holds what a decider takes in and what it wants done: events of
+// jobs, workers and the store, and effects on them.
+package event
 
 import (
 	"time"
@@ -60,6 +60,17 @@
 // RulesChanged brings another configuration.
 type RulesChanged struct{ Rules *work.Rules }
 
+// Bounds are the platform's figures that a decider works by.
+type Bounds struct {
+	// Lease is how long a worker may go on without a renewal, the platform's
+	// bound at most.
+	Lease time.Duration
+	// StopTime is how long a worker takes to stop a task.
+	StopTime time.Duration
+	// FarFactor is how much longer work takes away from its data's rack.
+	FarFactor float64
+}
+
 // BoundsChanged brings other bounds: they hold for orders from now on.
 type BoundsChanged struct{ Bounds Bounds }
 
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -6,6 +6,7 @@
 
 	"citronbridge/advice"
 	"citronbridge/assign"
+	"citronbridge/event"
 )
 
 // askPeriod is how often a step that waits is looked at.
@@ -42,7 +43,7 @@
 		s.askAt = s.now.Steady + askPeriod
 		c, ok := s.advice.Ask(u.Key, len(u.Indexes), s.candidates(u), s.now.Steady)
 		if ok {
-			s.do(Advise{c})
+			s.do(event.Advise{Call: c})
 			return
 		}
 	}
@@ -95,7 +96,7 @@
 }
 
 // advised takes in what the advice service said.
-func (s *State) advised(e Advised) {
+func (s *State) advised(e event.Advised) {
 	if !e.OK {
 		s.advice.Failed(s.now.Steady)
 		s.changed = true
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"citronbridge/event"
 	"citronbridge/work"
 )
 
@@ -51,7 +52,7 @@
 	if now < w.nextHold {
 		return w.nextHold
 	}
-	h := Hold{Call: s.call(w)}
+	h := event.Hold{Call: s.call(w)}
 	if w.durable > w.told {
 		// Only when there is something to forget: in a life that isn't known
 		// yet the number would forget ends that nobody has seen.
@@ -76,7 +77,7 @@
 func (s *State) forget(w *worker) {
 	if w.recorded || w.asked {
 		w.recorded, w.asked = false, false
-		s.do(ForgetWorker{w.id})
+		s.do(event.ForgetWorker{ID: w.id})
 	}
 	s.lives[w.id] = w.life
 	delete(s.pool, w.id)
@@ -89,7 +90,7 @@
 }
 
 // reported takes in the answer to a Hold.
-func (s *State) reported(e Reported) {
+func (s *State) reported(e event.Reported) {
 	w := s.pool[e.Call.Worker]
 	if w == nil || w.life != e.Call.Life {
 		return
@@ -97,8 +98,8 @@
 	w.holding = false
 	w.nextHold = s.now.Steady
 	switch e.Outcome {
-	case Accepted:
-	case OtherLife:
+	case event.Accepted:
+	case event.OtherLife:
 		s.ended(w)
 		return
 	default:
@@ -168,7 +169,7 @@
 }
 
 // end takes in one end that a worker lists.
-func (s *State) end(w *worker, x Ended) {
+func (s *State) end(w *worker, x event.Ended) {
 	if s.unknown(x.Task.Job) {
 		w.ends = append(w.ends, pendingEnd{n: x.N, job: x.Task.Job, unread: &x})
 	} else if j := s.apply(w, x); j != nil && j.savedSeq < j.seq {
@@ -180,7 +181,7 @@
 }
 
 // apply notes what an end means for its job, which it returns.
-func (s *State) apply(w *worker, x Ended) *job {
+func (s *State) apply(w *worker, x event.Ended) *job {
 	j, t := s.find(x.Task)
 	if t == nil {
 		return nil
@@ -191,9 +192,9 @@
 		return j
 	}
 	switch x.How {
-	case Done:
+	case event.Done:
 		s.taskDone(t, w)
-	case Failed:
+	case event.Failed:
 		s.taskFailed(t, w, x.Run)
 	}
 	return j
@@ -216,7 +217,7 @@
 			if r.task == nil && r.id.Job == j.spec.ID && r.phase == working {
 				delete(w.runs, r.id)
 				w.used = w.used.Minus(r.demand)
-				s.adopt(w, Running{Task: r.id, Run: r.n, Saved: r.saved, Percent: r.percent})
+				s.adopt(w, event.Running{Task: r.id, Run: r.n, Saved: r.saved, Percent: r.percent})
 			}
 		}
 	}
@@ -301,7 +302,7 @@
 }
 
 // compare matches what a worker lists as running with what is expected there.
-func (s *State) compare(w *worker, e Reported) {
+func (s *State) compare(w *worker, e event.Reported) {
 	seen := map[work.TaskID]bool{}
 	for _, x := range e.Running {
 		r := w.runs[x.Task]
@@ -336,15 +337,15 @@
 		}
 		if !r.waiting && e.Call.Sent > late {
 			s.note(nil, w, r, "run is not at its worker")
-			s.release(r, Lapsed, "")
+			s.release(r, event.Lapsed, "")
 		}
 	}
 }
 
 // adopt takes in a run that a worker lists and that isn't expected there.
-func (s *State) adopt(w *worker, x Running) {
+func (s *State) adopt(w *worker, x event.Running) {
 	if old := w.runs[x.Task]; old != nil {
-		s.release(old, Lapsed, "")
+		s.release(old, event.Lapsed, "")
 	}
 	r := &run{id: x.Task, n: x.Run, w: w, phase: working, saved: x.Saved, since: s.now.Steady, settled: s.now.Steady, percent: x.Percent, pace: unknownPace}
 	j, t := s.find(x.Task)
--- a/sched/job.go
+++ b/sched/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"citronbridge/event"
 	"citronbridge/work"
 )
 
@@ -196,7 +197,7 @@
 }
 
 // addJob takes in a job.
-func (s *State) addJob(e JobAdded) {
+func (s *State) addJob(e event.JobAdded) {
 	if s.jobs[e.Job.ID] != nil || s.over[e.Job.ID] > 0 || e.Record.State.Final() {
 		return
 	}
@@ -274,14 +275,14 @@
 				panic("record can't be encoded: " + err.Error())
 			}
 			j.asked = j.seq
-			s.do(Save{j.spec.ID, j.seq, b, j.rec.State.Final()})
+			s.do(event.Save{ID: j.spec.ID, Seq: j.seq, Record: b, Final: j.rec.State.Final()})
 		}
 	}
 	s.dirty = rest
 }
 
 // saved takes in that a record is durable.
-func (s *State) saved(e RecordSaved) {
+func (s *State) saved(e event.RecordSaved) {
 	j := s.jobs[e.ID]
 	if j == nil {
 		return
--- a/sched/schedule_test.go
+++ b/sched/schedule_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"citronbridge/event"
 	"citronbridge/fakes/model"
 	"citronbridge/work"
 )
@@ -104,7 +105,7 @@
 	w.jobs[j.ID], w.records[j.ID] = j, b
 	w.log("SUBMIT %s", j.ID)
 	at := w.now
-	added := func(p *player) Event {
+	added := func(p *player) event.Event {
 		if since, ok := p.loaded[partOf(j.ID)]; !ok || since >= at {
 			// The part's list tells of the job.
 			return nil
@@ -113,7 +114,7 @@
 		if err != nil {
 			w.fail("decode: %v", err)
 		}
-		return JobAdded{Job: j, Record: r}
+		return event.JobAdded{Job: j, Record: r}
 	}
 	w.tell(added)
 	if w.chance(0.2) {
@@ -134,7 +135,7 @@
 	if !w.faults.weakCancel {
 		w.canceled[id] = w.now
 	}
-	w.tell(always(JobCanceled{id}))
+	w.tell(always(event.JobCanceled{ID: id}))
 }
 
 // disturb plans kills, pauses, cuts, crashes and outages.
@@ -240,12 +241,12 @@
 
 func (w *world) unlist(id string) {
 	w.listed[id] = false
-	w.tell(always(WorkerUnlisted{id}))
+	w.tell(always(event.WorkerUnlisted{ID: id}))
 }
 
 func (w *world) list(id string) {
 	w.listed[id] = true
-	w.tell(always(WorkerListed{w.entry(id)}))
+	w.tell(always(event.WorkerListed{Worker: w.entry(id)}))
 }
 
 // darkWorker parts a worker from everything; it runs on.
--- a/sched/share.go
+++ b/sched/share.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"citronbridge/event"
 	"citronbridge/pacing"
 )
 
@@ -52,7 +53,7 @@
 		r.pace = w.level.Percent
 		c := s.call(w)
 		c.Task, c.Run = r.id, r.n
-		s.do(Pace{Call: c, Percent: r.pace})
+		s.do(event.Pace{Call: c, Percent: r.pace})
 	}
 }
 
@@ -61,9 +62,9 @@
 const unknownPace = -1
 
 // paced takes in the outcome of a Pace.
-func (s *State) paced(e Paced) {
+func (s *State) paced(e event.Paced) {
 	w := s.pool[e.Call.Worker]
-	if w == nil || w.life != e.Call.Life || e.Outcome == Accepted {
+	if w == nil || w.life != e.Call.Life || e.Outcome == event.Accepted {
 		return
 	}
 	if r := w.runs[e.Call.Task]; r != nil && r.n == e.Call.Run {
--- a/sched/share_test.go
+++ b/sched/share_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"citronbridge/event"
 	"citronbridge/work"
 )
 
@@ -14,10 +15,10 @@
 	s   *State
 	now time.Duration
 	// running is what each worker runs, with its progress and figure.
-	running map[string][]Running
-	ended   map[string][]Ended
-	stops   []Stop
-	paces   []Pace
+	running map[string][]event.Running
+	ended   map[string][]event.Ended
+	stops   []event.Stop
+	paces   []event.Pace
 	// losePaces leaves orders about paces without an answer.
 	losePaces bool
 }
@@ -27,20 +28,22 @@
 		"urgent": {Name: "urgent", Pool: "p", Priority: 0, MaxAttempts: 2, Stretch: 2},
 		"batch":  {Name: "batch", Pool: "p", Priority: 2, MaxAttempts: 2, Stretch: 3},
 	}, Pools: map[string]*work.Pool{"p": {Name: "p"}}}
-	b := &bench{t: t, running: map[string][]Running{}, ended: map[string][]Ended{}}
-	c := Config{Pool: "p", Epoch: 1, Bounds: Bounds{Lease: lease, StopTime: 200 * time.Millisecond}, PartOf: func(string) string { return "" }}
+	b := &bench{t: t, running: map[string][]event.Running{}, ended: map[string][]event.Ended{}}
+	c := Config{Pool: "p", Epoch: 1, Bounds: event.Bounds{Lease: lease, StopTime: 200 * time.Millisecond}, PartOf: func(string) string { return "" }}
 	b.s = New(c, b.clock(), r)
-	b.step(PartLoaded{""})
+	b.step(event.PartLoaded{Part: ""})
 	for i := range workers {
-		b.step(WorkerListed{Worker{ID: fmt.Sprint("w", i), Address: "a", Born: 1, Rack: "r", Capacity: work.Amounts{MilliCPU: 16000, MemoryMiB: 64000, Accelerators: 4}}})
+		b.step(event.WorkerListed{Worker: event.Worker{ID: fmt.Sprint("w", i), Address: "a", Born: 1, Rack: "r", Capacity: work.Amounts{MilliCPU: 16000, MemoryMiB: 64000, Accelerators: 4}}})
 	}
 	b.pass(100 * time.Millisecond)
 	return b
 }
 
-func (b *bench) clock() Clock { return Clock{Steady: b.now, Wall: wallStart + b.now.Milliseconds()} }
+func (b *bench) clock() event.Clock {
+	return event.Clock{Steady: b.now, Wall: wallStart + b.now.Milliseconds()}
+}
 
-func (b *bench) step(e Event) { b.perform(b.s.Step(b.clock(), e)) }
+func (b *bench) step(e event.Event) { b.perform(b.s.Step(b.clock(), e)) }
 
 // pass lets time pass in small steps.
 func (b *bench) pass(d time.Duration) {
@@ -50,40 +53,40 @@
 	}
 }
 
-func (b *bench) perform(l []Effect) {
+func (b *bench) perform(l []event.Effect) {
 	for _, e := range l {
 		switch e := e.(type) {
-		case Start:
-			b.running[e.Worker] = append(b.running[e.Worker], Running{Task: e.Task, Run: e.Run})
-			b.step(Answered{Call: e.Call, Outcome: Accepted, ClockMS: 1})
-		case Stop:
+		case event.Start:
+			b.running[e.Worker] = append(b.running[e.Worker], event.Running{Task: e.Task, Run: e.Run})
+			b.step(event.Answered{Call: e.Call, Outcome: event.Accepted, ClockMS: 1})
+		case event.Stop:
 			b.stops = append(b.stops, e)
-			b.end(e.Worker, e.Task, Stopped)
-			b.step(Answered{Call: e.Call, Outcome: Accepted, ClockMS: 1})
-		case Pace:
+			b.end(e.Worker, e.Task, event.Stopped)
+			b.step(event.Answered{Call: e.Call, Outcome: event.Accepted, ClockMS: 1})
+		case event.Pace:
 			b.paces = append(b.paces, e)
-			o := Accepted
+			o := event.Accepted
 			if b.losePaces {
-				o = NoAnswer
+				o = event.NoAnswer
 			}
-			b.step(Paced{e.Call, o})
-		case Hold:
-			b.step(Reported{Call: e.Call, Outcome: Accepted, ClockMS: 1, Born: 1, Running: b.running[e.Worker], Ended: b.ended[e.Worker]})
-		case Save:
-			b.step(RecordSaved{e.ID, e.Seq})
-		case RecordWorker:
-			b.step(WorkerRecorded{e.ID})
-		case Prove:
-			b.step(Owned{b.now + 1})
+			b.step(event.Paced{Call: e.Call, Outcome: o})
+		case event.Hold:
+			b.step(event.Reported{Call: e.Call, Outcome: event.Accepted, ClockMS: 1, Born: 1, Running: b.running[e.Worker], Ended: b.ended[e.Worker]})
+		case event.Save:
+			b.step(event.RecordSaved{ID: e.ID, Seq: e.Seq})
+		case event.RecordWorker:
+			b.step(event.WorkerRecorded{ID: e.ID})
+		case event.Prove:
+			b.step(event.Owned{At: b.now + 1})
 		}
 	}
 }
 
-func (b *bench) end(worker string, t work.TaskID, how How) {
+func (b *bench) end(worker string, t work.TaskID, how event.How) {
 	l := b.running[worker]
 	for i := range l {
 		if l[i].Task == t {
-			b.ended[worker] = append(b.ended[worker], Ended{N: int64(len(b.ended[worker]) + 1), Task: t, Run: l[i].Run, How: how})
+			b.ended[worker] = append(b.ended[worker], event.Ended{N: int64(len(b.ended[worker]) + 1), Task: t, Run: l[i].Run, How: how})
 			b.running[worker] = append(l[:i:i], l[i+1:]...)
 			return
 		}
@@ -105,7 +108,7 @@
 }
 
 func (b *bench) submit(id, queue string, s work.Step) {
-	b.step(JobAdded{Job: &work.Job{ID: id, Queue: queue, Steps: []work.Step{s}}, Record: &work.Record{State: work.Pending, Queue: queue}})
+	b.step(event.JobAdded{Job: &work.Job{ID: id, Queue: queue, Steps: []work.Step{s}}, Record: &work.Record{State: work.Pending, Queue: queue}})
 	b.pass(200 * time.Millisecond)
 }
 
@@ -131,7 +134,7 @@
 
 // TestLongRunningTasksComeBack ends such tasks in each way: they run again.
 func TestLongRunningTasksComeBack(t *testing.T) {
-	for _, how := range []How{Done, Failed, Lapsed, Broken, Stopped} {
+	for _, how := range []event.How{event.Done, event.Failed, event.Lapsed, event.Broken, event.Stopped} {
 		b := newBench(t, 1)
 		b.submit("00000000000000aa", "batch", work.Step{Count: 1, Demand: work.Amounts{MilliCPU: 1000}, LongRunning: true})
 		for range 4 {
--- a/sched/state.go
+++ b/sched/state.go
@@ -7,6 +7,7 @@
 
 	"citronbridge/advice"
 	"citronbridge/assign"
+	"citronbridge/event"
 	"citronbridge/work"
 )
 
@@ -15,7 +16,7 @@
 	Pool string
 	// Epoch rises with each decider of the pool, from 1.
 	Epoch int64
-	Bounds
+	event.Bounds
 	// Inherit is how long after a takeover a worker that can't be asked may
 	// still run what the former decider started.
 	Inherit time.Duration
@@ -23,17 +24,6 @@
 	PartOf func(job string) string
 }
 
-// Bounds are the platform's figures that a State works by.
-type Bounds struct {
-	// Lease is how long a worker may go on without a renewal, the platform's
-	// bound at most.
-	Lease time.Duration
-	// StopTime is how long a worker takes to stop a task.
-	StopTime time.Duration
-	// FarFactor is how much longer work takes away from its data's rack.
-	FarFactor float64
-}
-
 // Times of the state machine.
 const (
 	// holdWait is how long a worker keeps an answer back until a task ends;
@@ -77,7 +67,7 @@
 // State is all that a decider knows of its pool.
 type State struct {
 	c     Config
-	now   Clock
+	now   event.Clock
 	rules *work.Rules
 	jobs  map[string]*job
 	// cancels says when cancelled jobs that aren't known were heard of.
@@ -94,7 +84,7 @@
 	names []string
 	// lives counts the lives of workers that were forgotten: fences only rise.
 	lives map[string]int64
-	out   []Effect
+	out   []event.Effect
 	// advice is what the advice service has said, askAt when to look again
 	// whether somebody is to be asked.
 	advice *advice.Book
@@ -114,54 +104,54 @@
 }
 
 // New returns the state of a decider that has just taken the pool.
-func New(c Config, now Clock, rules *work.Rules) *State {
+func New(c Config, now event.Clock, rules *work.Rules) *State {
 	return &State{c: c, now: now, rules: rules, taken: now.Steady, inheriting: true, jobs: map[string]*job{}, cancels: map[string]time.Duration{}, over: map[string]time.Duration{}, parts: map[string]bool{}, pool: map[string]*worker{}, lives: map[string]int64{}, advice: advice.NewBook()}
 }
 
 // Step takes an event in and returns what is to be done.
-func (s *State) Step(now Clock, e Event) []Effect {
+func (s *State) Step(now event.Clock, e event.Event) []event.Effect {
 	s.now = now
 	s.out = nil
 	switch e := e.(type) {
-	case JobAdded:
+	case event.JobAdded:
 		s.addJob(e)
-	case PartLoaded:
+	case event.PartLoaded:
 		s.parts[e.Part] = true
 		s.dropUnknown()
-	case JobCanceled:
+	case event.JobCanceled:
 		s.cancel(e.ID)
-	case WorkerListed:
+	case event.WorkerListed:
 		s.listed(e.Worker)
-	case WorkerKnown:
+	case event.WorkerKnown:
 		s.known(e)
-	case WorkerUnlisted:
+	case event.WorkerUnlisted:
 		if w := s.pool[e.ID]; w != nil {
 			w.listed = false
 			s.changed = true
 		}
-	case WorkerRecorded:
+	case event.WorkerRecorded:
 		if w := s.pool[e.ID]; w != nil {
 			w.recorded = true
 			s.changed = true
 		}
-	case RulesChanged:
+	case event.RulesChanged:
 		s.rules = e.Rules
 		s.changed = true
-	case BoundsChanged:
+	case event.BoundsChanged:
 		s.c.Bounds = e.Bounds
-	case Owned:
+	case event.Owned:
 		s.proved(e.At)
-	case RecordSaved:
+	case event.RecordSaved:
 		s.saved(e)
-	case Answered:
+	case event.Answered:
 		s.answered(e)
-	case Reported:
+	case event.Reported:
 		s.reported(e)
-	case Paced:
+	case event.Paced:
 		s.paced(e)
-	case Advised:
+	case event.Advised:
 		s.advised(e)
-	case Tick:
+	case event.Tick:
 	}
 	return s.out
 }
@@ -169,7 +159,7 @@
 // Flush does what is due after a batch of events: retries, leases that ran
 // out, placement, writes, holds. It returns the effects and the time at which
 // it wants to be called again.
-func (s *State) Flush(now Clock) ([]Effect, time.Duration) {
+func (s *State) Flush(now event.Clock) ([]event.Effect, time.Duration) {
 	s.now = now
 	s.out = nil
 	next := now.Steady + time.Second
@@ -238,7 +228,7 @@
 			return s.proveAt
 		}
 		s.proveAt = s.now.Steady + provePause
-		s.do(Prove{})
+		s.do(event.Prove{})
 		return s.proveAt
 	}
 	return next
@@ -266,10 +256,10 @@
 	return len(s.order), runs, workers
 }
 
-func (s *State) do(e Effect) { s.out = append(s.out, e) }
+func (s *State) do(e event.Effect) { s.out = append(s.out, e) }
 
 func (s *State) note(j *job, w *worker, r *run, text string) {
-	n := Note{Text: text}
+	n := event.Note{Text: text}
 	if j != nil {
 		n.Job = j.spec.ID
 	}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -4,13 +4,14 @@
 	"slices"
 	"time"
 
+	"citronbridge/event"
 	"citronbridge/pacing"
 	"citronbridge/work"
 )
 
 // worker is a worker and what it runs.
 type worker struct {
-	Worker
+	event.Worker
 	id string
 	// listed says that the registry has the worker now.
 	listed bool
@@ -62,7 +63,7 @@
 	job string
 	seq int64
 	// unread is set until the part that the job is in is known.
-	unread *Ended
+	unread *event.Ended
 }
 
 func (s *State) worker(id string) *worker {
@@ -77,7 +78,7 @@
 }
 
 // known takes in a worker that a former decider has used.
-func (s *State) known(e WorkerKnown) {
+func (s *State) known(e event.WorkerKnown) {
 	w := s.worker(e.ID)
 	if w.Address == "" {
 		w.Address = e.Address
@@ -86,7 +87,7 @@
 }
 
 // listed takes in a worker's entry.
-func (s *State) listed(e Worker) {
+func (s *State) listed(e event.Worker) {
 	w := s.worker(e.ID)
 	if w.Born != 0 && e.Born != 0 && e.Born > w.Born {
 		s.reborn(w, e.Born)
@@ -100,7 +101,7 @@
 	s.changed = true
 	if !w.recorded && !w.asked {
 		w.asked = true
-		s.do(RecordWorker{w.id, w.Address})
+		s.do(event.RecordWorker{ID: w.id, Address: w.Address})
 	}
 }
 
@@ -119,8 +120,8 @@
 // fence returns the fence for the worker's present life.
 func (s *State) fence(w *worker) int64 { return s.c.Epoch*fencesPerEpoch + w.life }
 
-func (s *State) call(w *worker) Call {
-	return Call{Worker: w.id, Address: w.Address, Life: w.life, Fence: s.fence(w), Sent: s.now.Steady}
+func (s *State) call(w *worker) event.Call {
+	return event.Call{Worker: w.id, Address: w.Address, Life: w.life, Fence: s.fence(w), Sent: s.now.Steady}
 }
 
 // deadline returns the end of a lease from now on the worker's clock, and
@@ -197,7 +198,7 @@
 // lose takes all runs off a worker, whose life or lease is over.
 func (s *State) lose(w *worker) {
 	for _, r := range s.runsOf(w) {
-		s.release(r, Lapsed, "")
+		s.release(r, event.Lapsed, "")
 	}
 	s.changed = true
 }
@@ -226,14 +227,14 @@
 }
 
 // release takes a run off its worker. A task that isn't done waits again.
-func (s *State) release(r *run, how How, saved string) {
+func (s *State) release(r *run, how event.How, saved string) {
 	if r.w.runs[r.id] != r {
 		return
 	}
 	delete(r.w.runs, r.id)
 	r.w.used = r.w.used.Minus(r.demand)
 	s.changed = true
-	s.do(Finished{how})
+	s.do(event.Finished{How: how})
 	t := r.task
 	if t == nil || t.run != r {
 		return
@@ -243,14 +244,14 @@
 		saved = r.saved
 	}
 	j := t.step.job
-	if saved != "" && how != Done && saved != t.saved {
+	if saved != "" && how != event.Done && saved != t.saved {
 		t.saved = saved
 		if t.step.spec.Gang {
 			t.step.saved = saved
 		}
 		j.rec.SetSaved(t.key(), saved)
 	}
-	if how != Done && t.step.spec.Gang && !t.done && !j.rec.State.Final() {
+	if how != event.Done && t.step.spec.Gang && !t.done && !j.rec.State.Final() {
 		s.breakGang(t.step, r.n)
 	}
 	if j.rec.State.Final() && j.savedSeq >= j.seq && !j.atWork() {
@@ -279,7 +280,7 @@
 	r.tries++
 	c := s.call(w)
 	c.Task, c.Run = r.id, r.n
-	s.do(Start{Call: c, Spec: r.task.step.job.spec.Spec, Saved: r.saved, DeadlineMS: s.deadline(w), Ticket: r.ticket})
+	s.do(event.Start{Call: c, Spec: r.task.step.job.spec.Spec, Saved: r.saved, DeadlineMS: s.deadline(w), Ticket: r.ticket})
 }
 
 // stop orders a run's end, once.
@@ -288,7 +289,7 @@
 	case stopping:
 		return
 	case marking:
-		s.release(r, Stopped, "")
+		s.release(r, event.Stopped, "")
 		return
 	}
 	r.phase = stopping
@@ -302,17 +303,17 @@
 	}
 	c := s.call(r.w)
 	c.Task, c.Run, c.Stop = r.id, r.n, true
-	s.do(Stop{c})
+	s.do(event.Stop{Call: c})
 }
 
 // answered takes in the outcome of a Start or a Stop.
-func (s *State) answered(e Answered) {
+func (s *State) answered(e event.Answered) {
 	w := s.pool[e.Call.Worker]
 	if w == nil || w.life != e.Call.Life {
 		return
 	}
 	s.clock(w, e.ClockMS)
-	if e.Outcome == OtherLife {
+	if e.Outcome == event.OtherLife {
 		s.ended(w)
 		return
 	}
@@ -321,7 +322,7 @@
 		return
 	}
 	if e.Call.Stop {
-		if e.Outcome == Accepted && r.phase == stopping {
+		if e.Outcome == event.Accepted && r.phase == stopping {
 			r.waiting, r.settled = false, s.now.Steady
 		}
 		return
@@ -330,28 +331,28 @@
 		return
 	}
 	switch e.Outcome {
-	case Accepted:
+	case event.Accepted:
 		r.phase, r.waiting, r.settled = working, false, s.now.Steady
 		s.begun(r)
-	case NoAnswer, NotSent, Fenced:
+	case event.NoAnswer, event.NotSent, event.Fenced:
 		// The order may have been carried out: the same one is sent again, or
 		// the next Hold tells.
 		w.closedUntil = max(w.closedUntil, s.now.Steady+2*retryPause)
-	case Late:
+	case event.Late:
 		s.settleStart(w, r, "deadline had passed")
-	case Old:
+	case event.Old:
 		r.task.last = max(r.task.last, r.n)
 		s.settleStart(w, r, "run is not the newest there")
-	case NoTicket:
+	case event.NoTicket:
 		s.advice.Refused(r.task.step.key, w.lifeOf())
 		s.settleStart(w, r, "ticket doesn't hold")
-	case NoRoom:
+	case event.NoRoom:
 		w.closedUntil = s.now.Steady + sickPause
 		s.settleStart(w, r, "worker has no room")
-	case Unhealthy:
+	case event.Unhealthy:
 		w.closedUntil = s.now.Steady + sickPause
 		s.settleStart(w, r, "worker is unhealthy")
-	case Invalid:
+	case event.Invalid:
 		w.closedUntil = s.now.Steady + sickPause
 		s.settleStart(w, r, "worker can't read the order")
 	}
@@ -362,7 +363,7 @@
 func (s *State) settleStart(w *worker, r *run, why string) {
 	s.note(r.task.step.job, w, r, "start refused: "+why)
 	if r.tries == 1 {
-		s.release(r, Stopped, "")
+		s.release(r, event.Stopped, "")
 		return
 	}
 	s.stop(r)
@@ -373,7 +374,7 @@
 	j := r.task.step.job
 	if !j.begun {
 		j.begun = true
-		s.do(Begun{j.spec.Queue, s.now.Steady - j.added})
+		s.do(event.Begun{Queue: j.spec.Queue, Wait: s.now.Steady - j.added})
 		s.note(j, r.w, r, "first task has started")
 	}
 }
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"citronbridge/event"
 	"citronbridge/fakes/model"
 	"citronbridge/work"
 )
@@ -266,7 +267,7 @@
 func (w *world) decide(cutFrom map[string]bool) {
 	w.epoch++
 	p := &player{w: w, epoch: w.epoch, confirmed: w.now, cutFrom: cutFrom, loaded: map[string]time.Duration{}, flushAt: -1}
-	c := Config{Pool: "p", Epoch: w.epoch, Bounds: Bounds{Lease: lease, StopTime: 200 * time.Millisecond, FarFactor: 3}, Inherit: maxHold, PartOf: partOf}
+	c := Config{Pool: "p", Epoch: w.epoch, Bounds: event.Bounds{Lease: lease, StopTime: 200 * time.Millisecond, FarFactor: 3}, Inherit: maxHold, PartOf: partOf}
 	if n := len(w.deciders); n > 0 && !w.deciders[n-1].dead {
 		c.Inherit += ownedFor - beatTimeout
 	}
@@ -276,17 +277,17 @@
 	p.s = New(c, p.clock(), w.rules)
 	w.deciders = append(w.deciders, p)
 	w.log("DECIDER %d", w.epoch)
-	var l []Event
+	var l []event.Event
 	for _, id := range sorted(w.known) {
-		l = append(l, WorkerKnown{id, w.known[id]})
+		l = append(l, event.WorkerKnown{ID: id, Address: w.known[id]})
 	}
 	for _, id := range sorted(w.listed) {
 		if w.listed[id] {
-			l = append(l, WorkerListed{w.entry(id)})
+			l = append(l, event.WorkerListed{Worker: w.entry(id)})
 		}
 	}
 	for _, id := range sorted(w.canceled) {
-		l = append(l, JobCanceled{id})
+		l = append(l, event.JobCanceled{ID: id})
 	}
 	for _, e := range l {
 		p.take(e)
@@ -331,10 +332,10 @@
 			return
 		}
 		if !r.State.Final() {
-			p.take(JobAdded{w.jobs[id], r, true})
+			p.take(event.JobAdded{Job: w.jobs[id], Record: r, Inherited: true})
 		}
 	}
-	p.take(PartLoaded{part})
+	p.take(event.PartLoaded{Part: part})
 }
 
 func sorted[V any](m map[string]V) []string {
@@ -346,9 +347,9 @@
 	return l
 }
 
-func (w *world) entry(id string) Worker {
+func (w *world) entry(id string) event.Worker {
 	x := w.cluster.Workers[id]
-	return Worker{
+	return event.Worker{
 		ID: id, Address: "a/" + id, Rack: "r" + id[1:2], Labels: []string{"k", "r" + id[1:2]}, Born: x.Born,
 		Capacity: work.Amounts{MilliCPU: x.CPU, MemoryMiB: x.Memory, Accelerators: x.Accelerators},
 	}
@@ -356,7 +357,7 @@
 
 // tell passes an event on to all deciders, to those that are cut from the
 // store once they aren't.
-func (w *world) tell(e func(p *player) Event) {
+func (w *world) tell(e func(p *player) event.Event) {
 	for _, p := range w.deciders {
 		f := func() {
 			if x := e(p); x != nil {
@@ -382,15 +383,15 @@
 }
 
 // always tells every decider the same.
-func always(e Event) func(*player) Event { return func(*player) Event { return e } }
+func always(e event.Event) func(*player) event.Event { return func(*player) event.Event { return e } }
 
-func (p *player) clock() Clock { return Clock{p.w.now, p.w.wall()} }
+func (p *player) clock() event.Clock { return event.Clock{Steady: p.w.now, Wall: p.w.wall()} }
 
 // owned reports whether the decider still has the pool.
 func (p *player) owned() bool { return p.epoch == p.w.epoch }
 
 // take gives the decider an event, or keeps it while the host is paused.
-func (p *player) take(e Event) {
+func (p *player) take(e event.Event) {
 	if p.dead {
 		return
 	}
@@ -449,11 +450,11 @@
 	done()
 }
 
-func (p *player) perform(l []Effect) {
+func (p *player) perform(l []event.Effect) {
 	w := p.w
 	for _, e := range l {
 		switch e := e.(type) {
-		case Start:
+		case event.Start:
 			if w.faults.noFence {
 				e.Fence = 1
 			}
@@ -465,40 +466,40 @@
 					Task: e.Task.String(), Run: e.Run, Spec: e.Spec, Saved: e.Saved, Fence: e.Fence, DeadlineMS: e.DeadlineMS, Ticket: e.Ticket,
 				})
 			})
-		case Stop:
+		case event.Stop:
 			if w.faults.noFence {
 				e.Fence = 1
 			}
 			p.order(e.Call, e.Fence, func(x *model.Worker) string { return x.Stop(e.Task.String(), e.Run, e.Fence) })
-		case Hold:
+		case event.Hold:
 			if w.faults.noFence {
 				e.Fence = 1
 			}
 			p.hold(e)
-		case Advise:
+		case event.Advise:
 			p.advise(e)
-		case Save:
+		case event.Save:
 			p.save(e)
-		case RecordWorker:
-			p.row(func() { w.known[e.ID] = e.Address }, func() { p.take(WorkerRecorded{e.ID}) })
-		case ForgetWorker:
+		case event.RecordWorker:
+			p.row(func() { w.known[e.ID] = e.Address }, func() { p.take(event.WorkerRecorded{ID: e.ID}) })
+		case event.ForgetWorker:
 			p.row(func() { delete(w.known, e.ID) }, func() {})
-		case Prove:
+		case event.Prove:
 			at := w.now
 			w.after(w.between(0, 6*time.Millisecond), func() {
-				p.prove(func() { w.after(w.between(0, 6*time.Millisecond), func() { p.take(Owned{at}) }) })
+				p.prove(func() { w.after(w.between(0, 6*time.Millisecond), func() { p.take(event.Owned{At: at}) }) })
 			})
-		case Note:
+		case event.Note:
 			w.log("  %d: %s %s %s %d", p.epoch, e.Text, e.Worker, e.Task, e.Run)
 		}
 	}
 }
 
 // advise asks the advice service, which turns some calls away.
-func (p *player) advise(e Advise) {
+func (p *player) advise(e event.Advise) {
 	w := p.w
 	sent := w.now
-	a := Advised{Call: e.Call, Sent: sent, Valid: w.between(800*time.Millisecond, 3*time.Second)}
+	a := event.Advised{Call: e.Call, Sent: sent, Valid: w.between(800*time.Millisecond, 3*time.Second)}
 	w.after(w.between(5*time.Millisecond, 120*time.Millisecond), func() {
 		if !w.disturbed(0.2) {
 			var ids []string
@@ -520,12 +521,14 @@
 	return x
 }
 
-var reasons = map[string]Outcome{"": Accepted, "fence": Fenced, "old": Old, "late": Late, "room": NoRoom, "ticket": NoTicket}
+var reasons = map[string]event.Outcome{"": event.Accepted, "fence": event.Fenced, "old": event.Old, "late": event.Late, "room": event.NoRoom, "ticket": event.NoTicket}
 
 // order carries a start or a stop out, with what the network does to it.
-func (p *player) order(c Call, _ int64, do func(*model.Worker) string) {
+func (p *player) order(c event.Call, _ int64, do func(*model.Worker) string) {
 	w := p.w
-	none := func() { w.after(700*time.Millisecond, func() { p.take(Answered{Call: c, Outcome: NoAnswer}) }) }
+	none := func() {
+		w.after(700*time.Millisecond, func() { p.take(event.Answered{Call: c, Outcome: event.NoAnswer}) })
+	}
 	switch {
 	case w.disturbed(0.02):
 		none()
@@ -552,20 +555,20 @@
 				none()
 				return
 			}
-			w.after(w.between(0, 8*time.Millisecond), func() { p.take(Answered{Call: c, Outcome: o, ClockMS: clock}) })
+			w.after(w.between(0, 8*time.Millisecond), func() { p.take(event.Answered{Call: c, Outcome: o, ClockMS: clock}) })
 		})
 	}
 }
 
 // hold carries a Hold out.
-func (p *player) hold(e Hold) {
+func (p *player) hold(e event.Hold) {
 	w := p.w
 	lost := w.disturbed(0.03)
 	sent := w.now
 	w.after(w.between(0, 8*time.Millisecond), func() {
 		var look func()
 		none := func() {
-			w.after(max(sent+e.Wait+900*time.Millisecond-w.now, 0), func() { p.take(Reported{Call: e.Call, Outcome: NoAnswer}) })
+			w.after(max(sent+e.Wait+900*time.Millisecond-w.now, 0), func() { p.take(event.Reported{Call: e.Call, Outcome: event.NoAnswer}) })
 		}
 		first := true
 		look = func() {
@@ -588,14 +591,14 @@
 				w.after(40*time.Millisecond, look)
 				return
 			}
-			r := Reported{Call: e.Call, Outcome: reasons[why], ClockMS: x.ClockMS(), Born: x.Born}
+			r := event.Reported{Call: e.Call, Outcome: reasons[why], ClockMS: x.ClockMS(), Born: x.Born}
 			for _, q := range running {
 				id, _ := work.ParseTaskID(q.Task)
-				r.Running = append(r.Running, Running{Task: id, Run: q.Run, Saved: q.Saved, Percent: q.Percent})
+				r.Running = append(r.Running, event.Running{Task: id, Run: q.Run, Saved: q.Saved, Percent: q.Percent})
 			}
 			for _, q := range ended {
 				id, _ := work.ParseTaskID(q.Task)
-				r.Ended = append(r.Ended, Ended{q.N, id, q.Run, How(strings.ToUpper(q.How[:1]) + q.How[1:]), q.Saved})
+				r.Ended = append(r.Ended, event.Ended{N: q.N, Task: id, Run: q.Run, How: event.How(strings.ToUpper(q.How[:1]) + q.How[1:]), Saved: q.Saved})
 			}
 			if lost {
 				none()
@@ -643,9 +646,9 @@
 	}
 }
 
-func (p *player) save(e Save) {
+func (p *player) save(e event.Save) {
 	w := p.w
-	saved := func() { p.take(RecordSaved{e.ID, e.Seq}) }
+	saved := func() { p.take(event.RecordSaved{ID: e.ID, Seq: e.Seq}) }
 	may := func() bool { return w.fences[partOf(e.ID)] == p.epoch }
 	if w.faults.earlySeen {
 		w.after(0, saved)
@@ -656,7 +659,7 @@
 }
 
 // write makes a record durable and checks what it claims.
-func (w *world) write(e Save) {
+func (w *world) write(e event.Save) {
 	w.records[e.ID] = e.Record
 	r, err := work.DecodeRecord(e.Record)
 	if err != nil {
