relay: Let a probe end under the lock

Cause: found while reading: between a probe's last look and its end the table service could be lost again, and nobody would have begun another probe, so the host would have gone through others for good. Ruled out: the calls themselves, which are direct only while nothing is lost. Change: a probe decides under the lock whether it goes on. After: none; the package's tests pass five times with the race detector.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -210,7 +210,7 @@
 // probe looks whether the table service answers this host until it does.
 func (r *Relay) probe(ctx context.Context) {
 	defer r.wg.Done()
-	for r.Lost() && ctx.Err() == nil {
+	for r.mustProbe(ctx) {
 		select {
 		case <-ctx.Done():
 		case <-time.After(probePause):
@@ -222,9 +222,15 @@
 			r.noted(ctx, nil)
 		}
 	}
+}
+
+// mustProbe reports whether a probe goes on. It ends under the lock, so that
+// a loss right behind it begins another.
+func (r *Relay) mustProbe(ctx context.Context) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.probing = false
+	r.probing = r.lost && ctx.Err() == nil
+	return r.probing
 }
 
 // through makes a call through another host. It reports false if none could
