relay, decide, advice: Mend what a reading found

Cause: read as a newcomer. Ruled out: one interface for all calls of workers (their answers differ). Change: one function makes a call of a worker; an Advised carries its error; the margin is half of a short ticket; assign says what fits; each thing left out is logged; names are addPeer, followHosts, backOff, prefer, cancelStale.

--- a/advice/advice.go
+++ b/advice/advice.go
@@ -14,7 +14,8 @@
 	// usualAsked is how many are named as a rule: the service takes time for
 	// each of them.
 	usualAsked = 30
-	// margin is kept from the end of a ticket for its start to arrive.
+	// margin is kept from the end of a ticket for its start to arrive, half
+	// the time of a shorter one.
 	margin = 500 * time.Millisecond
 	// refusedPause is kept after a call that the service turned away.
 	refusedPause = 100 * time.Millisecond
@@ -33,7 +34,7 @@
 	Workers []Life
 }
 
-// ticket allows starts of a step on a worker until a time.
+// ticket allows starts of a step on a worker. It is used until a time.
 type ticket struct {
 	text  string
 	until time.Duration
@@ -62,7 +63,7 @@
 // Ticket returns a ticket that holds long enough for a start.
 func (b *Book) Ticket(step string, l Life, now time.Duration) (string, bool) {
 	v := b.steps[step][l]
-	return v.ticket.text, v.good && now+margin < v.ticket.until
+	return v.ticket.text, v.good && now < v.ticket.until
 }
 
 // Ask returns the call that lets a number of tasks of a step start soonest:
@@ -81,7 +82,7 @@
 			if len(c.Workers) >= min(max(usualAsked, 2*tasks), MaxAsked) {
 				break
 			}
-			if seen == again && (!seen || v.good && now+margin >= v.ticket.until) {
+			if seen == again && (!seen || v.good && now >= v.ticket.until) {
 				c.Workers = append(c.Workers, l)
 			}
 		}
@@ -108,7 +109,7 @@
 	for _, l := range c.Workers {
 		t, ok := tickets[l.Worker]
 		// The ticket's time began after the call was sent.
-		m[l] = verdict{good: ok, ticket: ticket{t, sent + valid}}
+		m[l] = verdict{good: ok, ticket: ticket{t, sent + valid - min(margin, valid/2)}}
 	}
 }
 
--- a/advice/advice_test.go
+++ b/advice/advice_test.go
@@ -63,6 +63,18 @@
 	if _, ok := b.Ticket("s", Life{"w1", 2}, 6*time.Second); ok {
 		t.Error("a refused ticket is used again")
 	}
+	// A ticket that holds shorter than the margin is of use.
+	c, ok = b.Ask("short", 1, lives(1), 7*time.Second)
+	if !ok {
+		t.Fatal("a new step isn't asked for")
+	}
+	b.Answered(c, map[string]string{"w0": "d"}, 7*time.Second, 300*time.Millisecond)
+	if _, ok := b.Ticket("short", Life{"w0", 1}, 7100*time.Millisecond); !ok {
+		t.Error("a short ticket is never used")
+	}
+	if _, ok := b.Ticket("short", Life{"w0", 1}, 7200*time.Millisecond); ok {
+		t.Error("a short ticket is used at its end")
+	}
 	b.Keep(nil)
 	if len(b.steps) != 0 {
 		t.Error("a step that is over is remembered")
--- a/assign/assign.go
+++ b/assign/assign.go
@@ -160,7 +160,13 @@
 
 // eligible reports whether the unit's tasks may run on w at all.
 func (u *Unit) eligible(w *Worker) bool {
-	if w.Closed || u.Avoid[w.ID] || u.Only != nil && !u.Only[w.ID] || u.Step.Fills && w.NoFills || !u.Step.Counted().Fits(w.Total) {
+	return !u.Avoid[w.ID] && (u.Only == nil || u.Only[w.ID]) && u.Fits(w)
+}
+
+// Fits reports whether w is open and made for the unit's tasks, whatever runs
+// there.
+func (u *Unit) Fits(w *Worker) bool {
+	if w.Closed || u.Step.Fills && w.NoFills || !u.Step.Counted().Fits(w.Total) {
 		return false
 	}
 	return u.Step.Requires == "" || slices.Contains(w.Labels, u.Step.Requires)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -180,7 +180,7 @@
 	d.mu.Lock()
 	d.c.Bounds = b
 	d.mu.Unlock()
-	d.tell(event.BoundsChanged{Bounds: schedBounds(b)})
+	d.tell(event.BoundsChanged{Bounds: boundsOf(b)})
 }
 
 // bounds returns the platform's bounds in force.
@@ -190,8 +190,8 @@
 	return d.c.Bounds
 }
 
-// schedBounds converts the platform's bounds.
-func schedBounds(b platform.Bounds) event.Bounds {
+// boundsOf converts the platform's bounds.
+func boundsOf(b platform.Bounds) event.Bounds {
 	return event.Bounds{Lease: platform.Milliseconds(b.MaxHoldMS) - leaseMargin, StopTime: platform.Milliseconds(b.StopMS), FarFactor: b.FarFactor}
 }
 
@@ -212,7 +212,7 @@
 	if l == nil {
 		return
 	}
-	b := schedBounds(d.bounds())
+	b := boundsOf(d.bounds())
 	inherit := b.Lease + leaseMargin
 	if !d.c.Gone {
 		// A silent one renews leases until it can't prove its ownership.
@@ -301,25 +301,13 @@
 				d.tell(a)
 			})
 		case event.Stop:
-			d.goes(func() {
-				a := d.c.Workers.Stop(d.ctx, e)
-				d.c.Meter.Orders.WithLabelValues("stop", string(a.Outcome)).Inc()
-				d.tell(a)
-			})
+			d.order("stop", func() (event.Event, event.Outcome) { a := d.c.Workers.Stop(d.ctx, e); return a, a.Outcome })
 		case event.Hold:
-			d.goes(func() {
-				a := d.c.Workers.Hold(d.ctx, e)
-				d.c.Meter.Orders.WithLabelValues("hold", string(a.Outcome)).Inc()
-				d.tell(a)
-			})
+			d.order("hold", func() (event.Event, event.Outcome) { a := d.c.Workers.Hold(d.ctx, e); return a, a.Outcome })
 		case event.Pace:
-			d.goes(func() {
-				a := d.c.Workers.Pace(d.ctx, e)
-				d.c.Meter.Orders.WithLabelValues("pace", string(a.Outcome)).Inc()
-				d.tell(a)
-			})
+			d.order("pace", func() (event.Event, event.Outcome) { a := d.c.Workers.Pace(d.ctx, e); return a, a.Outcome })
 		case event.Advise:
-			d.goes(func() { d.advise(e.Call) })
+			d.order("advise", func() (event.Event, event.Outcome) { return d.advise(e.Call) })
 		case event.Save:
 			d.shards[repo.PartOf(repo.TableRecords, e.ID)].save(e)
 		case event.RecordWorker:
@@ -343,18 +331,26 @@
 	}
 }
 
+// order makes a call of a worker in the background, counts its outcome and
+// tells the state machine.
+func (d *Decider) order(kind string, call func() (event.Event, event.Outcome)) {
+	d.goes(func() {
+		e, o := call()
+		d.c.Meter.Orders.WithLabelValues(kind, string(o)).Inc()
+		d.tell(e)
+	})
+}
+
 // advise asks the advice service.
-func (d *Decider) advise(c advice.Call) {
+func (d *Decider) advise(c advice.Call) (event.Event, event.Outcome) {
 	sent := d.clock().Steady
 	a := d.c.Advisor.Advise(d.ctx, c)
 	a.Sent = sent
-	outcome := event.Accepted
-	if !a.OK {
-		outcome = event.NoAnswer
+	d.log.Info().Str("step", c.Step).Int("asked", len(c.Workers)).Int("good", len(a.Tickets)).Dur("valid", a.Valid).AnErr("cause", a.Err).Msg("advice on a step")
+	if a.Err != nil {
+		return a, event.NoAnswer
 	}
-	d.c.Meter.Orders.WithLabelValues("advise", string(outcome)).Inc()
-	d.log.Info().Str("step", c.Step).Int("asked", len(c.Workers)).Int("good", len(a.Tickets)).Bool("answered", a.OK).Dur("valid", a.Valid).Msg("advice on a step")
-	d.tell(a)
+	return a, event.Accepted
 }
 
 // minKeep is the shortest time for which records of ended jobs are kept.
--- a/event/event.go
+++ b/event/event.go
@@ -109,8 +109,9 @@
 
 // Advised is the outcome of an Advise. Tickets are by worker.
 type Advised struct {
-	Call    advice.Call
-	OK      bool
+	Call advice.Call
+	// Err is why there is no advice, nil if there is.
+	Err     error
 	Tickets map[string]string
 	// Sent is when the call was made, Valid how long its tickets hold.
 	Sent, Valid time.Duration
--- a/fetch/fetch.go
+++ b/fetch/fetch.go
@@ -18,7 +18,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// Limits of connections to the platform and to workers.
+// Limits of connections and answers.
 const (
 	dialTimeout = 700 * time.Millisecond
 	idleTimeout = 12 * time.Second
--- a/hosts/hosts.go
+++ b/hosts/hosts.go
@@ -44,6 +44,8 @@
 	// Total is how many rows there are, estimated if there are more than were
 	// read.
 	Total int
+	// Malformed counts the rows that can't be read.
+	Malformed int
 }
 
 // keyOf names a host's row. Keys are spread evenly, so that a few of them
@@ -101,9 +103,11 @@
 	}
 	for _, r := range rows {
 		var x Row
-		if json.Unmarshal(r.Value, &x) == nil && x.Name != "" {
-			h.Rows = append(h.Rows, x)
+		if json.Unmarshal(r.Value, &x) != nil || x.Name == "" {
+			h.Malformed++
+			continue
 		}
+		h.Rows = append(h.Rows, x)
 	}
 	return h, nil
 }
--- a/relay/hosts.go
+++ b/relay/hosts.go
@@ -9,8 +9,8 @@
 	"citronbridge/hosts"
 )
 
-// know announces this host and reads which others there are, until ctx ends.
-func (r *Relay) know(ctx context.Context) {
+// followHosts announces this host and reads which others there are, until ctx ends.
+func (r *Relay) followHosts(ctx context.Context) {
 	var announced time.Time
 	// Hosts that start together would be too many for the table service.
 	pause := time.Duration(xxhash.Sum64String(r.c.Host) % uint64(announceSpread))
@@ -44,6 +44,9 @@
 // update takes in the list of hosts, and removes rows of hosts that are gone
 // for long.
 func (r *Relay) update(ctx context.Context, l hosts.Page) {
+	if l.Malformed > 0 {
+		r.c.Log.Warn().Int("rows", l.Malformed).Msg("rows of hosts can't be read and are left out")
+	}
 	listed := map[string]bool{}
 	for _, h := range l.Rows {
 		if h.Name == r.c.Host {
@@ -57,7 +60,7 @@
 		}
 		listed[h.Name] = true
 		r.mu.Lock()
-		r.meet(h.Name, h.Address)
+		r.addPeer(h.Name, h.Address)
 		r.mu.Unlock()
 	}
 	r.mu.Lock()
@@ -84,14 +87,14 @@
 	return r.total
 }
 
-// meet adds a host. The lock is held, or nobody else knows the Relay yet.
-func (r *Relay) meet(host, address string) {
+// addPeer adds a host. The lock is held, or nobody else knows the Relay yet.
+func (r *Relay) addPeer(host, address string) {
 	if address == "" || r.c.Listener != nil && address == r.c.Listener.Addr().String() {
 		return
 	}
 	for i, p := range r.peers {
 		if p.address == address {
-			p.called(host)
+			p.setName(host)
 			return
 		}
 		if host != "" && p.name() == host {
--- a/relay/open.go
+++ b/relay/open.go
@@ -26,9 +26,9 @@
 
 // end takes in how a direct call came out.
 func (r *Relay) end(ctx, inner context.Context, c *openCall, err error) {
-	abandoned := inner.Err() != nil && ctx.Err() == nil
+	stale := inner.Err() != nil && ctx.Err() == nil
 	r.drop(c)
-	if err == nil || !abandoned {
+	if err == nil || !stale {
 		r.noted(ctx, err)
 	}
 }
@@ -41,10 +41,10 @@
 	c.cancel()
 }
 
-// abandon gives up what was asked while the table service answered nothing:
+// cancelStale gives up what was asked while the table service answered nothing:
 // those who asked ask again, instead of waiting for answers that won't come.
 // The lock is held.
-func (r *Relay) abandon() {
+func (r *Relay) cancelStale() {
 	for c := range r.calls {
 		if time.Since(c.began) >= lostFor {
 			c.cancel()
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -35,8 +35,8 @@
 	// host is empty for a seed that isn't listed yet.
 	host    string
 	session *yamux.Session
-	// restUntil keeps calls away from a host that couldn't help.
-	restUntil time.Time
+	// backoffUntil keeps calls away from a host that couldn't help.
+	backoffUntil time.Time
 }
 
 // name returns the host's name, empty for a seed that isn't listed yet.
@@ -46,23 +46,23 @@
 	return p.host
 }
 
-// called gives a seed the name that it is listed by.
-func (p *peer) called(host string) {
+// setName gives a seed the name that it is listed by.
+func (p *peer) setName(host string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.host = host
 }
 
-func (p *peer) rest() {
+func (p *peer) backOff() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.restUntil = time.Now().Add(peerPause)
+	p.backoffUntil = time.Now().Add(peerBackoff)
 }
 
-func (p *peer) rested() bool {
+func (p *peer) available() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return time.Now().After(p.restUntil)
+	return time.Now().After(p.backoffUntil)
 }
 
 func (p *peer) close() {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -31,8 +31,8 @@
 	probePause = 400 * time.Millisecond
 	// probeTimeout bounds one look.
 	probeTimeout = time.Second
-	// peerPause is how long a host that couldn't help isn't asked again.
-	peerPause = 300 * time.Millisecond
+	// peerBackoff is how long a host that couldn't help isn't asked again.
+	peerBackoff = 300 * time.Millisecond
 	// maxPeers bounds the hosts that one call is offered to.
 	maxPeers = 3
 	// callTimeout bounds a call through another host, beside its wait.
@@ -111,7 +111,7 @@
 	r := &Relay{c: c, calls: map[*openCall]bool{}}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	for _, s := range c.Seeds {
-		r.meet("", s)
+		r.addPeer("", s)
 	}
 	return r, nil
 }
@@ -126,7 +126,7 @@
 			r.accept(ctx)
 		}()
 	}
-	r.know(ctx)
+	r.followHosts(ctx)
 	r.cancel()
 	if r.c.Listener != nil {
 		r.c.Listener.Close()
@@ -190,7 +190,7 @@
 	if err == nil || errors.Is(err, repo.ErrHistoryGone) {
 		if r.lost {
 			r.c.Log.Info().Msg("table service answers this host again")
-			r.abandon()
+			r.cancelStale()
 		}
 		r.failures, r.lost, r.answered = 0, false, time.Now()
 		return
@@ -243,14 +243,14 @@
 		switch {
 		case errors.Is(err, errNotSent), err == nil && a.Outcome == wire.StoreAnswer_NOT_DONE:
 			r.c.Relayed("Refused")
-			p.rest()
+			p.backOff()
 		case err != nil:
 			r.c.Relayed("NoAnswer")
-			p.rest()
+			p.backOff()
 			return nil, true, fmt.Errorf("through host at %s: %w", p.address, err)
 		default:
 			r.c.Relayed(a.Outcome.String())
-			r.keep(p)
+			r.prefer(p)
 			return a, true, answerError(a)
 		}
 		if ctx.Err() != nil {
@@ -270,7 +270,7 @@
 	var l []*peer
 	for i := range r.peers {
 		p := r.peers[(r.next+i)%len(r.peers)]
-		if p.rested() {
+		if p.available() {
 			l = append(l, p)
 		}
 		if len(l) == maxPeers {
@@ -280,8 +280,8 @@
 	return l
 }
 
-// keep makes a host that helped the first to be asked.
-func (r *Relay) keep(p *peer) {
+// prefer makes a host that helped the first to be asked.
+func (r *Relay) prefer(p *peer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i, o := range r.peers {
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -45,6 +45,7 @@
 func (r *Relay) serve(ctx context.Context, c net.Conn) {
 	s, err := yamux.Server(c, sessionConfig())
 	if err != nil {
+		r.c.Log.Warn().Err(err).Msg("another host's connection couldn't be taken")
 		return
 	}
 	defer s.Close()
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"slices"
 	"time"
 
 	"citronbridge/advice"
@@ -27,7 +26,7 @@
 }
 
 // ask asks for advice on the first unit that still waits for want of tickets.
-func (s *State) ask(units []*assign.Unit) {
+func (s *State) ask(units []*assign.Unit, workers []*assign.Worker) {
 	var steps []string
 	for _, u := range units {
 		if u.Only != nil {
@@ -41,7 +40,7 @@
 		}
 		// Tickets run out, and a call may be turned away.
 		s.askAt = s.now.Steady + askPeriod
-		c, ok := s.advice.Ask(u.Key, len(u.Indexes), s.candidates(u), s.now.Steady)
+		c, ok := s.advice.Ask(u.Key, len(u.Indexes), s.candidates(u, workers), s.now.Steady)
 		if ok {
 			s.do(event.Advise{Call: c})
 			return
@@ -65,39 +64,24 @@
 
 // candidates returns the lives of workers that could run a unit's tasks, those
 // with room first.
-func (s *State) candidates(u *assign.Unit) []advice.Life {
-	type candidate struct {
-		l    advice.Life
-		free bool
-	}
-	var l []candidate
-	d := u.Step.Counted()
-	for _, id := range s.names {
-		w := s.pool[id]
-		if s.closed(w) || !w.recorded || !d.Fits(w.Capacity) || u.Step.Requires != "" && !slices.Contains(w.Labels, u.Step.Requires) {
-			continue
-		}
-		l = append(l, candidate{w.lifeOf(), d.Fits(w.Capacity.Minus(w.used))})
-	}
-	slices.SortStableFunc(l, func(a, b candidate) int {
+func (s *State) candidates(u *assign.Unit, workers []*assign.Worker) []advice.Life {
+	var now, later []advice.Life
+	for _, w := range workers {
+		l := s.pool[w.ID].lifeOf()
 		switch {
-		case a.free == b.free:
-			return 0
-		case a.free:
-			return -1
+		case !u.Fits(w):
+		case u.Step.Counted().Fits(w.Free):
+			now = append(now, l)
+		default:
+			later = append(later, l)
 		}
-		return 1
-	})
-	r := make([]advice.Life, 0, len(l))
-	for _, c := range l {
-		r = append(r, c.l)
 	}
-	return r
+	return append(now, later...)
 }
 
 // advised takes in what the advice service said.
 func (s *State) advised(e event.Advised) {
-	if !e.OK {
+	if e.Err != nil {
 		s.advice.Failed(s.now.Steady)
 		s.changed = true
 		return
--- a/sched/place.go
+++ b/sched/place.go
@@ -18,7 +18,8 @@
 		return
 	}
 	byKey := map[string]*run{}
-	p := assign.Decide(s.now.Steady, s.assignable(byKey), units)
+	workers := s.assignable(byKey)
+	p := assign.Decide(s.now.Steady, workers, units)
 	for _, r := range p.Stops {
 		if o := byKey[r.Key]; o != nil {
 			s.note(o.task.step.job, o.w, o, "stopped for more urgent work")
@@ -26,7 +27,7 @@
 		}
 	}
 	s.start(p.Starts)
-	s.ask(units)
+	s.ask(units, workers)
 }
 
 // assignable converts the workers for placement.
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -87,20 +87,29 @@
 	}
 }
 
-// readLine returns a line, or its beginning if it is too long.
+// readLine returns a line, or tooLong for one that is.
 func readLine(s *bufio.Reader) ([]byte, error) {
 	var b []byte
+	long := false
 	for {
 		part, err := s.ReadSlice('\n')
-		if len(b)+len(part) <= maxLine {
+		long = long || len(b)+len(part) > maxLine
+		if !long {
 			b = append(b, part...)
 		}
-		if err != bufio.ErrBufferFull {
-			return b, err
+		if err == bufio.ErrBufferFull {
+			continue
+		}
+		if long {
+			return []byte(tooLong), err
 		}
+		return b, err
 	}
 }
 
+// tooLong stands for a line that was left out.
+const tooLong = "(too long)"
+
 // concerns reports whether the line names a job or a worker.
 func (l *Line) concerns(id string) bool {
 	return l.Job == id || l.Worker == id || strings.HasPrefix(l.Task, id+".") || l.Path != "" && strings.HasSuffix(l.Path, "/"+id)
