--- a/advice/advice.go
+++ b/advice/advice.go
@@ -17,7 +17,7 @@
 	// margin is kept from the end of a ticket for its start to arrive, half
 	// the time of a shorter one.
 	margin = 500 * time.Millisecond
-	// refusedPause is kept after a call that the service turned away.
+	// refusedPause is kept after a call that the service rejected.
 	refusedPause = 100 * time.Millisecond
 )
 
--- a/advice/advice_test.go
+++ b/advice/advice_test.go
@@ -43,7 +43,7 @@
 	}
 	b.Failed(3 * time.Second)
 	if _, ok := b.Ask("s", 2, lives(40), 3*time.Second); ok {
-		t.Error("no pause after a call that was turned away")
+		t.Error("no pause after a call that was rejected")
 	}
 	// More tasks than workers that are known as good.
 	c, ok = b.Ask("s", 5, lives(40), 4*time.Second)
--- a/assign/assign.go
+++ b/assign/assign.go
@@ -19,10 +19,10 @@
 	Free, Coming work.Amounts
 	// Closed workers take no new tasks: they drain, fail or can't be reached.
 	Closed bool
-	// NoFills workers take no tasks that fill spare processor time: those that
-	// serve there suffer from them.
-	NoFills bool
-	Runs    []*Run
+	// NoBestEffort workers take no best-effort tasks: latency-sensitive ones
+	// there suffer from them.
+	NoBestEffort bool
+	Runs         []*Run
 
 	// claimed is room kept for units that rank before.
 	claimed work.Amounts
@@ -166,7 +166,7 @@
 // Fits reports whether w is open and made for the unit's tasks, whatever runs
 // there.
 func (u *Unit) Fits(w *Worker) bool {
-	if w.Closed || u.Step.Fills && w.NoFills || !u.Step.Counted().Fits(w.Total) {
+	if w.Closed || u.Step.Fills && w.NoBestEffort || !u.Step.Counted().Fits(w.Total) {
 		return false
 	}
 	return u.Step.Requires == "" || slices.Contains(w.Labels, u.Step.Requires)
--- a/itest/harness_test.go
+++ b/itest/harness_test.go
@@ -554,7 +554,7 @@
 	return jobs.Shape{Members: n, Each: jobs.Room{Accelerators: a, Processors: a, Memory: 1 << 30}, Adjacency: j}
 }
 
-// ample limits keep a test's load from being turned away.
+// ample limits keep a test's load from being rejected.
 var ample = rules.Limits{RequestsPerSecond: rules.MaxRate, Burst: rules.MaxRate, CallerRequestsPerSecond: rules.MaxRate, CallerBurst: rules.MaxRate}
 
 // manifest returns rules with guarantees for both accounts.
--- a/meter/host.go
+++ b/meter/host.go
@@ -12,7 +12,7 @@
 	set *Set
 
 	// Calls counts clients' calls by what came of them, Refused those that
-	// were turned away at the door, by reason.
+	// were rejected at the door, by reason.
 	Calls   *prometheus.CounterVec
 	Refused *prometheus.CounterVec
 	// Store counts calls of the platform's store, by call and outcome.
@@ -43,7 +43,7 @@
 	return &Host{
 		set:      s,
 		Calls:    s.counters("calls_total", "Calls of clients, by what came of them.", "call", "verdict"),
-		Refused:  s.counters("refused_total", "Calls of clients turned away, by reason.", "reason"),
+		Refused:  s.counters("refused_total", "Calls of clients rejected, by reason.", "reason"),
 		Orders:   s.counters("worker_orders_total", "Calls of workers, by outcome.", "order", "outcome"),
 		Store:    s.counters("store_calls_total", "Calls of the platform's store, by outcome.", "call", "outcome"),
 		Relayed:  s.counters("store_calls_relayed_total", "Calls of the platform's store through other hosts, by outcome.", "outcome"),
--- a/native/relay_test.go
+++ b/native/relay_test.go
@@ -11,10 +11,10 @@
 	"citronbridge/fakes/plat"
 )
 
-// TestTurnedAway lets the store turn one host away in each of its ways: the
+// TestStoreRejectsDecider lets the store reject one host in each of its ways: the
 // host serves on through the others, adopts what the operator changes, and a
 // decider keeps its pool.
-func TestTurnedAway(t *testing.T) {
+func TestStoreRejectsDecider(t *testing.T) {
 	t.Parallel()
 	for _, c := range []struct {
 		name    string
--- a/native/store_test.go
+++ b/native/store_test.go
@@ -47,9 +47,9 @@
 	}
 }
 
-// TestStoreTurnsAHostAway refuses one host that no other helps: it says that nothing has run, and
+// TestStoreRejectsHostAlone refuses one host that no other helps: it says that nothing has run, and
 // wants no connections, while the others serve.
-func TestStoreTurnsAHostAway(t *testing.T) {
+func TestStoreRejectsHostAlone(t *testing.T) {
 	t.Parallel()
 	d := newDeployment(t, 2*time.Minute)
 	d.apart = true
--- a/node/node.go
+++ b/node/node.go
@@ -57,7 +57,7 @@
 	reloading sync.Mutex
 	read      fileVersion
 	// direct is the store at the settings' address, store the same or, while
-	// it turns this host away, other hosts' way to it.
+	// it rejects this host, other hosts' way to it.
 	direct *platform.Store
 	relay  *relay.Relay
 	log    zerolog.Logger
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -1,33 +1,33 @@
-// Package pacing decides how fast tasks that fill spare processor time may
-// work beside tasks that serve, as a function over plain data.
+// Package pacing throttles best-effort tasks beside latency-sensitive ones, as
+// a function over plain data.
 package pacing
 
 import "time"
 
 // Figures of the control.
 const (
-	// high and low are the parts of a target above which fills slow down and
-	// below which they may speed up.
+	// high and low are the parts of a target above which best-effort tasks are
+	// throttled and below which they may speed up.
 	high, low = 0.9, 0.6
 	// settle is how long a change takes to show: the tail is that of the last
 	// half second, and a pace takes 0.1 s to hold; the platform's figures.
 	settle = 600 * time.Millisecond
-	// calm is how long tails must be low before fills speed up.
+	// calm is how long tails must be low before best-effort tasks speed up.
 	calm = 1500 * time.Millisecond
 	// slowBy divides the pace: three changes lead to a stand-still, well within
 	// the time for which a target may be missed.
 	slowBy = 3
-	// step is by how much fills speed up, in percent.
+	// step is by how much they speed up, in percent.
 	step = 10
 	// least is the slowest pace but a stand-still, in percent.
 	least = 10
 	// Full is the pace of a task that was just started, in percent.
 	Full = 100
-	// standing is the pace at which a worker gets no further fills.
-	standing = 30
+	// closed is the pace at which a worker gets no further best-effort tasks.
+	closed = 30
 )
 
-// Level is the pace of all fills on one worker.
+// Level is the pace of all best-effort tasks on one worker.
 type Level struct {
 	// Percent is what is asked for.
 	Percent int
@@ -39,7 +39,8 @@
 // NewLevel returns the level of a worker on which nothing is slowed down.
 func NewLevel() Level { return Level{Percent: Full} }
 
-// Serving is a task that serves and the tail of its response times.
+// Serving is a latency-sensitive task: the tail of its response times and what
+// that must stay below.
 type Serving struct{ Target, Tail time.Duration }
 
 // Next returns the level after the tails that a worker has told. The worst
@@ -76,5 +77,5 @@
 	return l
 }
 
-// Takes reports whether a worker at the level takes further fills.
-func (l Level) Takes() bool { return l.Percent > standing }
+// Admits reports whether a worker at the level gets further best-effort tasks.
+func (l Level) Admits() bool { return l.Percent > closed }
--- a/pacing/pacing_test.go
+++ b/pacing/pacing_test.go
@@ -17,7 +17,7 @@
 	return l
 }
 
-// TestHarmEndsInTime disturbs a serving task by as much as its fills work: it
+// TestHarmEndsInTime disturbs a serving task by as much as best-effort tasks work: it
 // is below its target again within the bound, at whatever pace that needs.
 func TestHarmEndsInTime(t *testing.T) {
 	for _, needed := range []int{90, 60, 40, 20, 5, 0} {
@@ -41,11 +41,12 @@
 	}
 }
 
-// TestFillsComeBack lets the disturbance end: fills work at full pace again.
-func TestFillsComeBack(t *testing.T) {
+// TestBestEffortSpeedsUp lets the disturbance end: best-effort tasks work at full
+// pace again.
+func TestBestEffortSpeedsUp(t *testing.T) {
 	l := Level{Percent: 0}
 	l = play(l, 0, 20*time.Second, 500*time.Millisecond, func(int) time.Duration { return 10 * time.Millisecond }, func(time.Duration, Level) {})
-	if l.Percent != Full || !l.Takes() {
+	if l.Percent != Full || !l.Admits() {
 		t.Errorf("%d%% after 20 s without disturbance", l.Percent)
 	}
 	// Between the two limits nothing changes.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -1,5 +1,5 @@
 // Package relay carries calls of the table service through other hosts while
-// the table service turns this one away.
+// the table service rejects this one.
 package relay
 
 import (
@@ -139,7 +139,7 @@
 	r.wg.Wait()
 }
 
-// Lost reports whether the table service turns this host away.
+// Lost reports whether the table service is unavailable to this host.
 func (r *Relay) Lost() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -189,7 +189,7 @@
 	defer r.mu.Unlock()
 	if err == nil || errors.Is(err, repo.ErrHistoryGone) {
 		if r.lost {
-			r.c.Log.Info().Msg("table service answers this host again")
+			r.c.Log.Info().Msg("table service is available to this host again")
 			r.cancelStale()
 		}
 		r.failures, r.lost, r.answered = 0, false, time.Now()
@@ -198,7 +198,7 @@
 	r.failures++
 	if !r.lost && r.failures >= lostAfter && time.Since(r.answered) >= lostFor {
 		r.lost = true
-		r.c.Log.Warn().Err(err).Int("peers", len(r.peers)).Msg("table service turns this host away; other hosts are asked")
+		r.c.Log.Warn().Err(err).Int("peers", len(r.peers)).Msg("table service is unavailable to this host; failing over to peers")
 	}
 	if r.lost && !r.probing && r.ctx.Err() == nil {
 		r.probing = true
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -92,7 +92,7 @@
 	return r, l.Addr().String()
 }
 
-// lose lets a relay find out that it is turned away.
+// lose lets a relay find out that it is rejected.
 func lose(t *testing.T, r *Relay) {
 	t.Helper()
 	for !r.Lost() {
@@ -106,7 +106,7 @@
 	return repo.Change{If: []repo.Condition{{Table: "t", Key: key}}, Put: []repo.Row{{Table: "t", Key: key, Value: []byte("v")}}}
 }
 
-// TestThroughAnotherHost turns one host away: its calls go through the other
+// TestThroughAnotherHost rejects one host: its calls go through the other
 // one, with the answers that the table service itself gives.
 func TestThroughAnotherHost(t *testing.T) {
 	m := rows.New()
@@ -150,7 +150,7 @@
 	}
 }
 
-// TestNobodyReachesIt turns both hosts away: the call ends as the table
+// TestNobodyReachesIt rejects both hosts: the call ends as the table
 // service's own refusal does, and isn't passed round.
 func TestNobodyReachesIt(t *testing.T) {
 	m := rows.New()
@@ -165,12 +165,12 @@
 		t.Errorf("a refusal comes back as %v", err)
 	}
 	if m.Calls() != 0 {
-		t.Errorf("%d calls reached a table service that turns both away", m.Calls())
+		t.Errorf("%d calls reached a table service that rejects both", m.Calls())
 	}
 }
 
 // TestLostAnswers lets a table service lose many answers but not all: the host
-// isn't turned away.
+// isn't rejected.
 func TestLostAnswers(t *testing.T) {
 	r := &Relay{calls: map[*openCall]bool{}, c: Config{Host: "h", Direct: rows.New(), Log: zerolog.Nop()}, ctx: t.Context()}
 	for range 20 {
@@ -179,7 +179,7 @@
 			r.noted(t.Context(), errLost)
 		}
 		if r.Lost() {
-			t.Fatal("lost answers are taken for a table service that turns the host away")
+			t.Fatal("lost answers are taken for a table service that rejects the host")
 		}
 	}
 	r.answered = time.Now().Add(-lostFor)
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -79,11 +79,11 @@
 	}
 }
 
-// perform makes a call directly. A host that is turned away itself says so at
+// perform makes a call directly. A host that can't reach it itself says so at
 // once: calls are never passed on twice.
 func (r *Relay) perform(ctx context.Context, q *wire.StoreCall) *wire.StoreAnswer {
 	if r.Lost() {
-		return &wire.StoreAnswer{Outcome: wire.StoreAnswer_NOT_DONE, Cause: "the table service turns this host away too"}
+		return &wire.StoreAnswer{Outcome: wire.StoreAnswer_NOT_DONE, Cause: "the table service is unavailable to this host too"}
 	}
 	switch b := q.Body.(type) {
 	case *wire.StoreCall_Apply:
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -38,7 +38,7 @@
 		if u.Only == nil || len(u.Indexes) == 0 || s.placed(u) {
 			continue
 		}
-		// Tickets run out, and a call may be turned away.
+		// Tickets run out, and a call may be rejected.
 		s.askAt = s.now.Steady + askPeriod
 		c, ok := s.advice.Ask(u.Key, len(u.Indexes), s.candidates(u, workers), s.now.Steady)
 		if ok {
--- a/sched/place.go
+++ b/sched/place.go
@@ -37,7 +37,7 @@
 		w := s.pool[id]
 		a := &assign.Worker{
 			ID: id, Rack: w.Rack, Labels: w.Labels, Total: w.Capacity, Free: w.Capacity.Minus(w.used), Closed: s.closed(w) || !w.recorded,
-			NoFills: !w.level.Takes(),
+			NoBestEffort: !w.level.Admits(),
 		}
 		if !a.Closed || len(w.runs) > 0 {
 			l = append(l, a)
--- a/sched/share.go
+++ b/sched/share.go
@@ -8,38 +8,40 @@
 	"citronbridge/pacing"
 )
 
-// sharedWait is how long a worker on which tasks serve beside others that fill
+// sharedWait is how long a worker with latency-sensitive and best-effort tasks
 // keeps its answer back: tails are those of the last half second.
 const sharedWait = 400 * time.Millisecond
 
-// shared reports whether tasks serve on the worker beside others that fill.
+// shared reports whether latency-sensitive and best-effort tasks share the
+// worker.
 func (w *worker) shared() bool {
-	serves, fills := false, false
+	sensitive, bestEffort := false, false
 	for _, r := range w.runs {
 		if r.task != nil {
-			serves = serves || r.serves()
-			fills = fills || r.task.step.spec.Fills
+			sensitive = sensitive || r.sensitive()
+			bestEffort = bestEffort || r.task.step.spec.Fills
 		}
 	}
-	return serves && fills
+	return sensitive && bestEffort
 }
 
-// serves reports whether a run has a target for its response times.
-func (r *run) serves() bool {
+// sensitive reports whether a run has a target for its response times.
+func (r *run) sensitive() bool {
 	return r.task != nil && r.task.step.spec.LongRunning && r.task.step.spec.Target > 0
 }
 
-// pace lets tasks that fill work as fast as those that serve beside them bear.
+// pace throttles best-effort tasks by the tails of the latency-sensitive ones
+// beside them.
 func (s *State) pace(w *worker) {
 	var serving []pacing.Serving
 	for _, r := range w.runs {
-		if r.serves() && r.phase == working {
+		if r.sensitive() && r.phase == working {
 			serving = append(serving, pacing.Serving{Target: r.task.step.spec.Target, Tail: r.tail})
 		}
 	}
 	before := w.level
 	w.level = pacing.Next(w.level, s.now.Steady, serving)
-	if w.level.Takes() != before.Takes() {
+	if w.level.Admits() != before.Admits() {
 		s.changed = true
 	}
 	for _, r := range s.runsOf(w) {
@@ -49,7 +51,7 @@
 		if r.pace == w.level.Percent || s.limits.NoOrders {
 			continue
 		}
-		s.note(r.task.step.job, w, r, "pace changes to "+strconv.Itoa(w.level.Percent)+" percent beside serving tasks")
+		s.note(r.task.step.job, w, r, "pace changes to "+strconv.Itoa(w.level.Percent)+" percent beside latency-sensitive tasks")
 		r.pace = w.level.Percent
 		c := s.call(w)
 		c.Task, c.Run = r.id, r.n
--- a/sched/share_test.go
+++ b/sched/share_test.go
@@ -147,8 +147,8 @@
 	}
 }
 
-// TestPace lets tasks that fill disturb one that serves: they are slowed down
-// until its tail is below its target, also when orders get no answer, and work
+// TestPace lets best-effort tasks disturb a latency-sensitive one: they are
+// throttled until its tail is below its target, also when orders get no answer, and work
 // at full pace again once nothing is disturbed.
 func TestPace(t *testing.T) {
 	for _, lose := range []bool{false, true} {
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -48,7 +48,7 @@
 
 	runs map[work.TaskID]*run
 	used work.Amounts
-	// level is the pace of tasks that fill, beside those that serve.
+	// level is the pace of best-effort tasks.
 	level pacing.Level
 
 	// closedUntil keeps new tasks away, streak counts failures in a row.
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -496,16 +496,16 @@
 	}
 }
 
-var errTurnedDown = errors.New("32 calls wait")
+var errRejected = errors.New("32 calls wait")
 
-// advise asks the advice service, which turns some calls down.
+// advise asks the advice service, which rejects some calls.
 func (p *player) advise(e event.Advise) {
 	w := p.w
 	sent := w.now
 	a := event.Advised{Call: e.Call, Sent: sent, Valid: w.between(800*time.Millisecond, 3*time.Second)}
 	w.after(w.between(5*time.Millisecond, 120*time.Millisecond), func() {
 		if w.disturbed(0.2) {
-			a.Err = errTurnedDown
+			a.Err = errRejected
 		} else {
 			var ids []string
 			for _, l := range e.Workers {
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -25,7 +25,7 @@
 	Text string
 	// Job, Task and Worker name what the line is about; each may be empty.
 	Job, Task, Worker string
-	// Path is that of a call that was turned away.
+	// Path is that of a call that was rejected.
 	Path string
 	// Pool and Epoch are the decider's, Run is the run of a task.
 	Pool       string
--- a/work/job.go
+++ b/work/job.go
@@ -79,7 +79,8 @@
 	Speculative bool `json:",omitempty"`
 	// LongRunning tasks run until the job is cancelled.
 	LongRunning bool `json:",omitempty"`
-	// Fills says that the tasks use processor that others leave idle.
+	// Fills says that the tasks are best-effort: they use processor time that
+	// others leave idle.
 	Fills bool `json:",omitempty"`
 	// Requires is a label that the worker must have, Affinity the rack with
 	// the data.
