sched: Reclaim guarantees from urgent work of other accounts

Cause: an account's guaranteed accelerators were decoded and never used. All urgent work had one rank, and urgent runs were never stopped, so an account that floods a pool with urgent work kept others from what they are guaranteed for as long as its runs last. A gang that wants one rack waited without bound. TestGuaranteeIsReclaimed failed: 0 of 2 members ran, the other account kept 16 accelerators of a guarantee of 8.

Ruled out: stops of lower priority (they made room at once wherever there was some to stop); the bound itself, which 200 to 400 ms of a stop leave time for.

Change: the decider works out at each placement what is within each account's guarantee, runs first, then what waits. After a third of the bound it goes before other urgent work and may stop urgent runs beyond other guarantees; if all that its account asks for is within the guarantee, it then takes several racks too. Workers of several racks are no longer cleared for a gang that would not take them.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -43,6 +43,8 @@
 	Ends time.Duration
 	// Fixed runs can't be stopped, or are being stopped already.
 	Fixed bool
+	// Borrowed runs are urgent and beyond their account's guarantee.
+	Borrowed bool
 
 	worker *Worker
 }
@@ -58,6 +60,9 @@
 	Rank time.Duration
 	// Preempts says that tasks of lower priority may be stopped.
 	Preempts bool
+	// Reclaims is set for what is within its account's guarantee and has
+	// waited: it goes before others of its priority, and may stop borrowed runs.
+	Reclaims bool
 	// OnWorker counts the step's tasks by worker, for anti-affinity.
 	OnWorker map[string]int
 	// Avoid names workers on which the step's tasks failed.
@@ -66,8 +71,12 @@
 	Only map[string]bool
 	// Rack, if set, is where other tasks of a same-rack step are.
 	Rack string
-	// Waited is how long the unit has been ready.
-	Waited time.Duration
+	// Waited is how long the unit has been ready, Patience how long it waits
+	// for the rack with its data.
+	Waited, Patience time.Duration
+	// RackWait, if positive, is how long a gang that is slow on several racks
+	// waits for a single one that could hold it.
+	RackWait time.Duration
 }
 
 // Task names the unit's task of an index.
@@ -79,6 +88,9 @@
 	return id
 }
 
+// Accelerators returns what the unit's tasks take in all.
+func (u *Unit) Accelerators() int64 { return int64(len(u.Indexes)) * u.Step.Demand.Accelerators }
+
 // Placement puts one task on a worker.
 type Placement struct {
 	Unit   *Unit
@@ -121,12 +133,7 @@
 		}
 		p.racks[i] = append(p.racks[i], w)
 	}
-	slices.SortStableFunc(units, func(a, b *Unit) int {
-		if a.Priority != b.Priority {
-			return a.Priority - b.Priority
-		}
-		return int(min(max(a.Rank-b.Rank, -1), 1))
-	})
+	slices.SortStableFunc(units, before)
 	for _, u := range units {
 		p.dropAvoided(u)
 		if u.Step.Gang {
@@ -138,6 +145,20 @@
 	return p.plan
 }
 
+// before orders units: by priority, those that reclaim a guarantee first, by rank.
+func before(a, b *Unit) int {
+	switch {
+	case a.Priority != b.Priority:
+		return a.Priority - b.Priority
+	case a.Reclaims != b.Reclaims:
+		if a.Reclaims {
+			return -1
+		}
+		return 1
+	}
+	return int(min(max(a.Rank-b.Rank, -1), 1))
+}
+
 // dropAvoided drops what a unit avoids if it could never fit without it.
 func (p *planner) dropAvoided(u *Unit) {
 	if len(u.Avoid) == 0 {
@@ -205,10 +226,6 @@
 	}
 }
 
-// patience is how long a unit waits for its data's rack, in estimates: on
-// another rack the work takes a multiple of its time.
-const patience = 1
-
 // near returns the workers for a unit's data, and then the others if waiting
 // for these no longer pays.
 func (p *planner) near(u *Unit, racks [][]*Worker) [][]*Worker {
@@ -225,7 +242,7 @@
 			l = append(l, r)
 		}
 	}
-	if len(l) > 0 && u.Waited < patience*u.Step.Estimate {
+	if len(l) > 0 && u.Waited < u.Patience {
 		return l
 	}
 	for _, r := range racks {
@@ -296,9 +313,29 @@
 	p.wait(u)
 }
 
+// spreads reports whether a gang that is slow on several racks may take them:
+// no single one could hold it, or there is no time to wait for one.
+func (p *planner) spreads(u *Unit) bool {
+	if u.RackWait > 0 && u.Waited >= u.RackWait {
+		return true
+	}
+	for _, r := range p.racks {
+		total := 0
+		for _, w := range r {
+			if u.eligible(w) {
+				total += u.room(w, w.Total)
+			}
+		}
+		if total >= len(u.Indexes) {
+			return false
+		}
+	}
+	return true
+}
+
 // gangGroups returns the sets of workers that may hold a whole gang: single
 // racks, those with least room first, and all workers unless the gang is slow
-// on several racks and one could hold it.
+// on several racks and waits for one.
 func (p *planner) gangGroups(u *Unit) [][]*Worker {
 	racks := p.near(u, p.racks)
 	type scored struct {
@@ -306,16 +343,13 @@
 		free  int
 	}
 	var l []scored
-	possible := false
 	for _, r := range racks {
-		free, total := 0, 0
+		free := 0
 		for _, w := range r {
 			if u.eligible(w) {
 				free += u.room(w, p.free(u, w))
-				total += u.room(w, w.Total)
 			}
 		}
-		possible = possible || total >= len(u.Indexes)
 		if free >= len(u.Indexes) {
 			l = append(l, scored{r, free})
 		}
@@ -327,7 +361,7 @@
 	for _, s := range l {
 		g = append(g, s.group)
 	}
-	if u.Step.SameRack && possible {
+	if u.Step.SameRack && !p.spreads(u) {
 		return g
 	}
 	return append(g, slices.Concat(racks...))
--- a/assign/wait.go
+++ b/assign/wait.go
@@ -27,20 +27,12 @@
 	loss  float64
 }
 
-// preempt makes room where least work is lost.
+// preempt makes room where least work is lost. Runs of lower priority are
+// stopped before borrowed ones.
 func (p *planner) preempt(u *Unit) bool {
-	groups := [][]*Worker{p.workers}
-	if u.Step.SameRack || u.Step.Affinity != "" {
-		groups = p.near(u, p.racks)
-	}
-	var best *option
-	for _, g := range groups {
-		if o := p.clear(u, g); o != nil && (best == nil || o.loss < best.loss) {
-			best = o
-		}
-	}
-	if best == nil && u.Step.SameRack && len(groups) > 1 {
-		best = p.clear(u, p.workers)
+	best := p.cheapest(u, false)
+	if best == nil && u.Reclaims {
+		best = p.cheapest(u, true)
 	}
 	if best == nil {
 		return false
@@ -57,6 +49,24 @@
 	return true
 }
 
+// cheapest returns where the unit could be held at the least loss, or nil.
+func (p *planner) cheapest(u *Unit, borrowed bool) *option {
+	groups := [][]*Worker{p.workers}
+	if u.Step.SameRack || u.Step.Affinity != "" {
+		groups = p.near(u, p.racks)
+	}
+	var best *option
+	for _, g := range groups {
+		if o := p.clear(u, g, borrowed); o != nil && (best == nil || o.loss < best.loss) {
+			best = o
+		}
+	}
+	if best == nil && len(groups) > 1 && (!u.Step.SameRack || p.spreads(u)) {
+		best = p.clear(u, p.workers, borrowed)
+	}
+	return best
+}
+
 // stop counts a run's room as coming, and that of its whole gang.
 func (p *planner) stop(r *Run) {
 	if r.Fixed {
@@ -78,7 +88,7 @@
 }
 
 // clear returns how the unit could be held by a group of workers, or nil.
-func (p *planner) clear(u *Unit, group []*Worker) *option {
+func (p *planner) clear(u *Unit, group []*Worker, borrowed bool) *option {
 	type offer struct {
 		w     *Worker
 		room  int
@@ -96,7 +106,7 @@
 			l = append(l, offer{w, had, nil, 0})
 		}
 		stops, loss := []*Run(nil), 0.0
-		for _, r := range victims(w, u.Priority) {
+		for _, r := range victims(w, u.Priority, borrowed) {
 			stops = append(stops, r)
 			loss += r.Loss
 			free = free.Plus(r.Demand)
@@ -139,11 +149,11 @@
 }
 
 // victims returns the runs on w that a unit of a priority may stop, those
-// that lose least for what they hold first.
-func victims(w *Worker, priority int) []*Run {
+// that lose least for what they hold first; borrowed ones if it may.
+func victims(w *Worker, priority int, borrowed bool) []*Run {
 	var l []*Run
 	for _, r := range w.Runs {
-		if !r.Fixed && r.Priority > priority {
+		if !r.Fixed && (r.Priority > priority || borrowed && r.Borrowed && r.Priority == priority) {
 			l = append(l, r)
 		}
 	}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -192,7 +192,10 @@
 
 // boundsOf converts the platform's bounds.
 func boundsOf(b platform.Bounds) event.Bounds {
-	return event.Bounds{Lease: platform.Milliseconds(b.MaxHoldMS) - leaseMargin, StopTime: platform.Milliseconds(b.StopMS), FarFactor: b.FarFactor}
+	return event.Bounds{
+		Lease: platform.Milliseconds(b.MaxHoldMS) - leaseMargin, StopTime: platform.Milliseconds(b.StopMS),
+		Reclaim: platform.Milliseconds(b.ReclaimMS), FarFactor: b.FarFactor,
+	}
 }
 
 func (d *Decider) tell(e event.Event) {
--- a/event/event.go
+++ b/event/event.go
@@ -67,6 +67,9 @@
 	Lease time.Duration
 	// StopTime is how long a worker takes to stop a task.
 	StopTime time.Duration
+	// Reclaim is how soon all tasks of an urgent job within its account's
+	// guarantee are to have begun, 0 if that isn't bounded.
+	Reclaim time.Duration
 	// FarFactor is how much longer work takes away from its data's rack.
 	FarFactor float64
 }
--- /dev/null
+++ b/sched/guarantee_test.go
@@ -0,0 +1,40 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"citronbridge/work"
+)
+
+// TestGuaranteeIsReclaimed lets one account fill a pool with urgent work far
+// beyond its guarantee: another one's urgent gangs within its own have their
+// room at once, and the first keeps what it is guaranteed.
+func TestGuaranteeIsReclaimed(t *testing.T) {
+	one := func(n int) work.Step {
+		return work.Step{Count: n, Demand: work.Amounts{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 1}}
+	}
+	gang := work.Step{Count: 2, Demand: work.Amounts{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 4}, Gang: true}
+	b := newBench(t, 4)
+	b.s.rules.Accounts = map[string]*work.Account{"large": {Name: "large", Guaranteed: 8}, "small": {Name: "small", Guaranteed: 8}}
+	b.submitFor("large", "00000000000000a1", "urgent", one(16))
+	if n := b.all("00000000000000a1", 10, 0); n != 16 {
+		t.Fatalf("%d of 16 tasks run on a pool that nobody else uses", n)
+	}
+	b.submitFor("large", "00000000000000a2", "urgent", one(4))
+	b.submitFor("small", "00000000000000b1", "urgent", gang)
+	b.pass(time.Second)
+	if n := b.all("00000000000000b1", 10, 0); n != 2 {
+		t.Errorf("%d of 2 members within a guarantee run", n)
+	}
+	if n := b.all("00000000000000a1", 10, 0); n != 8 {
+		t.Errorf("the account that borrowed runs %d tasks, its guarantee is 8", n)
+	}
+	// Both have their guarantee: more of either waits.
+	stops := len(b.stops)
+	b.submitFor("small", "00000000000000b2", "urgent", gang)
+	b.pass(time.Second)
+	if len(b.stops) != stops {
+		t.Errorf("%d runs within a guarantee were stopped", len(b.stops)-stops)
+	}
+}
--- a/sched/job.go
+++ b/sched/job.go
@@ -41,6 +41,8 @@
 	tail time.Duration
 	// pace is the share of its speed that the run works at, in percent.
 	pace int
+	// borrowed says that the run is urgent and beyond its account's guarantee.
+	borrowed bool
 	// waiting says that an order about the run has no answer yet.
 	waiting bool
 	// tries counts the starts that were sent.
--- a/sched/place.go
+++ b/sched/place.go
@@ -17,6 +17,7 @@
 	if len(units) == 0 {
 		return
 	}
+	s.cover(units)
 	byKey := map[string]*run{}
 	workers := s.assignable(byKey)
 	p := assign.Decide(s.now.Steady, workers, units)
@@ -84,7 +85,7 @@
 	}
 	u := &assign.Unit{
 		Key: st.key, Step: st.spec, Priority: st.job.queue.Priority, Rank: s.rank(st), Preempts: st.job.queue.Priority == 0,
-		Avoid: st.avoid, Waited: s.now.Steady - st.ready,
+		Avoid: st.avoid, Waited: s.now.Steady - st.ready, Patience: st.spec.Estimate,
 	}
 	if st.spec.AntiAffinity > 0 {
 		u.OnWorker = map[string]int{}
--- a/sched/share_test.go
+++ b/sched/share_test.go
@@ -107,8 +107,10 @@
 	return n
 }
 
-func (b *bench) submit(id, queue string, s work.Step) {
-	b.step(event.JobAdded{Job: &work.Job{ID: id, Queue: queue, Steps: []work.Step{s}}, Record: &work.Record{State: work.Pending, Queue: queue}})
+func (b *bench) submit(id, queue string, s work.Step) { b.submitFor("", id, queue, s) }
+
+func (b *bench) submitFor(account, id, queue string, s work.Step) {
+	b.step(event.JobAdded{Job: &work.Job{ID: id, Queue: queue, Tenant: account, Steps: []work.Step{s}}, Record: &work.Record{State: work.Pending, Queue: queue}})
 	b.pass(200 * time.Millisecond)
 }
 
--- a/sched/state.go
+++ b/sched/state.go
@@ -353,6 +353,7 @@
 	if t.step.spec.Gang {
 		a.Group = t.step.key
 	}
+	a.Borrowed = r.borrowed
 	a.Loss = r.loss(s.now.Steady)
 	if t.step.spec.Gang {
 		for _, o := range t.step.tasks {
