--- a/decide/decide.go
+++ b/decide/decide.go
@@ -328,6 +328,9 @@
 			d.c.Meter.Ends.WithLabelValues(string(e.How)).Inc()
 		case event.Begun:
 			d.c.Meter.Wait.WithLabelValues(d.queueLabel(e.Queue)).Observe(e.Wait.Seconds())
+		case event.TakenIn:
+			tasks, accelerators := e.Job.Size()
+			d.log.Info().Str("job", e.Job.ID).Str("queue", e.Job.Queue).Str("account", e.Job.Tenant).Int("tasks", tasks).Int64("accelerators", accelerators).Msg("job taken in")
 		case event.Note:
 			d.log.Info().Str("job", e.Job).Str("worker", e.Worker).Str("task", e.Task).Int("run", e.Run).Msg(e.Text)
 		}
--- a/event/event.go
+++ b/event/event.go
@@ -279,6 +279,9 @@
 	Wait  time.Duration
 }
 
+// TakenIn tells that a job has become known, for the log.
+type TakenIn struct{ Job *work.Job }
+
 // Note is a line for the log: a decision and what it rests on.
 type Note struct {
 	Job, Worker, Text string
@@ -297,4 +300,5 @@
 func (Prove) effect()        {}
 func (Finished) effect()     {}
 func (Begun) effect()        {}
+func (TakenIn) effect()      {}
 func (Note) effect()         {}
--- a/sched/job.go
+++ b/sched/job.go
@@ -215,7 +215,7 @@
 		s.due()
 	}
 	s.changed = true
-	s.note(j, nil, nil, "job taken in")
+	s.do(event.TakenIn{Job: j.spec})
 	s.match(j)
 	if s.cancels[j.spec.ID] > 0 {
 		delete(s.cancels, j.spec.ID)
--- a/work/job.go
+++ b/work/job.go
@@ -146,6 +146,16 @@
 	return longest
 }
 
+// Size returns how many tasks an occurrence has, and the accelerators that
+// they take together.
+func (j *Job) Size() (tasks int, accelerators int64) {
+	for i := range j.Steps {
+		tasks += j.Steps[i].Count
+		accelerators += int64(j.Steps[i].Count) * j.Steps[i].Demand.Accelerators
+	}
+	return tasks, accelerators
+}
+
 var idPattern = regexp.MustCompile(`^[0-9a-fA-F]{16}$`)
 
 // ValidID reports whether s can name a job: 16 hexadecimal digits.
