assign: Stop no more work for urgent units than they are worth

Cause: urgent units stopped whatever ranked lower as soon as they found no room, whatever that threw away: a gang of eight accelerators a task, seconds into its work, for one urgent task.

Change: a stop may throw away at most twice the urgent unit's own work, by its estimate; a unit that reclaims a guarantee stops what it needs. A stop of a long-running task counts as the time that it is away, as what it has served isn't lost.

--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -176,3 +176,19 @@
 		}
 	}
 }
+
+// TestStopsAreWorthIt stops a run for an urgent unit only if that throws away
+// no more than twice the unit's own work, unless a guarantee is reclaimed.
+func TestStopsAreWorthIt(t *testing.T) {
+	for _, c := range []struct {
+		loss     float64
+		reclaims bool
+		stops    int
+	}{{100, false, 1}, {300, false, 0}, {300, true, 1}} {
+		run := &Run{Key: "run", Demand: accelerators(8), Priority: 2, Loss: c.loss}
+		u := &Unit{Key: "u", Step: &work.Step{Count: 1, Demand: accelerators(8), Estimate: 2 * time.Second}, Indexes: []int{0}, Preempts: true, Reclaims: c.reclaims}
+		if p := Decide(0, []*Worker{worker("a", "r", run)}, []*Unit{u}); len(p.Stops) != c.stops {
+			t.Errorf("loss of %v for a unit of %v, reclaims %v: %d stops", c.loss, u.work(), c.reclaims, len(p.Stops))
+		}
+	}
+}
--- a/assign/wait.go
+++ b/assign/wait.go
@@ -34,7 +34,7 @@
 	if best == nil && u.Reclaims {
 		best = p.cheapest(u, true)
 	}
-	if best == nil {
+	if best == nil || !u.Reclaims && u.Step.Estimate > 0 && best.loss > maxLoss*u.work() {
 		return false
 	}
 	d := u.Step.Counted()
@@ -49,6 +49,15 @@
 	return true
 }
 
+// maxLoss bounds the work that is thrown away for a unit that reclaims nothing,
+// in multiples of the unit's own.
+const maxLoss = 2
+
+// work returns the unit's own work by its estimate, in core-seconds.
+func (u *Unit) work() float64 {
+	return float64(len(u.Indexes)) * u.Step.Demand.Cores() * u.Step.Estimate.Seconds()
+}
+
 // cheapest returns where the unit could be held at the least loss, or nil.
 func (p *planner) cheapest(u *Unit, borrowed bool) *option {
 	groups := [][]*Worker{p.workers}
--- a/sched/job.go
+++ b/sched/job.go
@@ -58,10 +58,18 @@
 	wasAt, slowAt time.Duration
 }
 
+// startup is what a long-running task takes to be at work again, as a rule.
+const startup = 2 * time.Second
+
 // loss returns the core-seconds that a stop throws away.
 func (r *run) loss(now time.Duration) float64 {
 	from := r.since
-	if r.task != nil && r.task.step.spec.Checkpoint {
+	switch {
+	case r.task == nil:
+	case r.task.step.spec.LongRunning:
+		// What it has served is not lost; it is away until it is up again.
+		from = max(now-startup, from)
+	case r.task.step.spec.Checkpoint:
 		// A stop writes a checkpoint; only the way there and back is lost.
 		from = max(now-time.Second/2, from)
 	}
