sched, repo: Tell successors when the lease of a silent worker ends

Cause: a successor kept tasks on workers that it can't ask back for the longest lease that its predecessor may have granted, though that one had renewed none for seconds.

Ruled out: telling it in the heartbeat as a remaining time (a successor that read it only after all hosts had lost power would count from its own start), and the time of day (it jumps).

Change: the row of a worker that left two calls unanswered says that its lease isn't renewed, and when it ends by the store's steady clock, which answers carry and hosts reckon from both sides. Before the lease is renewed or a task starts there, the row is taken back durably. Calls through another host carry the clock too.

TestSuccessorWaitsForTheLeaseAlone failed without the row (no start a lease after the worker was gone).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -67,8 +67,10 @@
 	Owner     repo.Owner
 	Ownership *repo.Ownership
 	// Gone says that the former decider surely gives no more orders.
-	Gone    bool
-	Store   repo.Store
+	Gone  bool
+	Store repo.Store
+	// Clock is the store's.
+	Clock   *repo.Clock
 	Owners  *repo.Owners
 	Workers Workers
 	Advisor Advisor
@@ -314,8 +316,7 @@
 		case event.Save:
 			d.shards[repo.PartOf(repo.TableRecords, e.ID)].save(e)
 		case event.RecordWorker:
-			id := e.ID
-			d.writer.Put(repo.TableWorkers, repo.WorkerKey(d.c.Pool, id), []byte(e.Address), func() { d.tell(event.WorkerRecorded{ID: id}) })
+			d.record(e)
 		case event.ForgetWorker:
 			d.writer.Put(repo.TableWorkers, repo.WorkerKey(d.c.Pool, e.ID), nil, nil)
 		case event.Prove:
--- a/decide/load.go
+++ b/decide/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -59,7 +60,7 @@
 	for _, r := range workers.Rows {
 		if pool, id := repo.SplitWorkerKey(r.Key); pool == d.c.Pool {
 			d.writer.Known(r.Table, r.Key, r.Version)
-			l.events = append(l.events, event.WorkerKnown{ID: id, Address: string(r.Value)})
+			l.events = append(l.events, d.known(id, r.Value))
 		}
 	}
 	for _, r := range servers.Rows {
@@ -68,6 +69,41 @@
 	return l, nil
 }
 
+// clockSlack covers how far the clocks of hosts and of the store may run apart
+// over a lease.
+const clockSlack = 100 * time.Millisecond
+
+// known converts a worker's row. Until when its lease lasts is left open if
+// the store's clock isn't known.
+func (d *Decider) known(id string, value []byte) event.WorkerKnown {
+	w, err := repo.DecodeWorkerRow(value)
+	if err != nil {
+		d.log.Error().Err(err).Str("worker", id).Msg("worker's row can't be read; it may run anything")
+		return event.WorkerKnown{ID: id}
+	}
+	e := event.WorkerKnown{ID: id, Address: w.Address, Lapsing: w.Lapsing, LapsesIn: maxLapse}
+	if now, ok := d.c.Clock.AtLeast(); ok && w.Lapsing && w.LapsesAt > 0 {
+		e.LapsesIn = max(w.LapsesAt-now, 0)
+	}
+	return e
+}
+
+// maxLapse is longer than any lease.
+const maxLapse = time.Hour
+
+// record writes a worker's row.
+func (d *Decider) record(e event.RecordWorker) {
+	w := repo.WorkerRow{Address: e.Address, Lapsing: e.Lapsing}
+	if now, ok := d.c.Clock.AtMost(); ok && e.Lapsing {
+		w.LapsesAt = now + e.LapsesIn + clockSlack
+	}
+	b, err := json.Marshal(w)
+	if err != nil {
+		panic("worker's row can't be encoded: " + err.Error())
+	}
+	d.writer.Put(repo.TableWorkers, repo.WorkerKey(d.c.Pool, e.ID), b, func() { d.tell(event.WorkerRecorded{ID: e.ID, Seq: e.Seq}) })
+}
+
 // entry converts a row of the registry.
 func (d *Decider) entry(r repo.Row) []event.Event {
 	if r.Deleted {
--- a/event/event.go
+++ b/event/event.go
@@ -49,13 +49,23 @@
 type WorkerListed struct{ Worker Worker }
 
 // WorkerKnown tells of a worker that a former decider has used.
-type WorkerKnown struct{ ID, Address string }
+type WorkerKnown struct {
+	ID, Address string
+	// Lapsing says that its lease isn't renewed until a RecordWorker says
+	// otherwise, and ends LapsesIn from now.
+	Lapsing  bool
+	LapsesIn time.Duration
+}
 
 // WorkerUnlisted tells that a worker's entry is gone. The worker may live.
 type WorkerUnlisted struct{ ID string }
 
-// WorkerRecorded tells that a worker is recorded as used.
-type WorkerRecorded struct{ ID string }
+// WorkerRecorded tells that a RecordWorker of a number, and all before, are
+// durable.
+type WorkerRecorded struct {
+	ID  string
+	Seq int64
+}
 
 // RulesChanged brings another configuration.
 type RulesChanged struct{ Rules *work.Rules }
@@ -261,8 +271,14 @@
 	Final bool
 }
 
-// RecordWorker makes it durable that a worker is used.
-type RecordWorker struct{ ID, Address string }
+// RecordWorker makes it durable that a worker is used, or that its lease isn't
+// renewed any more and when it ends, for a successor. Seq counts up.
+type RecordWorker struct {
+	ID, Address string
+	Seq         int64
+	Lapsing     bool
+	LapsesIn    time.Duration
+}
 
 // ForgetWorker takes back a RecordWorker.
 type ForgetWorker struct{ ID string }
--- a/fakes/rows/rows.go
+++ b/fakes/rows/rows.go
@@ -21,6 +21,9 @@
 
 var _ repo.Store = (*Store)(nil)
 
+// now is the store's clock: a second for each version.
+func (s *Store) now() time.Duration { return time.Duration(s.version) * time.Second }
+
 // New returns an empty Store.
 func New() *Store { return &Store{rows: map[string]repo.Row{}} }
 
@@ -44,7 +47,7 @@
 		holds = holds && r.Version == i.Version
 	}
 	if !holds {
-		return repo.Result{Version: s.version, Current: current}, nil
+		return repo.Result{Version: s.version, Current: current, Now: s.now()}, nil
 	}
 	s.version++
 	for _, r := range c.Put {
@@ -54,7 +57,7 @@
 	for _, r := range c.Delete {
 		delete(s.rows, r.Table+"/"+r.Key)
 	}
-	return repo.Result{Applied: true, Version: s.version}, nil
+	return repo.Result{Applied: true, Version: s.version, Now: s.now()}, nil
 }
 
 // List implements repo.Store.
@@ -62,7 +65,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
-	p := repo.Page{Version: s.version}
+	p := repo.Page{Version: s.version, Now: s.now()}
 	for _, r := range s.rows {
 		if r.Table == table && r.Key >= from {
 			p.Rows = append(p.Rows, r)
--- a/node/lead.go
+++ b/node/lead.go
@@ -241,7 +241,7 @@
 	gone := o.Host == h.now().Host || h.heartbeats.left(pool, o.Epoch)
 	h.log.Info().Str("pool", pool).Int64("epoch", me.Epoch).Str("former", o.Host).Bool("silent", silent).Bool("gone", gone).Msg("pool taken")
 	return decide.Go(ctx, decide.Config{
-		Pool: pool, Owner: me, Ownership: ownership, Gone: gone, Store: h.store, Owners: h.owners, Workers: h.calls, Advisor: platform.NewAdvisor(h.now().Advice), Rules: h.gate.Rules, Bounds: h.now().Bounds,
+		Pool: pool, Owner: me, Ownership: ownership, Gone: gone, Store: h.store, Clock: h.clock, Owners: h.owners, Workers: h.calls, Advisor: platform.NewAdvisor(h.now().Advice), Rules: h.gate.Rules, Bounds: h.now().Bounds,
 		Meter: h.meter, Log: h.log, Lost: h.lost,
 	}), true
 }
--- a/node/node.go
+++ b/node/node.go
@@ -64,6 +64,7 @@
 	boot   string
 	meter  *meter.Host
 	store  repo.Store
+	clock  *repo.Clock
 	calls  *platform.Workers
 	repo   *repo.Repo
 	owners *repo.Owners
@@ -100,7 +101,7 @@
 	}
 	h := &Host{
 		file: c.File, log: c.Log.With().Str("host", s.Host).Logger(), boot: xid.New().String(), meter: meter.NewHost(c.Dropped), timer: timer.New(),
-		calls: platform.NewWorkers(s.Limits.Descriptors), drain: make(chan struct{}),
+		calls: platform.NewWorkers(s.Limits.Descriptors), drain: make(chan struct{}), clock: repo.NewClock(timer.Boot),
 		gate: gate.New(gate.Config{Now: timer.Boot}), pools: map[string]*candidate{}, direct: platform.NewStore(s.Store.Address),
 	}
 	h.apply(s)
@@ -109,7 +110,7 @@
 	if err = h.openRelay(s); err != nil {
 		return nil, err
 	}
-	h.store = h.relay
+	h.store = h.clock.Watch(h.relay)
 	h.repo = repo.New(h.store)
 	h.owners = repo.NewOwners(h.store)
 	h.heartbeats = newHeartbeats(h.heartbeatPause)
--- a/relay/codec.go
+++ b/relay/codec.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"citronbridge/repo"
 	"citronbridge/wire"
@@ -45,7 +46,12 @@
 	if err != nil {
 		return repo.Page{}, fmt.Errorf("read table service: %w", err)
 	}
-	return repo.Page{Rows: decodeRows(a.Rows), More: a.More, Version: a.Version}, nil
+	return repo.Page{Rows: decodeRows(a.Rows), More: a.More, Version: a.Version, Now: nowOf(a)}, nil
+}
+
+// nowOf returns the store's clock in an answer.
+func nowOf(a *wire.StoreAnswer) time.Duration {
+	return time.Duration(a.NowMilliseconds) * time.Millisecond
 }
 
 // answerError returns the error that an answer stands for, if any.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -152,7 +152,7 @@
 		if err != nil {
 			return repo.Result{}, fmt.Errorf("apply change: %w", err)
 		}
-		res := repo.Result{Applied: a.Applied, Version: a.Version}
+		res := repo.Result{Applied: a.Applied, Version: a.Version, Now: nowOf(a)}
 		if !a.Applied {
 			res.Current = decodeRows(a.Rows)
 		}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -117,15 +117,15 @@
 	lose(t, r)
 	ctx := t.Context()
 	a, err := r.Apply(ctx, put("k"))
-	if err != nil || !a.Applied {
+	if err != nil || !a.Applied || a.Now != time.Second {
 		t.Fatalf("%+v %v", a, err)
 	}
 	a, err = r.Apply(ctx, put("k"))
-	if err != nil || a.Applied || len(a.Current) != 1 || string(a.Current[0].Value) != "v" || a.Current[0].Version == 0 {
+	if err != nil || a.Applied || a.Now != time.Second || len(a.Current) != 1 || string(a.Current[0].Value) != "v" || a.Current[0].Version == 0 {
 		t.Fatalf("a conflict comes back as %+v %v", a, err)
 	}
 	p, err := r.List(ctx, "t", "", "", 10)
-	if err != nil || len(p.Rows) != 1 || p.Version != a.Version {
+	if err != nil || len(p.Rows) != 1 || p.Version != a.Version || p.Now != time.Second {
 		t.Fatalf("%+v %v", p, err)
 	}
 	if p, err = r.Feed(ctx, "t", 0, time.Millisecond); err != nil || len(p.Rows) != 1 {
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -88,14 +88,14 @@
 	switch b := q.Body.(type) {
 	case *wire.StoreCall_Apply:
 		a, err := r.apply(ctx, decodeChange(b.Apply))
-		return answerOf(&wire.StoreAnswer{Applied: a.Applied, Version: a.Version, Rows: encodeRows(a.Current)}, err)
+		return answerOf(&wire.StoreAnswer{Applied: a.Applied, Version: a.Version, Rows: encodeRows(a.Current), NowMilliseconds: a.Now.Milliseconds()}, err)
 	case *wire.StoreCall_List:
 		p, err := r.list(ctx, b.List.Table, b.List.Part, b.List.From, int(b.List.Limit))
-		return answerOf(&wire.StoreAnswer{Rows: encodeRows(p.Rows), More: p.More, Version: p.Version}, err)
+		return answerOf(&wire.StoreAnswer{Rows: encodeRows(p.Rows), More: p.More, Version: p.Version, NowMilliseconds: p.Now.Milliseconds()}, err)
 	case *wire.StoreCall_Feed:
 		wait := min(time.Duration(b.Feed.WaitMilliseconds)*time.Millisecond, maxWait)
 		p, err := r.feed(ctx, b.Feed.Table, b.Feed.After, wait)
-		return answerOf(&wire.StoreAnswer{Rows: encodeRows(p.Rows), More: p.More, Version: p.Version}, err)
+		return answerOf(&wire.StoreAnswer{Rows: encodeRows(p.Rows), More: p.More, Version: p.Version, NowMilliseconds: p.Now.Milliseconds()}, err)
 	}
 	return &wire.StoreAnswer{Outcome: wire.StoreAnswer_NOT_DONE, Cause: "no call of the table service"}
 }
--- /dev/null
+++ b/repo/clock.go
@@ -0,0 +1,79 @@
+package repo
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Clock reckons the store's steady clock from its answers, so that hosts can
+// tell each other times that outlive them.
+type Clock struct {
+	now func() time.Duration
+
+	mu sync.Mutex
+	// store is the clock in the newest answer, of a call that was sent and
+	// answered at these times.
+	store, sent, answered time.Duration
+}
+
+// NewClock returns a Clock that knows nothing yet. Now tells a steady time,
+// suspended time included.
+func NewClock(now func() time.Duration) *Clock { return &Clock{now: now} }
+
+// AtLeast returns the least that the store's clock may show now, and false if
+// the store hasn't told.
+func (c *Clock) AtLeast() (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.store + c.now() - c.answered, c.store > 0
+}
+
+// AtMost returns the most that the store's clock may show now, and false if
+// the store hasn't told.
+func (c *Clock) AtMost() (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.store + c.now() - c.sent, c.store > 0
+}
+
+// observe takes in the clock of an answer. Answers may overtake each other.
+func (c *Clock) observe(sent, store time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if store > c.store {
+		c.store, c.sent, c.answered = store, sent, c.now()
+	}
+}
+
+// Watch returns the store, and observes its answers.
+func (c *Clock) Watch(s Store) Store { return watched{s, c} }
+
+// watched observes answers. Those to Feed are left alone: they wait for a
+// change, and tell little of when the store answered.
+type watched struct {
+	Store
+	clock *Clock
+}
+
+var _ Store = watched{}
+
+// Apply implements Store.
+func (w watched) Apply(ctx context.Context, c Change) (Result, error) {
+	sent := w.clock.now()
+	r, err := w.Store.Apply(ctx, c)
+	if err == nil {
+		w.clock.observe(sent, r.Now)
+	}
+	return r, err
+}
+
+// List implements Store.
+func (w watched) List(ctx context.Context, table, part, from string, limit int) (Page, error) {
+	sent := w.clock.now()
+	p, err := w.Store.List(ctx, table, part, from, limit)
+	if err == nil {
+		w.clock.observe(sent, p.Now)
+	}
+	return p, err
+}
--- a/repo/jobs.go
+++ b/repo/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"strings"
@@ -181,6 +182,25 @@
 	return all, nil
 }
 
+// WorkerRow is a row of TableWorkers.
+type WorkerRow struct {
+	Address string
+	// Lapsing says that the worker's lease isn't renewed before the row says
+	// otherwise, and that all that runs there is dead once the store's clock
+	// shows LapsesAt.
+	Lapsing  bool          `json:",omitempty"`
+	LapsesAt time.Duration `json:",omitempty"`
+}
+
+// DecodeWorkerRow reads a row of TableWorkers.
+func DecodeWorkerRow(b []byte) (WorkerRow, error) {
+	var w WorkerRow
+	if err := json.Unmarshal(b, &w); err != nil {
+		return WorkerRow{}, fmt.Errorf("decode worker's row: %w", err)
+	}
+	return w, nil
+}
+
 // WorkerKey names a worker's row in TableWorkers.
 func WorkerKey(pool, id string) string { return pool + "/" + id }
 
--- a/repo/store.go
+++ b/repo/store.go
@@ -38,6 +38,8 @@
 	Version int64
 	// Current holds the rows of the conditions, if the change wasn't applied.
 	Current []Row
+	// Now is the store's steady clock as it answered, 0 if it didn't tell.
+	Now time.Duration
 }
 
 // Page is rows as of a single moment.
@@ -47,6 +49,8 @@
 	More bool
 	// Version is the newest version of the store when it answered.
 	Version int64
+	// Now is the store's steady clock as it answered, 0 if it didn't tell.
+	Now time.Duration
 }
 
 // ErrNotDone is within an error after which nothing was done and nothing will
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -58,7 +58,7 @@
 		// yet the number would forget ends that nobody has seen.
 		h.SeenUpto = w.durable
 	}
-	if w.synced && w.silent == 0 && len(w.runs) > 0 {
+	if w.synced && w.silent == 0 && w.recorded && len(w.runs) > 0 {
 		h.DeadlineMS = s.deadline(w)
 		h.Wait = holdWait
 		if w.shared() {
@@ -124,6 +124,13 @@
 		s.changed = true
 	}
 	w.silent = 0
+	if w.lapsing {
+		w.lapsing = false
+		s.record(w, 0)
+	}
+	if !w.recorded {
+		w.nextHold = s.now.Steady + savePause
+	}
 	s.clock(w, e.ClockMS)
 	if !w.synced {
 		w.synced, w.syncedAt = true, s.now.Steady
--- a/sched/schedule_test.go
+++ b/sched/schedule_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -358,6 +359,7 @@
 		{"without waiting for workers that can't be asked", faults{noInherit: true}},
 		{"ends forgotten before they are durable", faults{earlySeen: true}},
 		{"cancels that aren't durable", faults{weakCancel: true}},
+		{"leases renewed that successors count as lapsing", faults{staleLapse: true}},
 	} {
 		t.Run(m.name, func(t *testing.T) {
 			for seed := uint64(1); seed <= mutationSchedules; seed++ {
@@ -423,3 +425,40 @@
 		}
 	}
 }
+
+// TestSuccessorWaitsForTheLeaseAlone parts a worker from everything, and kills
+// the decider later: the successor starts the worker's task anew when its lease
+// must have ended, not a whole lease after the takeover.
+func TestSuccessorWaitsForTheLeaseAlone(t *testing.T) {
+	w := newWorld(5, faults{})
+	w.quiet = 0
+	w.tracing = true
+	for i := range 2 {
+		id := fmt.Sprintf("w%d%d", i, i)
+		w.cluster.Add(0, &model.Worker{ID: id, Born: 1, CPU: 16000, Memory: 64000, Accelerators: 4})
+		w.listed[id] = true
+	}
+	w.decide(nil)
+	w.run(time.Second)
+	s := work.Step{Count: 1, Demand: work.Amounts{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 4}}
+	x := model.Shape{Work: 30 * time.Second, CPU: 1000, Memory: 1000, Accelerators: 4}
+	w.submit(&work.Job{ID: "00000000000000aa", Queue: "long", Spec: model.Spec(x), Steps: []work.Step{s}})
+	w.run(5 * time.Second)
+	for _, id := range sorted(w.cluster.Workers) {
+		if len(w.active["00000000000000aa.0.0.0"]) > 0 && w.active["00000000000000aa.0.0.0"][0].w == id {
+			w.cluster.Workers[id].Dark = true
+			w.unlist(id)
+		}
+	}
+	starts := w.starts
+	w.run(12 * time.Second)
+	w.owner().dead = true
+	w.succeed(500 * time.Millisecond)
+	w.run(5*time.Second + maxHold + leaseSlack + time.Second)
+	for _, b := range w.broken {
+		t.Error(b)
+	}
+	if w.starts != starts+1 {
+		t.Errorf("%d starts a lease after the worker was gone, want 1:\n%s", w.starts-starts, strings.Join(w.trace, "\n"))
+	}
+}
--- a/sched/share_test.go
+++ b/sched/share_test.go
@@ -75,7 +75,7 @@
 		case event.Save:
 			b.step(event.RecordSaved{ID: e.ID, Seq: e.Seq})
 		case event.RecordWorker:
-			b.step(event.WorkerRecorded{ID: e.ID})
+			b.step(event.WorkerRecorded{ID: e.ID, Seq: e.Seq})
 		case event.Prove:
 			b.step(event.Owned{At: b.now + 1})
 		}
--- a/sched/state.go
+++ b/sched/state.go
@@ -132,10 +132,7 @@
 			s.changed = true
 		}
 	case event.WorkerRecorded:
-		if w := s.pool[e.ID]; w != nil {
-			w.recorded = true
-			s.changed = true
-		}
+		s.recorded(e)
 	case event.RulesChanged:
 		s.rules = e.Rules
 		s.changed = true
@@ -283,10 +280,10 @@
 	rec := t.step.job.rec
 	if !rec.Unsure {
 		w := s.pool[rec.Placed[work.TaskKey(t.step.k, t.step.i, t.index)]]
-		return w != nil && w.inherited && !w.synced
+		return w != nil && w.unseen()
 	}
 	for _, w := range s.pool {
-		if w.inherited && !w.synced {
+		if w.unseen() {
 			return true
 		}
 	}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -16,10 +16,16 @@
 	// listed says that the registry has the worker now.
 	listed bool
 	// recorded says that the worker is durably known as used, asked that it
-	// is to be.
+	// is to be, by the write of number seq.
 	recorded, asked bool
-	// inherited workers may run tasks of a former decider.
-	inherited bool
+	seq             int64
+	// lapsing says that a successor may rely on the lease not being renewed:
+	// it isn't until the worker is recorded again.
+	lapsing bool
+	// inherited workers may run tasks of a former decider, until the time at
+	// which its leases have ended.
+	inherited      bool
+	inheritedUntil time.Duration
 	// life counts the lives seen, gone says that the last one is over.
 	life int64
 	gone bool
@@ -83,7 +89,69 @@
 	if w.Address == "" {
 		w.Address = e.Address
 	}
-	w.recorded, w.inherited = true, true
+	w.asked, w.inherited, w.inheritedUntil = true, true, s.taken+s.c.Inherit
+	w.recorded, w.lapsing = !e.Lapsing, e.Lapsing
+	if e.Lapsing {
+		w.inheritedUntil = min(w.inheritedUntil, s.now.Steady+e.LapsesIn)
+	}
+}
+
+// unseen reports whether the worker may run tasks of a former decider that
+// this one hasn't been told of.
+func (w *worker) unseen() bool { return w.inherited && !w.synced }
+
+// record asks for the worker's row to be written.
+func (s *State) record(w *worker, lapsesIn time.Duration) {
+	w.recorded, w.asked = false, true
+	w.seq++
+	s.do(event.RecordWorker{ID: w.id, Address: w.Address, Seq: w.seq, Lapsing: w.lapsing, LapsesIn: lapsesIn})
+}
+
+// recorded takes in that a worker's row is written.
+func (s *State) recorded(e event.WorkerRecorded) {
+	w := s.pool[e.ID]
+	if w == nil || e.Seq != w.seq || w.lapsing {
+		return
+	}
+	w.recorded, w.nextHold = true, min(w.nextHold, s.now.Steady)
+	s.changed = true
+}
+
+// silentCalls is how many calls in a row a worker must leave unanswered for
+// its lease to be given up: single answers get lost.
+const silentCalls = 2
+
+// lapse tells successors until when a silent worker may run its tasks, so that
+// they need not wait for the longest lease that it could have.
+func (s *State) lapse(w *worker) {
+	if w.silent < silentCalls || w.lapsing || !w.recorded || s.limits.NoOrders {
+		return
+	}
+	end := w.leaseEnd
+	if w.inherited {
+		end = max(end, w.inheritedUntil)
+	}
+	if end <= s.now.Steady {
+		return
+	}
+	s.note(nil, w, nil, "silent worker's lease isn't renewed")
+	w.lapsing = true
+	s.record(w, end-s.now.Steady)
+}
+
+// outlive lets an inherited worker go that hasn't answered, once what it may
+// run is dead. It returns when to look again.
+func (s *State) outlive(w *worker) time.Duration {
+	now := s.now.Steady
+	switch {
+	case !w.unseen():
+		return now + time.Second
+	case now < w.inheritedUntil:
+		return w.inheritedUntil
+	}
+	w.inherited, s.changed = false, true
+	s.note(nil, w, nil, "inherited lease has run out")
+	return now + time.Second
 }
 
 // listed takes in a worker's entry.
@@ -100,8 +168,7 @@
 	w.Born = born
 	s.changed = true
 	if !w.recorded && !w.asked {
-		w.asked = true
-		s.do(event.RecordWorker{ID: w.id, Address: w.Address})
+		s.record(w, 0)
 	}
 }
 
@@ -148,7 +215,8 @@
 // wants to be called again.
 func (s *State) maintain(w *worker) time.Duration {
 	now := s.now.Steady
-	next := now + time.Second
+	s.lapse(w)
+	next := s.outlive(w)
 	if len(w.runs) > 0 && w.leaseEnd > 0 && now >= w.leaseEnd && w.silent > 0 {
 		s.note(nil, w, nil, "lease has run out")
 		s.lose(w)
@@ -174,7 +242,7 @@
 		}
 		// A worker that doesn't answer is asked by Holds alone: each start
 		// would make its lease longer.
-		if r.phase == starting && w.silent == 0 && w.synced && s.ownedAt > w.syncedAt {
+		if r.phase == starting && w.silent == 0 && w.recorded && w.synced && s.ownedAt > w.syncedAt {
 			s.sendStart(r)
 		} else if r.phase == stopping && (w.silent == 0 || now >= r.sent+4*retryPause) {
 			s.sendStop(r)
@@ -271,7 +339,7 @@
 // sendStart orders a run's start.
 func (s *State) sendStart(r *run) {
 	w := r.w
-	if s.limits.NoStarts || s.limits.NoOrders || w.clockMS == 0 {
+	if s.limits.NoStarts || s.limits.NoOrders || w.clockMS == 0 || !w.recorded {
 		// The order stays due: maintain sends it when it may.
 		r.phase, r.waiting, r.sent = starting, true, s.now.Steady
 		return
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -30,7 +30,7 @@
 	records  map[string][]byte
 	canceled map[string]time.Duration
 	acked    map[string]time.Duration
-	known    map[string]string
+	known    map[string]knownRow
 	epoch    int64
 	storeUp  bool
 	listed   map[string]bool
@@ -51,6 +51,15 @@
 // the decider on purpose.
 type faults struct {
 	noFence, noInherit, earlySeen, weakCancel bool
+	// staleLapse leaves it recorded that a lease isn't renewed when it is.
+	staleLapse bool
+}
+
+// knownRow is what the store has of a worker.
+type knownRow struct {
+	address  string
+	lapsing  bool
+	lapsesAt time.Duration
 }
 
 type act struct {
@@ -117,7 +126,7 @@
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 7)), faults: f, quiet: 30 * time.Second,
 		jobs: map[string]*work.Job{}, records: map[string][]byte{}, canceled: map[string]time.Duration{}, acked: map[string]time.Duration{},
-		known: map[string]string{}, storeUp: true, listed: map[string]bool{}, fences: map[string]int64{},
+		known: map[string]knownRow{}, storeUp: true, listed: map[string]bool{}, fences: map[string]int64{},
 		active: map[string][]*act{}, ends: map[string][]*fact{}, failed: map[string]int{},
 	}
 	w.rules = &work.Rules{Version: 1, Queues: map[string]*work.Queue{
@@ -280,7 +289,8 @@
 	w.log("DECIDER %d", w.epoch)
 	var l []event.Event
 	for _, id := range sorted(w.known) {
-		l = append(l, event.WorkerKnown{ID: id, Address: w.known[id]})
+		r := w.known[id]
+		l = append(l, event.WorkerKnown{ID: id, Address: r.address, Lapsing: r.lapsing, LapsesIn: max(r.lapsesAt-w.now, 0)})
 	}
 	for _, id := range sorted(w.listed) {
 		if w.listed[id] {
@@ -482,7 +492,8 @@
 		case event.Save:
 			p.save(e)
 		case event.RecordWorker:
-			p.row(func() { w.known[e.ID] = e.Address }, func() { p.take(event.WorkerRecorded{ID: e.ID}) })
+			r := knownRow{address: e.Address, lapsing: e.Lapsing, lapsesAt: w.now + e.LapsesIn}
+			p.row(func() { w.know(e.ID, r) }, func() { p.take(event.WorkerRecorded{ID: e.ID, Seq: e.Seq}) })
 		case event.ForgetWorker:
 			p.row(func() { delete(w.known, e.ID) }, func() {})
 		case event.Prove:
@@ -663,6 +674,13 @@
 	p.store(may, func() { w.write(e) }, saved)
 }
 
+// know makes a worker's row durable.
+func (w *world) know(id string, r knownRow) {
+	if !w.faults.staleLapse || !w.known[id].lapsing {
+		w.known[id] = r
+	}
+}
+
 // write makes a record durable and checks what it claims.
 func (w *world) write(e event.Save) {
 	w.records[e.ID] = e.Record
