--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -70,6 +70,12 @@
 
 // start runs a Relay on a door until the test ends.
 func start(t *testing.T, host string, d *door, seeds ...string) (*Relay, string) {
+	t.Helper()
+	return startStore(t, host, d, seeds...)
+}
+
+// startStore runs a Relay on any store until the test ends.
+func startStore(t *testing.T, host string, d repo.Store, seeds ...string) (*Relay, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
