repo: Refuse calls at once while the store answers nothing

Clients had no time left to come back, and their tries ended as "may have run".

Ruled out: one host's way to the store (others were asked, none had an answer), single lost answers and parts that are away alone (other calls are answered).

Change: a host notes whether every call of the store has failed for 0.4 s. Then submissions, cancels and states are refused as "not run" without a call, with a time to come back; a submission with an unanswered try goes on as before, as it can't be refused truly.

--- a/node/node.go
+++ b/node/node.go
@@ -65,6 +65,7 @@
 	meter  *meter.Host
 	store  repo.Store
 	clock  *repo.Clock
+	health *repo.Health
 	calls  *platform.Workers
 	repo   *repo.Repo
 	owners *repo.Owners
@@ -102,6 +103,7 @@
 	h := &Host{
 		file: c.File, log: c.Log.With().Str("host", s.Host).Logger(), boot: xid.New().String(), meter: meter.NewHost(c.Dropped), timer: timer.New(),
 		calls: platform.NewWorkers(s.Limits.Descriptors), drain: make(chan struct{}), clock: repo.NewClock(timer.Boot),
+		health: repo.NewHealth(timer.Boot),
 		gate: gate.New(gate.Config{Now: timer.Boot}), pools: map[string]*candidate{}, direct: platform.NewStore(s.Store.Address),
 	}
 	h.apply(s)
@@ -110,8 +112,8 @@
 	if err = h.openRelay(s); err != nil {
 		return nil, err
 	}
-	h.store = h.clock.Watch(h.relay)
-	h.repo = repo.New(h.store)
+	h.store = h.health.Watch(h.clock.Watch(h.relay))
+	h.repo = repo.New(h.store, h.health)
 	h.owners = repo.NewOwners(h.store)
 	h.heartbeats = newHeartbeats(h.heartbeatPause)
 	h.meter.WatchAge(func() float64 { return h.gate.Age().Seconds() })
--- a/repo/jobs.go
+++ b/repo/jobs.go
@@ -52,14 +52,21 @@
 const retryPause = 60 * time.Millisecond
 
 // Repo reads and writes jobs.
-type Repo struct{ store Store }
+type Repo struct {
+	store  Store
+	health *Health
+}
+
+// New returns a Repo on a store whose calls h watches.
+func New(s Store, h *Health) *Repo { return &Repo{s, h} }
 
-// New returns a Repo on a store.
-func New(s Store) *Repo { return &Repo{store: s} }
+// errOut says that the store answers nothing for now.
+var errOut = fmt.Errorf("the store is out: %w", ErrNotDone)
 
 // Submit records a job. An ID that is known already is the same job. It tries
 // until ctx ends, as a lost answer leaves open whether the job is recorded;
-// NotRun is returned only if no try can still have an effect.
+// NotRun is returned only if no try can still have an effect, and at once while
+// the store is out.
 func (r *Repo) Submit(ctx context.Context, j *work.Job) (Verdict, error) {
 	job, err := work.EncodeJob(j)
 	if err != nil {
@@ -83,6 +90,9 @@
 func (r *Repo) apply(ctx context.Context, c Change) (Result, Verdict, error) {
 	open := false
 	for {
+		if !open && r.health.Out() {
+			return Result{}, NotRun, errOut
+		}
 		a, err := r.store.Apply(ctx, c)
 		if err == nil {
 			return a, Done, nil
@@ -105,6 +115,9 @@
 // Record reads a job's progress. It is nil with Absent.
 func (r *Repo) Record(ctx context.Context, id string) (*work.Record, Verdict, error) {
 	for {
+		if r.health.Out() {
+			return nil, NotRun, errOut
+		}
 		p, err := r.store.List(ctx, TableRecords, PartOf(TableRecords, id), id, 1)
 		switch {
 		case err == nil && (len(p.Rows) == 0 || p.Rows[0].Key != id):
--- a/repo/store_test.go
+++ b/repo/store_test.go
@@ -104,6 +104,9 @@
 	return Page{}, errors.New("not played")
 }
 
+// steadyHealth returns the health of a store for a test that takes no time.
+func steadyHealth() *Health { return NewHealth(func() time.Duration { return 0 }) }
+
 const jobID = "00000000000000aa"
 
 func aJob() *work.Job {
@@ -143,7 +146,7 @@
 		m := newMemory()
 		m.spoil = c.spoil
 		ctx, cancel := context.WithTimeout(context.Background(), 4*retryPause)
-		v, _ := New(m).Submit(ctx, aJob())
+		v, _ := New(m, steadyHealth()).Submit(ctx, aJob())
 		cancel()
 		if v != c.want || len(m.rows) != c.rows {
 			t.Errorf("%s: %s with %d rows, not %s with %d", c.name, v, len(m.rows), c.want, c.rows)
@@ -154,7 +157,7 @@
 // TestSubmitAgain hands a job in twice: the second changes nothing.
 func TestSubmitAgain(t *testing.T) {
 	m := newMemory()
-	r := New(m)
+	r := New(m, steadyHealth())
 	ctx := context.Background()
 	if v, err := r.Submit(ctx, aJob()); v != Done {
 		t.Fatal(v, err)
@@ -172,7 +175,7 @@
 
 func TestCancelVerdicts(t *testing.T) {
 	m := newMemory()
-	r := New(m)
+	r := New(m, steadyHealth())
 	ctx := context.Background()
 	if v, _ := r.Cancel(ctx, jobID); v != Absent {
 		t.Errorf("an unknown job: %s", v)
