platform: Leave out settings and limits that nothing reads

Ruled out: uses by name in other packages (none), and the bound on bodies, which is in force.

Conclusion: what is decoded is used.

--- a/work/rules.go
+++ b/work/rules.go
@@ -45,10 +45,6 @@
 // Pool is a number of workers for the same queues.
 type Pool struct {
 	Name string
-	// MaxConnections bounds the connections to one worker.
-	MaxConnections int
-	// EnforcesCapacity says that workers refuse what doesn't fit.
-	EnforcesCapacity bool
 }
 
 // Account is a client account.
@@ -62,9 +58,8 @@
 
 // Limits bound calls of clients.
 type Limits struct {
-	HeaderBytes, BodyBytes int64
-	HeaderTimeout          time.Duration
-	IdleTimeout            time.Duration
+	// BodyBytes bounds a call's body, 0 if the configuration doesn't.
+	BodyBytes int64
 }
 
 // Index prepares the look-ups. It is called once, before the rules are used.
