sched: Bring long-running tasks back where there is room

Cause: the schedules drew no long-running jobs.

Change: a long-running task that has waited for 4 s takes claimed room; a failure of one that was at work says nothing of its worker. One time says when placement looks again, for advice and for this.

Conclusion: long-running steps keep their budget and come back under the faults that the schedules play; whole processes are not shown yet.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -63,6 +63,9 @@
 	// Reclaims is set for what is within its account's guarantee and has
 	// waited: it goes before others of its priority, and may stop borrowed runs.
 	Reclaims bool
+	// Starved is set for long-running tasks that have been away for long: they
+	// take room that others claim.
+	Starved bool
 	// OnWorker counts the step's tasks by worker, for anti-affinity.
 	OnWorker map[string]int
 	// Avoid names workers on which the step's tasks failed.
@@ -209,9 +212,10 @@
 }
 
 // free returns what the unit may use of w now: claims of units before it are
-// left alone, unless the unit is expected to end before they are used.
+// left alone, unless the unit is expected to end before they are used or is
+// starved.
 func (p *planner) free(u *Unit, w *Worker) work.Amounts {
-	if u.Step.Estimate > 0 && p.now+u.Step.Estimate <= w.until {
+	if u.Starved || u.Step.Estimate > 0 && p.now+u.Step.Estimate <= w.until {
 		return w.Free
 	}
 	return w.Free.Minus(w.claimed)
--- a/fakes/model/model.go
+++ b/fakes/model/model.go
@@ -18,6 +18,9 @@
 type Shape struct {
 	// Work is how long a task takes.
 	Work time.Duration
+	// Lasts, if positive, is how long a long-running task goes on by itself
+	// once it is at work, which takes it Work.
+	Lasts time.Duration
 	// Gang is the number of members, 0 for single tasks.
 	Gang int
 	// FailOneIn, if positive, makes one run in so many fail.
@@ -292,6 +295,19 @@
 // Over reports whether what runs is more than the worker has.
 func (w *Worker) Over() bool { return !w.fits(Shape{}) }
 
+// Room returns how many tasks of a demand fit beside what runs, 0 if the worker
+// is gone.
+func (w *Worker) Room(cpu, memory, accelerators int64) int {
+	if !w.up {
+		return 0
+	}
+	n := 0
+	for w.fits(Shape{CPU: cpu * int64(n+1), Memory: memory * int64(n+1), Accelerators: accelerators * int64(n+1)}) {
+		n++
+	}
+	return n
+}
+
 // fits reports whether a task fits beside what runs.
 func (w *Worker) fits(s Shape) bool {
 	for _, p := range w.runs {
@@ -384,6 +400,13 @@
 	return l, slices.Clone(w.ends), ""
 }
 
+// AtWork reports whether a task works on w and is not being stopped: a
+// long-running one serves.
+func (w *Worker) AtWork(task string) bool {
+	p := w.runs[task]
+	return w.up && p != nil && p.stopAt == 0 && p.work > 0 && p.progress(w.time()) >= p.shape.Work
+}
+
 // time is the time up to which the worker's tasks have worked.
 func (w *Worker) time() time.Duration {
 	if w.hungAt > 0 {
@@ -438,7 +461,7 @@
 		if fails || w.Hurt {
 			how2 = "failed"
 		}
-		if t := p.work + p.shape.Work - p.had; t < at {
+		if t := p.work + p.shape.Work + p.shape.Lasts - p.had; t < at {
 			at, how = t, how2
 		}
 	} else if t := p.since + w.c.Bounds.GangTimeout; t < at {
--- a/node/node.go
+++ b/node/node.go
@@ -273,7 +273,7 @@
 		return
 	}
 	h.meter.Version.Set(float64(r.Version))
-	h.log.Info().Int64("version", r.Version).Int("queues", len(r.Queues)).Int("accounts", len(r.Accounts)).Msg("configuration is in force")
+	h.log.Info().Int64("version", r.Version).Int("queues", len(r.Queues)).Int("accounts", len(r.Accounts)).Int64("guaranteed", r.Guaranteed()).Msg("configuration is in force")
 	h.poolMu.Lock()
 	defer h.poolMu.Unlock()
 	for _, c := range h.pools {
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		// Tickets run out, and a call may be rejected.
-		s.askAt = s.now.Steady + askPeriod
+		s.placeBy(s.now.Steady + askPeriod)
 		c, ok := s.advice.Ask(u.Key, len(u.Indexes), s.candidates(u, workers), s.now.Steady)
 		if ok {
 			s.do(event.Advise{Call: c})
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -284,6 +284,10 @@
 func (s *State) taskFailed(t *task, w *worker, n int) {
 	j := t.step.job
 	s.note(j, w, t.run, "run failed")
+	if t.step.spec.LongRunning && t.run != nil && t.run.w == w && t.run.percent >= 100 {
+		// It was at work: such tasks may fail at any time.
+		return
+	}
 	if w.streakJob != j.spec.ID && j.failures == 0 {
 		w.streak++
 	}
--- a/sched/job.go
+++ b/sched/job.go
@@ -85,6 +85,8 @@
 	run   *run
 	last  int
 	saved string
+	// waits is since when the task has had no run.
+	waits time.Duration
 	// moves counts how often the task was moved off a slow worker.
 	moves int
 	// inherited says that a former decider may have started the task, and
@@ -182,8 +184,12 @@
 				st.open = false
 			}
 		}
-		if st.open {
-			st.ready = now
+		if !st.open {
+			continue
+		}
+		st.ready = now
+		for _, t := range st.tasks {
+			t.waits = now
 		}
 	}
 }
--- a/sched/place.go
+++ b/sched/place.go
@@ -109,6 +109,7 @@
 			}
 		default:
 			u.Indexes = append(u.Indexes, t.index)
+			u.Starved = u.Starved || s.starved(t)
 		}
 	}
 	if len(u.Indexes) == 0 {
@@ -120,6 +121,24 @@
 	return u
 }
 
+// starvedAfter is how long a long-running task waits behind the claims of
+// others; the platform wants it back after 6 s where there is room.
+const starvedAfter = 4 * time.Second
+
+// starved reports whether a waiting long-running task has been away for long,
+// and makes sure that placement looks again once it has.
+func (s *State) starved(t *task) bool {
+	if !t.step.spec.LongRunning {
+		return false
+	}
+	at := t.waits + starvedAfter
+	if s.now.Steady < at {
+		s.placeBy(at)
+		return false
+	}
+	return true
+}
+
 // rank orders the steps of one priority by when their job should be done.
 func (s *State) rank(st *step) time.Duration {
 	j := st.job
--- a/sched/schedule_test.go
+++ b/sched/schedule_test.go
@@ -24,6 +24,9 @@
 		return w
 	}
 	w.calm()
+	w.after(10*time.Second, func() { w.watchLasting(w.quiet + 35*time.Second) })
+	w.run(w.quiet + 35*time.Second)
+	w.cancelLasting()
 	w.run(w.quiet + 70*time.Second)
 	w.judge()
 	return w
@@ -46,8 +49,19 @@
 	}
 }
 
+// lasting draws a job whose tasks run until it is cancelled. They end by
+// themselves now and then.
+func (w *world) lasting(id string) *work.Job {
+	s := work.Step{Count: 2 + w.rng.IntN(2), Demand: work.Amounts{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 1 + w.rng.Int64N(2)}, LongRunning: true, MayMiss: 1}
+	x := model.Shape{Work: lastingStartup, Lasts: w.between(3*time.Second, 20*time.Second), FailOneIn: 2, CPU: 1000, Memory: 1000, Accelerators: s.Demand.Accelerators}
+	return &work.Job{ID: id, Queue: "long", Spec: model.Spec(x), Steps: []work.Step{s}}
+}
+
 // job draws a job of one to three steps.
 func (w *world) job(id string) *work.Job {
+	if w.chance(0.1) {
+		return w.lasting(id)
+	}
 	j := &work.Job{ID: id, Queue: "long"}
 	switch {
 	case w.chance(0.4):
@@ -310,6 +324,50 @@
 	})
 }
 
+// A long-running task that has been away for backAfter must not wait for
+// waitWithRoom longer while there is room for it twice over.
+const (
+	backAfter    = 6 * time.Second
+	waitWithRoom = 3 * time.Second
+	watchPause   = 250 * time.Millisecond
+)
+
+// watchLasting looks regularly for long-running tasks that are kept waiting,
+// until their jobs are cancelled.
+func (w *world) watchLasting(until time.Duration) {
+	for _, id := range sorted(w.jobs) {
+		s := w.jobs[id].Steps[0]
+		if _, ok := w.acked[id]; ok || !s.LongRunning {
+			continue
+		}
+		room := 0
+		for _, x := range w.cluster.Workers {
+			room += x.Room(s.Demand.MilliCPU, s.Demand.MemoryMiB, s.Demand.Accelerators)
+		}
+		for i := range s.Count {
+			t := (work.TaskID{Job: id, Index: i}).String()
+			v := w.task(t)
+			if len(w.active[t]) > 0 || w.now-v.ended < backAfter || room < 2 {
+				v.kept = w.now
+			} else if w.now-v.kept > waitWithRoom {
+				w.fail("LOST: %s ended at %v, and has waited with room since %v", t, v.ended, v.kept)
+			}
+		}
+	}
+	if w.now+watchPause < until {
+		w.after(watchPause, func() { w.watchLasting(until) })
+	}
+}
+
+// cancelLasting cancels the jobs that don't end by themselves.
+func (w *world) cancelLasting() {
+	for _, id := range sorted(w.jobs) {
+		if _, ok := w.acked[id]; !ok && w.jobs[id].Steps[0].LongRunning {
+			w.cancel(id)
+		}
+	}
+}
+
 // judge checks that every job has come to its end.
 func (w *world) judge() {
 	for _, id := range sorted(w.jobs) {
--- a/sched/state.go
+++ b/sched/state.go
@@ -87,10 +87,10 @@
 	// lives counts the lives of workers that were forgotten: fences only rise.
 	lives map[string]int64
 	out   []event.Effect
-	// advice is what the advice service has said, askAt when to look again
-	// whether somebody is to be asked.
+	// advice is what the advice service has said.
 	advice *advice.Book
-	askAt  time.Duration
+	// placeAt is when to place again though nothing has changed, 0 for never.
+	placeAt time.Duration
 
 	taken time.Duration
 	// inheriting is set while tasks of a former decider may be at work unseen.
@@ -173,10 +173,10 @@
 		s.changed = true
 	}
 	switch {
-	case s.askAt > now.Steady:
-		next = min(next, s.askAt)
-	case s.askAt > 0:
-		s.askAt, s.changed = 0, true
+	case s.placeAt > now.Steady:
+		next = min(next, s.placeAt)
+	case s.placeAt > 0:
+		s.placeAt, s.changed = 0, true
 	}
 	if s.changed && now.Steady >= s.planAt {
 		s.changed = false
@@ -255,6 +255,13 @@
 	return len(s.order), runs, workers
 }
 
+// placeBy asks for placement at a time though nothing has changed by then.
+func (s *State) placeBy(at time.Duration) {
+	if s.placeAt == 0 || at < s.placeAt {
+		s.placeAt = at
+	}
+}
+
 func (s *State) do(e event.Effect) { s.out = append(s.out, e) }
 
 func (s *State) note(j *job, w *worker, r *run, text string) {
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -307,7 +307,7 @@
 	if t == nil || t.run != r {
 		return
 	}
-	t.run = nil
+	t.run, t.waits = nil, s.now.Steady
 	if saved == "" {
 		saved = r.saved
 	}
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -41,6 +41,7 @@
 	active  map[string][]*act
 	ends    map[string][]*fact
 	failed  map[string]int
+	serving map[string]*serving
 	broken  []string
 	starts  int
 	trace   []string
@@ -67,6 +68,16 @@
 	run int
 }
 
+// serving is what is known of a long-running task.
+type serving struct {
+	// began is the last start, atWork when the task was last seen at work.
+	began, atWork time.Duration
+	// ended is the last end, kept when the task last had no reason to run.
+	ended, kept time.Duration
+	// ordered says that an order ended the last run.
+	ordered bool
+}
+
 // fact is an end as done.
 type fact struct {
 	at     time.Duration
@@ -127,7 +138,7 @@
 		rng: rand.New(rand.NewPCG(seed, 7)), faults: f, quiet: 30 * time.Second,
 		jobs: map[string]*work.Job{}, records: map[string][]byte{}, canceled: map[string]time.Duration{}, acked: map[string]time.Duration{},
 		known: map[string]knownRow{}, storeUp: true, listed: map[string]bool{}, fences: map[string]int64{},
-		active: map[string][]*act{}, ends: map[string][]*fact{}, failed: map[string]int{},
+		active: map[string][]*act{}, ends: map[string][]*fact{}, failed: map[string]int{}, serving: map[string]*serving{},
 	}
 	w.rules = &work.Rules{Version: 1, Queues: map[string]*work.Queue{
 		"urgent":  {Name: "urgent", Pool: "p", Priority: 0, MaxAttempts: 2, Stretch: 2, Slack: time.Second},
@@ -211,6 +222,9 @@
 		return
 	}
 	j := w.jobs[id.Job]
+	if j.Steps[id.Step].LongRunning {
+		w.task(p.Task).began = w.now
+	}
 	if due := j.Due(id.Occurrence); due > w.wall() {
 		w.fail("ORDER: %s starts %d ms early", p.Task, due-w.wall())
 	}
@@ -239,11 +253,68 @@
 func (w *world) stopped(x *model.Worker, e model.End) {
 	w.log("END %s run %d on %s: %s", e.Task, e.Run, x.ID, e.How)
 	w.active[e.Task] = slices.DeleteFunc(w.active[e.Task], func(a *act) bool { return a.w == x.ID && a.run == e.Run })
+	id, err := work.ParseTaskID(e.Task)
+	if err != nil {
+		w.fail("task name %q", e.Task)
+		return
+	}
+	if w.jobs[id.Job].Steps[id.Step].LongRunning {
+		t := w.task(e.Task)
+		if w.now-t.began >= lastingStartup {
+			t.atWork = w.now
+		}
+		t.ordered, t.ended = e.How == "stopped", w.now
+		return
+	}
 	if e.How == "done" {
 		w.ends[e.Task] = append(w.ends[e.Task], &fact{at: w.now, worker: x.ID, born: x.Born, n: e.N})
 	}
 }
 
+// task returns what is known of a long-running task.
+func (w *world) task(id string) *serving {
+	if w.serving[id] == nil {
+		w.serving[id] = &serving{kept: w.now}
+	}
+	return w.serving[id]
+}
+
+// away reports whether a long-running task counts as missing: an order ended
+// it, or it has not been at work for the platform's notice.
+func (w *world) away(id string) bool {
+	for _, x := range w.cluster.Workers {
+		if x.AtWork(id) {
+			return false
+		}
+	}
+	t := w.task(id)
+	return t.ordered || w.now-t.atWork >= notice
+}
+
+// stopping checks the order to stop a run, before it is carried out: no more
+// long-running tasks may be away than their step allows.
+func (w *world) stopping(x *model.Worker, id work.TaskID, run int) {
+	j := w.jobs[id.Job]
+	s := j.Steps[id.Step]
+	if _, ok := w.acked[id.Job]; ok || !s.LongRunning || x.Hurt || !x.AtWork(id.String()) {
+		return
+	}
+	if l := w.active[id.String()]; len(l) != 1 || l[0].run > run {
+		return
+	}
+	missing := 0
+	for i := range s.Count {
+		o := id
+		o.Index = i
+		if o != id && w.away(o.String()) {
+			missing++
+		}
+	}
+	if missing >= s.MayMiss {
+		w.fail("AVAIL: %s run %d is stopped on %s while %d others are away", id, run, x.ID, missing)
+	}
+}
+
 // noted takes in that a worker was told to forget its ends.
 func (w *world) noted(x *model.Worker, seen int64, ends []model.End) {
 	for _, l := range w.ends {
@@ -271,6 +342,12 @@
 	beatTimeout = 1300 * time.Millisecond
 	lease       = 9500 * time.Millisecond
 	maxHold     = 10 * time.Second
+	// notice is how long a long-running task may not be at work before it
+	// counts as away, lastingStartup what one takes to be at work.
+	notice         = 4500 * time.Millisecond
+	lastingStartup = 300 * time.Millisecond
+	// orderAge is how old an order may be that is no late one.
+	orderAge = 500 * time.Millisecond
 )
 
 // decide makes a decider that has just taken the pool.
@@ -481,7 +558,13 @@
 			if w.faults.noFence {
 				e.Fence = 1
 			}
-			p.order(e.Call, e.Fence, func(x *model.Worker) string { return x.Stop(e.Task.String(), e.Run, e.Fence) })
+			late := w.now + orderAge
+			p.order(e.Call, e.Fence, func(x *model.Worker) string {
+				if w.now <= late {
+					w.stopping(x, e.Task, e.Run)
+				}
+				return x.Stop(e.Task.String(), e.Run, e.Fence)
+			})
 		case event.Hold:
 			if w.faults.noFence {
 				e.Fence = 1
--- a/work/rules.go
+++ b/work/rules.go
@@ -87,5 +87,14 @@
 	return best
 }
 
+// Guaranteed returns the accelerators that all accounts are guaranteed.
+func (r *Rules) Guaranteed() int64 {
+	var n int64
+	for _, a := range r.Accounts {
+		n += a.Guaranteed
+	}
+	return n
+}
+
 // AccountOf returns the account that a key belongs to, or nil.
 func (r *Rules) AccountOf(key string) *Account { return r.keys[key] }
