--- a/node/lead.go
+++ b/node/lead.go
@@ -39,6 +39,8 @@
 	// fresh is when the store last answered, since is when it began to answer
 	// without a gap.
 	fresh, since time.Duration
+	// now tells a steady time, suspended time included.
+	now func() time.Duration
 	// pause is how long this host waits between looks.
 	pause func() time.Duration
 }
@@ -49,8 +51,8 @@
 	at time.Duration
 }
 
-func newHeartbeats(pause func() time.Duration) *heartbeats {
-	return &heartbeats{pools: map[string]heard{}, pause: pause}
+func newHeartbeats(now, pause func() time.Duration) *heartbeats {
+	return &heartbeats{pools: map[string]heard{}, now: now, pause: pause}
 }
 
 func (b *heartbeats) take(rows []repo.Row) error {
@@ -67,7 +69,7 @@
 			continue
 		}
 		if o := b.pools[r.Key]; v.Epoch > o.Epoch || (v.Epoch == o.Epoch && v.N != o.N) {
-			b.pools[r.Key] = heard{v, timer.Boot()}
+			b.pools[r.Key] = heard{v, b.now()}
 		}
 	}
 	return failed
@@ -77,7 +79,7 @@
 func (b *heartbeats) answered(time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := timer.Boot()
+	now := b.now()
 	if now-b.fresh > repo.HeartbeatTimeout+b.pause() {
 		b.since = now
 	}
@@ -89,7 +91,7 @@
 func (b *heartbeats) silent(pool string) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := timer.Boot()
+	now := b.now()
 	if now-b.fresh > repo.HeartbeatTimeout+b.pause() {
 		return 0, false
 	}
@@ -110,7 +112,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h, ok := b.pools[pool]
-	if !ok || h.Left || timer.Boot()-h.at > countAge {
+	if !ok || h.Left || b.now()-h.at > countAge {
 		return 0, false
 	}
 	return h.Waiting[queue], true
--- a/node/node.go
+++ b/node/node.go
@@ -104,7 +104,7 @@
 		file: c.File, log: c.Log.With().Str("host", s.Host).Logger(), boot: xid.New().String(), meter: meter.NewHost(c.Dropped), timer: timer.New(),
 		calls: platform.NewWorkers(s.Limits.Descriptors), drain: make(chan struct{}), clock: repo.NewClock(timer.Boot),
 		health: repo.NewHealth(timer.Boot),
-		gate: gate.New(gate.Config{Now: timer.Boot}), pools: map[string]*candidate{}, direct: platform.NewStore(s.Store.Address),
+		gate:   gate.New(gate.Config{Now: timer.Boot}), pools: map[string]*candidate{}, direct: platform.NewStore(s.Store.Address),
 	}
 	h.apply(s)
 	h.read = versionOf(c.File)
@@ -115,7 +115,7 @@
 	h.store = h.health.Watch(h.clock.Watch(h.relay))
 	h.repo = repo.New(h.store, h.health)
 	h.owners = repo.NewOwners(h.store)
-	h.heartbeats = newHeartbeats(h.heartbeatPause)
+	h.heartbeats = newHeartbeats(timer.Boot, h.heartbeatPause)
 	h.meter.WatchAge(func() float64 { return h.gate.Age().Seconds() })
 	if h.front, err = net.Listen("tcp", s.Listen.Front); err != nil {
 		return nil, fmt.Errorf("listen for clients: %w", err)
