native: Run long-running steps and reclaims on whole processes

Cause: both were shown by drivers of the state machine alone.

Change: TestLongRunning keeps six tasks at work through a kill and a freeze of their decider, two crashes of workers and lost answers of the store, and cancels them. TestGuaranteeOfOtherAccount fills the pool with one account's urgent work, kills the decider, and lets another account's gang have its guarantee.

Conclusion: the two hold on whole processes; budgets there are open.

--- a/native/harness_test.go
+++ b/native/harness_test.go
@@ -307,6 +307,8 @@
 	shape model.Shape
 	count int
 	after []int
+	// mayMiss is the budget of a long-running step.
+	mayMiss int
 }
 
 // job returns a submission's body.
@@ -318,6 +320,7 @@
 		steps = append(steps, map[string]any{
 			"count": s.count, "cpu": s.shape.CPU, "mem-mb": s.shape.Memory, "gpu": s.shape.Accelerators, "estimate-ms": s.shape.Work.Milliseconds(),
 			"after": s.after, "gang": s.shape.Gang > 0, "checkpoint": s.shape.Checkpoint,
+			"long-running": s.shape.Lasts > 0, "may-miss": s.mayMiss,
 		})
 	}
 	b, err := json.Marshal(map[string]any{"spec": model.Spec(shapes...), "steps": steps})
@@ -333,7 +336,10 @@
 }
 
 // submit submits a job, trying all hosts in turn until one accepts it.
-func (d *deployment) submit(id, path, body string) {
+func (d *deployment) submit(id, path, body string) { d.submitAs(key, id, path, body) }
+
+// submitAs submits a job under a key.
+func (d *deployment) submitAs(key, id, path, body string) {
 	d.t.Helper()
 	i := 0
 	d.await("submission of "+id, func() bool {
--- /dev/null
+++ b/native/lasting_test.go
@@ -0,0 +1,115 @@
+package native
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"citronbridge/fakes/model"
+	"citronbridge/fakes/plat"
+)
+
+// serving returns how many tasks of a job are at work.
+func (d *deployment) serving(w *watch, job string) int {
+	n := 0
+	d.p.Lock(func(*model.Cluster) {
+		for task, at := range w.active {
+			if at && strings.HasPrefix(task, job+".") {
+				n++
+			}
+		}
+	})
+	return n
+}
+
+// crashBusy crashes a worker with a task of a job, and returns its name.
+func (d *deployment) crashBusy(job string) string {
+	d.t.Helper()
+	name := ""
+	d.p.Lock(func(c *model.Cluster) {
+		for _, i := range slices.Sorted(maps.Keys(c.Workers)) {
+			for n := range 6 {
+				if name == "" && c.Workers[i].AtWork(fmt.Sprintf("%s.0.0.%d", job, n)) {
+					name = i
+				}
+			}
+		}
+		c.Crash(name)
+	})
+	if name == "" {
+		d.t.Fatal("no worker has a task at work")
+	}
+	return name
+}
+
+// TestLongRunning keeps a step's tasks at work while its decider dies and is
+// frozen, a worker crashes and another is cut off for good, and the store loses
+// answers: no task has two runs at a time, and a cancel ends them all.
+func TestLongRunning(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 3, 4)
+	w := d.watch()
+	lasting := step{shape: model.Shape{Work: 50 * time.Millisecond, Lasts: time.Hour, CPU: 1000, Memory: 1000, Accelerators: 1}, count: 6, mayMiss: 1}
+	d.submit(id(1), "/batch/", job(lasting))
+	whole := func(after string) {
+		t.Helper()
+		d.await("all tasks "+after, func() bool { return d.serving(w, id(1)) == lasting.count })
+	}
+	whole("at first")
+	killed := d.decider()
+	killed.kill()
+	d.await("another decider after a kill", func() bool { return d.decider() != killed })
+	d.addWorker(d.crashBusy(id(1)), 2)
+	whole("after a crash")
+	frozen := d.decider()
+	frozen.signal(t, syscall.SIGSTOP)
+	d.await("another decider", func() bool { return d.decider() != frozen })
+	frozen.signal(t, syscall.SIGCONT)
+	for _, h := range d.hosts {
+		h.door.Set(plat.Trouble{LoseOneIn: 3})
+	}
+	d.crashBusy(id(1))
+	whole("with answers lost")
+	for _, h := range d.hosts {
+		h.door.Set(plat.Trouble{})
+	}
+	d.await("the cancel", func() bool {
+		for _, h := range d.hosts {
+			if status, _ := h.call("DELETE", "/batch/"+id(1), key, ""); status == 200 {
+				return true
+			}
+		}
+		return false
+	})
+	d.await("the end of all tasks", func() bool { return d.serving(w, id(1)) == 0 })
+	d.awaitState("/batch/", id(1), "canceled")
+	d.check(w)
+}
+
+// TestGuaranteeOfOtherAccount lets one account fill the pool with urgent work
+// that never ends: another one's urgent gang within its guarantee runs all the
+// same, also under a decider that is new, and the first keeps its own guarantee.
+func TestGuaranteeOfOtherAccount(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 2, 2)
+	const other = "key-of-tenant-b"
+	d.configure(
+		map[string]any{"name": "tenant-a", "api-keys": []string{key}, "guaranteed": map[string]int{"gpu": 4}},
+		map[string]any{"name": "tenant-b", "api-keys": []string{other}, "guaranteed": map[string]int{"gpu": 4}},
+	)
+	w := d.watch()
+	d.submit(id(1), "/urgent/", job(tasks(8, time.Hour)))
+	d.awaitStarts(w, 8)
+	d.decider().kill()
+	gang := step{shape: model.Shape{Work: time.Hour, Gang: 2, CPU: 1000, Memory: 1000, Accelerators: 2}, count: 2}
+	d.submitAs(other, id(2), "/urgent/", job(gang))
+	d.await("the guaranteed gang", func() bool { return d.serving(w, id(2)) == 2 })
+	if n := d.serving(w, id(1)); n != 4 {
+		t.Errorf("%d tasks of the other account run, its guarantee is 4", n)
+	}
+	d.check(w)
+}
