sched: Look again when a guarantee may be reclaimed

Cause: work within a guarantee waits its turn for a third of the bound on reclaims, and nothing made placement look again when that was over. In a pool in which nothing else happened it waited for the next event, longer than the bound. The test had no bound, so that no time had to pass. Found by reading.

Change: placement is asked for at that time. The test has a bound now too, in a pool where nothing else happens; one constant says how the bound is shared out where two had the same value.

Figures: TestGuaranteeIsReclaimed failed with a bound of 2.7 s (0 of 2 members ran) and passes; the stand-in's settings have the bound.

Conclusion: a reclaim begins a third into its bound whatever else happens.

--- a/native/harness_test.go
+++ b/native/harness_test.go
@@ -211,7 +211,7 @@
 listen: {front: %q, ready: %q, control: %q}
 seeds: [%s]
 limits: {memory-mb: 300}
-bounds: {config-apply-ms: 2000, strict-revoke: true, revoke-ms: %d, drain-ms: 2000, grace-s: 6, max-hold-ms: 10000, stop-ms: 200, far-factor: 3, status_s: %g}
+bounds: {config-apply-ms: 2000, strict-revoke: true, revoke-ms: %d, drain-ms: 2000, grace-s: 6, max-hold-ms: 10000, stop-ms: 200, reclaim-ms: 2700, far-factor: 3, status_s: %g}
 platform: {address: %q, form: "table"}
 advice: %q
 `, h.name, h.front, h.ready, control, strings.Join(seeds, ", "), revokeMS, d.status.Seconds(), h.store, d.advice)
--- a/sched/guarantee.go
+++ b/sched/guarantee.go
@@ -6,13 +6,11 @@
 	"citronbridge/assign"
 )
 
-// The bound on reclaims is shared out: a half to wait for runs that end by
-// themselves, as urgent work is short, a third for a single rack. The
-// rest is for runs to be stopped and orders to be answered.
-const (
-	reclaimAfter = 3
-	rackWait     = 3
-)
+// reclaimAfter is the part of the bound on reclaims, as a divisor, that work
+// within a guarantee waits in its turn, for a single rack if it is slow on
+// several: urgent runs are short. The rest is for runs to be stopped and orders
+// to be answered.
+const reclaimAfter = 3
 
 // cover finds what is within each account's guarantee: of urgent runs those of
 // the jobs that were taken in first, then what waits, by rank.
@@ -32,10 +30,13 @@
 			// What the account asks for later doesn't pass it either.
 			continue
 		}
-		u.Reclaims = u.Waited >= s.c.Reclaim/reclaimAfter
+		after := s.c.Reclaim / reclaimAfter
+		if u.Reclaims = u.Waited >= after; !u.Reclaims {
+			s.placeBy(s.now.Steady + after - u.Waited)
+		}
 		if all[a] <= s.guaranteed(a) && s.c.Reclaim > 0 {
 			// All that the account asks for is due now, near its data or not.
-			u.RackWait = s.c.Reclaim / reclaimAfter
+			u.RackWait = after
 			u.Patience = min(u.Patience, u.RackWait)
 		}
 	}
--- a/sched/guarantee_test.go
+++ b/sched/guarantee_test.go
@@ -15,7 +15,17 @@
 		return work.Step{Count: n, Demand: work.Amounts{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 1}}
 	}
 	gang := work.Step{Count: 2, Demand: work.Amounts{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 4}, Gang: true}
+	for _, bound := range []time.Duration{0, 2700 * time.Millisecond} {
+		reclaim(t, bound, one, gang)
+	}
+}
+
+// reclaim plays TestGuaranteeIsReclaimed with a bound, 0 for none. While the
+// gang waits nothing happens that would make placement look again.
+func reclaim(t *testing.T, bound time.Duration, one func(int) work.Step, gang work.Step) {
+	t.Helper()
 	b := newBench(t, 4)
+	b.s.c.Reclaim = bound
 	b.s.rules.Accounts = map[string]*work.Account{"large": {Name: "large", Guaranteed: 8}, "small": {Name: "small", Guaranteed: 8}}
 	b.submitFor("large", "00000000000000a1", "urgent", one(16))
 	if n := b.all("00000000000000a1", 10, 0); n != 16 {
@@ -23,7 +33,8 @@
 	}
 	b.submitFor("large", "00000000000000a2", "urgent", one(4))
 	b.submitFor("small", "00000000000000b1", "urgent", gang)
-	b.pass(time.Second)
+	// The submission has taken 200 ms.
+	b.pass(max(bound, time.Second) - 200*time.Millisecond)
 	if n := b.all("00000000000000b1", 10, 0); n != 2 {
 		t.Errorf("%d of 2 members within a guarantee run", n)
 	}
@@ -33,7 +44,7 @@
 	// Both have their guarantee: more of either waits.
 	stops := len(b.stops)
 	b.submitFor("small", "00000000000000b2", "urgent", gang)
-	b.pass(time.Second)
+	b.pass(bound + time.Second)
 	if len(b.stops) != stops {
 		t.Errorf("%d runs within a guarantee were stopped", len(b.stops)-stops)
 	}
