watch, sched: Observe the store in a package of its own, number workers' rows

By reading: the writes of a worker's row were numbered anew for a worker that was forgotten and listed again, so that an answer to an earlier write could have been taken for the later one's while the row was gone for a few milliseconds.

Change: package watch holds both; repo knows health as an interface. Writes of workers' rows are numbered for the whole pool.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -16,6 +16,7 @@
 	"citronbridge/repo"
 	"citronbridge/sched"
 	"citronbridge/timer"
+	"citronbridge/watch"
 	"citronbridge/work"
 )
 
@@ -70,7 +71,7 @@
 	Gone  bool
 	Store repo.Store
 	// Clock is the store's.
-	Clock   *repo.Clock
+	Clock   *watch.Clock
 	Owners  *repo.Owners
 	Workers Workers
 	Advisor Advisor
--- a/decide/load_test.go
+++ b/decide/load_test.go
@@ -10,6 +10,7 @@
 	"citronbridge/event"
 	"citronbridge/fakes/rows"
 	"citronbridge/repo"
+	"citronbridge/watch"
 )
 
 // written lets a decider write a worker's row and returns it.
@@ -36,7 +37,7 @@
 func TestRowOfLapsingWorker(t *testing.T) {
 	const left = 8 * time.Second
 	now := time.Minute
-	clock := func() *repo.Clock { return repo.NewClock(func() time.Duration { return now }) }
+	clock := func() *watch.Clock { return watch.NewClock(func() time.Duration { return now }) }
 	for _, c := range []struct {
 		name             string
 		writes, reads    bool
@@ -51,7 +52,7 @@
 	} {
 		m := rows.New()
 		writer, reader := clock(), clock()
-		hear := func(k *repo.Clock) {
+		hear := func(k *watch.Clock) {
 			if _, err := k.Watch(store{m, &now}).List(t.Context(), "t", "", "", 1); err != nil {
 				t.Fatal(err)
 			}
@@ -89,7 +90,7 @@
 
 // TestRowThatCantBeRead takes such a worker for one that may run anything.
 func TestRowThatCantBeRead(t *testing.T) {
-	d := &Decider{c: Config{Clock: repo.NewClock(func() time.Duration { return 0 })}, log: zerolog.Nop()}
+	d := &Decider{c: Config{Clock: watch.NewClock(func() time.Duration { return 0 })}, log: zerolog.Nop()}
 	if e := d.known("w", []byte("10.0.0.1:80")); e.ID != "w" || e.Lapsing {
 		t.Errorf("%+v", e)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	"citronbridge/relay"
 	"citronbridge/repo"
 	"citronbridge/timer"
+	"citronbridge/watch"
 	"citronbridge/work"
 )
 
@@ -64,8 +65,8 @@
 	boot   string
 	meter  *meter.Host
 	store  repo.Store
-	clock  *repo.Clock
-	health *repo.Health
+	clock  *watch.Clock
+	health *watch.Health
 	calls  *platform.Workers
 	repo   *repo.Repo
 	owners *repo.Owners
@@ -102,8 +103,8 @@
 	}
 	h := &Host{
 		file: c.File, log: c.Log.With().Str("host", s.Host).Logger(), boot: xid.New().String(), meter: meter.NewHost(c.Dropped), timer: timer.New(),
-		calls: platform.NewWorkers(s.Limits.Descriptors), drain: make(chan struct{}), clock: repo.NewClock(timer.Boot),
-		health: repo.NewHealth(timer.Boot),
+		calls: platform.NewWorkers(s.Limits.Descriptors), drain: make(chan struct{}), clock: watch.NewClock(timer.Boot),
+		health: watch.NewHealth(timer.Boot),
 		gate:   gate.New(gate.Config{Now: timer.Boot}), pools: map[string]*candidate{}, direct: platform.NewStore(s.Store.Address),
 	}
 	h.apply(s)
--- a/repo/jobs.go
+++ b/repo/jobs.go
@@ -51,14 +51,20 @@
 // retryPause is kept between two tries of a call of the store.
 const retryPause = 60 * time.Millisecond
 
+// Health knows whether the store answers this host at all.
+type Health interface {
+	// Out reports whether every call has failed for a time.
+	Out() bool
+}
+
 // Repo reads and writes jobs.
 type Repo struct {
 	store  Store
-	health *Health
+	health Health
 }
 
-// New returns a Repo on a store whose calls h watches.
-func New(s Store, h *Health) *Repo { return &Repo{s, h} }
+// New returns a Repo on a store with a health.
+func New(s Store, h Health) *Repo { return &Repo{s, h} }
 
 // errOut says that the store answers nothing for now.
 var errOut = fmt.Errorf("the store is out: %w", ErrNotDone)
--- a/repo/store_test.go
+++ b/repo/store_test.go
@@ -104,8 +104,11 @@
 	return Page{}, errors.New("not played")
 }
 
-// steadyHealth returns the health of a store for a test that takes no time.
-func steadyHealth() *Health { return NewHealth(func() time.Duration { return 0 }) }
+// out is the health of a store that answers, or doesn't.
+type out bool
+
+// Out implements Health.
+func (o out) Out() bool { return bool(o) }
 
 const jobID = "00000000000000aa"
 
@@ -146,7 +149,7 @@
 		m := newMemory()
 		m.spoil = c.spoil
 		ctx, cancel := context.WithTimeout(context.Background(), 4*retryPause)
-		v, _ := New(m, steadyHealth()).Submit(ctx, aJob())
+		v, _ := New(m, out(false)).Submit(ctx, aJob())
 		cancel()
 		if v != c.want || len(m.rows) != c.rows {
 			t.Errorf("%s: %s with %d rows, not %s with %d", c.name, v, len(m.rows), c.want, c.rows)
@@ -157,7 +160,7 @@
 // TestSubmitAgain hands a job in twice: the second changes nothing.
 func TestSubmitAgain(t *testing.T) {
 	m := newMemory()
-	r := New(m, steadyHealth())
+	r := New(m, out(false))
 	ctx := context.Background()
 	if v, err := r.Submit(ctx, aJob()); v != Done {
 		t.Fatal(v, err)
@@ -175,7 +178,7 @@
 
 func TestCancelVerdicts(t *testing.T) {
 	m := newMemory()
-	r := New(m, steadyHealth())
+	r := New(m, out(false))
 	ctx := context.Background()
 	if v, _ := r.Cancel(ctx, jobID); v != Absent {
 		t.Errorf("an unknown job: %s", v)
--- a/sched/state.go
+++ b/sched/state.go
@@ -74,6 +74,9 @@
 	jobs  map[string]*job
 	// cancels says when cancelled jobs that aren't known were heard of.
 	cancels map[string]time.Duration
+	// rowSeq numbers the writes of workers' rows, also of workers that were
+	// forgotten in between.
+	rowSeq int64
 	// over says when jobs ended under this decider: a feed may tell of one
 	// again.
 	over map[string]time.Duration
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -103,7 +103,8 @@
 // record asks for the worker's row to be written.
 func (s *State) record(w *worker, lapsesIn time.Duration) {
 	w.recorded, w.asked = false, true
-	w.seq++
+	s.rowSeq++
+	w.seq = s.rowSeq
 	s.do(event.RecordWorker{ID: w.id, Address: w.Address, Seq: w.seq, Lapsing: w.lapsing, LapsesIn: lapsesIn})
 }
 
--- a/repo/clock.go
+++ b/watch/clock.go
@@ -1,9 +1,13 @@
-package repo
+// Package watch observes the answers of the table service: what its clock shows,
+// and whether it answers at all.
+package watch
 
 import (
 	"context"
 	"sync"
 	"time"
+
+	"citronbridge/repo"
 )
 
 // Clock reckons the store's steady clock from its answers, so that hosts can
@@ -47,19 +51,19 @@
 }
 
 // Watch returns the store, and observes its answers.
-func (c *Clock) Watch(s Store) Store { return watched{s, c} }
+func (c *Clock) Watch(s repo.Store) repo.Store { return watched{s, c} }
 
 // watched observes answers. Those to Feed are left alone: they wait for a
 // change, and tell little of when the store answered.
 type watched struct {
-	Store
+	repo.Store
 	clock *Clock
 }
 
-var _ Store = watched{}
+var _ repo.Store = watched{}
 
 // Apply implements Store.
-func (w watched) Apply(ctx context.Context, c Change) (Result, error) {
+func (w watched) Apply(ctx context.Context, c repo.Change) (repo.Result, error) {
 	sent := w.clock.now()
 	r, err := w.Store.Apply(ctx, c)
 	if err == nil {
@@ -69,7 +73,7 @@
 }
 
 // List implements Store.
-func (w watched) List(ctx context.Context, table, part, from string, limit int) (Page, error) {
+func (w watched) List(ctx context.Context, table, part, from string, limit int) (repo.Page, error) {
 	sent := w.clock.now()
 	p, err := w.Store.List(ctx, table, part, from, limit)
 	if err == nil {
--- a/repo/clock_test.go
+++ b/watch/clock_test.go
@@ -1,24 +1,27 @@
-package repo
+package watch
 
 import (
 	"context"
 	"testing"
 	"time"
+
+	"citronbridge/fakes/rows"
+	"citronbridge/repo"
 )
 
 // ticking is a store whose clock is ahead of the host's, and that answers
 // after a time.
 type ticking struct {
-	*memory
+	*rows.Store
 	now   *time.Duration
 	takes time.Duration
 }
 
 const ahead = time.Hour
 
-func (t ticking) Apply(context.Context, Change) (Result, error) {
+func (t ticking) Apply(context.Context, repo.Change) (repo.Result, error) {
 	*t.now += t.takes
-	r := Result{Now: *t.now + ahead}
+	r := repo.Result{Now: *t.now + ahead}
 	*t.now += t.takes
 	return r, nil
 }
@@ -31,9 +34,9 @@
 	if _, ok := c.AtLeast(); ok {
 		t.Error("the clock is known before the first answer")
 	}
-	s := ticking{newMemory(), &now, 30 * time.Millisecond}
+	s := ticking{rows.New(), &now, 30 * time.Millisecond}
 	for range 3 {
-		if _, err := c.Watch(s).Apply(context.Background(), Change{}); err != nil {
+		if _, err := c.Watch(s).Apply(context.Background(), repo.Change{}); err != nil {
 			t.Fatal(err)
 		}
 		now += 5 * time.Second
--- a/repo/health.go
+++ b/watch/health.go
@@ -1,9 +1,11 @@
-package repo
+package watch
 
 import (
 	"context"
 	"sync"
 	"time"
+
+	"citronbridge/repo"
 )
 
 // outAfter is how long every call must have failed for the store to count as
@@ -20,6 +22,8 @@
 	failed  time.Duration
 }
 
+var _ repo.Health = (*Health)(nil)
+
 // NewHealth returns a Health of a store that counts as well. Now tells a steady
 // time, suspended time included.
 func NewHealth(now func() time.Duration) *Health { return &Health{now: now} }
@@ -46,31 +50,31 @@
 }
 
 // Watch returns the store, and takes in how its calls come out.
-func (h *Health) Watch(s Store) Store { return tended{s, h} }
+func (h *Health) Watch(s repo.Store) repo.Store { return tended{s, h} }
 
 type tended struct {
-	store  Store
+	store  repo.Store
 	health *Health
 }
 
-var _ Store = tended{}
+var _ repo.Store = tended{}
 
 // Apply implements Store.
-func (t tended) Apply(ctx context.Context, c Change) (Result, error) {
+func (t tended) Apply(ctx context.Context, c repo.Change) (repo.Result, error) {
 	r, err := t.store.Apply(ctx, c)
 	t.health.note(ctx, err)
 	return r, err
 }
 
 // List implements Store.
-func (t tended) List(ctx context.Context, table, part, from string, limit int) (Page, error) {
+func (t tended) List(ctx context.Context, table, part, from string, limit int) (repo.Page, error) {
 	p, err := t.store.List(ctx, table, part, from, limit)
 	t.health.note(ctx, err)
 	return p, err
 }
 
 // Feed implements Store.
-func (t tended) Feed(ctx context.Context, table string, after int64, wait time.Duration) (Page, error) {
+func (t tended) Feed(ctx context.Context, table string, after int64, wait time.Duration) (repo.Page, error) {
 	p, err := t.store.Feed(ctx, table, after, wait)
 	t.health.note(ctx, err)
 	return p, err
--- /dev/null
+++ b/watch/health_test.go
@@ -0,0 +1,64 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"citronbridge/fakes/rows"
+	"citronbridge/repo"
+)
+
+var errLost = errors.New("no answer")
+
+// failing is a store whose changes fail.
+type failing struct {
+	*rows.Store
+	err error
+}
+
+// Apply implements repo.Store.
+func (f *failing) Apply(context.Context, repo.Change) (repo.Result, error) {
+	return repo.Result{}, f.err
+}
+
+// TestOut fails calls in each way: the store is out once all have failed for a
+// time, and no more after one answer. Calls that their callers give up tell
+// nothing.
+func TestOut(t *testing.T) {
+	now := time.Minute
+	h := NewHealth(func() time.Duration { return now })
+	f := &failing{Store: rows.New()}
+	s := h.Watch(f)
+	ctx := context.Background()
+	fails := func(ctx context.Context, err error) {
+		f.err = err
+		if _, e := s.Apply(ctx, repo.Change{}); !errors.Is(e, err) {
+			t.Fatal(e)
+		}
+	}
+	left, cancel := context.WithCancel(ctx)
+	cancel()
+	for range 5 {
+		fails(left, errLost)
+		now += outAfter
+	}
+	if h.Out() {
+		t.Error("out, as callers gave up")
+	}
+	for _, err := range []error{errLost, repo.ErrNotDone} {
+		fails(ctx, err)
+		if h.Out() {
+			t.Errorf("%v: out after one call", err)
+		}
+		now += outAfter + 1
+		fails(ctx, err)
+		if !h.Out() {
+			t.Errorf("%v: not out though nothing was answered", err)
+		}
+		if _, err := s.List(ctx, "t", "", "", 1); err != nil || h.Out() {
+			t.Error("still out after an answer", err)
+		}
+	}
+}
