itest: Wait for a proxy's port that a starting process holds

Between fork and exec a process that another test starts holds every open file of the tests, the closed listener among them.

Ruled out: another user of the port (the ports of test processes are apart, and below those of connections), the proxy's library (it has closed the listener before it listens again), the product.

Change: the two places where a proxy listens again on its port try until it is free, within the tests' patience.

Conclusion: a fault of the harness, there since proxies keep their ports.

--- a/itest/harness_test.go
+++ b/itest/harness_test.go
@@ -281,7 +281,10 @@
 	k := link{from, to}
 	p := c.proxies[k]
 	if p != nil {
-		must(c.t, p.Update(&toxiproxy.Proxy{Listen: p.Listen, Upstream: upstream, Enabled: true}))
+		// A process that is being started holds the closed listener for a moment.
+		eventually(c.t, "the proxy's port is free", func() bool {
+			return p.Update(&toxiproxy.Proxy{Listen: p.Listen, Upstream: upstream, Enabled: true}) == nil
+		})
 		return p.Listen
 	}
 	for p = nil; p == nil || p.Start() != nil; {
@@ -316,7 +319,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if p := c.proxies[link{from, to}]; p != nil && !p.Enabled {
-		must(c.t, p.Start())
+		eventually(c.t, "the proxy's port is free", func() bool { return p.Start() == nil })
 	}
 }
 
