docs, sched, watch: Mend what a reading found

Cause: the change was read once as a newcomer.

Ruled out: names of the platform outside platform and the stand-in (none); lines that stand twice (imports of two tests, generated code).

Change: comments and docs alone; no statement, check, bound or seed is changed.

--- a/assign/wait.go
+++ b/assign/wait.go
@@ -50,7 +50,7 @@
 }
 
 // maxLoss bounds the work that is thrown away for a unit that reclaims nothing,
-// in multiples of the unit's own.
+// in multiples of the unit's own; docs/MEASURES.md has what it buys.
 const maxLoss = 2
 
 // work returns the unit's own work by its estimate, in core-seconds.
--- a/sched/guarantee.go
+++ b/sched/guarantee.go
@@ -35,7 +35,8 @@
 			s.placeBy(s.now.Steady + after - u.Waited)
 		}
 		if all[a] <= s.guaranteed(a) && s.c.Reclaim > 0 {
-			// All that the account asks for is due now, near its data or not.
+			// The account asks for no more than its guarantee: the bound on
+			// reclaims holds for all of it, near its data or not.
 			u.RackWait = after
 			u.Patience = min(u.Patience, u.RackWait)
 		}
--- a/sched/job.go
+++ b/sched/job.go
@@ -58,7 +58,8 @@
 	wasAt, slowAt time.Duration
 }
 
-// startup is what a long-running task takes to be at work again, as a rule.
+// startup is what a long-running task takes to be at work again, as a rule: the
+// platform tells no figure.
 const startup = 2 * time.Second
 
 // loss returns the core-seconds that a stop throws away.
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -118,8 +118,8 @@
 	s.changed = true
 }
 
-// silentCalls is how many calls in a row a worker must leave unanswered for
-// its lease to be given up: single answers get lost.
+// silentCalls is how many Holds in a row a worker must leave unanswered for its
+// lease to be left to run out: single answers get lost.
 const silentCalls = 2
 
 // lapse tells successors until when a silent worker may run its tasks, so that
@@ -140,8 +140,8 @@
 	s.record(w, end-s.now.Steady)
 }
 
-// outlive lets an inherited worker go that hasn't answered, once what it may
-// run is dead. It returns when to look again.
+// outlive counts nothing as inherited from a worker that hasn't answered, once
+// its former leases have ended. It returns when to look again.
 func (s *State) outlive(w *worker) time.Duration {
 	now := s.now.Steady
 	switch {
--- a/watch/health.go
+++ b/watch/health.go
@@ -24,7 +24,7 @@
 
 var _ repo.Health = (*Health)(nil)
 
-// NewHealth returns a Health of a store that counts as well. Now tells a steady
+// NewHealth returns a Health of a store that counts as answering. Now tells a steady
 // time, suspended time included.
 func NewHealth(now func() time.Duration) *Health { return &Health{now: now} }
 
@@ -52,6 +52,7 @@
 // Watch returns the store, and takes in how its calls come out.
 func (h *Health) Watch(s repo.Store) repo.Store { return tended{s, h} }
 
+// tended takes in how the calls of a store come out.
 type tended struct {
 	store  repo.Store
 	health *Health
