route, entry: Cancel jobs whose decider wasn't told yet

Cause: a host answers a submission once the row is written and tells the decider behind that answer. A cancel that came in between was refused with 503, "job is not with the decider", by every host. TestCommands failed by it once on a loaded machine: its cancel follows the submission at once.

Ruled out: a decider that changed meanwhile (the same cell listed the job as waiting afterwards); a client that gave up early (it tried each host).

Change: the decider reads the row of a job that it is told to cancel and doesn't know, as for a submission. A job that ended between the host's read and the decider's answer is answered with its end instead of a 503.

Conclusion: the window is closed for cancels; explain and waits already read the row. TestCommands is unchanged.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -117,6 +117,11 @@
 		return
 	}
 	if err := s.c.Deciders.Cancel(r.Context(), rec.Cell, k); err != nil {
+		// A job that ended meanwhile is no longer with its decider.
+		if e, lost := s.c.Records.Load(r.Context(), k); lost == nil && e.Record != nil && e.Record.Final() {
+			reply.JSON(w, http.StatusOK, statusOf(e.Record))
+			return
+		}
 		reply.Unavailable(w, "the job's decider doesn't answer: "+err.Error())
 		return
 	}
--- a/route/handle.go
+++ b/route/handle.go
@@ -19,7 +19,7 @@
 	case *wire.Request_Submit:
 		return r.submit(ctx, b.Submit)
 	case *wire.Request_Cancel:
-		return r.inCell(b.Cancel.GetCell(), func(c *cells.Cell) (any, bool) { return nil, c.Cancel(keyOf(b.Cancel)) })
+		return r.cancel(ctx, b.Cancel)
 	case *wire.Request_Wait:
 		return r.wait(ctx, b.Wait)
 	case *wire.Request_Explain:
@@ -69,6 +69,20 @@
 	return &wire.Response{}
 }
 
+// cancel stops a job. A host answers a caller before it tells the decider of
+// the job, so one that the cell doesn't know is read first.
+func (r *Router) cancel(ctx context.Context, q *wire.JobRequest) *wire.Response {
+	stop := func(c *cells.Cell) (any, bool) { return nil, c.Cancel(keyOf(q)) }
+	p := r.inCell(q.GetCell(), stop)
+	if p.Refusal != refusalNotHere {
+		return p
+	}
+	if p := r.submit(ctx, q); p.Refusal != "" {
+		return p
+	}
+	return r.inCell(q.GetCell(), stop)
+}
+
 func (r *Router) wait(ctx context.Context, q *wire.WaitRequest) *wire.Response {
 	d := min(time.Duration(q.GetWaitMilliseconds())*time.Millisecond, maxWait)
 	return r.inCell(q.GetJob().GetCell(), func(c *cells.Cell) (any, bool) {
