sched: Split the decider's state machine into packages

What a decider knows, what it says to workers and what it hands to placement were methods of one type with 25 fields, so that no part could be read alone.

Ruled out: hooks between the parts (the ends that a worker lists change jobs in the middle of an answer; the caller now goes through the answer's parts in order instead); a split by file alone, which leaves every field open to all.

Change: `track` holds jobs, runs and workers with what follows from them alone; `orders` the starts, stops, leases and answers of workers; `demand` what waits and what room there is, as functions; `speed` the judgement of slow runs; `sched` the events, the jobs' lives and the order in which things are done. No decision is changed.

Conclusion: the parts are read and changed alone, and decide as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -16,6 +16,7 @@
 	"citronbridge/repo"
 	"citronbridge/sched"
 	"citronbridge/timer"
+	"citronbridge/track"
 	"citronbridge/watch"
 	"citronbridge/work"
 )
@@ -224,7 +225,7 @@
 		// A silent one renews leases until it can't prove its ownership.
 		inherit += ownedFor - repo.HeartbeatTimeout
 	}
-	d.state = sched.New(sched.Config{
+	d.state = sched.New(track.Config{
 		Pool: d.c.Pool, Epoch: d.c.Owner.Epoch, Bounds: b, Inherit: inherit,
 		PartOf: func(id string) string { return repo.PartOf(repo.TableJobs, id) },
 	}, d.clock(), d.c.Rules())
@@ -276,7 +277,7 @@
 		d.mu.Lock()
 		age := timer.Boot() - d.confirmed
 		d.mu.Unlock()
-		d.state.Limit(sched.Limits{NoStarts: age > startsFor, NoOrders: age > ownedFor})
+		d.state.Limit(track.Limits{NoStarts: age > startsFor, NoOrders: age > ownedFor})
 		n := d.clock()
 		effects, next := d.state.Flush(n)
 		t.Reset(max(next-n.Steady, time.Millisecond))
--- /dev/null
+++ b/demand/advice.go
@@ -0,0 +1,78 @@
+package demand
+
+import (
+	"time"
+
+	"citronbridge/advice"
+	"citronbridge/assign"
+	"citronbridge/event"
+	"citronbridge/track"
+)
+
+// askPeriod is how often a step that waits is looked at.
+const askPeriod = 200 * time.Millisecond
+
+// allowed returns the workers for which there is a ticket for a step.
+func allowed(p *track.Pool, st *track.Step) map[string]bool {
+	m := map[string]bool{}
+	for _, id := range p.Names {
+		if _, ok := p.Advice.Ticket(st.Key, p.Workers[id].LifeID(), p.Now.Steady); ok {
+			m[id] = true
+		}
+	}
+	return m
+}
+
+// Ask asks for advice on the first unit that still waits for want of tickets.
+func Ask(p *track.Pool, units []*assign.Unit, workers []*assign.Worker) {
+	var steps []string
+	for _, u := range units {
+		if u.Only != nil {
+			steps = append(steps, u.Key)
+		}
+	}
+	p.Advice.Keep(steps)
+	for _, u := range units {
+		if u.Only == nil || len(u.Indexes) == 0 || placed(p, u) {
+			continue
+		}
+		// Tickets run out, and a call may be rejected.
+		p.PlaceBy(p.Now.Steady + askPeriod)
+		c, ok := p.Advice.Ask(u.Key, len(u.Indexes), candidates(p, u, workers), p.Now.Steady)
+		if ok {
+			p.Do(event.Advise{Call: c})
+			return
+		}
+	}
+}
+
+// placed reports whether all tasks of a unit have just been placed.
+func placed(p *track.Pool, u *assign.Unit) bool {
+	j, t := p.Find(u.Task(u.Indexes[0]))
+	if j == nil || t == nil {
+		return true
+	}
+	for _, i := range u.Indexes {
+		if t.Step.Tasks[i].Run == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// candidates returns the lives of workers that could run a unit's tasks, those
+// with room first.
+func candidates(p *track.Pool, u *assign.Unit, workers []*assign.Worker) []advice.Life {
+	var now, later []advice.Life
+	for _, w := range workers {
+		l := p.Workers[w.ID].LifeID()
+		switch {
+		case !u.Fits(w):
+		case u.Step.Counted().Fits(w.Free):
+			now = append(now, l)
+		default:
+			later = append(later, l)
+		}
+	}
+	return append(now, later...)
+}
--- /dev/null
+++ b/demand/units.go
@@ -0,0 +1,107 @@
+// Package demand says what waits for room in a pool and what room there is, for
+// placement to decide on.
+package demand
+
+import (
+	"time"
+
+	"citronbridge/assign"
+	"citronbridge/track"
+)
+
+// Units returns the tasks that may start now.
+func Units(p *track.Pool) []*assign.Unit {
+	var l []*assign.Unit
+	for _, j := range p.Order {
+		if j.Record.State.Final() {
+			continue
+		}
+		q := p.Rules.Queues[j.Spec.Queue]
+		if q != nil {
+			j.Queue = q
+		}
+		if j.Queue == nil {
+			continue
+		}
+		for _, st := range j.Steps {
+			if u := unit(p, st); u != nil {
+				l = append(l, u)
+			}
+		}
+	}
+	if len(l) > 0 {
+		cover(p, l)
+	}
+	return l
+}
+
+// unit returns the waiting tasks of a step, or nil.
+func unit(p *track.Pool, st *track.Step) *assign.Unit {
+	if !st.Open || st.Left == 0 {
+		return nil
+	}
+	u := &assign.Unit{
+		Key: st.Key, Step: st.Spec, Priority: st.Job.Queue.Priority, Rank: rank(p, st), Preempts: st.Job.Queue.Priority == 0,
+		Avoid: st.Avoid, Waited: p.Now.Steady - st.ReadyAt, Patience: st.Spec.Estimate,
+	}
+	if st.Spec.AntiAffinity > 0 {
+		u.OnWorker = map[string]int{}
+	}
+	for _, t := range st.Tasks {
+		switch {
+		case t.Done:
+		case t.Run != nil:
+			if st.Spec.Gang {
+				return nil
+			}
+			if u.OnWorker != nil {
+				u.OnWorker[t.Run.Worker.ID]++
+			}
+			if st.Spec.SameRack {
+				u.Rack = t.Run.Worker.Rack
+			}
+		case p.MaybeRunning(t):
+			if st.Spec.Gang {
+				return nil
+			}
+		default:
+			u.Indexes = append(u.Indexes, t.Index)
+			u.Starved = u.Starved || starved(p, t)
+		}
+	}
+	if len(u.Indexes) == 0 {
+		return nil
+	}
+	if st.Job.Queue.Advice {
+		u.Only = allowed(p, st)
+	}
+	return u
+}
+
+// starvedAfter is how long a long-running task waits behind the claims of
+// others; the platform wants it back after 6 s where there is room.
+const starvedAfter = 4 * time.Second
+
+// starved reports whether a waiting long-running task has been away for long,
+// and makes sure that placement looks again once it has.
+func starved(p *track.Pool, t *track.Task) bool {
+	if !t.Step.Spec.LongRunning {
+		return false
+	}
+	at := t.WaitsSince + starvedAfter
+	if p.Now.Steady < at {
+		p.PlaceBy(at)
+		return false
+	}
+	return true
+}
+
+// rank orders the steps of one priority by when their job should be done.
+func rank(p *track.Pool, st *track.Step) time.Duration {
+	j := st.Job
+	at := j.Spec.Accepted
+	if j.Spec.Times > 0 {
+		at = j.Spec.Due(st.Occurrence)
+	}
+	return time.Duration(at)*time.Millisecond + time.Duration(j.Queue.Stretch*float64(j.Spec.Chain())) + j.Queue.Slack
+}
--- /dev/null
+++ b/demand/workers.go
@@ -0,0 +1,65 @@
+package demand
+
+import (
+	"time"
+
+	"citronbridge/assign"
+	"citronbridge/track"
+)
+
+// Workers returns the workers for placement, and their runs by their keys.
+func Workers(p *track.Pool) ([]*assign.Worker, map[string]*track.Run) {
+	byKey := map[string]*track.Run{}
+	l := make([]*assign.Worker, 0, len(p.Names))
+	for _, id := range p.Names {
+		w := p.Workers[id]
+		a := &assign.Worker{
+			ID: id, Rack: w.Rack, Labels: w.Labels, Total: w.Capacity, Free: w.Capacity.Minus(w.Used), Closed: p.Closed(w) || !w.Recorded,
+			NoBestEffort: !w.Level.Admits(),
+		}
+		if !a.Closed || len(w.Runs) > 0 {
+			l = append(l, a)
+		}
+		for _, r := range w.SortedRuns() {
+			b := runOf(p, r)
+			byKey[b.Key] = r
+			a.Runs = append(a.Runs, b)
+			if r.Phase == track.Stopping {
+				a.Coming = a.Coming.Plus(r.Demand)
+			}
+		}
+	}
+	return l, byKey
+}
+
+// never is far behind any time that placement looks at.
+const never = 1000 * time.Hour
+
+// runOf converts a run for placement.
+func runOf(p *track.Pool, r *track.Run) *assign.Run {
+	t := r.Task
+	a := &assign.Run{Key: r.ID.String(), Demand: r.Demand, Ends: p.Now.Steady}
+	if t == nil {
+		a.Fixed = true
+		return a
+	}
+	a.Priority = t.Step.Job.Priority(p.Rules)
+	a.Ends = r.Since + t.Step.Spec.Estimate
+	if t.Step.Spec.LongRunning {
+		a.Ends = p.Now.Steady + never
+	}
+	a.Fixed = r.Phase != track.Working || t.Step.Job.Record.State.Final() || !t.Step.MayStop(r)
+	if t.Step.Spec.Gang {
+		a.Group = t.Step.Key
+	}
+	a.Borrowed = r.Borrowed
+	a.Loss = r.Loss(p.Now.Steady)
+	if t.Step.Spec.Gang {
+		for _, o := range t.Step.Tasks {
+			if o != t && o.Run != nil {
+				a.Loss += o.Run.Loss(p.Now.Steady)
+			}
+		}
+	}
+	return a
+}
--- /dev/null
+++ b/orders/order.go
@@ -0,0 +1,159 @@
+package orders
+
+import (
+	"citronbridge/event"
+	"citronbridge/track"
+)
+
+// Start orders a run's start.
+func (s *Sender) Start(r *track.Run) {
+	w := r.Worker
+	if s.Limits.NoStarts || s.Limits.NoOrders || w.ClockMS == 0 || !w.Recorded {
+		// The order stays due: maintain sends it when it may.
+		r.Phase, r.Waiting, r.Sent = track.Starting, true, s.Now.Steady
+		return
+	}
+	r.Phase, r.Waiting, r.Sent = track.Starting, true, s.Now.Steady
+	r.Tries++
+	c := s.Call(w)
+	c.Task, c.Run = r.ID, r.N
+	s.Do(event.Start{Call: c, Spec: r.Task.Step.Job.Spec.Spec, Saved: r.Saved, DeadlineMS: s.Deadline(w), Ticket: r.Ticket})
+}
+
+// Stop orders a run's end, once.
+func (s *Sender) Stop(r *track.Run) {
+	switch r.Phase {
+	case track.Stopping:
+		return
+	case track.Marking:
+		s.Release(r, event.Stopped, "")
+		return
+	}
+	r.Phase = track.Stopping
+	s.sendStop(r)
+}
+
+func (s *Sender) sendStop(r *track.Run) {
+	r.Waiting, r.Sent = true, s.Now.Steady
+	if s.Limits.NoOrders {
+		return
+	}
+	c := s.Call(r.Worker)
+	c.Task, c.Run, c.Stop = r.ID, r.N, true
+	s.Do(event.Stop{Call: c})
+}
+
+// Answered takes in the outcome of a Start or a Stop.
+func (s *Sender) Answered(e event.Answered) {
+	w := s.Workers[e.Call.Worker]
+	if w == nil || w.Life != e.Call.Life {
+		return
+	}
+	w.ReadClock(s.Now.Steady, e.ClockMS)
+	if e.Outcome == event.OtherLife {
+		s.ended(w)
+		return
+	}
+	r := w.Runs[e.Call.Task]
+	if r == nil || r.N != e.Call.Run {
+		return
+	}
+	if e.Call.Stop {
+		if e.Outcome == event.Accepted && r.Phase == track.Stopping {
+			r.Waiting, r.Settled = false, s.Now.Steady
+		}
+		return
+	}
+	if r.Phase != track.Starting {
+		return
+	}
+	switch e.Outcome {
+	case event.Accepted:
+		r.Phase, r.Waiting, r.Settled = track.Working, false, s.Now.Steady
+		s.begun(r)
+	case event.NoAnswer, event.NotSent, event.Fenced:
+		// The order may have been carried out: the same one is sent again, or
+		// the next Hold tells.
+		w.ClosedUntil = max(w.ClosedUntil, s.Now.Steady+2*retryPause)
+	case event.Late:
+		s.settleStart(w, r, "deadline had passed")
+	case event.Old:
+		r.Task.Last = max(r.Task.Last, r.N)
+		s.settleStart(w, r, "run is not the newest there")
+	case event.NoTicket:
+		s.Advice.Refused(r.Task.Step.Key, w.LifeID())
+		s.settleStart(w, r, "ticket doesn't hold")
+	case event.NoRoom:
+		w.ClosedUntil = s.Now.Steady + sickPause
+		s.settleStart(w, r, "worker has no room")
+	case event.Unhealthy:
+		w.ClosedUntil = s.Now.Steady + sickPause
+		s.settleStart(w, r, "worker is unhealthy")
+	case event.Invalid:
+		w.ClosedUntil = s.Now.Steady + sickPause
+		s.settleStart(w, r, "worker can't read the order")
+	}
+}
+
+// settleStart gives up a start that a worker refused. Earlier tries of it may
+// still be under way, so a stop makes sure that the worker never takes it.
+func (s *Sender) settleStart(w *track.Worker, r *track.Run, why string) {
+	s.Note(r.Task.Step.Job, w, r, "start refused: "+why)
+	if r.Tries == 1 {
+		s.Release(r, event.Stopped, "")
+		return
+	}
+	s.Stop(r)
+}
+
+// begun notes that a job's first task has started.
+func (s *Sender) begun(r *track.Run) {
+	j := r.Task.Step.Job
+	if !j.Begun {
+		j.Begun = true
+		s.Do(event.Begun{Queue: j.Spec.Queue, Wait: s.Now.Steady - j.Added})
+		s.Note(j, r.Worker, r, "first task has started")
+	}
+}
+
+// Release takes a run off its worker. A task that isn't done waits again.
+func (s *Sender) Release(r *track.Run, how event.How, saved string) {
+	if r.Worker.Runs[r.ID] != r {
+		return
+	}
+	delete(r.Worker.Runs, r.ID)
+	r.Worker.Used = r.Worker.Used.Minus(r.Demand)
+	s.Changed = true
+	s.Do(event.Finished{How: how})
+	t := r.Task
+	if t == nil || t.Run != r {
+		return
+	}
+	t.Run, t.WaitsSince = nil, s.Now.Steady
+	if saved == "" {
+		saved = r.Saved
+	}
+	j := t.Step.Job
+	if saved != "" && how != event.Done && saved != t.Saved {
+		t.Saved = saved
+		if t.Step.Spec.Gang {
+			t.Step.Saved = saved
+		}
+		j.Record.SetSaved(t.Key(), saved)
+	}
+	if how != event.Done && t.Step.Spec.Gang && !t.Done && !j.Record.State.Final() {
+		s.breakGang(t.Step, r.N)
+	}
+	if j.Record.State.Final() && j.SavedSeq >= j.Seq && !j.AtWork() {
+		s.RemoveJob(j)
+	}
+}
+
+// breakGang stops what is left of a run of a gang that has lost a member.
+func (s *Sender) breakGang(st *track.Step, n int) {
+	for _, t := range st.Tasks {
+		if t.Run != nil && t.Run.N == n {
+			s.Stop(t.Run)
+		}
+	}
+}
--- /dev/null
+++ b/orders/workers.go
@@ -0,0 +1,226 @@
+// Package orders carries out at the workers what was decided: it sends starts
+// and stops under fences, renews leases, asks what runs, and takes the answers
+// in.
+package orders
+
+import (
+	"slices"
+	"time"
+
+	"citronbridge/event"
+	"citronbridge/pacing"
+	"citronbridge/track"
+)
+
+// Times of orders.
+const (
+	// holdWait is how long a worker keeps an answer back until a task ends;
+	// the platform's bound is 2 s.
+	holdWait = 1900 * time.Millisecond
+	// retryPause is kept between two tries of one order.
+	retryPause = 250 * time.Millisecond
+	// savePause is kept between looks at a worker whose ends aren't durable.
+	savePause = 400 * time.Millisecond
+	// sickPause is how long a worker gets no new tasks after it refused one.
+	sickPause = time.Second
+	// maxFirst bounds the first Holds of workers that are under way: asked all
+	// at once, those of a large pool would be answered too late for a host of
+	// the platform's size.
+	maxFirst = 64
+)
+
+// Sender sends a pool's orders. It is a state machine: without clock, lock or
+// I/O.
+type Sender struct {
+	*track.Pool
+	// rowSeq numbers the writes of workers' rows, also of workers that were
+	// forgotten in between.
+	rowSeq int64
+}
+
+// New returns a Sender for a pool.
+func New(p *track.Pool) *Sender { return &Sender{Pool: p} }
+
+// Known takes in a worker that a former decider has used.
+func (s *Sender) Known(e event.WorkerKnown) {
+	w := s.Worker(e.ID)
+	if w.Address == "" {
+		w.Address = e.Address
+	}
+	w.Asked, w.Inherited, w.InheritedUntil = true, true, s.Taken+s.Config.Inherit
+	w.Recorded, w.Lapsing = !e.Lapsing, e.Lapsing
+	if e.Lapsing {
+		w.InheritedUntil = min(w.InheritedUntil, s.Now.Steady+e.LapsesIn)
+	}
+}
+
+// Record asks for the worker's row to be written.
+func (s *Sender) Record(w *track.Worker, lapsesIn time.Duration) {
+	w.Recorded, w.Asked = false, true
+	s.rowSeq++
+	w.Seq = s.rowSeq
+	s.Do(event.RecordWorker{ID: w.ID, Address: w.Address, Seq: w.Seq, Lapsing: w.Lapsing, LapsesIn: lapsesIn})
+}
+
+// RowSaved takes in that a worker's row is written.
+func (s *Sender) RowSaved(e event.WorkerRecorded) {
+	w := s.Workers[e.ID]
+	if w == nil || e.Seq != w.Seq || w.Lapsing {
+		return
+	}
+	w.Recorded, w.NextHold = true, min(w.NextHold, s.Now.Steady)
+	s.Changed = true
+}
+
+// silentCalls is how many Holds in a row a worker must leave unanswered for its
+// lease to be left to run out: single answers get lost.
+const silentCalls = 2
+
+// lapse tells successors until when a silent worker may run its tasks, so that
+// they need not wait for the longest lease that it could have.
+func (s *Sender) lapse(w *track.Worker) {
+	if w.Silent < silentCalls || w.Lapsing || !w.Recorded || s.Limits.NoOrders {
+		return
+	}
+	end := w.LeaseEnd
+	if w.Inherited {
+		end = max(end, w.InheritedUntil)
+	}
+	if end <= s.Now.Steady {
+		return
+	}
+	s.Note(nil, w, nil, "silent worker's lease isn't renewed")
+	w.Lapsing = true
+	s.Record(w, end-s.Now.Steady)
+}
+
+// outlive counts nothing as inherited from a worker that hasn't answered, once
+// its former leases have ended. It returns when to look again.
+func (s *Sender) outlive(w *track.Worker) time.Duration {
+	now := s.Now.Steady
+	switch {
+	case !w.Unseen():
+		return now + time.Second
+	case now < w.InheritedUntil:
+		return w.InheritedUntil
+	}
+	w.Inherited, s.Changed = false, true
+	s.Note(nil, w, nil, "inherited lease has run out")
+	return now + time.Second
+}
+
+// Listed takes in a worker's entry.
+func (s *Sender) Listed(e event.Worker) {
+	w := s.Worker(e.ID)
+	if w.Born != 0 && e.Born != 0 && e.Born > w.Born {
+		s.reborn(w, e.Born)
+	}
+	born := max(w.Born, e.Born)
+	if w.Gone && w.Address != e.Address {
+		w.Gone = false
+	}
+	w.Worker, w.Listed = e, true
+	w.Born = born
+	s.Changed = true
+	if !w.Recorded && !w.Asked {
+		s.Record(w, 0)
+	}
+}
+
+// reborn begins another life of a worker. What the last one ran is settled by
+// the first answer under a higher fence, as an order may still be under way.
+func (s *Sender) reborn(w *track.Worker, born int64) {
+	s.Note(nil, w, nil, "worker has restarted")
+	w.Life++
+	w.Born, w.Gone, w.Synced = born, false, false
+	w.Processed, w.Durable, w.Told, w.Ends = 0, 0, 0, nil
+	w.ClockMS, w.ClockAt, w.Silent, w.Streak = 0, 0, 0, 0
+	w.Level = pacing.NewLevel()
+	w.Holding, w.NextHold = false, s.Now.Steady
+}
+
+// ended takes in that a worker's life is over and another one answers at its
+// address.
+func (s *Sender) ended(w *track.Worker) {
+	s.Note(nil, w, nil, "worker's life is over")
+	w.Gone, w.Synced, w.Holding = true, false, false
+	w.Inherited = false
+	w.Ends = nil
+	s.lose(w)
+}
+
+// lose takes all runs off a worker, whose life or lease is over.
+func (s *Sender) lose(w *track.Worker) {
+	for _, r := range w.SortedRuns() {
+		s.Release(r, event.Lapsed, "")
+	}
+	s.Changed = true
+}
+
+// forget drops a worker that is gone and holds nothing.
+func (s *Sender) forget(w *track.Worker) {
+	if w.Recorded || w.Asked {
+		w.Recorded, w.Asked = false, false
+		s.Do(event.ForgetWorker{ID: w.ID})
+	}
+	s.Lives[w.ID] = w.Life
+	delete(s.Workers, w.ID)
+	for i, n := range s.Names {
+		if n == w.ID {
+			s.Names = append(s.Names[:i:i], s.Names[i+1:]...)
+			break
+		}
+	}
+}
+
+// Maintain looks after the orders and the lease of a worker, and returns when it
+// wants to be called again.
+func (s *Sender) Maintain(w *track.Worker) time.Duration {
+	now := s.Now.Steady
+	s.lapse(w)
+	next := s.outlive(w)
+	if len(w.Runs) > 0 && w.LeaseEnd > 0 && now >= w.LeaseEnd && w.Silent > 0 {
+		s.Note(nil, w, nil, "lease has run out")
+		s.lose(w)
+	}
+	if w.LeaseEnd > now {
+		next = min(next, w.LeaseEnd)
+	}
+	switch {
+	case w.ClosedUntil > now:
+		next = min(next, w.ClosedUntil)
+	case w.ClosedUntil > 0:
+		w.ClosedUntil = 0
+		s.Changed = true
+	}
+	if s.Limits.NoOrders {
+		return next
+	}
+	for _, r := range s.awaiting(w) {
+		at := r.Sent + retryPause
+		if now < at {
+			next = min(next, at)
+			continue
+		}
+		// A worker that doesn't answer is asked by Holds alone: each start
+		// would make its lease longer.
+		if r.Phase == track.Starting && w.Silent == 0 && w.Recorded && w.Synced && s.OwnedAt > w.SyncedAt {
+			s.Start(r)
+		} else if r.Phase == track.Stopping && (w.Silent == 0 || now >= r.Sent+4*retryPause) {
+			s.sendStop(r)
+		}
+		next = min(next, now+retryPause)
+	}
+	return next
+}
+
+// awaiting returns the runs about which an order has no answer, in the order
+// of their tasks.
+func (s *Sender) awaiting(w *track.Worker) []*track.Run {
+	for _, r := range w.Runs {
+		if r.Phase != track.Marking && r.Waiting {
+			return slices.DeleteFunc(w.SortedRuns(), func(r *track.Run) bool { return r.Phase == track.Marking || !r.Waiting })
+		}
+	}
+	return nil
+}
--- a/sched/guarantee_test.go
+++ b/sched/guarantee_test.go
@@ -25,8 +25,8 @@
 func reclaim(t *testing.T, bound time.Duration, one func(int) work.Step, gang work.Step) {
 	t.Helper()
 	b := newBench(t, 4)
-	b.s.c.Reclaim = bound
-	b.s.rules.Accounts = map[string]*work.Account{"large": {Name: "large", Guaranteed: 8}, "small": {Name: "small", Guaranteed: 8}}
+	b.s.Config.Reclaim = bound
+	b.s.Rules.Accounts = map[string]*work.Account{"large": {Name: "large", Guaranteed: 8}, "small": {Name: "small", Guaranteed: 8}}
 	b.submitFor("large", "00000000000000a1", "urgent", one(16))
 	if n := b.all("00000000000000a1", 10, 0); n != 16 {
 		t.Fatalf("%d of 16 tasks run on a pool that nobody else uses", n)
--- a/sched/schedule_test.go
+++ b/sched/schedule_test.go
@@ -11,6 +11,7 @@
 
 	"citronbridge/event"
 	"citronbridge/fakes/model"
+	"citronbridge/track"
 	"citronbridge/work"
 )
 
@@ -477,7 +478,7 @@
 		w.submit(&work.Job{ID: "00000000000000aa", Queue: "long", Spec: model.Spec(x), Steps: []work.Step{s}})
 		w.run(2 * time.Second)
 		for _, id := range sorted(w.cluster.Workers) {
-			if runs, _, _ := w.cluster.Workers[id].Hold(w.deciders[0].s.fence(w.deciders[0].s.pool[id]), 0, 0); len(runs) > 0 {
+			if runs, _, _ := w.cluster.Workers[id].Hold(w.deciders[0].s.Fence(w.deciders[0].s.Workers[id]), 0, 0); len(runs) > 0 {
 				w.cluster.Workers[id].Hang(true)
 				break
 			}
@@ -537,7 +538,7 @@
 	w.run(12 * time.Second)
 	w.owner().dead = true
 	w.succeed(500 * time.Millisecond)
-	w.run(5*time.Second + maxHold + leaseSlack + time.Second)
+	w.run(5*time.Second + maxHold + track.LeaseSlack + time.Second)
 	for _, b := range w.broken {
 		t.Error(b)
 	}
--- a/sched/share_test.go
+++ b/sched/share_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"citronbridge/event"
+	"citronbridge/track"
 	"citronbridge/work"
 )
 
@@ -29,7 +30,7 @@
 		"batch":  {Name: "batch", Pool: "p", Priority: 2, MaxAttempts: 2, Stretch: 3},
 	}, Pools: map[string]*work.Pool{"p": {Name: "p"}}}
 	b := &bench{t: t, running: map[string][]event.Running{}, ended: map[string][]event.Ended{}}
-	c := Config{Pool: "p", Epoch: 1, Bounds: event.Bounds{Lease: lease, StopTime: 200 * time.Millisecond}, PartOf: func(string) string { return "" }}
+	c := track.Config{Pool: "p", Epoch: 1, Bounds: event.Bounds{Lease: lease, StopTime: 200 * time.Millisecond}, PartOf: func(string) string { return "" }}
 	b.s = New(c, b.clock(), r)
 	b.step(event.PartLoaded{Part: ""})
 	for i := range workers {
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -11,6 +11,7 @@
 
 	"citronbridge/event"
 	"citronbridge/fakes/model"
+	"citronbridge/track"
 	"citronbridge/work"
 )
 
@@ -354,7 +355,7 @@
 func (w *world) decide(cutFrom map[string]bool) {
 	w.epoch++
 	p := &player{w: w, epoch: w.epoch, confirmed: w.now, cutFrom: cutFrom, loaded: map[string]time.Duration{}, flushAt: -1}
-	c := Config{Pool: "p", Epoch: w.epoch, Bounds: event.Bounds{Lease: lease, StopTime: 200 * time.Millisecond, FarFactor: 3}, Inherit: maxHold, PartOf: partOf}
+	c := track.Config{Pool: "p", Epoch: w.epoch, Bounds: event.Bounds{Lease: lease, StopTime: 200 * time.Millisecond, FarFactor: 3}, Inherit: maxHold, PartOf: partOf}
 	if n := len(w.deciders); n > 0 && !w.deciders[n-1].dead {
 		c.Inherit += ownedFor - beatTimeout
 	}
@@ -508,7 +509,7 @@
 		}
 		p.flushAt = -1
 		age := p.w.now - p.confirmed
-		p.s.Limit(Limits{NoStarts: age > startsFor, NoOrders: age > ownedFor})
+		p.s.Limit(track.Limits{NoStarts: age > startsFor, NoOrders: age > ownedFor})
 		l, next := p.s.Flush(p.clock())
 		p.perform(l)
 		p.flush(max(next, p.w.now+time.Millisecond))
--- /dev/null
+++ b/speed/speed.go
@@ -0,0 +1,112 @@
+// Package speed judges whether a run is slow because of its worker, and would
+// end sooner elsewhere.
+package speed
+
+import (
+	"slices"
+	"time"
+
+	"citronbridge/track"
+)
+
+// How the speed of runs is judged.
+const (
+	// slowSpeed is the part of the expected speed below which a run may be
+	// moved. Estimates are off by a third at most, as a rule.
+	slowSpeed = 0.4
+	// moveCost is what a move takes beside the work itself.
+	moveCost = 500 * time.Millisecond
+	// maxMoves bounds the moves of one task.
+	maxMoves = 3
+)
+
+// Moves reports whether a run should be stopped here to begin again elsewhere.
+func Moves(p *track.Pool, r *track.Run) bool {
+	v, ok := of(p, r)
+	if !ok || v >= slowSpeed {
+		r.SlowAt = 0
+		return false
+	}
+	if r.SlowAt == 0 {
+		r.SlowAt = r.Before
+	}
+	return r.Task.Moves < maxMoves && worthMoving(p, r) && workerAtFault(p, r, v)
+}
+
+// of returns the run's speed against the expected one, and false if it
+// isn't known or the run has nothing left to do.
+func of(p *track.Pool, r *track.Run) (float64, bool) {
+	if r.Task == nil || r.Phase != track.Working || r.Rate == 0 || r.Percent >= 100 {
+		return 0, false
+	}
+	st := r.Task.Step
+	if st.Spec.LongRunning || st.Spec.Fills || st.Spec.Estimate == 0 {
+		return 0, false
+	}
+	expected := 100 / expected(p, r).Seconds()
+	return r.Rate / expected, true
+}
+
+// expected returns how long a run should take where it is.
+func expected(p *track.Pool, r *track.Run) time.Duration {
+	st := r.Task.Step
+	far := st.Spec.Affinity != "" && st.Spec.Affinity != r.Worker.Rack
+	if st.Spec.SameRack {
+		for _, t := range st.Tasks {
+			far = far || (t.Run != nil && t.Run.Worker.Rack != r.Worker.Rack)
+		}
+	}
+	if far {
+		return time.Duration(float64(st.Spec.Estimate) * p.Config.FarFactor)
+	}
+	return st.Spec.Estimate
+}
+
+// worthMoving reports whether a run is expected to end later here than if it
+// began again.
+func worthMoving(p *track.Pool, r *track.Run) bool {
+	left := float64(100-r.Percent) / 100
+	// What has been slow for a time is expected to be so for as long again.
+	rest := min(100*left/r.Rate, (p.Now.Steady-r.SlowAt).Seconds()+left*expected(p, r).Seconds())
+	again := r.Task.Step.Spec.Estimate.Seconds()
+	if r.Task.Step.Spec.Checkpoint {
+		again *= left
+	}
+	return rest > again+moveCost.Seconds()
+}
+
+// workerAtFault reports whether a slow run's worker is at fault: other jobs are slow
+// there too, or the same step's tasks are faster elsewhere, or nothing moves.
+func workerAtFault(p *track.Pool, r *track.Run, v float64) bool {
+	var here, elsewhere []float64
+	for _, o := range r.Worker.SortedRuns() {
+		if o.Task == nil || o.Task.Step.Job == r.Task.Step.Job {
+			continue
+		}
+		if x, ok := of(p, o); ok {
+			here = append(here, x)
+		}
+	}
+	for _, t := range r.Task.Step.Tasks {
+		if t.Run == nil || t.Run.Worker == r.Worker {
+			continue
+		}
+		if t.Run.Percent >= 100 {
+			elsewhere = append(elsewhere, 1)
+		} else if x, ok := of(p, t.Run); ok {
+			elsewhere = append(elsewhere, x)
+		}
+	}
+	switch {
+	case len(here) > 0:
+		return median(here) < slowSpeed
+	case len(elsewhere) > 0:
+		return median(elsewhere) > 2*v
+	}
+	return r.Stuck
+}
+
+func median(l []float64) float64 {
+	slices.Sort(l)
+	return l[len(l)/2]
+}
--- /dev/null
+++ b/track/pool.go
@@ -0,0 +1,241 @@
+// Package track holds what a decider knows of its pool: jobs with their steps,
+// tasks and runs, and workers with what runs there.
+package track
+
+import (
+	"slices"
+	"time"
+
+	"citronbridge/advice"
+	"citronbridge/event"
+	"citronbridge/pacing"
+	"citronbridge/work"
+)
+
+// Config is what a decider works by.
+type Config struct {
+	Pool string
+	// Epoch rises with each decider of the pool, from 1.
+	Epoch int64
+	event.Bounds
+	// Inherit is how long after a takeover a worker that can't be asked may
+	// still run what the former decider started.
+	Inherit time.Duration
+	// PartOf names the part that a job is in. Parts are told one by one.
+	PartOf func(job string) string
+}
+
+// Pool is what a decider knows of its pool, and what it wants done.
+type Pool struct {
+	Config Config
+	// Now is the time of the event that is being taken in.
+	Now   event.Clock
+	Rules *work.Rules
+	// Jobs are the open jobs, Order the same in the order that they came in.
+	Jobs  map[string]*Job
+	Order []*Job
+	// Over says when jobs ended under this decider: a feed may tell of one
+	// again.
+	Over map[string]time.Duration
+	// Parts names the parts whose jobs are known.
+	Parts map[string]bool
+	// Workers are the known workers, Names their sorted IDs.
+	Workers map[string]*Worker
+	Names   []string
+	// Lives counts the lives of workers that were forgotten: fences only rise.
+	Lives map[string]int64
+	// Advice is what the advice service has said.
+	Advice *advice.Book
+	// Out is what is to be done.
+	Out []event.Effect
+
+	// Taken is when the decider took the pool.
+	Taken time.Duration
+	// Inheriting is set while tasks of a former decider may be at work unseen.
+	Inheriting bool
+	// Changed asks for placement, PlaceAt for placement at a time though
+	// nothing has changed by then, 0 for never.
+	Changed bool
+	PlaceAt time.Duration
+	// Limits is what the decider may do while its ownership isn't proved.
+	Limits Limits
+	// OwnedAt is a time at which the pool was surely owned.
+	OwnedAt time.Duration
+}
+
+// NewPool returns a pool that has just been taken.
+func NewPool(c Config, now event.Clock, rules *work.Rules) *Pool {
+	return &Pool{
+		Config: c, Now: now, Rules: rules, Taken: now.Steady, Inheriting: true,
+		Jobs: map[string]*Job{}, Over: map[string]time.Duration{}, Parts: map[string]bool{},
+		Workers: map[string]*Worker{}, Lives: map[string]int64{}, Advice: advice.NewBook(),
+	}
+}
+
+// Limits says what a decider holds back while it can't prove that it still
+// owns its pool.
+type Limits struct {
+	// NoStarts: a successor may exist by now.
+	NoStarts bool
+	// NoOrders: leases aren't renewed either, so that a successor knows when
+	// they have run out.
+	NoOrders bool
+}
+
+// runsPerEpoch spaces the run numbers of deciders, so that a successor's are
+// higher than any that it can't know of.
+const runsPerEpoch = 1000
+
+// What leases allow for.
+const (
+	// clockDrift is how far a worker's clock may be off; the platform's bound.
+	clockDrift = 0.02
+	// LeaseSlack covers the age of the last reading of a worker's clock.
+	LeaseSlack = 300 * time.Millisecond
+)
+
+// fencesPerEpoch spaces the fences of deciders: each life of a worker gets a
+// higher one, so that orders for a former life are refused by the next.
+const fencesPerEpoch = 1 << 16
+
+// Worker returns a worker, which becomes known by it.
+func (p *Pool) Worker(id string) *Worker {
+	w := p.Workers[id]
+	if w == nil {
+		w = &Worker{Worker: event.Worker{ID: id}, Runs: map[work.TaskID]*Run{}, Life: p.Lives[id] + 1, Level: pacing.NewLevel()}
+		p.Workers[id] = w
+		p.Names = append(p.Names, id)
+		slices.Sort(p.Names)
+	}
+	return w
+}
+
+// Find returns the task of an ID, or nil. An occurrence that a worker knows
+// of has been due.
+func (p *Pool) Find(id work.TaskID) (*Job, *Task) {
+	j := p.Jobs[id.Job]
+	if j == nil {
+		return nil, nil
+	}
+	for j.Next <= id.Occurrence && j.Next < j.Spec.Occurrences() {
+		j.Open(j.Next, p.Now.Steady)
+		j.Next++
+	}
+	st := j.Step(id.Occurrence, id.Step)
+	if st == nil || id.Index >= len(st.Tasks) {
+		return j, nil
+	}
+	return j, st.Tasks[id.Index]
+}
+
+// Unknown reports whether the part of a job isn't known yet.
+func (p *Pool) Unknown(job string) bool {
+	return p.Jobs[job] == nil && !p.Parts[p.Config.PartOf(job)]
+}
+
+// RemoveJob takes a job out of memory.
+func (p *Pool) RemoveJob(j *Job) {
+	delete(p.Jobs, j.Spec.ID)
+	p.Over[j.Spec.ID] = max(p.Now.Steady, 1)
+	p.Order = slices.DeleteFunc(p.Order, func(o *Job) bool { return o == j })
+}
+
+// MaybeRunning reports whether a former decider's run of a task may be at work
+// on a worker that can't be asked yet.
+func (p *Pool) MaybeRunning(t *Task) bool {
+	if !p.Inheriting || !t.Inherited {
+		return false
+	}
+	rec := t.Step.Job.Record
+	if !rec.Unsure {
+		w := p.Workers[rec.Placed[work.TaskKey(t.Step.Occurrence, t.Step.Index, t.Index)]]
+		return w != nil && w.Unseen()
+	}
+	for _, w := range p.Workers {
+		if w.Unseen() {
+			return true
+		}
+	}
+	return false
+}
+
+// Closed reports whether the worker takes no new tasks now.
+func (p *Pool) Closed(w *Worker) bool {
+	return !w.Listed || w.Gone || w.Draining || !w.Synced || p.OwnedAt <= w.SyncedAt || w.Silent > 0 || p.Now.Steady < w.ClosedUntil
+}
+
+// Fence returns the fence for the worker's present life.
+func (p *Pool) Fence(w *Worker) int64 { return p.Config.Epoch*fencesPerEpoch + w.Life }
+
+// Call returns what every order to a worker and every Hold says.
+func (p *Pool) Call(w *Worker) event.Call {
+	return event.Call{Worker: w.ID, Address: w.Address, Life: w.Life, Fence: p.Fence(w), Sent: p.Now.Steady}
+}
+
+// Deadline returns the end of a lease from now on the worker's clock, and
+// notes until when that may keep tasks alive.
+func (p *Pool) Deadline(w *Worker) int64 {
+	l := p.Config.Lease
+	w.LeaseEnd = max(w.LeaseEnd, p.Now.Steady+l+time.Duration(clockDrift*float64(l))+LeaseSlack)
+	return w.ClockMS + (p.Now.Steady - w.ClockAt + l).Milliseconds()
+}
+
+// NextRun returns the run number behind the last one known.
+func (p *Pool) NextRun(last int) int {
+	return max(last, int(p.Config.Epoch-1)*runsPerEpoch) + 1
+}
+
+// Guaranteed returns an account's guaranteed accelerators.
+func (p *Pool) Guaranteed(account string) int64 {
+	if a := p.Rules.Accounts[account]; a != nil {
+		return a.Guaranteed
+	}
+	return 0
+}
+
+// Waiting returns by queue how many jobs have no task that has started.
+func (p *Pool) Waiting() map[string]int {
+	m := map[string]int{}
+	for _, j := range p.Order {
+		if !j.Begun && !j.Record.State.Final() && j.Spec.Times == 0 {
+			m[j.Spec.Queue]++
+		}
+	}
+	return m
+}
+
+// Counts returns the numbers of open jobs, of runs and of listed workers.
+func (p *Pool) Counts() (jobs, runs, workers int) {
+	for _, w := range p.Workers {
+		runs += len(w.Runs)
+		if w.Listed {
+			workers++
+		}
+	}
+	return len(p.Order), runs, workers
+}
+
+// PlaceBy asks for placement at a time though nothing has changed by then.
+func (p *Pool) PlaceBy(at time.Duration) {
+	if p.PlaceAt == 0 || at < p.PlaceAt {
+		p.PlaceAt = at
+	}
+}
+
+// Do asks for an effect.
+func (p *Pool) Do(e event.Effect) { p.Out = append(p.Out, e) }
+
+// Note asks for a log line; job, worker and run may be nil.
+func (p *Pool) Note(j *Job, w *Worker, r *Run, text string) {
+	n := event.Note{Text: text}
+	if j != nil {
+		n.Job = j.Spec.ID
+	}
+	if w != nil {
+		n.Worker = w.ID
+	}
+	if r != nil {
+		n.Task, n.Run = r.ID.String(), r.N
+	}
+	p.Do(n)
+}
--- /dev/null
+++ b/track/run.go
@@ -0,0 +1,117 @@
+package track
+
+import (
+	"time"
+
+	"citronbridge/work"
+)
+
+// Phase is how far an order to run a task is.
+type Phase int
+
+const (
+	// Marking: the job's record must say first where the task is placed.
+	Marking Phase = iota
+	// Starting: the order is sent and not answered.
+	Starting
+	// Working: the worker has the task.
+	Working
+	// Stopping: the task is to be stopped.
+	Stopping
+)
+
+// Run is a task on a worker, and holds room there until its end is listed.
+type Run struct {
+	ID work.TaskID
+	// N is the run's number: each run of a task has a higher one.
+	N int
+	// Task is nil while the run's job isn't known.
+	Task   *Task
+	Worker *Worker
+	// Demand is the room that the run holds.
+	Demand work.Amounts
+	Phase  Phase
+	// Saved is the run's newest checkpoint, empty if it has none.
+	Saved string
+	// Seq is the number of the record that says where the task was placed.
+	Seq int64
+	// Since is when the order was decided, Sent when it was last sent,
+	// Settled when the last order about it was answered.
+	Since, Sent, Settled time.Duration
+	// Ticket is the advice service's, empty where none is needed.
+	Ticket string
+	// Tail is how long the slowest answers of a serving task take.
+	Tail time.Duration
+	// Pace is the share of its speed that the run works at, in percent.
+	Pace int
+	// Borrowed says that the run is urgent and beyond its account's guarantee.
+	Borrowed bool
+	// Waiting says that an order about the run has no answer yet.
+	Waiting bool
+	// Tries counts the starts that were sent.
+	Tries int
+	// Percent is how far the run has come.
+	Percent int
+	// mark and markAt are an earlier reading of the progress.
+	mark   int
+	markAt time.Duration
+	// Rate is the progress since the reading, in percent a second, and Stuck
+	// says that there was none.
+	Rate  float64
+	Stuck bool
+	// Before is when the reading before that one was, SlowAt since when the
+	// Run is slow.
+	Before, SlowAt time.Duration
+}
+
+// UnknownPace says that a run's pace isn't known: a former decider may have
+// changed it, or an order about it may be lost.
+const UnknownPace = -1
+
+// startup is what a long-running task takes to be at work again, as a rule: the
+// platform tells no figure.
+const startup = 2 * time.Second
+
+// Loss returns the core-seconds that a stop throws away.
+func (r *Run) Loss(now time.Duration) float64 {
+	from := r.Since
+	switch {
+	case r.Task == nil:
+	case r.Task.Step.Spec.LongRunning:
+		// What it has served is not lost; it is away until it is up again.
+		from = max(now-startup, from)
+	case r.Task.Step.Spec.Checkpoint:
+		// A stop writes a checkpoint; only the way there and back is lost.
+		from = max(now-time.Second/2, from)
+	}
+	return (now - from).Seconds() * r.Demand.Cores()
+}
+
+// How progress is measured.
+const (
+	// speedSpan is the shortest time over which progress is measured, as it
+	// is told in whole percent.
+	speedSpan = 800 * time.Millisecond
+	// leastStep is what a run that shows no progress may have made, in percent.
+	leastStep = 0.5
+)
+
+// Measure takes in a run's progress.
+func (r *Run) Measure(now time.Duration, percent int) {
+	r.Percent = percent
+	if r.markAt == 0 {
+		r.mark, r.markAt = percent, now
+		return
+	}
+	if span := now - r.markAt; span >= speedSpan {
+		r.Rate = max(float64(percent-r.mark), leastStep) / span.Seconds()
+		r.Stuck = percent == r.mark
+		r.Before = r.markAt
+		r.mark, r.markAt = percent, now
+	}
+}
+
+// Sensitive reports whether a run has a target for its response times.
+func (r *Run) Sensitive() bool {
+	return r.Task != nil && r.Task.Step.Spec.LongRunning && r.Task.Step.Spec.Target > 0
+}
--- /dev/null
+++ b/track/worker.go
@@ -0,0 +1,129 @@
+package track
+
+import (
+	"slices"
+	"time"
+
+	"citronbridge/advice"
+	"citronbridge/event"
+	"citronbridge/pacing"
+	"citronbridge/work"
+)
+
+// Worker is a worker and what it runs.
+type Worker struct {
+	event.Worker
+	// Listed says that the registry has the worker now.
+	Listed bool
+	// Recorded says that the worker is durably known as used, Asked that it
+	// is to be, by the write of number Seq.
+	Recorded, Asked bool
+	Seq             int64
+	// Lapsing says that a successor may rely on the lease not being renewed:
+	// it isn't until the worker is recorded again.
+	Lapsing bool
+	// Inherited workers may run tasks of a former decider, until the time at
+	// which its leases have ended.
+	Inherited      bool
+	InheritedUntil time.Duration
+	// Life counts the lives seen, Gone says that the last one is over.
+	Life int64
+	Gone bool
+	// Synced says that the worker has answered in this life, under this
+	// decider's fence.
+	Synced   bool
+	SyncedAt time.Duration
+
+	// ClockMS is the worker's clock as read at ClockAt.
+	ClockMS int64
+	ClockAt time.Duration
+	// LeaseEnd is when all that runs there is dead unless renewed.
+	LeaseEnd time.Duration
+
+	// Holding says that a Hold has no answer yet, NextHold is the earliest
+	// time of the next.
+	Holding  bool
+	NextHold time.Duration
+	// Silent counts the calls in a row without an answer.
+	Silent int
+
+	// Processed is the highest end taken in, Durable the highest that may be
+	// forgotten, Telling and Told what the worker is being and was told.
+	Processed, Durable, Telling, Told int64
+	// Ends are those behind Durable, in order.
+	Ends []PendingEnd
+
+	// Runs are what holds room on the worker, Used how much that is.
+	Runs map[work.TaskID]*Run
+	Used work.Amounts
+	// Level is the pace of best-effort tasks.
+	Level pacing.Level
+
+	// ClosedUntil keeps new tasks away.
+	ClosedUntil time.Duration
+	// Streak counts the jobs in a row that have failed here, StreakJob is the
+	// Last of them.
+	Streak    int
+	StreakJob string
+}
+
+// PendingEnd is an end that a record must hold before it is forgotten.
+type PendingEnd struct {
+	// N is the end's number in the worker's list.
+	N   int64
+	Job string
+	// Seq is the change of the job's record that holds the end.
+	Seq int64
+	// Unread is set until the part that the job is in is known.
+	Unread *event.Ended
+}
+
+// Unseen reports whether the worker may run tasks of a former decider that
+// this one hasn't been told of.
+func (w *Worker) Unseen() bool { return w.Inherited && !w.Synced }
+
+// LifeID names the worker's present life.
+func (w *Worker) LifeID() advice.Life { return advice.Life{Worker: w.ID, N: w.Life} }
+
+// Shared reports whether latency-sensitive and best-effort tasks share the
+// worker.
+func (w *Worker) Shared() bool {
+	sensitive, bestEffort := false, false
+	for _, r := range w.Runs {
+		if r.Task != nil {
+			sensitive = sensitive || r.Sensitive()
+			bestEffort = bestEffort || r.Task.Step.Spec.Fills
+		}
+	}
+	return sensitive && bestEffort
+}
+
+// SortedRuns returns a worker's runs in the order of their tasks.
+func (w *Worker) SortedRuns() []*Run {
+	l := make([]*Run, 0, len(w.Runs))
+	for _, r := range w.Runs {
+		l = append(l, r)
+	}
+	slices.SortFunc(l, func(a, b *Run) int {
+		switch {
+		case a.ID.Job != b.ID.Job:
+			if a.ID.Job < b.ID.Job {
+				return -1
+			}
+			return 1
+		case a.ID.Occurrence != b.ID.Occurrence:
+			return a.ID.Occurrence - b.ID.Occurrence
+		case a.ID.Step != b.ID.Step:
+			return a.ID.Step - b.ID.Step
+		}
+		return a.ID.Index - b.ID.Index
+	})
+	return l
+}
+
+// ReadClock takes in a reading of the worker's clock.
+func (w *Worker) ReadClock(now time.Duration, ms int64) {
+	if ms > 0 {
+		w.ClockMS, w.ClockAt = ms, now
+	}
+}
