--- a/crew/job.go
+++ b/active/job.go
@@ -1,6 +1,6 @@
-// Package crew holds a job in its decider's memory: the members of its current
+// Package active holds a job in its decider's memory: the members of its current
 // attempt, and what follows from their states.
-package crew
+package active
 
 import (
 	"time"
--- a/crew/member.go
+++ b/active/member.go
@@ -1,4 +1,4 @@
-package crew
+package active
 
 import (
 	"citronbridge/jobs"
--- a/admin/admin.go
+++ b/admin/admin.go
@@ -13,12 +13,12 @@
 
 	"github.com/rs/zerolog"
 
-	"citronbridge/board"
 	"citronbridge/fault"
 	"citronbridge/fleet"
 	"citronbridge/jobs"
 	"citronbridge/reply"
 	"citronbridge/rules"
+	"citronbridge/state"
 	"citronbridge/views"
 	"citronbridge/wire"
 )
@@ -218,14 +218,14 @@
 
 // unfeasible packs the guarantees onto the targets that are listed.
 func (s *Server) unfeasible(m *rules.Manifest) fault.List {
-	in := map[string][]board.Target{}
+	in := map[string][]state.Target{}
 	for _, h := range s.c.View.Hosts("Target") {
 		if !h.Leaving {
-			in[h.DataCentre] = append(in[h.DataCentre], board.Target{ID: h.ID, Rack: h.Rack, Room: h.Room, Open: true})
+			in[h.DataCentre] = append(in[h.DataCentre], state.Target{ID: h.ID, Rack: h.Rack, Room: h.Room, Open: true})
 		}
 	}
 	var l fault.List
-	for _, g := range board.Feasible(m, in) {
+	for _, g := range state.Feasible(m, in) {
 		a, i, _ := strings.Cut(g, "/")
 		n, err := strconv.Atoi(i)
 		if err != nil {
--- a/cells/cell.go
+++ b/cells/cell.go
@@ -6,13 +6,13 @@
 	"context"
 	"time"
 
-	"citronbridge/board"
-	"citronbridge/crew"
+	"citronbridge/active"
 	"citronbridge/fleet"
 	"citronbridge/gangs"
 	"citronbridge/jobs"
 	"citronbridge/ledger"
 	"citronbridge/setup"
+	"citronbridge/state"
 	"citronbridge/timer"
 )
 
@@ -63,7 +63,7 @@
 	if e.Record.State != jobs.Waiting || e.Record.Attempt.Epoch > 0 {
 		return
 	}
-	c.Jobs[k] = crew.NewJob(e)
+	c.Jobs[k] = active.NewJob(e)
 	c.Wake()
 }
 
@@ -207,8 +207,8 @@
 type Cell struct {
 	*gangs.Gangs
 	subs     []*timer.Subscription
-	seats    board.Seats
-	unseated map[string]bool
+	backing  state.Backing
+	unbacked map[string]bool
 	// quiet says that nothing new is started before a planned handover.
 	quiet bool
 	// replanned is when time alone last asked for a plan.
@@ -218,5 +218,5 @@
 // New returns a cell held under h. It does nothing until Run. It calls deposed
 // once another decider has fenced it.
 func New(c *setup.Config, h ledger.Hold, taken time.Time, deposed func(why string)) *Cell {
-	return &Cell{Gangs: gangs.New(c, h, taken, deposed), seats: board.Seats{}, unseated: map[string]bool{}}
+	return &Cell{Gangs: gangs.New(c, h, taken, deposed), backing: state.Backing{}, unbacked: map[string]bool{}}
 }
--- a/cells/plan.go
+++ b/cells/plan.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"citronbridge/board"
-	"citronbridge/crew"
+	"citronbridge/active"
 	"citronbridge/jobs"
 	"citronbridge/place"
+	"citronbridge/state"
 )
 
 // plans makes a plan whenever one is asked for.
@@ -48,15 +48,15 @@
 	began := time.Now()
 	p := place.Decide(in)
 	c.Config.Meter.Decision.Observe(time.Since(began).Seconds())
-	c.seats = p.Seats
-	c.unseated = map[string]bool{}
-	for _, g := range p.Unseated {
-		c.unseated[g] = true
+	c.backing = p.Backing
+	c.unbacked = map[string]bool{}
+	for _, g := range p.Unbacked {
+		c.unbacked[g] = true
 	}
 	for _, s := range p.Stops {
 		j := c.Jobs[s.Key]
 		c.Config.Meter.Preempted.WithLabelValues(s.Key.Account).Inc()
-		c.HaltJob(j, crew.HaltPreempted, "room for "+s.For.String())
+		c.HaltJob(j, active.HaltPreempted, "room for "+s.For.String())
 		if k := c.Jobs[s.For]; k != nil {
 			c.Event(k, "Reclaims", "stops "+s.Key.String())
 		}
@@ -71,11 +71,11 @@
 }
 
 // input collects what a decision depends on. The lock is held.
-func (c *Cell) input() *board.Input {
+func (c *Cell) input() *state.Input {
 	now := c.Now()
-	in := &board.Input{Now: now, Cell: c.Name, Rules: &c.Config.Book.Current().Manifest, Seats: c.seats, Policy: c.Config.Policy}
+	in := &state.Input{Now: now, Cell: c.Name, Rules: &c.Config.Book.Current().Manifest, Backing: c.backing, Policy: c.Config.Policy}
 	for id, x := range c.Nodes {
-		in.Targets = append(in.Targets, board.Target{
+		in.Targets = append(in.Targets, state.Target{
 			ID: id, Rack: x.Host.Rack, Room: x.Room(), Probe: x.Health.Probes > 0,
 			Open: x.Open() && now.Sub(x.Contact) < c.Config.Bounds.Lease,
 		})
@@ -85,15 +85,15 @@
 		case len(j.Members) > 0:
 			in.Running = append(in.Running, c.running(j))
 		case j.Record.State == jobs.Waiting && !j.Moving:
-			in.Waiting = append(in.Waiting, board.Request{Spec: j.Spec(), Arrived: j.Record.Accepted, Expected: c.Expect(j.Spec()), Avoid: j.Avoided(now), Hold: now.Before(j.NotBefore)})
+			in.Waiting = append(in.Waiting, state.Request{Spec: j.Spec(), Arrived: j.Record.Accepted, Expected: c.Expect(j.Spec()), Avoid: j.Avoided(now), Hold: now.Before(j.NotBefore)})
 		}
 	}
 	return in
 }
 
 // running describes a job that holds room. The lock is held.
-func (c *Cell) running(j *crew.Job) board.Job {
-	r := board.Job{
+func (c *Cell) running(j *active.Job) state.Job {
+	r := state.Job{
 		Spec: j.Spec(), Guarantee: j.Guarantee, Started: j.Record.Started,
 		Expected: c.Expect(j.Spec()), Starting: j.Record.State == jobs.Starting, Stuck: c.Stuck(j),
 	}
--- a/cells/recover.go
+++ b/cells/recover.go
@@ -4,7 +4,7 @@
 	"context"
 	"sync"
 
-	"citronbridge/crew"
+	"citronbridge/active"
 	"citronbridge/jobs"
 	"citronbridge/ledger"
 	"citronbridge/target"
@@ -58,7 +58,7 @@
 	for _, r := range reports {
 		for i := range r.Tasks {
 			t := &r.Tasks[i]
-			if o := last[t.ID.Job]; o == nil || crew.Later(t.ID.Attempt, o.ID.Attempt) {
+			if o := last[t.ID.Job]; o == nil || active.Later(t.ID.Attempt, o.ID.Attempt) {
 				last[t.ID.Job] = t
 			}
 		}
@@ -67,7 +67,7 @@
 		if e.Record.Final() || e.Record.Cell != c.Name {
 			continue
 		}
-		j := crew.NewJob(e)
+		j := active.NewJob(e)
 		c.Jobs[j.Key()] = j
 		c.resume(j, last[j.Key()])
 	}
@@ -75,7 +75,7 @@
 
 // resume sets up a job that may have an attempt at the targets. The lock is
 // held.
-func (c *Cell) resume(j *crew.Job, t *target.Task) {
+func (c *Cell) resume(j *active.Job, t *target.Task) {
 	j.Record.State = jobs.Waiting
 	targets := j.Record.Targets
 	switch {
@@ -92,7 +92,7 @@
 	if t != nil && t.ID.Attempt == j.Attempt {
 		j.Guarantee = t.Guarantee
 	}
-	j.Members = make([]crew.Member, len(targets))
+	j.Members = make([]active.Member, len(targets))
 	for i, id := range targets {
 		j.Members[i].Target = id
 	}
--- a/cells/tick.go
+++ b/cells/tick.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
-	"citronbridge/crew"
+	"citronbridge/active"
 	"citronbridge/gangs"
 	"citronbridge/jobs"
-	"citronbridge/offers"
+	"citronbridge/moves"
 	"citronbridge/target"
 )
 
@@ -22,7 +22,7 @@
 	for _, x := range c.Nodes {
 		x.Health.Probe(c.Config.Bounds.Probe, now)
 	}
-	waiting, held, left := 0, 0, offers.Most
+	waiting, held, left := 0, 0, moves.Most
 	for _, j := range c.Jobs {
 		c.lapse(j, now)
 		switch j.Record.State {
@@ -31,7 +31,7 @@
 		case jobs.Waiting:
 			waiting++
 			c.Advance(j)
-			if left > 0 && offers.Offer(c.Gangs, j, now) {
+			if left > 0 && moves.Away(c.Gangs, j, now) {
 				left--
 			}
 		}
@@ -54,7 +54,7 @@
 
 // lapse marks the members whose targets have been silent for longer than
 // their leases last. The lock is held.
-func (c *Cell) lapse(j *crew.Job, now time.Time) {
+func (c *Cell) lapse(j *active.Job, now time.Time) {
 	if j.Saving || j.Record.State == jobs.Starting {
 		return
 	}
@@ -79,7 +79,7 @@
 
 // doubtful reports whether the fate of a member must stay open because its
 // target may still tell it. The lock is held.
-func (c *Cell) doubtful(j *crew.Job, m *crew.Member, x *gangs.Node) bool {
+func (c *Cell) doubtful(j *active.Job, m *active.Member, x *gangs.Node) bool {
 	if !j.Spec().NonIdempotent || j.Record.State != jobs.Settling || m.State != "" {
 		return false
 	}
--- a/cells/views.go
+++ b/cells/views.go
@@ -4,10 +4,10 @@
 	"slices"
 	"strings"
 
-	"citronbridge/board"
-	"citronbridge/crew"
+	"citronbridge/active"
 	"citronbridge/gangs"
 	"citronbridge/jobs"
+	"citronbridge/state"
 	"citronbridge/views"
 )
 
@@ -33,7 +33,7 @@
 }
 
 // explainWait adds why a job waits. The lock is held.
-func (c *Cell) explainWait(j *crew.Job, e *views.Explanation) {
+func (c *Cell) explainWait(j *active.Job, e *views.Explanation) {
 	for _, o := range c.Jobs {
 		if o.Record.State == jobs.Waiting && o.Record.Accepted.Before(j.Record.Accepted) {
 			e.Ahead++
@@ -66,7 +66,7 @@
 			}
 		}
 	}
-	for g, t := range c.seats {
+	for g, t := range c.backing {
 		for _, id := range t {
 			if v := m[id]; v != nil && !slices.Contains(v.Guarantees, g) {
 				v.Guarantees = append(v.Guarantees, g)
@@ -109,14 +109,14 @@
 	l := make([]views.Account, 0, len(r.Manifest.Accounts))
 	at := map[string]*views.Account{}
 	for _, a := range r.Manifest.Accounts {
-		v := views.Account{Account: a.Name, Cell: c.Name, Unseated: []string{}}
+		v := views.Account{Account: a.Name, Cell: c.Name, Unbacked: []string{}}
 		for i, g := range a.Guarantees {
 			if g.DataCentre != c.Name {
 				continue
 			}
 			v.Guaranteed += g.Shape.Accelerators()
-			if id := board.GuaranteeID(a.Name, i); c.unseated[id] {
-				v.Unseated = append(v.Unseated, id)
+			if id := state.GuaranteeID(a.Name, i); c.unbacked[id] {
+				v.Unbacked = append(v.Unbacked, id)
 			}
 		}
 		l = append(l, v)
@@ -129,7 +129,7 @@
 			count(v, j)
 		}
 	}
-	lent := board.Lent(c.input())
+	lent := state.Lent(c.input())
 	for i := range l {
 		l[i].Lent = lent[l[i].Account]
 	}
@@ -137,7 +137,7 @@
 }
 
 // count adds a job to its account's view.
-func count(v *views.Account, j *crew.Job) {
+func count(v *views.Account, j *active.Job) {
 	n := j.Spec().Shape.Accelerators()
 	switch {
 	case len(j.Members) == 0:
--- a/cells/watch.go
+++ b/cells/watch.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"citronbridge/crew"
+	"citronbridge/active"
 	"citronbridge/fleet"
 	"citronbridge/gangs"
 	"citronbridge/jobs"
@@ -89,7 +89,7 @@
 	x.Contact, x.Unanswered = sent, 0
 	restarted := x.Incarnation != "" && x.Incarnation != r.Incarnation
 	x.Incarnation, x.Sequence = r.Incarnation, r.Sequence
-	touched := map[*crew.Job]bool{}
+	touched := map[*active.Job]bool{}
 	said := map[target.TaskID]bool{}
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
@@ -112,7 +112,7 @@
 
 // observe takes in the state of a task and returns its job. A task of no
 // current attempt is stopped and forgotten. The lock is held.
-func (c *Cell) observe(x *gangs.Node, t *target.Task) *crew.Job {
+func (c *Cell) observe(x *gangs.Node, t *target.Task) *active.Job {
 	j := c.Jobs[t.ID.Job]
 	if j == nil || j.Attempt != t.ID.Attempt || t.ID.Member >= len(j.Members) {
 		c.stray(x, t)
@@ -154,7 +154,7 @@
 }
 
 // missing marks the members that a full report leaves out. The lock is held.
-func (c *Cell) missing(x *gangs.Node, said map[target.TaskID]bool, restarted bool, touched map[*crew.Job]bool) {
+func (c *Cell) missing(x *gangs.Node, said map[target.TaskID]bool, restarted bool, touched map[*active.Job]bool) {
 	for _, j := range c.Jobs {
 		for i := range j.Members {
 			m := &j.Members[i]
@@ -175,7 +175,7 @@
 
 // reborn reports whether the target of a member has restarted since the
 // intent of a non-idempotent job was written.
-func (c *Cell) reborn(j *crew.Job, i int, incarnation string) bool {
+func (c *Cell) reborn(j *active.Job, i int, incarnation string) bool {
 	r := j.Record
 	return r.Attempt == j.Attempt && i < len(r.Incarnations) && r.Incarnations[i] != incarnation
 }
--- a/keeper/keeper.go
+++ b/claims/claims.go
@@ -1,6 +1,6 @@
-// Package keeper decides which cells this host decides for: it takes a cell
+// Package claims decides which cells this host decides for: it takes a cell
 // whose decider is gone, and gives up one that another host has taken.
-package keeper
+package claims
 
 import (
 	"context"
@@ -33,8 +33,8 @@
 	takeTimeout = 10 * time.Second
 )
 
-// Keeper decides which cells this host decides for.
-type Keeper struct {
+// Manager decides which cells this host decides for.
+type Manager struct {
 	c       setup.Config
 	started time.Time
 	poke    chan struct{}
@@ -48,69 +48,69 @@
 	draining bool
 }
 
-// New returns a Keeper that decides for no cell yet.
-func New(c setup.Config) (*Keeper, error) {
+// New returns a Manager that decides for no cell yet.
+func New(c setup.Config) (*Manager, error) {
 	if err := c.Check(); err != nil {
 		return nil, err
 	}
 	c.Bounds = c.Bounds.WithDefaults()
 	n := c.Timer.Now()
-	return &Keeper{
+	return &Manager{
 		c: c, started: n, lastPeer: n, poke: make(chan struct{}, 1),
 		cells: map[string]*cells.Cell{}, taking: map[string]bool{},
 		holders: map[string]ledger.Owner{}, keepOff: map[string]time.Time{},
 	}, nil
 }
 
-// Poke makes the keeper look at the cells now.
-func (k *Keeper) Poke() {
+// Poke makes the manager look at the cells now.
+func (m *Manager) Poke() {
 	select {
-	case k.poke <- struct{}{}:
+	case m.poke <- struct{}{}:
 	default:
 	}
 }
 
 // Run keeps cells until ctx ends, then gives up those it has.
-func (k *Keeper) Run(ctx context.Context) {
-	s := k.c.Timer.Every(checkPeriod, func(time.Time) { k.Poke() })
+func (m *Manager) Run(ctx context.Context) {
+	s := m.c.Timer.Every(checkPeriod, func(time.Time) { m.Poke() })
 	defer s.Cancel()
 	for {
 		select {
 		case <-ctx.Done():
-			k.release()
+			m.release()
 			return
-		case <-k.poke:
-			k.check(ctx)
+		case <-m.poke:
+			m.check(ctx)
 		}
 	}
 }
 
 // release gives up all cells.
-func (k *Keeper) release() {
-	k.mu.Lock()
-	l := k.cells
-	k.cells = map[string]*cells.Cell{}
-	k.mu.Unlock()
+func (m *Manager) release() {
+	m.mu.Lock()
+	l := m.cells
+	m.cells = map[string]*cells.Cell{}
+	m.mu.Unlock()
 	for _, c := range l {
 		c.Close()
 	}
 }
 
-// Drain makes the keeper take no more cells and start nothing new. It goes on
+// Drain makes the manager take no more cells and start nothing new. It goes on
 // deciding for those it has until another host takes them.
-func (k *Keeper) Drain() {
-	k.mu.Lock()
-	k.draining = true
-	k.mu.Unlock()
-	for _, c := range k.Cells() {
+func (m *Manager) Drain() {
+	m.mu.Lock()
+	m.draining = true
+	m.mu.Unlock()
+	for _, c := range m.Cells() {
 		c.Quiesce()
 	}
 }
 
 // Quiet reports whether no gang is between reservation and start, so that a
 // handover cuts none short.
-func (k *Keeper) Quiet() bool {
-	for _, c := range k.Cells() {
+func (m *Manager) Quiet() bool {
+	for _, c := range m.Cells() {
 		if c.Launching() {
 			return false
 		}
@@ -119,18 +119,18 @@
 }
 
 // Cell returns the cell of that name if this host decides for it, or nil.
-func (k *Keeper) Cell(name string) *cells.Cell {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.cells[name]
+func (m *Manager) Cell(name string) *cells.Cell {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.cells[name]
 }
 
 // Cells returns the cells that this host decides for.
-func (k *Keeper) Cells() []*cells.Cell {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	l := make([]*cells.Cell, 0, len(k.cells))
-	for _, c := range k.cells {
+func (m *Manager) Cells() []*cells.Cell {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := make([]*cells.Cell, 0, len(m.cells))
+	for _, c := range m.cells {
 		l = append(l, c)
 	}
 	slices.SortFunc(l, func(a, b *cells.Cell) int {
@@ -143,12 +143,12 @@
 }
 
 // Holder returns the host that decides for a cell as far as is known, or "".
-func (k *Keeper) Holder(cell string) string {
-	if k.Cell(cell) != nil {
-		return k.c.Host
+func (m *Manager) Holder(cell string) string {
+	if m.Cell(cell) != nil {
+		return m.c.Host
 	}
 	host, epoch := "", int64(0)
-	for _, b := range k.c.Live() {
+	for _, b := range m.c.Live() {
 		for _, h := range b.Holds {
 			if h.Cell == cell && h.Epoch > epoch {
 				host, epoch = b.Host, h.Epoch
@@ -159,43 +159,43 @@
 }
 
 // check looks at every cell once.
-func (k *Keeper) check(ctx context.Context) {
-	live := k.c.Live()
-	now := k.c.Timer.Now()
-	k.mu.Lock()
-	if len(live) > 0 || len(k.c.Hosts.Hosts(fleet.Entry)) <= 1 {
-		k.lastPeer = now
+func (m *Manager) check(ctx context.Context) {
+	live := m.c.Live()
+	now := m.c.Timer.Now()
+	m.mu.Lock()
+	if len(live) > 0 || len(m.c.Hosts.Hosts(fleet.Entry)) <= 1 {
+		m.lastPeer = now
 	}
-	k.mu.Unlock()
-	for _, cell := range k.c.Hosts.Cells() {
-		k.checkCell(ctx, cell, live, now)
+	m.mu.Unlock()
+	for _, cell := range m.c.Hosts.Cells() {
+		m.checkCell(ctx, cell, live, now)
 	}
 }
 
-func (k *Keeper) checkCell(ctx context.Context, cell string, live []*wire.Heartbeat, now time.Time) {
-	k.mu.Lock()
-	k.note(cell, live)
-	own := k.cells[cell]
-	seen := k.holders[cell]
-	take := own == nil && !k.taking[cell] && k.shouldTake(cell, live, now)
+func (m *Manager) checkCell(ctx context.Context, cell string, live []*wire.Heartbeat, now time.Time) {
+	m.mu.Lock()
+	m.note(cell, live)
+	own := m.cells[cell]
+	seen := m.holders[cell]
+	take := own == nil && !m.taking[cell] && m.shouldTake(cell, live, now)
 	if take {
-		k.taking[cell] = true
+		m.taking[cell] = true
 	}
-	k.mu.Unlock()
+	m.mu.Unlock()
 	if own != nil && seen.Epoch > own.Epoch() {
-		k.drop(own, "taken by "+seen.Host)
+		m.drop(own, "taken by "+seen.Host)
 	}
 	if take {
-		go k.take(ctx, cell, seen)
+		go m.take(ctx, cell, seen)
 	}
 }
 
 // note remembers who claims a cell under the highest epoch. The lock is held.
-func (k *Keeper) note(cell string, live []*wire.Heartbeat) {
+func (m *Manager) note(cell string, live []*wire.Heartbeat) {
 	for _, b := range live {
 		for _, h := range b.Holds {
-			if h.Cell == cell && h.Epoch > k.holders[cell].Epoch {
-				k.holders[cell] = ledger.Owner{Host: b.Host, Epoch: h.Epoch}
+			if h.Cell == cell && h.Epoch > m.holders[cell].Epoch {
+				m.holders[cell] = ledger.Owner{Host: b.Host, Epoch: h.Epoch}
 			}
 		}
 	}
@@ -203,18 +203,18 @@
 
 // shouldTake reports whether this host should decide for a cell. The lock is
 // held.
-func (k *Keeper) shouldTake(cell string, live []*wire.Heartbeat, now time.Time) bool {
-	if k.draining || k.c.Storeless() || now.Sub(k.started) < settleIn || now.Before(k.keepOff[cell]) {
+func (m *Manager) shouldTake(cell string, live []*wire.Heartbeat, now time.Time) bool {
+	if m.draining || m.c.Storeless() || now.Sub(m.started) < settleIn || now.Before(m.keepOff[cell]) {
 		return false
 	}
-	if len(live) == 0 && now.Sub(k.lastPeer) > checkPeriod && now.Sub(k.lastPeer) < isolatedWait {
+	if len(live) == 0 && now.Sub(m.lastPeer) > checkPeriod && now.Sub(m.lastPeer) < isolatedWait {
 		return false
 	}
-	holder := k.holders[cell].Host
+	holder := m.holders[cell].Host
 	// A holder that is heard and doesn't claim the cell doesn't hold it: its
 	// takeover failed behind the table transaction. One that only others hear
 	// may be cut off from here alone.
-	heard := holder == k.c.Host || slices.ContainsFunc(live, func(b *wire.Heartbeat) bool { return b.Host == holder })
+	heard := holder == m.c.Host || slices.ContainsFunc(live, func(b *wire.Heartbeat) bool { return b.Host == holder })
 	for _, b := range live {
 		claims := slices.ContainsFunc(b.Holds, func(h *wire.CellClaim) bool { return h.Cell == cell })
 		if claims && !yields(b) {
@@ -224,7 +224,7 @@
 			return false
 		}
 	}
-	return k.preferred(cell, live) == k.c.Host
+	return m.preferred(cell, live) == m.c.Host
 }
 
 // yields reports whether a host's cells should go to another: it leaves, or it
@@ -233,8 +233,8 @@
 
 // preferred returns the live host with the highest rendezvous hash for a cell.
 // Hosts in its data centre go before others.
-func (k *Keeper) preferred(cell string, live []*wire.Heartbeat) string {
-	best, near, top := k.c.Host, k.c.DataCentre == cell, rendezvous(cell, k.c.Host)
+func (m *Manager) preferred(cell string, live []*wire.Heartbeat) string {
+	best, near, top := m.c.Host, m.c.DataCentre == cell, rendezvous(cell, m.c.Host)
 	for _, b := range live {
 		if yields(b) {
 			continue
@@ -250,75 +250,75 @@
 func rendezvous(cell, host string) uint64 { return xxhash.Sum64String(cell + "\x00" + host) }
 
 // take makes this host the decider of a cell.
-func (k *Keeper) take(ctx context.Context, cell string, seen ledger.Owner) {
+func (m *Manager) take(ctx context.Context, cell string, seen ledger.Owner) {
 	defer func() {
-		k.mu.Lock()
-		delete(k.taking, cell)
-		k.mu.Unlock()
+		m.mu.Lock()
+		delete(m.taking, cell)
+		m.mu.Unlock()
 	}()
-	began := k.c.Timer.Now()
+	began := m.c.Timer.Now()
 	x, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
-	h, err := k.c.Records.Take(x, cell, k.c.Host, seen)
+	h, err := m.c.Records.Take(x, cell, m.c.Host, seen)
 	if err != nil {
 		if errors.Is(err, ledger.ErrChanged) {
-			k.relearn(x, cell)
+			m.relearn(x, cell)
 		}
 		return
 	}
 	var c *cells.Cell
-	c = cells.New(&k.c, h, began, func(why string) { k.drop(c, why) })
+	c = cells.New(&m.c, h, began, func(why string) { m.drop(c, why) })
 	if err := c.Recover(x); err != nil {
-		k.c.Log.Warn().Str("cell", cell).Int64("epoch", h.Epoch).Err(err).Msg("cell not recovered")
+		m.c.Log.Warn().Str("cell", cell).Int64("epoch", h.Epoch).Err(err).Msg("cell not recovered")
 		c.Close()
 		return
 	}
-	k.mu.Lock()
-	k.cells[cell] = c
-	k.holders[cell] = ledger.Owner{Host: k.c.Host, Epoch: h.Epoch}
-	k.mu.Unlock()
+	m.mu.Lock()
+	m.cells[cell] = c
+	m.holders[cell] = ledger.Owner{Host: m.c.Host, Epoch: h.Epoch}
+	m.mu.Unlock()
 	c.Run()
-	k.c.Meter.Epoch.WithLabelValues(cell).Set(float64(h.Epoch))
-	k.c.Meter.Takeover.Observe(k.c.Timer.Now().Sub(began).Seconds())
-	k.c.Log.Info().Str("cell", cell).Int64("epoch", h.Epoch).Int("jobs", c.Size()).Msg("cell taken")
+	m.c.Meter.Epoch.WithLabelValues(cell).Set(float64(h.Epoch))
+	m.c.Meter.Takeover.Observe(m.c.Timer.Now().Sub(began).Seconds())
+	m.c.Log.Info().Str("cell", cell).Int64("epoch", h.Epoch).Int("jobs", c.Size()).Msg("cell taken")
 }
 
 // relearn reads who owns a cell after another host was faster.
-func (k *Keeper) relearn(ctx context.Context, cell string) {
-	o, err := k.c.Records.Owner(ctx, cell)
+func (m *Manager) relearn(ctx context.Context, cell string) {
+	o, err := m.c.Records.Owner(ctx, cell)
 	if err != nil {
 		return
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if o.Epoch > k.holders[cell].Epoch {
-		k.holders[cell] = o
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if o.Epoch > m.holders[cell].Epoch {
+		m.holders[cell] = o
 		// The new owner may still be at its takeover.
-		k.keepOff[cell] = k.c.Timer.Now().Add(takeWait)
+		m.keepOff[cell] = m.c.Timer.Now().Add(takeWait)
 	}
 }
 
 // drop gives up a cell that another host has taken.
-func (k *Keeper) drop(c *cells.Cell, why string) {
-	k.mu.Lock()
-	k.keepOff[c.Name] = k.c.Timer.Now().Add(fencedWait)
-	mine := k.cells[c.Name] == c
+func (m *Manager) drop(c *cells.Cell, why string) {
+	m.mu.Lock()
+	m.keepOff[c.Name] = m.c.Timer.Now().Add(fencedWait)
+	mine := m.cells[c.Name] == c
 	if mine {
-		delete(k.cells, c.Name)
+		delete(m.cells, c.Name)
 	}
-	k.mu.Unlock()
+	m.mu.Unlock()
 	if !mine {
 		return
 	}
 	go c.Close()
-	k.c.Meter.Epoch.WithLabelValues(c.Name).Set(0)
-	k.c.Log.Info().Str("cell", c.Name).Int64("epoch", c.Epoch()).Str("why", why).Msg("cell given up")
+	m.c.Meter.Epoch.WithLabelValues(c.Name).Set(0)
+	m.c.Log.Info().Str("cell", c.Name).Int64("epoch", c.Epoch()).Str("why", why).Msg("cell given up")
 }
 
-// Claims returns the cells held, for heartbeats.
-func (k *Keeper) Claims() []*wire.CellClaim {
+// Held returns the cells held, for heartbeats.
+func (m *Manager) Held() []*wire.CellClaim {
 	var l []*wire.CellClaim
-	for _, c := range k.Cells() {
+	for _, c := range m.Cells() {
 		l = append(l, &wire.CellClaim{Cell: c.Name, Epoch: c.Epoch(), Free: int64(c.Free())})
 	}
 	return l
--- a/keeper/keeper_test.go
+++ b/claims/claims_test.go
@@ -1,4 +1,4 @@
-package keeper
+package claims
 
 import (
 	"testing"
@@ -39,7 +39,7 @@
 		{"own takeover failed", "a", []*wire.Heartbeat{beat("b", func(b *wire.Heartbeat) { b.Sees = []string{"a"} })}, false, true},
 		{"a nearer host lives", "", []*wire.Heartbeat{beat("b", func(b *wire.Heartbeat) { b.DataCentre = "dc"; b.Host = nearest(t) })}, false, false},
 	} {
-		k := &Keeper{
+		k := &Manager{
 			c:       setup.Config{Host: "a", DataCentre: "dc", Storeless: func() bool { return x.storeless }},
 			started: now.Add(-time.Minute), lastPeer: now,
 			holders: map[string]ledger.Owner{"dc": {Host: x.holder, Epoch: 3}}, keepOff: map[string]time.Time{},
--- a/cmds/remote.go
+++ b/cmds/remote.go
@@ -196,9 +196,9 @@
 		}
 		return a.print(l, func(w io.Writer) {
 			table(w, func(t io.Writer) {
-				fmt.Fprintln(t, "Account\tCell\tGuaranteed\tUsed\tBorrowed\tLent\tWaiting\tPlaced\tUnseated")
+				fmt.Fprintln(t, "Account\tCell\tGuaranteed\tUsed\tBorrowed\tLent\tWaiting\tPlaced\tUnbacked")
 				for _, x := range l {
-					fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%v\n", x.Account, x.Cell, x.Guaranteed, x.Used, x.Borrowed, x.Lent, x.Waiting, x.Placed, x.Unseated)
+					fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%v\n", x.Account, x.Cell, x.Guaranteed, x.Used, x.Borrowed, x.Lent, x.Waiting, x.Placed, x.Unbacked)
 				}
 			})
 		})
--- a/config/config.go
+++ b/config/config.go
@@ -11,13 +11,13 @@
 
 	"github.com/rs/zerolog"
 
-	"citronbridge/board"
 	"citronbridge/certs"
 	"citronbridge/entry"
 	"citronbridge/fault"
 	"citronbridge/jobs"
 	"citronbridge/rules"
 	"citronbridge/setup"
+	"citronbridge/state"
 	"citronbridge/units"
 )
 
@@ -42,7 +42,7 @@
 	Bounds   Bounds      `yaml:"Bounds"`
 	Store    Store       `yaml:"Store"`
 	// Policy switches rules of placement off, to compare.
-	Policy board.Policy `yaml:"Policy"`
+	Policy state.Policy `yaml:"Policy"`
 }
 
 // Platform names the base URLs of the platform's services.
--- a/gangs/gangs.go
+++ b/gangs/gangs.go
@@ -9,7 +9,7 @@
 
 	"github.com/rs/zerolog"
 
-	"citronbridge/crew"
+	"citronbridge/active"
 	"citronbridge/jobs"
 	"citronbridge/ledger"
 	"citronbridge/place"
@@ -31,7 +31,7 @@
 func (c *Gangs) Now() time.Time { return c.Config.Timer.Now() }
 
 // Event adds to a job's explanation. The lock is held.
-func (c *Gangs) Event(j *crew.Job, what, detail string) {
+func (c *Gangs) Event(j *active.Job, what, detail string) {
 	j.Record.Log(jobs.Event{
 		Time: c.Now(), What: what, Detail: detail, Host: c.Config.Host,
 		Epoch: c.Hold.Epoch, Revision: c.Config.Book.Number(),
@@ -39,7 +39,7 @@
 }
 
 // Fire moves a job. A move that its state forbids is a bug. The lock is held.
-func (c *Gangs) Fire(j *crew.Job, t jobs.Trigger) {
+func (c *Gangs) Fire(j *active.Job, t jobs.Trigger) {
 	if err := j.Record.Fire(t); err != nil {
 		panic(err)
 	}
@@ -74,13 +74,13 @@
 	deposed func(why string)
 
 	Mu    sync.Mutex
-	Jobs  map[jobs.Key]*crew.Job
+	Jobs  map[jobs.Key]*active.Job
 	Nodes map[string]*Node
 	// Waits says why jobs wait, by the last plan.
 	Waits map[jobs.Key]place.Wait
 	// Recent holds the jobs that ended or moved, so that a scan that read their
 	// rows before doesn't bring them back.
-	Recent   map[jobs.Key]crew.Departure
+	Recent   map[jobs.Key]active.Departure
 	attempts int64
 	declared map[string]float64
 }
@@ -92,8 +92,8 @@
 		Name: h.Cell, Config: c, Hold: h, Taken: taken, deposed: deposed,
 		Log:   c.Log.With().Str("cell", h.Cell).Int64("epoch", h.Epoch).Logger(),
 		Dirty: make(chan struct{}, 1),
-		Jobs:  map[jobs.Key]*crew.Job{}, Nodes: map[string]*Node{}, Waits: map[jobs.Key]place.Wait{},
-		Recent: map[jobs.Key]crew.Departure{}, declared: map[string]float64{},
+		Jobs:  map[jobs.Key]*active.Job{}, Nodes: map[string]*Node{}, Waits: map[jobs.Key]place.Wait{},
+		Recent: map[jobs.Key]active.Departure{}, declared: map[string]float64{},
 	}
 	g.Ctx, g.End = context.WithCancel(context.Background())
 	return g
--- a/gangs/launch.go
+++ b/gangs/launch.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"citronbridge/crew"
+	"citronbridge/active"
 	"citronbridge/jobs"
 	"citronbridge/ledger"
 	"citronbridge/target"
@@ -26,11 +26,11 @@
 )
 
 // Begin places a waiting job and starts its launch. The lock is held.
-func (c *Gangs) Begin(j *crew.Job, targets []string, guarantee string) {
+func (c *Gangs) Begin(j *active.Job, targets []string, guarantee string) {
 	c.attempts++
 	j.Attempt = jobs.Attempt{Epoch: c.Hold.Epoch, Number: c.attempts}
 	j.Guarantee = guarantee
-	j.Members = make([]crew.Member, len(targets))
+	j.Members = make([]active.Member, len(targets))
 	for i, t := range targets {
 		j.Members[i].Target = t
 	}
@@ -47,7 +47,7 @@
 
 // launch reserves every member of a gang, and starts them once all are
 // reserved. Nothing else moves the job out of Starting.
-func (c *Gangs) launch(j *crew.Job, targets []string) {
+func (c *Gangs) launch(j *active.Job, targets []string) {
 	defer c.Work.Done()
 	ctx, cancel := context.WithTimeout(c.Ctx, writeTimeout)
 	defer cancel()
@@ -69,7 +69,7 @@
 	}
 	if bad != "" {
 		j.Avoid[bad] = c.Now().Add(avoidRefusing)
-		c.HaltJob(j, crew.HaltFailed, fmt.Sprintf("not started at %s: %s", bad, why))
+		c.HaltJob(j, active.HaltFailed, fmt.Sprintf("not started at %s: %s", bad, why))
 		return
 	}
 	c.Fire(j, jobs.Launch)
@@ -83,7 +83,7 @@
 // startAll orders every member to start. If they are on several targets, each
 // waits for the arming delay, so that the others can still be kept from
 // starting if one doesn't answer.
-func (c *Gangs) startAll(ctx context.Context, j *crew.Job) (bad, why string) {
+func (c *Gangs) startAll(ctx context.Context, j *active.Job) (bad, why string) {
 	if d := c.armDelay(j); d > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, d/2)
@@ -93,7 +93,7 @@
 }
 
 // armDelay returns the arming delay of a gang: none if it is on one target.
-func (c *Gangs) armDelay(j *crew.Job) time.Duration {
+func (c *Gangs) armDelay(j *active.Job) time.Duration {
 	for i := range j.Members {
 		if j.Members[i].Target != j.Members[0].Target {
 			return c.Config.Bounds.Arm
@@ -103,14 +103,14 @@
 }
 
 // observeStart measures how long a job waited. The lock is held.
-func (c *Gangs) observeStart(j *crew.Job) {
+func (c *Gangs) observeStart(j *active.Job) {
 	s := j.Spec()
 	c.Config.Meter.Wait.WithLabelValues(s.Account, s.Kind).Observe(j.Record.Started.Sub(j.Record.Accepted).Seconds())
 }
 
 // intend writes which targets a non-idempotent job may run on, before any is
 // asked to.
-func (c *Gangs) intend(ctx context.Context, j *crew.Job, targets []string) error {
+func (c *Gangs) intend(ctx context.Context, j *active.Job, targets []string) error {
 	c.Mu.Lock()
 	r := *j.Record
 	r.Attempt, r.Targets = j.Attempt, targets
@@ -138,7 +138,7 @@
 }
 
 // Reload learns the version of a job's row after an uncertain write.
-func (c *Gangs) Reload(j *crew.Job) {
+func (c *Gangs) Reload(j *active.Job) {
 	ctx, cancel := context.WithTimeout(c.Ctx, callTimeout)
 	defer cancel()
 	e, err := c.Config.Records.Load(ctx, j.Key())
@@ -151,7 +151,7 @@
 }
 
 // order is the order of that action to a member. The lock is held.
-func (c *Gangs) order(j *crew.Job, a target.Action, i int) target.Order {
+func (c *Gangs) order(j *active.Job, a target.Action, i int) target.Order {
 	o := target.Order{Action: a, Task: target.TaskID{Job: j.Key(), Attempt: j.Attempt, Member: i}}
 	switch a {
 	case target.Start:
@@ -172,7 +172,7 @@
 
 // orders collects the orders of an action by target, for the members that
 // want returns true for. The lock is held.
-func (c *Gangs) orders(j *crew.Job, a target.Action, want func(*crew.Member) bool) map[*Node][]target.Order {
+func (c *Gangs) orders(j *active.Job, a target.Action, want func(*active.Member) bool) map[*Node][]target.Order {
 	m := map[*Node][]target.Order{}
 	for i := range j.Members {
 		x := c.Nodes[j.Members[i].Target]
@@ -185,9 +185,9 @@
 
 // orderAll gives an order to every member at once, and returns a target that
 // didn't accept it, with the reason.
-func (c *Gangs) orderAll(ctx context.Context, j *crew.Job, a target.Action) (bad, why string) {
+func (c *Gangs) orderAll(ctx context.Context, j *active.Job, a target.Action) (bad, why string) {
 	c.Mu.Lock()
-	m := c.orders(j, a, crew.Every)
+	m := c.orders(j, a, active.Every)
 	for i := range j.Members {
 		if c.Nodes[j.Members[i].Target] == nil {
 			bad, why = j.Members[i].Target, "no longer listed"
@@ -220,7 +220,7 @@
 }
 
 // orderNode gives orders to one target, and returns why it didn't accept one.
-func (c *Gangs) orderNode(ctx context.Context, j *crew.Job, x *Node, o []target.Order) string {
+func (c *Gangs) orderNode(ctx context.Context, j *active.Job, x *Node, o []target.Order) string {
 	r, err := c.Send(ctx, x, o)
 	if err != nil {
 		return err.Error()
@@ -240,7 +240,7 @@
 }
 
 // abandon gives up an attempt of which nothing was started.
-func (c *Gangs) abandon(j *crew.Job, detail, bad string) {
+func (c *Gangs) abandon(j *active.Job, detail, bad string) {
 	c.Mu.Lock()
 	defer c.Mu.Unlock()
 	if c.Ctx.Err() != nil {
@@ -253,7 +253,7 @@
 }
 
 // yield lets a job wait again whose attempt has ended. The lock is held.
-func (c *Gangs) yield(j *crew.Job, what, detail string) {
+func (c *Gangs) yield(j *active.Job, what, detail string) {
 	c.clear(j)
 	c.Fire(j, jobs.Yield)
 	c.Event(j, what, detail)
@@ -272,9 +272,9 @@
 
 // clear makes the targets forget the attempt, and forgets it here. The lock
 // is held.
-func (c *Gangs) clear(j *crew.Job) {
-	stop := c.orders(j, target.Stop, func(m *crew.Member) bool { return !m.Ended() })
-	forget := c.orders(j, target.Forget, crew.Every)
+func (c *Gangs) clear(j *active.Job) {
+	stop := c.orders(j, target.Stop, func(m *active.Member) bool { return !m.Ended() })
+	forget := c.orders(j, target.Forget, active.Every)
 	for x, o := range forget {
 		o = append(stop[x], o...)
 		c.Work.Add(1)
@@ -283,12 +283,12 @@
 			c.Send(c.Ctx, x, o)
 		}()
 	}
-	j.Members, j.Guarantee, j.Halt = nil, "", crew.HaltNone
+	j.Members, j.Guarantee, j.Halt = nil, "", active.HaltNone
 	j.Attempt = jobs.Attempt{}
 }
 
 // HaltJob begins to stop all members of a job. The lock is held.
-func (c *Gangs) HaltJob(j *crew.Job, why crew.HaltReason, detail string) {
+func (c *Gangs) HaltJob(j *active.Job, why active.HaltReason, detail string) {
 	c.Fire(j, jobs.Halt)
 	j.Halt, j.Detail, j.Halted = why, detail, c.Now()
 	c.Event(j, "Stopping", string(why)+": "+detail)
@@ -297,12 +297,12 @@
 }
 
 // Press repeats the orders by which a job is stopped. The lock is held.
-func (c *Gangs) Press(j *crew.Job) {
+func (c *Gangs) Press(j *active.Job) {
 	a := target.Stop
-	if j.Halt == crew.HaltPreempted && j.Spec().Checkpoints && c.Now().Sub(j.Halted) < c.Config.Bounds.Checkpoint {
+	if j.Halt == active.HaltPreempted && j.Spec().Checkpoints && c.Now().Sub(j.Halted) < c.Config.Bounds.Checkpoint {
 		a = target.Checkpoint
 	}
-	for x, o := range c.orders(j, a, func(m *crew.Member) bool { return !m.Ended() }) {
+	for x, o := range c.orders(j, a, func(m *active.Member) bool { return !m.Ended() }) {
 		c.Work.Add(1)
 		go func() {
 			defer c.Work.Done()
@@ -312,6 +312,6 @@
 }
 
 // Stuck reports whether a job should have stopped long ago.
-func (c *Gangs) Stuck(j *crew.Job) bool {
+func (c *Gangs) Stuck(j *active.Job) bool {
 	return j.Record.State == jobs.Stopping && c.Now().Sub(j.Halted) > c.Config.Bounds.Checkpoint+c.Config.Bounds.Stop
 }
--- a/gangs/life.go
+++ b/gangs/life.go
@@ -6,18 +6,18 @@
 	"math"
 	"time"
 
-	"citronbridge/crew"
+	"citronbridge/active"
 	"citronbridge/jobs"
 	"citronbridge/ledger"
 	"citronbridge/target"
 )
 
 // Advance takes the next step that a job's members allow. The lock is held.
-func (c *Gangs) Advance(j *crew.Job) {
+func (c *Gangs) Advance(j *active.Job) {
 	if j.Saving || j.Moving || j.Verifying {
 		return
 	}
-	if j.All(crew.Complete) && !j.All(func(m *crew.Member) bool { return m.Verified }) {
+	if j.All(active.Complete) && !j.All(func(m *active.Member) bool { return m.Verified }) {
 		j.Verifying = true
 		c.Work.Add(1)
 		go c.verify(j, j.Attempt)
@@ -29,7 +29,7 @@
 	case jobs.Running:
 		c.advanceRunning(j)
 	case jobs.Stopping:
-		if j.All((*crew.Member).Ended) {
+		if j.All((*active.Member).Ended) {
 			c.stopped(j)
 		}
 	case jobs.Settling:
@@ -37,7 +37,7 @@
 	}
 }
 
-func (c *Gangs) advanceWaiting(j *crew.Job) {
+func (c *Gangs) advanceWaiting(j *active.Job) {
 	s := j.Spec()
 	switch {
 	case j.Cancelled:
@@ -49,43 +49,43 @@
 	}
 }
 
-func (c *Gangs) advanceRunning(j *crew.Job) {
-	if j.All(crew.Complete) {
+func (c *Gangs) advanceRunning(j *active.Job) {
+	if j.All(active.Complete) {
 		c.finish(j, jobs.Done, "")
 		return
 	}
 	if m := j.Bad(); m != nil {
-		why := crew.HaltLost
+		why := active.HaltLost
 		if m.State == target.Broken {
-			why = crew.HaltFailed
+			why = active.HaltFailed
 		}
 		c.HaltJob(j, why, "member at "+m.Target+" ended: "+m.Detail)
 		return
 	}
 	if j.Cancelled {
-		c.HaltJob(j, crew.HaltCancelled, "cancelled by the caller")
+		c.HaltJob(j, active.HaltCancelled, "cancelled by the caller")
 	}
 }
 
 // stopped decides what becomes of a job all of whose members have ended. The
 // lock is held.
-func (c *Gangs) stopped(j *crew.Job) {
+func (c *Gangs) stopped(j *active.Job) {
 	s := j.Spec()
 	broken := c.blame(j)
 	switch {
-	case j.All(crew.Complete):
+	case j.All(active.Complete):
 		c.finish(j, jobs.Done, "")
-	case !j.HasStarted() && !j.Gone && j.Halt == crew.HaltCancelled:
+	case !j.HasStarted() && !j.Gone && j.Halt == active.HaltCancelled:
 		c.finish(j, jobs.NotRun, "cancelled")
 	case !j.HasStarted() && !j.Gone:
 		c.yield(j, "NotStarted", j.Detail)
-	case j.Halt == crew.HaltCancelled:
+	case j.Halt == active.HaltCancelled:
 		c.finish(j, jobs.Stopped, "cancelled")
 	case s.NonIdempotent && j.Gone:
 		c.finish(j, jobs.Unknown, "a target is gone that may have run it")
-	case j.Halt == crew.HaltPreempted && (!s.NonIdempotent || j.All(crew.Saved)):
+	case j.Halt == active.HaltPreempted && (!s.NonIdempotent || j.All(active.Saved)):
 		c.yield(j, preemptedEvent, j.Detail)
-	case j.Halt == crew.HaltPreempted:
+	case j.Halt == active.HaltPreempted:
 		c.finish(j, jobs.Stopped, "stopped for a guarantee before it was checkpointed")
 	case s.NonIdempotent:
 		c.finish(j, jobs.Failed, j.Detail)
@@ -100,7 +100,7 @@
 // blame counts broken members against the job, and its targets, and reports
 // whether the job itself is at fault. Failures at a target that fails all are
 // not the job's.
-func (c *Gangs) blame(j *crew.Job) bool {
+func (c *Gangs) blame(j *active.Job) bool {
 	own := false
 	for i := range j.Members {
 		m := &j.Members[i]
@@ -123,15 +123,15 @@
 
 // settle decides about a job found at takeover, once enough of its members
 // are known. The lock is held.
-func (c *Gangs) settle(j *crew.Job) {
+func (c *Gangs) settle(j *active.Job) {
 	for i := range j.Members {
 		if j.Members[i].State == "" {
 			return
 		}
 	}
-	runs := func(m *crew.Member) bool { return m.State == target.Active || m.State == target.Complete }
+	runs := func(m *active.Member) bool { return m.State == target.Active || m.State == target.Complete }
 	switch {
-	case j.All(crew.Complete):
+	case j.All(active.Complete):
 		c.finish(j, jobs.Done, "")
 	case j.All(runs):
 		c.Fire(j, jobs.Launch)
@@ -140,12 +140,12 @@
 	default:
 		// Members that are only armed may start until their targets say that
 		// they were stopped.
-		c.HaltJob(j, crew.HaltLost, "gang found incomplete at takeover")
+		c.HaltJob(j, active.HaltLost, "gang found incomplete at takeover")
 	}
 }
 
 // finish records the outcome of a job. The lock is held.
-func (c *Gangs) finish(j *crew.Job, o jobs.Outcome, detail string) {
+func (c *Gangs) finish(j *active.Job, o jobs.Outcome, detail string) {
 	r := j.Record
 	r.Outcome, r.Detail, r.Finished, r.Revision = o, detail, c.Now(), c.Config.Book.Number()
 	r.Targets, r.Incarnations, r.Attempt = nil, nil, j.Attempt
@@ -173,7 +173,7 @@
 const learnWeight = 0.2
 
 // learn corrects what the account's declared run times mean. The lock is held.
-func (c *Gangs) learn(j *crew.Job) {
+func (c *Gangs) learn(j *active.Job) {
 	s := j.Spec()
 	ran := j.Record.Finished.Sub(j.Record.Started).Seconds()
 	if ran <= 0 || j.Record.Started.IsZero() {
@@ -190,7 +190,7 @@
 
 // save writes the outcome of a job until it is written or another decider has
 // taken the cell.
-func (c *Gangs) save(j *crew.Job) {
+func (c *Gangs) save(j *active.Job) {
 	defer c.Work.Done()
 	for i := 0; c.Ctx.Err() == nil; i++ {
 		ctx, cancel := context.WithTimeout(c.Ctx, writeTimeout)
@@ -216,7 +216,7 @@
 
 // resave finds out whether the row has changed because an earlier try of this
 // save took effect.
-func (c *Gangs) resave(ctx context.Context, j *crew.Job) error {
+func (c *Gangs) resave(ctx context.Context, j *active.Job) error {
 	e, err := c.Config.Records.Load(ctx, j.Key())
 	if err != nil {
 		return err
@@ -231,7 +231,7 @@
 }
 
 // ended lets go of a job whose outcome is written.
-func (c *Gangs) ended(j *crew.Job) {
+func (c *Gangs) ended(j *active.Job) {
 	c.Mu.Lock()
 	defer c.Mu.Unlock()
 	j.Saving = false
@@ -246,9 +246,9 @@
 }
 
 // Forget drops a job that ended or moved. The lock is held.
-func (c *Gangs) Forget(j *crew.Job) {
+func (c *Gangs) Forget(j *active.Job) {
 	delete(c.Jobs, j.Key())
 	delete(c.Waits, j.Key())
-	c.Recent[j.Key()] = crew.Departure{At: c.Now(), Version: j.Version}
+	c.Recent[j.Key()] = active.Departure{At: c.Now(), Version: j.Version}
 	close(j.Done)
 }
--- a/gangs/verify.go
+++ b/gangs/verify.go
@@ -5,15 +5,15 @@
 	"errors"
 	"time"
 
+	"citronbridge/active"
 	"citronbridge/blobs"
-	"citronbridge/crew"
 	"citronbridge/jobs"
 )
 
-// verify reads the large outputs of a job whose tasks are crew.Complete, so that an
+// verify reads the large outputs of a job whose tasks are active.Complete, so that an
 // answer is recorded only if it is whole. It goes on until the object store
 // answers for each.
-func (c *Gangs) verify(j *crew.Job, a jobs.Attempt) {
+func (c *Gangs) verify(j *active.Job, a jobs.Attempt) {
 	defer c.Work.Done()
 	for i := range j.Spec().Shape.Members {
 		c.verifyMember(j, i)
@@ -27,11 +27,11 @@
 }
 
 // verifyMember reads the output of one member.
-func (c *Gangs) verifyMember(j *crew.Job, i int) {
+func (c *Gangs) verifyMember(j *active.Job, i int) {
 	c.Mu.Lock()
 	m := &j.Members[i]
 	p := m.Output
-	done := m.Verified || !crew.Complete(m)
+	done := m.Verified || !active.Complete(m)
 	c.Mu.Unlock()
 	for n := 0; !done && c.Ctx.Err() == nil; n++ {
 		ctx, cancel := context.WithTimeout(c.Ctx, writeTimeout)
--- a/host/host.go
+++ b/host/host.go
@@ -17,10 +17,10 @@
 	"citronbridge/admin"
 	"citronbridge/blobs"
 	"citronbridge/certs"
+	"citronbridge/claims"
 	"citronbridge/config"
 	"citronbridge/entry"
 	"citronbridge/fleet"
-	"citronbridge/keeper"
 	"citronbridge/ledger"
 	"citronbridge/meter"
 	"citronbridge/peers"
@@ -44,20 +44,20 @@
 
 // Host is one host of the system.
 type Host struct {
-	s     *config.Settings
-	log   zerolog.Logger
-	timer *timer.Service
-	meter *meter.Set
-	book  *rules.Book
-	reg   *rules.Register
-	view  *fleet.View
-	mesh  *peers.Mesh
-	keep  *keeper.Keeper
-	route *route.Router
-	api   *entry.Server
-	http  *http.Server
-	web   net.Listener
-	peer  net.Listener
+	s      *config.Settings
+	log    zerolog.Logger
+	timer  *timer.Service
+	meter  *meter.Set
+	book   *rules.Book
+	reg    *rules.Register
+	view   *fleet.View
+	mesh   *peers.Mesh
+	claims *claims.Manager
+	route  *route.Router
+	api    *entry.Server
+	http   *http.Server
+	web    net.Listener
+	peer   net.Listener
 
 	// polled says that the table service has answered about the manifest.
 	polled  atomic.Bool
@@ -154,14 +154,14 @@
 	h.view = fleet.NewView(fleet.NewClient(h.s.Platform.Hosts, h.guard("hosts", 0)))
 	h.view.Malformed = func(n int) { h.meter.Malformed.WithLabelValues("HostList").Add(float64(n)) }
 	var err error
-	h.keep, err = keeper.New(setup.Config{
+	h.claims, err = claims.New(setup.Config{
 		Host: h.s.Host, DataCentre: h.s.DataCentre, Records: rows, Objects: objects, Hosts: h.view, Book: h.book, Timer: h.timer,
 		Meter: h.meter, Log: h.log, Live: h.live, Storeless: h.storeless, Connect: setup.ConnectHTTP, Offered: h.offered, Policy: h.s.Policy, Bounds: h.s.Bounds.Cells(),
 	})
 	if err != nil {
 		return err
 	}
-	h.route = &route.Router{Keeper: h.keep, Jobs: rows, Book: h.book, Now: h.timer.Now}
+	h.route = &route.Router{Claims: h.claims, Jobs: rows, Book: h.book, Now: h.timer.Now}
 	h.mesh, err = peers.New(peers.Config{
 		Host: h.s.Host, Listener: h.peer, Dial: h.dial, Beat: h.beat, Handler: h.route.Handle, Changed: h.heard,
 		Period: h.s.Bounds.Heartbeat.D(), Timeout: h.s.Bounds.HeartbeatTimeout.D(),
@@ -216,7 +216,7 @@
 func (h *Host) beat() *wire.Heartbeat {
 	return &wire.Heartbeat{
 		Host: h.s.Host, DataCentre: h.s.DataCentre, PeerAddress: h.PeerAddress(), HttpAddress: h.HTTPAddress(),
-		Storeless: h.storeless(), Revision: h.book.Number(), Leaving: h.leaving.Load(), Holds: h.keep.Claims(),
+		Storeless: h.storeless(), Revision: h.book.Number(), Leaving: h.leaving.Load(), Holds: h.claims.Held(),
 	}
 }
 
@@ -238,7 +238,7 @@
 	wg.Add(2)
 	go func() { defer wg.Done(); h.timer.Run(bg) }()
 	kctx, kstop := context.WithCancel(bg)
-	go func() { defer wg.Done(); h.keep.Run(kctx) }()
+	go func() { defer wg.Done(); h.claims.Run(kctx) }()
 	h.schedule(bg)
 	failed := make(chan error, 1)
 	go func() { failed <- h.http.Serve(h.web) }()
@@ -277,11 +277,11 @@
 	h.log.Info().Msg("host drains")
 	limit := time.Now().Add(h.s.Bounds.DrainLimit.D())
 	grace := time.Now().Add(h.s.Bounds.DrainGrace.D())
-	h.keep.Drain()
-	h.await(limit, h.keep.Quiet)
+	h.claims.Drain()
+	h.await(limit, h.claims.Quiet)
 	h.leaving.Store(true)
 	h.await(limit, func() bool {
-		return time.Now().After(grace) && (len(h.keep.Cells()) == 0 || !h.successor())
+		return time.Now().After(grace) && (len(h.claims.Cells()) == 0 || !h.successor())
 	})
 	h.http.SetKeepAlivesEnabled(false)
 	h.api.EndPolls()
--- a/itest/measure_test.go
+++ b/itest/measure_test.go
@@ -14,7 +14,6 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"citronbridge/board"
 	"citronbridge/client"
 	"citronbridge/config"
 	"citronbridge/entry"
@@ -22,6 +21,7 @@
 	"citronbridge/httpc"
 	"citronbridge/jobs"
 	"citronbridge/rules"
+	"citronbridge/state"
 	"citronbridge/units"
 )
 
@@ -59,7 +59,7 @@
 }
 
 // fifo is the baseline: arrival order, first fit, no other rule.
-var fifo = board.Policy{FirstFit: true, Arrival: true, NoReclaim: true, NoBackfill: true, NoReservation: true, NoFloors: true}
+var fifo = state.Policy{FirstFit: true, Arrival: true, NoReclaim: true, NoBackfill: true, NoReservation: true, NoFloors: true}
 
 // arrival is one request of a schedule.
 type arrival struct {
@@ -196,8 +196,8 @@
 		}
 		for _, p := range []struct {
 			name   string
-			policy board.Policy
-		}{{"whole", board.Policy{}}, {"FIFO first-fit", fifo}} {
+			policy state.Policy
+		}{{"whole", state.Policy{}}, {"FIFO first-fit", fifo}} {
 			t.Run(m.name+"/"+p.name, func(t *testing.T) {
 				r := m.run(t, p.policy)
 				fmt.Println(r.row(m.name, p.name))
@@ -218,7 +218,7 @@
 }
 
 // run runs a mix on a fresh deployment.
-func (m *mix) run(t *testing.T, p board.Policy) *result {
+func (m *mix) run(t *testing.T, p state.Policy) *result {
 	centres := []string{"dc1", "dc2", "dc3", "dc4"}
 	var hosts []string
 	for i := range 8 {
--- a/itest/reclaim_test.go
+++ b/itest/reclaim_test.go
@@ -32,7 +32,7 @@
 		{"Plain", false, func(*cluster) {}},
 		{"CheckpointIgnored", true, func(*cluster) {}},
 		{"StopIgnored", true, func(c *cluster) {
-			c.seat(kelani).faults(c.t, fakes.TargetFaults{IgnoreCheckpoint: true, IgnoreStop: true})
+			c.backing(kelani).faults(c.t, fakes.TargetFaults{IgnoreCheckpoint: true, IgnoreStop: true})
 		}},
 		{"DeciderKilled", true, func(c *cluster) { c.decider("dc1").kill() }},
 		{"DeciderFrozen", true, func(c *cluster) { c.decider("dc1").signal(syscall.SIGSTOP) }},
@@ -40,7 +40,7 @@
 			c.faults(fakes.TableFaults{Outage: true})
 			time.AfterFunc(5*time.Second, func() { c.faults(fakes.TableFaults{}) })
 		}},
-		{"TargetLost", true, func(c *cluster) { c.killTarget(c.seat(kelani)) }},
+		{"TargetLost", true, func(c *cluster) { c.killTarget(c.backing(kelani)) }},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			t.Parallel()
@@ -122,8 +122,8 @@
 	return l
 }
 
-// seat returns a target that stands behind an account's guarantee.
-func (c *cluster) seat(account string) *worker {
+// backing returns a target that stands behind an account's guarantee.
+func (c *cluster) backing(account string) *worker {
 	var found *worker
 	eventually(c.t, "a target of the guarantee of "+account, func() bool {
 		l, err := c.client(operatorToken).Targets(context.Background())
--- a/offers/offers.go
+++ b/moves/moves.go
@@ -1,22 +1,22 @@
-// Package offers moves jobs that a cell can't start soon to cells that have
+// Package moves takes jobs that a cell can't start soon to cells that have
 // room.
-package offers
+package moves
 
 import (
 	"context"
 	"time"
 
-	"citronbridge/crew"
+	"citronbridge/active"
 	"citronbridge/gangs"
 	"citronbridge/jobs"
 	"citronbridge/place"
 	"citronbridge/setup"
 )
 
-// Offer moves a job that the cell can't start soon to a cell that has room, and
+// Away moves a job that the cell can't start soon to a cell that has room, and
 // reports whether it looked for one.
 // The lock is held.
-func Offer(c *gangs.Gangs, j *crew.Job, now time.Time) bool {
+func Away(c *gangs.Gangs, j *active.Job, now time.Time) bool {
 	w, ok := c.Waits[j.Key()]
 	if !ok || j.Saving || j.Moving || j.Cancelled || now.Sub(j.Record.Accepted) < c.Config.Bounds.Offer || now.Before(j.NotBefore) {
 		return false
@@ -43,14 +43,14 @@
 	writeTimeout = 10 * time.Second
 )
 
-// offerSlack is how many times the room that a job needs another cell must
+// moveSlack is how many times the room that a job needs another cell must
 // have free before the job is moved there.
-const offerSlack = 2
+const moveSlack = 2
 
 // elsewhere returns the cell with the most free accelerators that could take
 // a job, or "".
 func elsewhere(c *gangs.Gangs, s *jobs.Spec) string {
-	best, free := "", int64(offerSlack*s.Shape.Accelerators())
+	best, free := "", int64(moveSlack*s.Shape.Accelerators())
 	for _, b := range c.Config.Live() {
 		for _, h := range b.Holds {
 			if h.Cell != c.Name && h.Free >= free && setup.Holds(c.Config.Hosts, h.Cell, s) {
@@ -62,7 +62,7 @@
 }
 
 // move hands a job to another cell.
-func move(c *gangs.Gangs, j *crew.Job, cell string) {
+func move(c *gangs.Gangs, j *active.Job, cell string) {
 	defer c.Work.Done()
 	ctx, cancel := context.WithTimeout(c.Ctx, writeTimeout)
 	defer cancel()
--- a/place/bench_test.go
+++ b/place/bench_test.go
@@ -6,13 +6,13 @@
 	"testing"
 	"time"
 
-	"citronbridge/board"
 	"citronbridge/jobs"
 	"citronbridge/rules"
+	"citronbridge/state"
 )
 
 // benchInput returns a cell whose targets are 90 percent full, with a queue.
-func benchInput(targetCount, taskCount, queue, accounts int) *board.Input {
+func benchInput(targetCount, taskCount, queue, accounts int) *state.Input {
 	r := rand.New(rand.NewPCG(5, uint64(targetCount)))
 	m := &rules.Manifest{Kinds: []rules.Kind{{Name: "urgent"}, {Name: "routine", FloorPercent: 20}}, CastingVote: "a000"}
 	for i := range accounts {
@@ -22,7 +22,7 @@
 		}
 		m.Accounts = append(m.Accounts, a)
 	}
-	in := &board.Input{Now: epoch, Cell: "dc", Rules: m, Targets: targets((targetCount+7)/8, 8)[:targetCount]}
+	in := &state.Input{Now: epoch, Cell: "dc", Rules: m, Targets: targets((targetCount+7)/8, 8)[:targetCount]}
 	for i := range in.Targets {
 		in.Targets[i].Room.Slots = 64
 	}
@@ -31,7 +31,7 @@
 		if i < targetCount*9/10 {
 			s.Shape.Each.Accelerators = 8
 		}
-		in.Running = append(in.Running, board.Job{Spec: s, Targets: []string{in.Targets[i%targetCount].ID}, Started: epoch.Add(-time.Duration(r.IntN(3600)) * time.Second), Expected: time.Hour})
+		in.Running = append(in.Running, state.Job{Spec: s, Targets: []string{in.Targets[i%targetCount].ID}, Started: epoch.Add(-time.Duration(r.IntN(3600)) * time.Second), Expected: time.Hour})
 	}
 	for i := range queue {
 		s := spec(fmt.Sprintf("a%03d", r.IntN(accounts)), fmt.Sprintf("q%05d", i), []string{"urgent", "routine"}[r.IntN(2)], shape(1<<r.IntN(4), 1<<r.IntN(4), jobs.AdjacentRack))
@@ -49,7 +49,7 @@
 		{3700, 10, 100, 210}, {3700, 36000, 100, 210}, {3700, 36000, 1000, 210}, {3700, 36000, 10000, 210},
 	} {
 		in := benchInput(x.targets, x.tasks, x.queue, x.accounts)
-		in.Seats = Decide(in).Seats
+		in.Backing = Decide(in).Backing
 		b.Run(fmt.Sprintf("targets=%d/tasks=%d/queue=%d", x.targets, x.tasks, x.queue), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
--- a/place/order.go
+++ b/place/order.go
@@ -6,22 +6,22 @@
 	"slices"
 	"strings"
 
-	"citronbridge/board"
 	"citronbridge/jobs"
+	"citronbridge/state"
 )
 
 // line is the requests of one caller for one kind, in the order of arrival.
 type line struct {
 	account, caller, kind string
 	urgency               int
-	queue                 []*board.Request
+	queue                 []*state.Request
 	// rank is that of the head, index the line's place on the agenda.
 	rank  rank
 	index int
 }
 
 // lines splits the requests.
-func lines(in *board.Input) []*line {
+func lines(in *state.Input) []*line {
 	type id struct{ account, caller, kind string }
 	m := map[id]*line{}
 	var l []*line
@@ -49,7 +49,7 @@
 	return l
 }
 
-func byArrival(a, b *board.Request) int {
+func byArrival(a, b *state.Request) int {
 	return cmp.Or(a.Arrived.Compare(b.Arrived), strings.Compare(a.Spec.Account, b.Spec.Account), strings.Compare(a.Spec.ID, b.Spec.ID))
 }
 
@@ -73,8 +73,8 @@
 		guaranteed: b.guaranteed(s),
 		floor:      b.belowFloor(l.kind),
 		urgency:    l.urgency,
-		share:      board.Share(b.Usage.Borrowed[l.account], b.Total),
-		caller:     b.Usage.Callers[board.CallerKey{Account: l.account, Caller: l.caller}],
+		share:      state.Share(b.Usage.Borrowed[l.account], b.Total),
+		caller:     b.Usage.Callers[state.CallerKey{Account: l.account, Caller: l.caller}],
 		casting:    l.account == b.In.Rules.CastingVote,
 	}
 }
@@ -143,7 +143,7 @@
 }
 
 // pop takes the request off that goes first, or returns nil.
-func (a *agenda) pop() *board.Request {
+func (a *agenda) pop() *state.Request {
 	if len(a.heap) == 0 {
 		return nil
 	}
@@ -179,7 +179,7 @@
 }
 
 // rest calls f for every request that is left, in no particular order.
-func (a *agenda) rest(f func(*board.Request)) {
+func (a *agenda) rest(f func(*state.Request)) {
 	for _, g := range a.heap {
 		for _, r := range g.queue {
 			f(r)
--- a/place/place.go
+++ b/place/place.go
@@ -4,8 +4,8 @@
 package place
 
 import (
-	"citronbridge/board"
 	"citronbridge/jobs"
+	"citronbridge/state"
 )
 
 // Start says that a request starts now.
@@ -44,10 +44,10 @@
 
 // Plan is a decision.
 type Plan struct {
-	Starts []Start
-	Stops  []Stop
-	Waits  []Wait
-	Seats  board.Seats
-	// Unseated lists the guarantees that the cell can't hold right now.
-	Unseated []string
+	Starts  []Start
+	Stops   []Stop
+	Waits   []Wait
+	Backing state.Backing
+	// Unbacked lists the guarantees that the cell can't hold right now.
+	Unbacked []string
 }
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -11,10 +11,10 @@
 
 	"pgregory.net/rapid"
 
-	"citronbridge/board"
 	"citronbridge/golden"
 	"citronbridge/jobs"
 	"citronbridge/rules"
+	"citronbridge/state"
 	"citronbridge/units"
 )
 
@@ -22,11 +22,11 @@
 
 var wholeTarget = jobs.Room{Accelerators: 8, Processors: 64, Memory: 256 << 30, Slots: 8}
 
-func targets(racks, perRack int) []board.Target {
-	var l []board.Target
+func targets(racks, perRack int) []state.Target {
+	var l []state.Target
 	for r := range racks {
 		for i := range perRack {
-			l = append(l, board.Target{ID: fmt.Sprintf("r%02d-t%02d", r, i), Rack: fmt.Sprintf("r%02d", r), Room: wholeTarget, Open: true})
+			l = append(l, state.Target{ID: fmt.Sprintf("r%02d-t%02d", r, i), Rack: fmt.Sprintf("r%02d", r), Room: wholeTarget, Open: true})
 		}
 	}
 	return l
@@ -40,8 +40,8 @@
 	return &jobs.Spec{Account: account, ID: id, Caller: "c", Kind: kind, Shape: s, RunTime: units.Duration(time.Minute)}
 }
 
-func request(s *jobs.Spec, age time.Duration) board.Request {
-	return board.Request{Spec: s, Arrived: epoch.Add(-age), Expected: s.RunTime.D()}
+func request(s *jobs.Spec, age time.Duration) state.Request {
+	return state.Request{Spec: s, Arrived: epoch.Add(-age), Expected: s.RunTime.D()}
 }
 
 // twoAccounts returns rules with a guarantee of a rack's pair of targets each.
@@ -57,40 +57,40 @@
 
 // TestDecisions compares whole plans with golden files.
 func TestDecisions(t *testing.T) {
-	borrower := func(i int, targets ...string) board.Job {
+	borrower := func(i int, targets ...string) state.Job {
 		s := spec("c", fmt.Sprintf("b%d", i), "routine", shape(len(targets), 8, jobs.AdjacentRack))
 		s.Checkpoints = i%2 == 0
-		return board.Job{Spec: s, Targets: targets, Started: epoch.Add(-time.Duration(i) * time.Minute), Expected: time.Hour}
+		return state.Job{Spec: s, Targets: targets, Started: epoch.Add(-time.Duration(i) * time.Minute), Expected: time.Hour}
 	}
 	for _, x := range []struct {
 		name string
-		in   board.Input
+		in   state.Input
 	}{
-		{"reclaim", board.Input{Targets: targets(1, 4),
-			Running: []board.Job{borrower(1, "r00-t00"), borrower(2, "r00-t01"), borrower(3, "r00-t02"), borrower(4, "r00-t03")},
-			Waiting: []board.Request{request(spec("a", "claim", "urgent", shape(2, 8, jobs.AdjacentRack)), time.Second)}}},
-		{"tie", board.Input{Targets: targets(1, 1),
-			Waiting: []board.Request{
+		{"reclaim", state.Input{Targets: targets(1, 4),
+			Running: []state.Job{borrower(1, "r00-t00"), borrower(2, "r00-t01"), borrower(3, "r00-t02"), borrower(4, "r00-t03")},
+			Waiting: []state.Request{request(spec("a", "claim", "urgent", shape(2, 8, jobs.AdjacentRack)), time.Second)}}},
+		{"tie", state.Input{Targets: targets(1, 1),
+			Waiting: []state.Request{
 				request(spec("a", "x", "routine", shape(1, 1, jobs.AdjacentHost)), 0),
 				request(spec("b", "x", "routine", shape(1, 1, jobs.AdjacentHost)), 0)}}},
-		{"urgent first, then the floor", board.Input{Targets: targets(1, 4),
-			Waiting: []board.Request{
+		{"urgent first, then the floor", state.Input{Targets: targets(1, 4),
+			Waiting: []state.Request{
 				request(spec("c", "r1", "routine", shape(1, 8, jobs.AdjacentHost)), 0),
 				request(spec("c", "r2", "routine", shape(1, 8, jobs.AdjacentHost)), 0),
 				request(spec("c", "u1", "urgent", shape(1, 8, jobs.AdjacentHost)), 0),
 				request(spec("c", "u2", "urgent", shape(1, 8, jobs.AdjacentHost)), 0),
 				request(spec("c", "u3", "urgent", shape(1, 8, jobs.AdjacentHost)), 0),
 				request(spec("c", "u4", "urgent", shape(1, 8, jobs.AdjacentHost)), 0)}}},
-		{"backfill", board.Input{Targets: targets(1, 2),
-			Running: []board.Job{borrower(1, "r00-t00")},
-			Waiting: []board.Request{
+		{"backfill", state.Input{Targets: targets(1, 2),
+			Running: []state.Job{borrower(1, "r00-t00")},
+			Waiting: []state.Request{
 				request(spec("c", "large", "routine", shape(2, 8, jobs.AdjacentRack)), time.Hour),
 				request(spec("c", "short", "routine", shape(1, 4, jobs.AdjacentHost)), 0),
 				{Spec: spec("c", "long", "routine", shape(1, 2, jobs.AdjacentHost)), Arrived: epoch, Expected: 48 * time.Hour}}}},
-		{"never fits", board.Input{Targets: targets(2, 2),
-			Waiting: []board.Request{request(spec("c", "wide", "routine", shape(3, 8, jobs.AdjacentRack)), 0)}}},
-		{"fixed job keeps off guarantees", board.Input{Targets: targets(1, 5),
-			Waiting: []board.Request{
+		{"never fits", state.Input{Targets: targets(2, 2),
+			Waiting: []state.Request{request(spec("c", "wide", "routine", shape(3, 8, jobs.AdjacentRack)), 0)}}},
+		{"fixed job keeps off guarantees", state.Input{Targets: targets(1, 5),
+			Waiting: []state.Request{
 				request(fixedSpec("f1", shape(1, 8, jobs.AdjacentHost)), 0),
 				request(fixedSpec("f2", shape(1, 8, jobs.AdjacentHost)), 0)}}},
 	} {
@@ -113,13 +113,13 @@
 
 // world is a cell that lives through several decisions.
 type world struct {
-	in   board.Input
+	in   state.Input
 	next int
 }
 
 // newWorld draws a cell with guarantees that fit.
 func newWorld(t *rapid.T) *world {
-	w := &world{in: board.Input{Now: epoch, Cell: "dc", Rules: twoAccounts()}}
+	w := &world{in: state.Input{Now: epoch, Cell: "dc", Rules: twoAccounts()}}
 	w.in.Targets = targets(rapid.IntRange(1, 3).Draw(t, "racks"), rapid.IntRange(4, 6).Draw(t, "perRack"))
 	return w
 }
@@ -135,22 +135,22 @@
 		s.NonIdempotent = rapid.Bool().Draw(t, "nonIdempotent")
 		s.Checkpoints = rapid.Bool().Draw(t, "checkpoints")
 		w.next++
-		w.in.Waiting = append(w.in.Waiting, board.Request{Spec: s, Arrived: w.in.Now, Expected: time.Duration(rapid.IntRange(1, 600).Draw(t, "expected")) * time.Second})
+		w.in.Waiting = append(w.in.Waiting, state.Request{Spec: s, Arrived: w.in.Now, Expected: time.Duration(rapid.IntRange(1, 600).Draw(t, "expected")) * time.Second})
 	}
 }
 
 // apply carries out a plan. Stopped jobs wait again or are gone.
 func (w *world) apply(p *Plan) {
-	w.in.Seats = p.Seats
+	w.in.Backing = p.Backing
 	stopped := map[jobs.Key]bool{}
 	for _, s := range p.Stops {
 		stopped[s.Key] = true
 	}
-	w.in.Running = slices.DeleteFunc(w.in.Running, func(j board.Job) bool { return stopped[j.Spec.Key()] })
+	w.in.Running = slices.DeleteFunc(w.in.Running, func(j state.Job) bool { return stopped[j.Spec.Key()] })
 	for _, s := range p.Starts {
-		i := slices.IndexFunc(w.in.Waiting, func(r board.Request) bool { return r.Spec.Key() == s.Key })
+		i := slices.IndexFunc(w.in.Waiting, func(r state.Request) bool { return r.Spec.Key() == s.Key })
 		r := w.in.Waiting[i]
-		w.in.Running = append(w.in.Running, board.Job{Spec: r.Spec, Targets: s.Targets, Guarantee: s.Guarantee, Started: w.in.Now, Expected: r.Expected})
+		w.in.Running = append(w.in.Running, state.Job{Spec: r.Spec, Targets: s.Targets, Guarantee: s.Guarantee, Started: w.in.Now, Expected: r.Expected})
 		w.in.Waiting = slices.Delete(w.in.Waiting, i, i+1)
 	}
 }
@@ -158,7 +158,7 @@
 // finish ends some running jobs.
 func (w *world) finish(t *rapid.T) {
 	w.in.Now = w.in.Now.Add(time.Minute)
-	w.in.Running = slices.DeleteFunc(w.in.Running, func(board.Job) bool { return rapid.IntRange(0, 3).Draw(t, "ends") == 0 })
+	w.in.Running = slices.DeleteFunc(w.in.Running, func(state.Job) bool { return rapid.IntRange(0, 3).Draw(t, "ends") == 0 })
 }
 
 // TestInvariants lives through decisions and checks that no room is given
@@ -182,13 +182,13 @@
 }
 
 func checkPlan(t *rapid.T, w *world, p *Plan) {
-	if len(p.Unseated) > 0 {
-		t.Fatalf("guarantees %v have no seat", p.Unseated)
+	if len(p.Unbacked) > 0 {
+		t.Fatalf("guarantees %v have no targets", p.Unbacked)
 	}
 	told := map[jobs.Key]int{}
 	for _, s := range p.Starts {
 		told[s.Key]++
-		i := slices.IndexFunc(w.in.Waiting, func(r board.Request) bool { return r.Spec.Key() == s.Key })
+		i := slices.IndexFunc(w.in.Waiting, func(r state.Request) bool { return r.Spec.Key() == s.Key })
 		sp := w.in.Waiting[i].Spec
 		if len(s.Targets) != sp.Shape.Members {
 			t.Fatalf("%s: %d of %d members placed", s.Key, len(s.Targets), sp.Shape.Members)
@@ -208,8 +208,8 @@
 		}
 	}
 	for _, s := range p.Stops {
-		i := slices.IndexFunc(w.in.Running, func(j board.Job) bool { return j.Spec.Key() == s.Key })
-		if j := w.in.Running[i]; board.Fixed(j.Spec) || j.Guarantee != "" {
+		i := slices.IndexFunc(w.in.Running, func(j state.Job) bool { return j.Spec.Key() == s.Key })
+		if j := w.in.Running[i]; state.Fixed(j.Spec) || j.Guarantee != "" {
 			t.Fatalf("%s is stopped, though it is protected", s.Key)
 		}
 	}
@@ -251,13 +251,13 @@
 	for _, a := range []string{"a", "b"} {
 		used := false
 		for _, j := range w.in.Running {
-			used = used || j.Guarantee == board.GuaranteeID(a, 0)
+			used = used || j.Guarantee == state.GuaranteeID(a, 0)
 		}
 		if used {
 			continue
 		}
 		in := w.in
-		in.Waiting = []board.Request{request(spec(a, "claim", "urgent", shape(2, 8, jobs.AdjacentRack)), 0)}
+		in.Waiting = []state.Request{request(spec(a, "claim", "urgent", shape(2, 8, jobs.AdjacentRack)), 0)}
 		p := Decide(&in)
 		if len(p.Starts)+len(p.Stops) == 0 {
 			t.Fatalf("the guarantee of %s can't be reclaimed: %+v", a, p.Waits)
@@ -270,10 +270,10 @@
 func TestLargeDoesNotStarve(t *testing.T) {
 	for _, x := range []struct {
 		name   string
-		policy board.Policy
+		policy state.Policy
 		starts bool
-	}{{"whole policy", board.Policy{}, true}, {"no backfill", board.Policy{NoBackfill: true}, true}, {"no reservation", board.Policy{NoReservation: true}, false}} {
-		in := board.Input{Now: epoch, Cell: "dc", Rules: &rules.Manifest{Kinds: []rules.Kind{{Name: "routine"}}, CastingVote: "c", Accounts: []rules.Account{{Name: "c"}}}, Targets: targets(1, 4), Policy: x.policy}
+	}{{"whole policy", state.Policy{}, true}, {"no backfill", state.Policy{NoBackfill: true}, true}, {"no reservation", state.Policy{NoReservation: true}, false}} {
+		in := state.Input{Now: epoch, Cell: "dc", Rules: &rules.Manifest{Kinds: []rules.Kind{{Name: "routine"}}, CastingVote: "c", Accounts: []rules.Account{{Name: "c"}}}, Targets: targets(1, 4), Policy: x.policy}
 		w := &world{in: in}
 		large := spec("c", "large", "routine", shape(4, 8, jobs.AdjacentRack))
 		started := false
@@ -282,15 +282,15 @@
 			for range 4 {
 				s := spec("c", fmt.Sprintf("s%03d", w.next), "routine", shape(1, 4, jobs.AdjacentHost))
 				w.next++
-				w.in.Waiting = append(w.in.Waiting, board.Request{Spec: s, Arrived: w.in.Now, Expected: 30 * time.Second})
+				w.in.Waiting = append(w.in.Waiting, state.Request{Spec: s, Arrived: w.in.Now, Expected: 30 * time.Second})
 			}
 			if round == 5 {
-				w.in.Waiting = append(w.in.Waiting, board.Request{Spec: large, Arrived: w.in.Now, Expected: time.Minute})
+				w.in.Waiting = append(w.in.Waiting, state.Request{Spec: large, Arrived: w.in.Now, Expected: time.Minute})
 			}
 			p := Decide(&w.in)
 			w.apply(&p)
-			w.in.Running = slices.DeleteFunc(w.in.Running, func(j board.Job) bool { return !w.in.Now.Before(j.Started.Add(j.Expected)) })
-			started = slices.ContainsFunc(w.in.Running, func(j board.Job) bool { return j.Spec == large })
+			w.in.Running = slices.DeleteFunc(w.in.Running, func(j state.Job) bool { return !w.in.Now.Before(j.Started.Add(j.Expected)) })
+			started = slices.ContainsFunc(w.in.Running, func(j state.Job) bool { return j.Spec == large })
 		}
 		if started != x.starts {
 			t.Errorf("%s: the large job starts: %t", x.name, started)
--- a/place/plan.go
+++ b/place/plan.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"citronbridge/board"
 	"citronbridge/jobs"
+	"citronbridge/state"
 )
 
 // maxBlocked bounds the requests that a decision finds no room for before it
@@ -18,7 +18,7 @@
 
 // planner is a decision in the making.
 type planner struct {
-	*board.Board
+	*state.Cell
 	shadow *shadow
 	// claims holds which shapes fit into what is left of an account's
 	// guarantees.
@@ -26,11 +26,11 @@
 	// lines holds the waiting requests by account.
 	lines map[string][]*line
 	// scratch is reused by each packing.
-	scratch []board.Candidate
+	scratch []state.Candidate
 }
 
-func newPlanner(in *board.Input) *planner {
-	return &planner{Board: board.New(in), claims: map[claimKey]bool{}, lines: map[string][]*line{}}
+func newPlanner(in *state.Input) *planner {
+	return &planner{Cell: state.New(in), claims: map[claimKey]bool{}, lines: map[string][]*line{}}
 }
 
 // place counts a request that starts now.
@@ -47,10 +47,10 @@
 }
 
 // Decide plans what starts and what stops.
-func Decide(in *board.Input) Plan {
+func Decide(in *state.Input) Plan {
 	b := newPlanner(in)
-	b.Seat()
-	p := Plan{Seats: b.Seats, Unseated: b.Unseated}
+	b.FindBacking()
+	p := Plan{Backing: b.Backing, Unbacked: b.Unbacked}
 	l := lines(in)
 	for _, g := range l {
 		b.lines[g.account] = append(b.lines[g.account], g)
@@ -79,7 +79,7 @@
 			misses[k] = w
 		}
 	}
-	a.rest(func(r *board.Request) {
+	a.rest(func(r *state.Request) {
 		p.Waits = append(p.Waits, Wait{r.Spec.Key(), Behind, "behind requests that are blocked"})
 	})
 	slices.SortFunc(p.Waits, func(x, y Wait) int {
@@ -96,19 +96,19 @@
 	brief int
 }
 
-func missOf(r *board.Request) miss {
+func missOf(r *state.Request) miss {
 	n := 0
 	for d := r.Expected; d > time.Second; d /= 2 {
 		n++
 	}
-	return miss{r.Spec.Shape, board.Fixed(r.Spec), n}
+	return miss{r.Spec.Shape, state.Fixed(r.Spec), n}
 }
 
 // try starts a request, or begins to reclaim room for it, and reports whether
 // it did.
-func (b *planner) try(r *board.Request, p *Plan) bool {
+func (b *planner) try(r *state.Request, p *Plan) bool {
 	for _, g := range b.ByAccount[r.Spec.Account] {
-		if t := b.packSeat(g, r.Spec); t != nil && b.claim(g, r, t, p) {
+		if t := b.packBacking(g, r.Spec); t != nil && b.claim(g, r, t, p) {
 			return true
 		}
 	}
@@ -136,8 +136,8 @@
 	if v, ok := b.claims[k]; ok {
 		return v
 	}
-	v := slices.ContainsFunc(own, func(g *board.Guarantee) bool {
-		return s.Shape.Accelerators() <= g.Shape.Accelerators() && b.packSeat(g, s) != nil
+	v := slices.ContainsFunc(own, func(g *state.Guarantee) bool {
+		return s.Shape.Accelerators() <= g.Shape.Accelerators() && b.packBacking(g, s) != nil
 	})
 	b.claims[k] = v
 	return v
@@ -150,23 +150,23 @@
 	shape   jobs.Shape
 }
 
-// packSeat places a request on what is left of a guarantee's seat, or returns
-// nil.
-func (b *planner) packSeat(g *board.Guarantee, s *jobs.Spec) []string {
+// packBacking places a request on what is left of the targets behind a
+// guarantee, or returns nil.
+func (b *planner) packBacking(g *state.Guarantee, s *jobs.Spec) []string {
 	if s.Shape.Each.Accelerators == 0 {
 		return nil
 	}
 	c := b.scratch[:0]
 	for _, p := range g.Spots {
-		room := p.Seats[g.ID].Minus(p.Charged[g.ID])
-		c = append(c, board.Candidate{ID: p.ID, Rack: p.Rack, Room: room, Limit: s.Shape.Members, Cost: b.shortage(p, s)})
+		room := p.Backing[g.ID].Minus(p.Charged[g.ID])
+		c = append(c, state.Candidate{ID: p.ID, Rack: p.Rack, Room: room, Limit: s.Shape.Members, Cost: b.shortage(p, s)})
 	}
 	b.scratch = c
-	return board.Pack(s.Shape, s.Task(), c, b.In.Policy.FirstFit)
+	return state.Pack(s.Shape, s.Task(), c, b.In.Policy.FirstFit)
 }
 
 // shortage is 1 if a member wouldn't fit at p now.
-func (b *planner) shortage(p *board.Spot, s *jobs.Spec) int {
+func (b *planner) shortage(p *state.Spot, s *jobs.Spec) int {
 	if s.Task().Fits(p.Free) {
 		return 0
 	}
@@ -174,7 +174,7 @@
 }
 
 // claim starts a request on its guarantee, or stops borrowers for it.
-func (b *planner) claim(g *board.Guarantee, r *board.Request, t []string, p *Plan) bool {
+func (b *planner) claim(g *state.Guarantee, r *state.Request, t []string, p *Plan) bool {
 	need := map[string]jobs.Room{}
 	for _, id := range t {
 		need[id] = need[id].Plus(r.Spec.Task())
@@ -205,13 +205,13 @@
 	}
 	// The room is held by counting the request as started.
 	b.place(r.Spec, t, g.ID)
-	p.Waits = append(p.Waits, Wait{r.Spec.Key(), Reclaiming, "borrowers make room on " + strings.Join(board.Distinct(t), ", ")})
+	p.Waits = append(p.Waits, Wait{r.Spec.Key(), Reclaiming, "borrowers make room on " + strings.Join(state.Distinct(t), ", ")})
 	return true
 }
 
 // packFree places a request on free room. Room that nobody has a claim on
 // goes first; a job that can't be stopped gets nothing else.
-func (b *planner) packFree(r *board.Request) []string {
+func (b *planner) packFree(r *state.Request) []string {
 	s := r.Spec
 	c := b.scratch[:0]
 	for _, p := range b.Places {
@@ -220,21 +220,21 @@
 		}
 	}
 	b.scratch = c
-	return board.Pack(s.Shape, s.Task(), c, b.In.Policy.FirstFit)
+	return state.Pack(s.Shape, s.Task(), c, b.In.Policy.FirstFit)
 }
 
 // freeAt returns what a borrower may take at p.
-func (b *planner) freeAt(p *board.Spot, r *board.Request) (board.Candidate, bool) {
+func (b *planner) freeAt(p *state.Spot, r *state.Request) (state.Candidate, bool) {
 	if !p.Open || r.Avoid[p.ID] || p.Shadowed && !b.endsInTime(r) {
-		return board.Candidate{}, false
+		return state.Candidate{}, false
 	}
-	x := board.Candidate{ID: p.ID, Rack: p.Rack, Room: p.Free, Limit: r.Spec.Shape.Members}
+	x := state.Candidate{ID: p.ID, Rack: p.Rack, Room: p.Free, Limit: r.Spec.Shape.Members}
 	if p.Probe {
 		x.Limit = max(0, 1-p.Tasks)
 	}
 	unclaimed := b.Unclaimed(p)
-	if board.Fixed(r.Spec) {
-		x.Room = board.Least(p.Free, unclaimed)
+	if state.Fixed(r.Spec) {
+		x.Room = state.Least(p.Free, unclaimed)
 	} else if !r.Spec.Task().Fits(unclaimed) {
 		x.Cost = 1
 	}
@@ -243,7 +243,7 @@
 
 // block explains why a request waits. The first one that is blocked gets a
 // reservation, behind which only what ends in time may start.
-func (b *planner) block(r *board.Request) Wait {
+func (b *planner) block(r *state.Request) Wait {
 	s := r.Spec
 	if !b.everFits(r) {
 		return Wait{s.Key(), NeverFits, fmt.Sprintf("no part of cell %s could hold %s", b.In.Cell, s.Shape.String())}
@@ -263,31 +263,31 @@
 
 // everFits reports whether the cell could hold the request if only what can't
 // be stopped ran.
-func (b *planner) everFits(r *board.Request) bool {
+func (b *planner) everFits(r *state.Request) bool {
 	c := b.scratch[:0]
 	for _, p := range b.Places {
-		x := board.Candidate{ID: p.ID, Rack: p.Rack, Room: p.Room, Limit: r.Spec.Shape.Members}
-		if board.Fixed(r.Spec) {
+		x := state.Candidate{ID: p.ID, Rack: p.Rack, Room: p.Room, Limit: r.Spec.Shape.Members}
+		if state.Fixed(r.Spec) {
 			x.Room = p.Room.Minus(p.Claimed)
 		}
 		c = append(c, x)
 	}
 	b.scratch = c
-	if board.Pack(r.Spec.Shape, r.Spec.Task(), c, true) != nil {
+	if state.Pack(r.Spec.Shape, r.Spec.Task(), c, true) != nil {
 		return true
 	}
-	return slices.ContainsFunc(b.ByAccount[r.Spec.Account], func(g *board.Guarantee) bool { return b.emptySeatHolds(g, r.Spec) })
+	return slices.ContainsFunc(b.ByAccount[r.Spec.Account], func(g *state.Guarantee) bool { return b.emptyBackingHolds(g, r.Spec) })
 }
 
-// emptySeatHolds reports whether a guarantee's seat would hold the request if
-// nothing ran on it.
-func (b *planner) emptySeatHolds(g *board.Guarantee, s *jobs.Spec) bool {
+// emptyBackingHolds reports whether the targets behind a guarantee would hold
+// the request if nothing ran on them.
+func (b *planner) emptyBackingHolds(g *state.Guarantee, s *jobs.Spec) bool {
 	c := b.scratch[:0]
 	for _, p := range g.Spots {
-		c = append(c, board.Candidate{ID: p.ID, Rack: p.Rack, Room: p.Seats[g.ID], Limit: s.Shape.Members})
+		c = append(c, state.Candidate{ID: p.ID, Rack: p.Rack, Room: p.Backing[g.ID], Limit: s.Shape.Members})
 	}
 	b.scratch = c
-	return board.Pack(s.Shape, s.Task(), c, true) != nil
+	return state.Pack(s.Shape, s.Task(), c, true) != nil
 }
 
 // shadow is a reservation in time.
@@ -298,12 +298,12 @@
 
 // cast finds when the running jobs are expected to have left enough room for a
 // request, and keeps that room from what would not end by then.
-func (b *planner) cast(r *board.Request) *shadow {
-	ends := make([]*board.Job, 0, len(b.In.Running))
+func (b *planner) cast(r *state.Request) *shadow {
+	ends := make([]*state.Job, 0, len(b.In.Running))
 	for i := range b.In.Running {
 		ends = append(ends, &b.In.Running[i])
 	}
-	slices.SortFunc(ends, func(x, y *board.Job) int {
+	slices.SortFunc(ends, func(x, y *state.Job) int {
 		return cmp.Or(b.end(x).Compare(b.end(y)), strings.Compare(x.Spec.Account, y.Spec.Account), strings.Compare(x.Spec.ID, y.Spec.ID))
 	})
 	// The first n jobs to end free enough room, if any number does: the more
@@ -319,7 +319,7 @@
 }
 
 // freeBehind returns the free room of each target once jobs have ended.
-func (b *planner) freeBehind(ended []*board.Job) map[string]jobs.Room {
+func (b *planner) freeBehind(ended []*state.Job) map[string]jobs.Room {
 	room := make(map[string]jobs.Room, len(b.Places))
 	for _, p := range b.Places {
 		room[p.ID] = p.Free
@@ -334,7 +334,7 @@
 
 // end returns when a running job is expected to end. One that is overdue is
 // expected to end soon.
-func (b *planner) end(j *board.Job) time.Time {
+func (b *planner) end(j *state.Job) time.Time {
 	e := j.Started.Add(j.Expected)
 	if e.Before(b.In.Now) {
 		return b.In.Now.Add(overdue)
@@ -346,23 +346,23 @@
 const overdue = time.Minute
 
 // packLater places a request on the room that will be free.
-func (b *planner) packLater(r *board.Request, room map[string]jobs.Room) []string {
-	c := make([]board.Candidate, 0, len(b.Places))
+func (b *planner) packLater(r *state.Request, room map[string]jobs.Room) []string {
+	c := make([]state.Candidate, 0, len(b.Places))
 	for _, p := range b.Places {
 		if !p.Open {
 			continue
 		}
-		x := board.Candidate{ID: p.ID, Rack: p.Rack, Room: room[p.ID], Limit: r.Spec.Shape.Members}
-		if board.Fixed(r.Spec) {
-			x.Room = board.Least(x.Room, p.Room.Minus(p.Claimed).Minus(p.Fixed))
+		x := state.Candidate{ID: p.ID, Rack: p.Rack, Room: room[p.ID], Limit: r.Spec.Shape.Members}
+		if state.Fixed(r.Spec) {
+			x.Room = state.Least(x.Room, p.Room.Minus(p.Claimed).Minus(p.Fixed))
 		}
 		c = append(c, x)
 	}
-	return board.Pack(r.Spec.Shape, r.Spec.Task(), c, false)
+	return state.Pack(r.Spec.Shape, r.Spec.Task(), c, false)
 }
 
 // endsInTime reports whether a request is expected to end before the reserved
 // room is needed.
-func (b *planner) endsInTime(r *board.Request) bool {
+func (b *planner) endsInTime(r *state.Request) bool {
 	return b.shadow == nil || !b.In.Now.Add(r.Expected).After(b.shadow.at)
 }
--- a/place/victim.go
+++ b/place/victim.go
@@ -5,21 +5,21 @@
 	"slices"
 	"strings"
 
-	"citronbridge/board"
 	"citronbridge/jobs"
+	"citronbridge/state"
 )
 
 // victims finds borrowers whose end frees the needed room at each target, the
 // least costly first. It reports whether that is possible.
-func (b *planner) victims(need map[string]jobs.Room) ([]*board.Job, bool) {
+func (b *planner) victims(need map[string]jobs.Room) ([]*state.Job, bool) {
 	ids := make([]string, 0, len(need))
 	for id := range need {
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
 	freed := map[string]jobs.Room{}
-	chosen := map[*board.Job]bool{}
-	var v []*board.Job
+	chosen := map[*state.Job]bool{}
+	var v []*state.Job
 	for _, id := range ids {
 		p := b.At[id]
 		for !need[id].Fits(p.Free.Plus(p.Ending).Plus(freed[id])) {
@@ -38,8 +38,8 @@
 }
 
 // cheapest returns the borrower at a target whose stop loses least.
-func (b *planner) cheapest(id string, chosen map[*board.Job]bool) *board.Job {
-	var best *board.Job
+func (b *planner) cheapest(id string, chosen map[*state.Job]bool) *state.Job {
+	var best *state.Job
 	for _, j := range b.At[id].Jobs {
 		if chosen[j] || !b.yields(j) {
 			continue
@@ -54,9 +54,9 @@
 }
 
 // yields reports whether a job may be stopped for a guarantee.
-func (b *planner) yields(j *board.Job) bool {
+func (b *planner) yields(j *state.Job) bool {
 	if j.Starting || j.Stopping || b.Stopped[j.Spec.Key()] || j.Fixed() {
 		return false
 	}
-	return j.Guarantee == "" || b.Seats[j.Guarantee] == nil
+	return j.Guarantee == "" || b.Backing[j.Guarantee] == nil
 }
--- a/route/handle.go
+++ b/route/handle.go
@@ -36,7 +36,7 @@
 
 // inCell answers with what f returns for a cell of this host.
 func (r *Router) inCell(name string, f func(*cells.Cell) (any, bool)) *wire.Response {
-	c := r.Keeper.Cell(name)
+	c := r.Claims.Cell(name)
 	if c == nil {
 		return &wire.Response{Refusal: refusalNotHere}
 	}
@@ -57,7 +57,7 @@
 
 // submit reads a job's row and gives it to its cell.
 func (r *Router) submit(ctx context.Context, q *wire.JobRequest) *wire.Response {
-	c := r.Keeper.Cell(q.GetCell())
+	c := r.Claims.Cell(q.GetCell())
 	if c == nil {
 		return &wire.Response{Refusal: refusalNotHere}
 	}
@@ -105,7 +105,7 @@
 		return &wire.Response{Refusal: "Malformed"}
 	}
 	if r.Book.Adopt(v, r.Now()) {
-		r.Keeper.Poke()
+		r.Claims.Poke()
 	}
 	return &wire.Response{}
 }
--- a/route/route.go
+++ b/route/route.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"citronbridge/cells"
+	"citronbridge/claims"
 	"citronbridge/jobs"
-	"citronbridge/keeper"
 	"citronbridge/ledger"
 	"citronbridge/rules"
 	"citronbridge/views"
@@ -41,7 +41,7 @@
 	Poke()
 }
 
-var _ holders = (*keeper.Keeper)(nil)
+var _ holders = (*claims.Manager)(nil)
 
 // loader reads jobs and takes revisions.
 type loader interface {
@@ -50,7 +50,7 @@
 
 // Router calls deciders, and answers the calls of other hosts.
 type Router struct {
-	Keeper holders
+	Claims holders
 	Peers  caller
 	Jobs   loader
 	Book   *rules.Book
@@ -132,7 +132,7 @@
 
 // call brings a request to the decider of a cell and decodes the answer.
 func (r *Router) call(ctx context.Context, cell string, q *wire.Request, wait time.Duration, out any) error {
-	host := r.Keeper.Holder(cell)
+	host := r.Claims.Holder(cell)
 	if host == "" {
 		return ErrNoDecider
 	}
@@ -156,7 +156,7 @@
 }
 
 func (r *Router) ask(ctx context.Context, cell, host string, q *wire.Request) (*wire.Response, error) {
-	if r.Keeper.Cell(cell) != nil {
+	if r.Claims.Cell(cell) != nil {
 		return r.Handle(ctx, q), nil
 	}
 	return r.Peers.Call(ctx, host, q)
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -10,12 +10,12 @@
 	"github.com/rs/zerolog"
 
 	"citronbridge/blobs"
-	"citronbridge/board"
 	"citronbridge/fleet"
 	"citronbridge/jobs"
 	"citronbridge/ledger"
 	"citronbridge/meter"
 	"citronbridge/rules"
+	"citronbridge/state"
 	"citronbridge/target"
 	"citronbridge/timer"
 	"citronbridge/wire"
@@ -58,7 +58,7 @@
 	_ Conn    = (*target.Client)(nil)
 )
 
-// Config is what a Keeper needs.
+// Config is what a claims.Manager needs.
 type Config struct {
 	Host       string
 	DataCentre string
@@ -78,7 +78,7 @@
 	Connect func(h fleet.Host, lease time.Duration) Conn
 	// Offered tells another cell's decider of a job that was moved to it.
 	Offered func(cell string, k jobs.Key)
-	Policy  board.Policy
+	Policy  state.Policy
 	Bounds  Bounds
 }
 
@@ -149,9 +149,9 @@
 
 // Holds reports whether a cell could hold a job if it were empty.
 func Holds(l hosts, cell string, s *jobs.Spec) bool {
-	var t []board.Target
+	var t []state.Target
 	for _, h := range l.Targets(cell) {
-		t = append(t, board.Target{ID: h.ID, Rack: h.Rack, Room: h.Room, Open: true})
+		t = append(t, state.Target{ID: h.ID, Rack: h.Rack, Room: h.Room, Open: true})
 	}
-	return board.Holds(t, s)
+	return state.Holds(t, s)
 }
--- a/board/seats.go
+++ b/state/backing.go
@@ -1,4 +1,4 @@
-package board
+package state
 
 import (
 	"cmp"
@@ -32,7 +32,7 @@
 }
 
 // guarantees lists those of a cell: the ones in use first, since they must
-// stay, then those whose account waits, since they are seated where the
+// stay, then those whose account waits, since they are placed where the
 // borrowers to be stopped lose least, then the holder of the casting vote, then
 // the order of the manifest.
 func guarantees(in *Input) []Guarantee {
@@ -72,28 +72,28 @@
 	return l
 }
 
-// Seat finds targets for every guarantee. Guarantees in use keep theirs, as do
+// FindBacking finds targets for every guarantee. Guarantees in use keep theirs, as do
 // those that nobody calls for. The others go where least would have to stop.
-func (b *Board) Seat() {
-	b.Seats = Seats{}
-	for i := range b.Guarantees {
-		g := &b.Guarantees[i]
-		t := b.In.Seats[g.ID]
-		if !b.Keeps(g, t) || g.Wanted && !g.Used && !b.Vacant(g, t) {
-			t = b.FindSeat(g, t)
+func (c *Cell) FindBacking() {
+	c.Backing = Backing{}
+	for i := range c.Guarantees {
+		g := &c.Guarantees[i]
+		t := c.In.Backing[g.ID]
+		if !c.Keeps(g, t) || g.Wanted && !g.Used && !c.Vacant(g, t) {
+			t = c.backingOf(g, t)
 		}
 		if t == nil {
-			b.Unseated = append(b.Unseated, g.ID)
+			c.Unbacked = append(c.Unbacked, g.ID)
 			continue
 		}
-		b.Seats[g.ID] = t
+		c.Backing[g.ID] = t
 		for _, id := range t {
-			p := b.At[id]
+			p := c.At[id]
 			p.Claimed = p.Claimed.Plus(g.Each())
-			if _, ok := p.Seats[g.ID]; !ok {
+			if _, ok := p.Backing[g.ID]; !ok {
 				g.Spots = append(g.Spots, p)
 			}
-			p.Seats[g.ID] = p.Seats[g.ID].Plus(g.Each())
+			p.Backing[g.ID] = p.Backing[g.ID].Plus(g.Each())
 		}
 		for _, p := range g.Spots {
 			p.Leave()
@@ -103,13 +103,13 @@
 }
 
 // Vacant reports whether the targets t have a guarantee's room free already.
-func (b *Board) Vacant(g *Guarantee, t []string) bool {
+func (c *Cell) Vacant(g *Guarantee, t []string) bool {
 	need := map[string]jobs.Room{}
 	for _, id := range t {
 		need[id] = need[id].Plus(g.Each())
 	}
 	for id, r := range need {
-		p := b.At[id]
+		p := c.At[id]
 		if !r.Fits(p.Free.Plus(p.Ending).Minus(p.Claimed)) {
 			return false
 		}
@@ -118,7 +118,7 @@
 }
 
 // Keeps reports whether a guarantee can keep the targets t.
-func (b *Board) Keeps(g *Guarantee, t []string) bool {
+func (c *Cell) Keeps(g *Guarantee, t []string) bool {
 	if len(t) != g.Shape.Members {
 		return false
 	}
@@ -127,22 +127,22 @@
 		need[id] = need[id].Plus(g.Each())
 	}
 	for id, r := range need {
-		p := b.At[id]
-		if p == nil || !p.Open || !r.Fits(b.Seatable(p, g.ID)) {
+		p := c.At[id]
+		if p == nil || !p.Open || !r.Fits(c.Backable(p, g.ID)) {
 			return false
 		}
 	}
 	return true
 }
 
-// FindSeat packs a guarantee onto room that nothing protected holds.
-func (b *Board) FindSeat(g *Guarantee, old []string) []string {
-	c := make([]Candidate, 0, len(b.Places))
-	for _, p := range b.Places {
+// backingOf packs a guarantee onto room that nothing protected holds.
+func (c *Cell) backingOf(g *Guarantee, old []string) []string {
+	l := make([]Candidate, 0, len(c.Places))
+	for _, p := range c.Places {
 		if !p.Open {
 			continue
 		}
-		x := Candidate{ID: p.ID, Rack: p.Rack, Room: b.Seatable(p, g.ID), Limit: g.Shape.Members}
+		x := Candidate{ID: p.ID, Rack: p.Rack, Room: c.Backable(p, g.ID), Limit: g.Shape.Members}
 		if !g.Each().Fits(p.Free.Plus(p.Ending).Minus(p.Claimed)) {
 			x.Cost += borrowedCost + p.Loss
 		}
@@ -152,17 +152,17 @@
 		if p.Charged[g.ID].Accelerators > 0 {
 			x.Cost -= 10 * borrowedCost
 		}
-		c = append(c, x)
+		l = append(l, x)
 	}
-	return Pack(g.Shape, g.Each(), c, false)
+	return Pack(g.Shape, g.Each(), l, false)
 }
 
 // borrowedCost weighs a member that displaces others against one that moves.
 const borrowedCost = 1000
 
-// Seatable returns the room at p that a guarantee may claim: all but what
+// Backable returns the room at p that a guarantee may claim: all but what
 // other guarantees claim and what can't be stopped.
-func (b *Board) Seatable(p *Spot, id string) jobs.Room {
+func (c *Cell) Backable(p *Spot, id string) jobs.Room {
 	return p.Room.Minus(p.Claimed).Minus(p.FixedBeyond(id))
 }
 
@@ -178,9 +178,9 @@
 		}
 	}
 	for cell, t := range cells {
-		b := New(&Input{Cell: cell, Rules: m, Targets: t})
-		b.Seat()
-		bad = append(bad, b.Unseated...)
+		c := New(&Input{Cell: cell, Rules: m, Targets: t})
+		c.FindBacking()
+		bad = append(bad, c.Unbacked...)
 	}
 	slices.Sort(bad)
 	return bad
@@ -189,14 +189,14 @@
 // Lent returns the accelerators that others hold of what each account is
 // guaranteed.
 func Lent(in *Input) map[string]int {
-	b := New(in)
-	b.Seat()
+	c := New(in)
+	c.FindBacking()
 	m := map[string]int{}
-	for i := range b.Guarantees {
-		g := &b.Guarantees[i]
-		for _, id := range Distinct(b.Seats[g.ID]) {
-			p := b.At[id]
-			own := p.Seats[g.ID].Accelerators - p.Charged[g.ID].Accelerators
+	for i := range c.Guarantees {
+		g := &c.Guarantees[i]
+		for _, id := range Distinct(c.Backing[g.ID]) {
+			p := c.At[id]
+			own := p.Backing[g.ID].Accelerators - p.Charged[g.ID].Accelerators
 			m[g.Account] += max(0, own-max(0, p.Free.Accelerators))
 		}
 	}
--- a/board/input.go
+++ b/state/input.go
@@ -1,6 +1,6 @@
-// Package board holds the state of a cell as a decision sees it: what is free,
+// Package state holds the state of a cell as a decision sees it: what is free,
 // what guarantees stand on, and how gangs fit.
-package board
+package state
 
 import (
 	"time"
@@ -67,8 +67,8 @@
 	Targets []Target
 	Running []Job
 	Waiting []Request
-	// Seats is what the last plan said.
-	Seats Seats
+	// Backing is what the last plan said.
+	Backing Backing
 	// Policy switches rules off for comparison.
 	Policy Policy
 }
@@ -90,6 +90,6 @@
 	NoFloors bool `yaml:"NoFloors"`
 }
 
-// Seats holds the targets that stand behind each guarantee, a target for each
+// Backing holds the targets that stand behind each guarantee, a target for each
 // member of the guaranteed shape.
-type Seats map[string][]string
+type Backing map[string][]string
--- a/board/pack.go
+++ b/state/pack.go
@@ -1,4 +1,4 @@
-package board
+package state
 
 import (
 	"cmp"
--- a/board/board.go
+++ b/state/state.go
@@ -1,4 +1,4 @@
-package board
+package state
 
 import (
 	"slices"
@@ -16,8 +16,8 @@
 	Ending jobs.Room
 	// Claimed is what guarantees stand on.
 	Claimed jobs.Room
-	// Seats is Claimed for each guarantee, Charged what its jobs hold of it.
-	Seats   map[string]jobs.Room
+	// Backing is Claimed for each guarantee, Charged what its jobs hold of it.
+	Backing map[string]jobs.Room
 	Charged map[string]jobs.Room
 	// Fixed is what borrowers hold that can't be stopped.
 	Fixed jobs.Room
@@ -34,31 +34,31 @@
 }
 
 // FixedBeyond returns what can't be stopped here, but for the tasks of one
-// guarantee. Tasks of guarantees that are seated here stand on their seats.
+// guarantee. Tasks of guarantees that are backed here stand on their own.
 func (p *Spot) FixedBeyond(id string) jobs.Room {
 	r := p.Fixed
 	for g, c := range p.Charged {
 		if g == id {
 			continue
 		}
-		if _, seated := p.Seats[g]; !seated {
+		if _, backed := p.Backing[g]; !backed {
 			r = r.Plus(c)
 		}
 	}
 	return r
 }
 
-// Board is the state of one decision.
-type Board struct {
+// Cell is the state of one decision.
+type Cell struct {
 	In *Input
 	// Places holds the targets in the order of their IDs, At by ID.
 	Places []*Spot
 	At     map[string]*Spot
-	// Guarantees are those of the cell, Seats where they stand, Unseated those
+	// Guarantees are those of the cell, Backing where they stand, Unbacked those
 	// for which there is no room.
 	Guarantees []Guarantee
-	Seats      Seats
-	Unseated   []string
+	Backing    Backing
+	Unbacked   []string
 	// Total is the room of all targets, Usage what is held of it.
 	Total jobs.Room
 	Usage Usage
@@ -69,35 +69,35 @@
 }
 
 // New counts what runs where.
-func New(in *Input) *Board {
-	b := &Board{In: in, At: make(map[string]*Spot, len(in.Targets)), Stopped: map[jobs.Key]bool{},
+func New(in *Input) *Cell {
+	c := &Cell{In: in, At: make(map[string]*Spot, len(in.Targets)), Stopped: map[jobs.Key]bool{},
 		ByAccount: map[string][]*Guarantee{}}
 	for _, t := range in.Targets {
-		p := &Spot{Target: t, Free: t.Room, Seats: map[string]jobs.Room{}, Charged: map[string]jobs.Room{}}
-		b.Places = append(b.Places, p)
-		b.At[t.ID] = p
-		b.Total = b.Total.Plus(t.Room)
+		p := &Spot{Target: t, Free: t.Room, Backing: map[string]jobs.Room{}, Charged: map[string]jobs.Room{}}
+		c.Places = append(c.Places, p)
+		c.At[t.ID] = p
+		c.Total = c.Total.Plus(t.Room)
 	}
-	slices.SortFunc(b.Places, func(x, y *Spot) int { return strings.Compare(x.ID, y.ID) })
-	b.Guarantees = guarantees(in)
-	for i := range b.Guarantees {
-		g := &b.Guarantees[i]
-		b.ByAccount[g.Account] = append(b.ByAccount[g.Account], g)
+	slices.SortFunc(c.Places, func(x, y *Spot) int { return strings.Compare(x.ID, y.ID) })
+	c.Guarantees = guarantees(in)
+	for i := range c.Guarantees {
+		g := &c.Guarantees[i]
+		c.ByAccount[g.Account] = append(c.ByAccount[g.Account], g)
 	}
-	b.Usage = newUsage()
+	c.Usage = newUsage()
 	for i := range in.Running {
-		b.Put(&in.Running[i])
-		b.Price(&in.Running[i])
-		b.Index(&in.Running[i])
+		c.Put(&in.Running[i])
+		c.Price(&in.Running[i])
+		c.Index(&in.Running[i])
 	}
-	return b
+	return c
 }
 
 // Put counts a running job.
-func (b *Board) Put(j *Job) {
+func (c *Cell) Put(j *Job) {
 	r := j.Spec.Task()
 	for _, id := range j.Targets {
-		p := b.At[id]
+		p := c.At[id]
 		if p == nil {
 			continue
 		}
@@ -112,13 +112,13 @@
 			p.Fixed = p.Fixed.Plus(r)
 		}
 	}
-	b.Usage.Add(j.Spec, j.Guarantee)
+	c.Usage.Add(j.Spec, j.Guarantee)
 }
 
 // Index notes a running job at its targets.
-func (b *Board) Index(j *Job) {
+func (c *Cell) Index(j *Job) {
 	for _, id := range j.Targets {
-		p := b.At[id]
+		p := c.At[id]
 		if p != nil && (len(p.Jobs) == 0 || p.Jobs[len(p.Jobs)-1] != j) {
 			p.Jobs = append(p.Jobs, j)
 		}
@@ -128,31 +128,31 @@
 // Leave counts anew what guarantees stand on at p and don't use.
 func (p *Spot) Leave() {
 	p.Unused = jobs.Room{}
-	for id, s := range p.Seats {
+	for id, s := range p.Backing {
 		p.Unused = p.Unused.Plus(s.Minus(Least(s, p.Charged[id])))
 	}
 }
 
 // Price adds what stopping a borrower would lose to the targets that it is on.
-func (b *Board) Price(j *Job) {
+func (c *Cell) Price(j *Job) {
 	if j.Guarantee != "" || j.Stopping {
 		return
 	}
 	for _, id := range j.Targets {
-		if p := b.At[id]; p != nil {
-			p.Loss += int(b.Loss(j, id)) / max(len(j.Targets), 1)
+		if p := c.At[id]; p != nil {
+			p.Loss += int(c.Loss(j, id)) / max(len(j.Targets), 1)
 		}
 	}
 }
 
 // Start counts a request that starts now.
-func (b *Board) Start(s *jobs.Spec, targets []string, guarantee string) {
-	b.Put(&Job{Spec: s, Targets: targets, Guarantee: guarantee})
+func (c *Cell) Start(s *jobs.Spec, targets []string, guarantee string) {
+	c.Put(&Job{Spec: s, Targets: targets, Guarantee: guarantee})
 	if guarantee == "" {
 		return
 	}
 	for _, id := range targets {
-		b.At[id].Leave()
+		c.At[id].Leave()
 	}
 }
 
@@ -166,12 +166,12 @@
 
 // Loss returns the accelerator seconds that stopping a job loses, for each
 // accelerator that it frees at the target.
-func (b *Board) Loss(j *Job, id string) float64 {
+func (c *Cell) Loss(j *Job, id string) float64 {
 	w := restartedLoss
 	if j.Spec.Checkpoints {
 		w = checkpointedLoss
 	}
-	ran := max(b.In.Now.Sub(j.Started).Seconds(), 0) + 1
+	ran := max(c.In.Now.Sub(j.Started).Seconds(), 0) + 1
 	here := 0
 	for _, t := range j.Targets {
 		if t == id {
@@ -182,10 +182,10 @@
 }
 
 // Stop counts a job as ending.
-func (b *Board) Stop(j *Job) {
-	b.Stopped[j.Spec.Key()] = true
+func (c *Cell) Stop(j *Job) {
+	c.Stopped[j.Spec.Key()] = true
 	for _, id := range j.Targets {
-		if p := b.At[id]; p != nil {
+		if p := c.At[id]; p != nil {
 			p.Ending = p.Ending.Plus(j.Spec.Task())
 		}
 	}
@@ -203,4 +203,4 @@
 
 // Unclaimed returns the room at p beyond all guarantees and all that borrowers
 // hold.
-func (b *Board) Unclaimed(p *Spot) jobs.Room { return p.Free.Minus(p.Unused) }
+func (c *Cell) Unclaimed(p *Spot) jobs.Room { return p.Free.Minus(p.Unused) }
--- a/views/views.go
+++ b/views/views.go
@@ -59,8 +59,8 @@
 	// what the account is guaranteed.
 	Guaranteed, Used, Borrowed, Lent int
 	Waiting, Placed                  int
-	// Unseated names guarantees that the cell can't hold right now.
-	Unseated []string
+	// Unbacked names guarantees that the cell can't hold right now.
+	Unbacked []string
 }
 
 // Print writes the explanation for people.
