--- a/assign/assign.go
+++ b/assign/assign.go
@@ -117,12 +117,15 @@
 	racks   [][]*Worker
 	plan    Plan
 	claims  int
+	// full holds the demands for which no worker has room, not even room that
+	// others claim. Room only shrinks while a plan is made.
+	full map[work.Amounts]bool
 }
 
 // Decide chooses for the units in the order of priority and rank. Workers are
 // changed on the way.
 func Decide(now time.Duration, workers []*Worker, units []*Unit) Plan {
-	p := &planner{now: now, workers: workers}
+	p := &planner{now: now, workers: workers, full: map[work.Amounts]bool{}}
 	byRack := map[string]int{}
 	for _, w := range workers {
 		for _, r := range w.Runs {
@@ -199,11 +202,20 @@
 // room returns how many of the unit's tasks fit within an amount on w.
 func (u *Unit) room(w *Worker, free work.Amounts) int {
 	d := u.Step.Counted()
+	// Most workers of a busy pool have no room: divisions would be most of the
+	// time of a decision.
+	if !d.Within(free) {
+		return 0
+	}
 	n := len(u.Indexes)
-	for _, v := range [][2]int64{{free.MilliCPU, d.MilliCPU}, {free.MemoryMiB, d.MemoryMiB}, {free.Accelerators, d.Accelerators}} {
-		if v[1] > 0 {
-			n = min(n, int(max(v[0], 0)/v[1]))
-		}
+	if d.MilliCPU > 0 {
+		n = min(n, int(free.MilliCPU/d.MilliCPU))
+	}
+	if d.MemoryMiB > 0 {
+		n = min(n, int(free.MemoryMiB/d.MemoryMiB))
+	}
+	if d.Accelerators > 0 {
+		n = min(n, int(free.Accelerators/d.Accelerators))
 	}
 	if a := u.Step.AntiAffinity; a > 0 {
 		n = min(n, max(a-u.OnWorker[w.ID], 0))
@@ -292,12 +304,21 @@
 
 // fitting returns the workers that take a task now, tightest first.
 func (p *planner) fitting(u *Unit, group []*Worker) []*Worker {
+	d := u.Step.Counted()
+	if p.full[d] {
+		return nil
+	}
 	var l []*Worker
+	full := len(group) == len(p.workers)
 	for _, w := range group {
-		if u.eligible(w) && u.room(w, p.free(u, w)) > 0 {
+		full = full && (w.Closed || !d.Within(w.Free))
+		if u.room(w, p.free(u, w)) > 0 && u.eligible(w) {
 			l = append(l, w)
 		}
 	}
+	if full {
+		p.full[d] = true
+	}
 	slices.SortStableFunc(l, func(a, b *Worker) int {
 		if a.Free.Accelerators != b.Free.Accelerators {
 			return int(a.Free.Accelerators - b.Free.Accelerators)
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -192,3 +192,24 @@
 		}
 	}
 }
+
+// TestFullPool lets units of one demand wait behind each other in a pool
+// without room, and one that asks for less: it starts where it fits, and all
+// the others wait.
+func TestFullPool(t *testing.T) {
+	step := func(cpu int64) *work.Step {
+		return &work.Step{Count: 1, Demand: work.Amounts{MilliCPU: cpu, MemoryMiB: 100}}
+	}
+	workers := []*Worker{
+		{ID: "a", Total: work.Amounts{MilliCPU: 4000, MemoryMiB: 1000}, Free: work.Amounts{MilliCPU: 500, MemoryMiB: 1000}},
+		{ID: "b", Total: work.Amounts{MilliCPU: 4000, MemoryMiB: 1000}, Free: work.Amounts{MilliCPU: 900, MemoryMiB: 1000}},
+	}
+	var units []*Unit
+	for i, cpu := range []int64{1000, 1000, 800, 1000, 800} {
+		units = append(units, &Unit{Key: fmt.Sprintf("%016x.0.0", i), Step: step(cpu), Indexes: []int{0}, Rank: time.Duration(i)})
+	}
+	p := Decide(0, workers, units)
+	if len(p.Starts) != 1 || p.Starts[0].Worker != "b" || p.Starts[0].Unit.Key != "0000000000000002.0.0" {
+		t.Errorf("starts are %+v, want the third on b alone", p.Starts)
+	}
+}
--- a/demand/advice.go
+++ b/demand/advice.go
@@ -15,9 +15,9 @@
 // allowed returns the workers for which there is a ticket for a step.
 func allowed(p *track.Pool, st *track.Step) map[string]bool {
 	m := map[string]bool{}
-	for _, id := range p.Names {
-		if _, ok := p.Advice.Ticket(st.Key, p.Workers[id].LifeID(), p.Now.Steady); ok {
-			m[id] = true
+	for _, w := range p.Sorted {
+		if _, ok := p.Advice.Ticket(st.Key, w.LifeID(), p.Now.Steady); ok {
+			m[w.ID] = true
 		}
 	}
 	return m
--- a/demand/workers.go
+++ b/demand/workers.go
@@ -10,11 +10,10 @@
 // Workers returns the workers for placement, and their runs by their keys.
 func Workers(p *track.Pool) ([]*assign.Worker, map[string]*track.Run) {
 	byKey := map[string]*track.Run{}
-	l := make([]*assign.Worker, 0, len(p.Names))
-	for _, id := range p.Names {
-		w := p.Workers[id]
+	l := make([]*assign.Worker, 0, len(p.Sorted))
+	for _, w := range p.Sorted {
 		a := &assign.Worker{
-			ID: id, Rack: w.Rack, Labels: w.Labels, Total: w.Capacity, Free: w.Capacity.Minus(w.Used), Closed: p.Closed(w) || !w.Recorded,
+			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Total: w.Capacity, Free: w.Capacity.Minus(w.Used), Closed: p.Closed(w) || !w.Recorded,
 			NoBestEffort: !w.Level.Admits(),
 		}
 		if !a.Closed || len(w.Runs) > 0 {
--- a/orders/hold.go
+++ b/orders/hold.go
@@ -13,15 +13,14 @@
 func (s *Sender) Holds() time.Duration {
 	next := s.Now.Steady + time.Second
 	first := 0
-	for _, id := range s.Names {
-		if w := s.Workers[id]; w.Holding && !w.Synced {
+	for _, w := range s.Sorted {
+		if w.Holding && !w.Synced {
 			first++
 		}
 	}
 	for _, inherited := range []bool{true, false} {
-		for _, id := range s.Names {
-			w := s.Workers[id]
-			if w == nil || w.Inherited != inherited || !w.Synced && first >= maxFirst {
+		for _, w := range s.Sorted {
+			if w.Inherited != inherited || !w.Synced && first >= maxFirst {
 				continue
 			}
 			asked := w.Holding
@@ -212,8 +211,8 @@
 
 // Settle moves on what may be forgotten at each worker.
 func (s *Sender) Settle() {
-	for _, id := range s.Names {
-		s.forgetEnds(s.Workers[id])
+	for _, w := range s.Sorted {
+		s.forgetEnds(w)
 	}
 }
 
--- a/orders/workers.go
+++ b/orders/workers.go
@@ -165,11 +165,9 @@
 	}
 	s.Lives[w.ID] = w.Life
 	delete(s.Workers, w.ID)
-	for i, n := range s.Names {
-		if n == w.ID {
-			s.Names = append(s.Names[:i:i], s.Names[i+1:]...)
-			break
-		}
+	// A loop over the workers may be under way: what it goes through stays.
+	if i := slices.Index(s.Sorted, w); i >= 0 {
+		s.Sorted = append(s.Sorted[:i:i], s.Sorted[i+1:]...)
 	}
 }
 
--- a/sched/ends.go
+++ b/sched/ends.go
@@ -59,8 +59,7 @@
 // match matches a job that has just become known with what workers have listed
 // of it before.
 func (s *State) match(j *track.Job) {
-	for _, id := range s.Names {
-		w := s.Workers[id]
+	for _, w := range s.Sorted {
 		for i := range w.Ends {
 			p := &w.Ends[i]
 			if p.Unread == nil || p.Job != j.Spec.ID {
@@ -81,8 +80,7 @@
 
 // dropUnknown stops the runs, and forgets the ends, of jobs that aren't open.
 func (s *State) dropUnknown() {
-	for _, id := range s.Names {
-		w := s.Workers[id]
+	for _, w := range s.Sorted {
 		for i := range w.Ends {
 			if p := &w.Ends[i]; p.Unread != nil && !s.Unknown(p.Job) {
 				p.Unread = nil
--- a/sched/state.go
+++ b/sched/state.go
@@ -94,8 +94,8 @@
 	s.Now = now
 	s.Out = nil
 	next := now.Steady + time.Second
-	for _, id := range s.Names {
-		next = min(next, s.Maintain(s.Workers[id]))
+	for _, w := range s.Sorted {
+		next = min(next, s.Maintain(w))
 	}
 	next = min(next, s.due())
 	s.Settle()
@@ -141,8 +141,8 @@
 // to look again.
 func (s *State) prove() time.Duration {
 	next := s.Now.Steady + time.Second
-	for _, id := range s.Names {
-		if w := s.Workers[id]; !w.Synced || s.OwnedAt > w.SyncedAt {
+	for _, w := range s.Sorted {
+		if !w.Synced || s.OwnedAt > w.SyncedAt {
 			continue
 		}
 		if s.Now.Steady < s.proveAt {
--- a/track/pool.go
+++ b/track/pool.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"citronbridge/advice"
@@ -39,9 +40,9 @@
 	Over map[string]time.Duration
 	// Parts names the parts whose jobs are known.
 	Parts map[string]bool
-	// Workers are the known workers, Names their sorted IDs.
+	// Workers are the known workers, Sorted the same by their IDs.
 	Workers map[string]*Worker
-	Names   []string
+	Sorted  []*Worker
 	// Lives counts the lives of workers that were forgotten: fences only rise.
 	Lives map[string]int64
 	// Advice is what the advice service has said.
@@ -104,8 +105,8 @@
 	if w == nil {
 		w = &Worker{Worker: event.Worker{ID: id}, Runs: map[work.TaskID]*Run{}, Life: p.Lives[id] + 1, Level: pacing.NewLevel()}
 		p.Workers[id] = w
-		p.Names = append(p.Names, id)
-		slices.Sort(p.Names)
+		i, _ := slices.BinarySearchFunc(p.Sorted, id, func(w *Worker, id string) int { return strings.Compare(w.ID, id) })
+		p.Sorted = slices.Insert(p.Sorted, i, w)
 	}
 	return w
 }
