track: Count tasks on silent workers as away

Cause: a stop for urgent work may end a long-running task only while fewer others of its step are away than its budget. A task whose worker had crashed, or had begun another life, counted as at work until the worker's first answer told otherwise.

Change: what runs on a worker that doesn't answer counts as away.

Before: TestBudgetCountsSilentWorkers, new, sees one stop where none may be. After: none; with an answering worker one stop as before.

Conclusion: fewer stops, never more.

--- a/sched/share_test.go
+++ b/sched/share_test.go
@@ -22,6 +22,8 @@
 	paces   []event.Pace
 	// losePaces leaves orders about paces without an answer.
 	losePaces bool
+	// silent names a worker that doesn't answer Holds.
+	silent string
 }
 
 func newBench(t *testing.T, workers int) *bench {
@@ -72,6 +74,10 @@
 			}
 			b.step(event.Paced{Call: e.Call, Outcome: o})
 		case event.Hold:
+			if e.Worker == b.silent {
+				b.step(event.Reported{Call: e.Call, Outcome: event.NoAnswer})
+				continue
+			}
 			b.step(event.Reported{Call: e.Call, Outcome: event.Accepted, ClockMS: 1, Born: 1, Running: b.running[e.Worker], Ended: b.ended[e.Worker]})
 		case event.Save:
 			b.step(event.RecordSaved{ID: e.ID, Seq: e.Seq})
@@ -135,6 +141,30 @@
 	}
 }
 
+// TestBudgetCountsSilentWorkers lets urgent work ask for the room of a task that
+// lasts while the worker of another of its step falls silent: what that one does
+// isn't known, so the first must stay.
+func TestBudgetCountsSilentWorkers(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		b := newBench(t, 2)
+		last := work.Step{Count: 2, Demand: work.Amounts{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 4}, LongRunning: true, MayMiss: 1}
+		b.submit("00000000000000aa", "batch", last)
+		if n := b.all("00000000000000aa", 100, 0); n != 2 {
+			t.Fatalf("%d tasks run", n)
+		}
+		b.pass(time.Second)
+		if silent {
+			b.silent = "w1"
+			b.pass(time.Second)
+		}
+		b.submit("00000000000000bb", "urgent", work.Step{Count: 1, Demand: work.Amounts{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 4}})
+		b.pass(time.Second)
+		if want := map[bool]int{false: 1, true: 0}[silent]; len(b.stops) != want {
+			t.Errorf("another worker silent %v: %d were stopped, want %d", silent, len(b.stops), want)
+		}
+	}
+}
+
 // TestLongRunningTasksComeBack ends such tasks in each way: they run again.
 func TestLongRunningTasksComeBack(t *testing.T) {
 	for _, how := range []event.How{event.Done, event.Failed, event.Lapsed, event.Broken, event.Stopped} {
--- a/track/job.go
+++ b/track/job.go
@@ -181,6 +181,12 @@
 	return true
 }
 
+// serves reports whether a long-running task is known to be at work. Of one
+// on a worker that doesn't answer nothing is known.
+func (t *Task) serves() bool {
+	return t.Run != nil && t.Run.Phase == Working && t.Run.Percent >= 100 && t.Run.Worker.Answers()
+}
+
 // MayStop reports whether a run may be stopped for more urgent work: so many
 // of a long-running step's tasks may be away at a time. The first ones that
 // are at work may go; each stop makes it fewer.
@@ -190,7 +196,7 @@
 	}
 	left := s.Spec.MayMiss
 	for _, t := range s.Tasks {
-		if t.Run == nil || t.Run.Phase != Working || t.Run.Percent < 100 {
+		if !t.serves() {
 			left--
 		}
 	}
@@ -198,7 +204,7 @@
 		if left <= 0 {
 			return false
 		}
-		if t.Run == nil || t.Run.Phase != Working || t.Run.Percent < 100 {
+		if !t.serves() {
 			continue
 		}
 		if t.Run == r {
--- a/track/worker.go
+++ b/track/worker.go
@@ -82,6 +82,10 @@
 // this one hasn't been told of.
 func (w *Worker) Unseen() bool { return w.Inherited && !w.Synced }
 
+// Answers reports whether it is known what runs on the worker: its present life
+// has told, and its last answer hasn't failed to come.
+func (w *Worker) Answers() bool { return w.Synced && !w.Gone && w.Silent == 0 }
+
 // LifeID names the worker's present life.
 func (w *Worker) LifeID() advice.Life { return advice.Life{Worker: w.ID, N: w.Life} }
 
