--- /dev/null
+++ b/native/slope_test.go
@@ -0,0 +1,147 @@
+package native
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+var measure = flag.Bool("measure", false, "print what hosts spend by jobs, hosts, workers and changes of the configuration")
+
+// spent is what a host has spent since its start.
+type spent struct {
+	// cpu is in seconds, memory in MiB.
+	cpu, memory float64
+	// store counts calls of the store but for feeds, feeds those, orders the
+	// calls of workers.
+	store, feeds, orders float64
+}
+
+func (h *hostProcess) spent(t testing.TB) spent {
+	var s spent
+	for line := range strings.Lines(h.metrics(t)) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), " ")
+		if i := strings.LastIndex(line, "} "); i > 0 {
+			name, value = line[:i+1], strings.TrimSpace(line[i+2:])
+		}
+		var v float64
+		if _, err := fmt.Sscan(value, &v); err != nil {
+			continue
+		}
+		switch {
+		case name == "process_cpu_seconds_total":
+			s.cpu = v
+		case name == "process_resident_memory_bytes":
+			s.memory = v / (1 << 20)
+		case strings.HasPrefix(name, "citronbridge_store_calls_total{") && strings.Contains(name, `call="feed `):
+			s.feeds += v
+		case strings.HasPrefix(name, "citronbridge_store_calls_total{"):
+			s.store += v
+		case strings.HasPrefix(name, "citronbridge_worker_orders_total{"):
+			s.orders += v
+		}
+	}
+	return s
+}
+
+func (s spent) minus(o spent) spent {
+	return spent{s.cpu - o.cpu, s.memory, s.store - o.store, s.feeds - o.feeds, s.orders - o.orders}
+}
+
+// split returns what the decider has spent, and the other hosts on average.
+func (d *deployment) split(t testing.TB, decider *hostProcess) (lead, rest spent) {
+	for _, h := range d.hosts {
+		if h == decider {
+			lead = h.spent(t)
+			continue
+		}
+		s, n := h.spent(t), float64(len(d.hosts)-1)
+		rest.cpu += s.cpu / n
+		rest.memory += s.memory / n
+		rest.store += s.store / n
+		rest.feeds += s.feeds / n
+		rest.orders += s.orders / n
+	}
+	return lead, rest
+}
+
+// during prints what hosts spend while f runs.
+func (d *deployment) during(t *testing.T, what string, f func()) {
+	decider := d.decider()
+	lead, rest := d.split(t, decider)
+	began := time.Now()
+	f()
+	took := time.Since(began).Seconds()
+	if decider != d.decider() {
+		t.Fatalf("%s: another host decides now", what)
+	}
+	l, r := d.split(t, decider)
+	l, r = l.minus(lead), r.minus(rest)
+	for _, x := range []struct {
+		who string
+		s   spent
+	}{{"decider", l}, {"another host", r}} {
+		t.Logf("%s, %s, %.1f s: %.3f s of processor, %.1f MiB, %.0f store calls, %.0f feeds, %.0f calls of workers", what, x.who, took, x.s.cpu, x.s.memory, x.s.store, x.s.feeds, x.s.orders)
+	}
+}
+
+// TestSlopes prints what hosts spend by jobs, workers, hosts and changes of the
+// configuration, for docs/CAPACITY.md.
+func TestSlopes(t *testing.T) {
+	if !*measure {
+		t.Skip("run with -measure")
+	}
+	const span = 15 * time.Second
+	for _, x := range []struct{ hosts, workers int }{{3, 24}, {6, 24}, {12, 24}, {3, 6}, {3, 96}} {
+		t.Run(fmt.Sprintf("%d hosts, %d workers", x.hosts, x.workers), func(t *testing.T) {
+			d := deploy(t, x.hosts, x.workers)
+			time.Sleep(3 * time.Second)
+			d.during(t, "idle", func() { time.Sleep(span) })
+			if x.hosts != 3 {
+				return
+			}
+			d.submit(id(1), "/batch/", job(tasks(2*x.workers, time.Hour)))
+			time.Sleep(3 * time.Second)
+			d.during(t, fmt.Sprintf("%d tasks at work", 2*x.workers), func() { time.Sleep(span) })
+		})
+	}
+	t.Run("jobs", func(t *testing.T) {
+		d := deploy(t, 3, 24)
+		next := 1000
+		for _, n := range []int{100, 400, 1600} {
+			d.during(t, fmt.Sprintf("%d jobs of 2 tasks", n), func() {
+				first := next
+				for ; next < first+n; next++ {
+					d.submit(id(next), "/batch/", job(tasks(2, 10*time.Millisecond)))
+				}
+				for i := first; i < next; i++ {
+					d.awaitState("/batch/", id(i), "succeeded")
+				}
+			})
+		}
+	})
+	for _, accounts := range []int{10, 50, 210} {
+		t.Run(fmt.Sprintf("configurations of %d accounts", accounts), func(t *testing.T) {
+			d := deploy(t, 3, 6)
+			var l []map[string]any
+			for i := range accounts {
+				l = append(l, map[string]any{"name": fmt.Sprintf("team-%03d", i), "api-keys": []string{fmt.Sprintf("key-%03d", i)}, "guaranteed": map[string]int{"gpu": 4}})
+			}
+			const changes = 200
+			d.during(t, fmt.Sprintf("%d changes", changes), func() {
+				for i := range changes {
+					l[i%accounts]["api-keys"] = []string{fmt.Sprintf("key-%03d-%d", i%accounts, i)}
+					d.configure(l...)
+					time.Sleep(50 * time.Millisecond)
+				}
+				for _, h := range d.hosts {
+					d.await("the last configuration", func() bool {
+						return strings.Contains(h.metrics(t), fmt.Sprintf("citronbridge_configuration_version %d\n", d.version))
+					})
+				}
+			})
+		})
+	}
+}
