upkeep, sched: Take machines through waves of upkeep

Cause: the platform's operator may ask for waves of upkeep.

Ruled out: one host that leads all machines (it would ask each pool's decider for budgets); places in memory (a successor takes them twice, as a mutation shows); taking an order's success for the end of a worker (it may have been carried out before: runs that live would be started again); calling a worker that is taken for upkeep free again at its order (tasks were placed on dead workers until their entries went).

Change: `upkeep` chooses machines, claims places in the wave's row, orders under tokens that are the row's versions and says when the wave is over; `sched` empties workers within budgets; `platform/cloud` speaks to the service of machines. A long-running task that waits takes back a worker that is emptied. Deciders are told anew of rules, bounds and waves once they are known to their host, as a change in between was told to nobody. The advice client moved to a package of its own.

Before: no wave in any test. TestUpkeep, on whole processes with a decider killed and one frozen, passes, also with the race detector; it failed at first as a budget of one was spent on the first task alone. Progress that isn't durable is caught by the schedules.

Conclusion: waves are whole; moves between pools and spare machines are not built.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -13,6 +13,7 @@
 	"citronbridge/event"
 	"citronbridge/meter"
 	"citronbridge/platform"
+	"citronbridge/platform/advise"
 	"citronbridge/repo"
 	"citronbridge/sched"
 	"citronbridge/timer"
@@ -58,7 +59,7 @@
 	Advise(ctx context.Context, c advice.Call) event.Advised
 }
 
-var _ Advisor = (*platform.Advisor)(nil)
+var _ Advisor = (*advise.Client)(nil)
 
 var _ Workers = (*platform.Workers)(nil)
 
@@ -76,10 +77,12 @@
 	Owners  *repo.Owners
 	Workers Workers
 	Advisor Advisor
-	Rules   func() *work.Rules
-	Bounds  platform.Bounds
-	Meter   *meter.Host
-	Log     zerolog.Logger
+	// Machines leads the machines of workers through waves of upkeep.
+	Machines Machines
+	Rules    func() *work.Rules
+	Bounds   platform.Bounds
+	Meter    *meter.Host
+	Log      zerolog.Logger
 	// Lost is told that the decider has ended.
 	Lost func(*Decider)
 }
@@ -199,6 +202,7 @@
 	return event.Bounds{
 		Lease: platform.Milliseconds(b.MaxHoldMS) - leaseMargin, StopTime: platform.Milliseconds(b.StopMS),
 		Reclaim: platform.Milliseconds(b.ReclaimMS), FarFactor: b.FarFactor,
+		UpkeepTime: platform.Seconds(b.UpkeepS), TurnPause: platform.Milliseconds(b.TurnMS),
 	}
 }
 
@@ -338,6 +342,8 @@
 		case event.TakenIn:
 			tasks, accelerators := e.Job.Size()
 			d.log.Info().Str("job", e.Job.ID).Str("queue", e.Job.Queue).Str("account", e.Job.Tenant).Int("tasks", tasks).Int64("accelerators", accelerators).Msg("job taken in")
+		case event.Upkeep:
+			d.upkeep(e.Action)
 		case event.Note:
 			d.log.Info().Str("job", e.Job).Str("worker", e.Worker).Str("task", e.Task).Int("run", e.Run).Msg(e.Text)
 		}
--- a/fakes/model/model.go
+++ b/fakes/model/model.go
@@ -44,7 +44,7 @@
 
 // Bounds of the model, as the platform's settings have them.
 type Bounds struct {
-	MaxHold, StopTime, GangTimeout time.Duration
+	MaxHold, StopTime, GangTimeout, Upkeep time.Duration
 }
 
 // End is a run that has ended.
@@ -109,6 +109,14 @@
 	// Started and Stopped, if set, are told what begins and ends.
 	Started func(w *Worker, p *Present)
 	Stopped func(w *Worker, e End)
+	// Machines are what workers live on, Waves their waves of upkeep.
+	Machines []*Machine
+	Waves    map[int64]Wave
+	// Emptied is told a worker whose upkeep begins, Joined the worker that
+	// comes after another, Wrong what orders must not do. They may be nil.
+	Emptied func(w *Worker)
+	Joined  func(old, w *Worker)
+	Wrong   func(text string)
 
 	now   time.Duration
 	order []string
@@ -118,7 +126,7 @@
 
 // NewCluster returns a Cluster without workers.
 func NewCluster(b Bounds) *Cluster {
-	return &Cluster{Bounds: b, Workers: map[string]*Worker{}, tickets: map[ticketKey]time.Duration{}}
+	return &Cluster{Bounds: b, Workers: map[string]*Worker{}, Waves: map[int64]Wave{}, tickets: map[ticketKey]time.Duration{}}
 }
 
 // Add begins a life of a worker.
@@ -496,6 +504,10 @@
 // Next returns when something happens by itself. It is false if nothing runs.
 func (c *Cluster) Next() (time.Duration, bool) {
 	_, p, t, _ := c.next()
+	back, ok := c.nextBack()
+	if ok && (p == nil || back < t) {
+		return back, true
+	}
 	return t, p != nil
 }
 
@@ -503,11 +515,17 @@
 func (c *Cluster) Advance(now time.Duration) {
 	for {
 		w, p, t, how := c.next()
-		if p == nil || t > now {
-			break
+		back, ok := c.nextBack()
+		switch {
+		case ok && back <= now && (p == nil || back < t):
+			c.now = max(c.now, back)
+			c.comeBack()
+			continue
+		case p == nil || t > now:
+			c.now = max(c.now, now)
+			return
 		}
 		c.now = max(c.now, t)
 		w.end(p, how)
 	}
-	c.now = max(c.now, now)
 }
--- /dev/null
+++ b/fakes/plat/cloud.go
@@ -0,0 +1,132 @@
+package plat
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"citronbridge/fakes/model"
+)
+
+// CloudTrouble is what the service of machines does to calls.
+type CloudTrouble struct {
+	// Status, if not 0, is answered without doing anything.
+	Status int
+	// LoseOneIn, if positive, leaves one order in so many without an answer,
+	// and carries each second one of these out LateBy later.
+	LoseOneIn int
+	LateBy    time.Duration
+}
+
+// pageSize is how many machines a page of the list has.
+const pageSize = 3
+
+// ServeCloud serves the service of machines and returns its address.
+func (p *Platform) ServeCloud() (string, error) {
+	p.mu.Lock()
+	p.Cluster.Joined = p.joined
+	p.mu.Unlock()
+	return p.serve(anyPort, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.Cluster.Advance(p.now())
+		if t := p.CloudTrouble; t.Status != 0 {
+			w.WriteHeader(t.Status)
+			return
+		}
+		switch r.URL.Path {
+		case "/-/machines":
+			p.listMachines(w, r)
+		case "/-/machine-upkeep":
+			p.orderUpkeep(w, r)
+		default:
+			w.WriteHeader(http.StatusNotFound)
+		}
+	}))
+}
+
+// listMachines answers with a page of the machines. The lock is held.
+func (p *Platform) listMachines(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.Atoi(r.URL.Query().Get("page-token"))
+	l := []map[string]any{}
+	to := min(from+pageSize, len(p.Cluster.Machines))
+	for _, m := range p.Cluster.Machines[from:to] {
+		e := map[string]any{"machine": m.ID, "pool": m.Pool, "state": p.Cluster.State(m), "zone": "z"}
+		if e["state"] == "up" {
+			e["id"] = m.Worker
+		}
+		l = append(l, e)
+	}
+	body := map[string]any{"machines": l}
+	if to < len(p.Cluster.Machines) {
+		body["next-token"] = strconv.Itoa(to)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(body)
+}
+
+// orderUpkeep carries an order out, at once, late or never. The lock is held.
+func (p *Platform) orderUpkeep(w http.ResponseWriter, r *http.Request) {
+	var b struct {
+		Machine string
+		Wave    int64
+	}
+	token, err := strconv.ParseInt(r.Header.Get("X-Fencing-Token"), 10, 64)
+	holder := r.Header.Get("X-Lease-Holder")
+	if err != nil || holder == "" || json.NewDecoder(r.Body).Decode(&b) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	p.orders++
+	if t := p.CloudTrouble; t.LoseOneIn > 0 && p.orders%t.LoseOneIn == 0 {
+		if p.orders/t.LoseOneIn%2 == 0 {
+			time.AfterFunc(t.LateBy, func() {
+				p.Lock(func(c *model.Cluster) { c.Upkeep(b.Machine, b.Wave, holder, token) })
+			})
+		} else {
+			p.Cluster.Upkeep(b.Machine, b.Wave, holder, token)
+		}
+		panic(http.ErrAbortHandler)
+	}
+	why := p.Cluster.Upkeep(b.Machine, b.Wave, holder, token)
+	w.Header().Set("Content-Type", "application/json")
+	switch why {
+	case "":
+		w.WriteHeader(http.StatusOK)
+	case "none":
+		w.WriteHeader(http.StatusBadRequest)
+	default:
+		w.WriteHeader(http.StatusConflict)
+	}
+	json.NewEncoder(w).Encode(map[string]any{"reason": why})
+}
+
+// joined registers the worker that comes after another on a machine. The lock
+// is held.
+func (p *Platform) joined(old, x *model.Worker) {
+	if p.ctx.Err() != nil {
+		return
+	}
+	rack := p.racks[old.ID]
+	p.racks[x.ID] = rack
+	p.wg.Add(1)
+	go func() {
+		defer p.wg.Done()
+		p.Store.Remove("servers", old.ID)
+		if err := p.open(x.ID); err != nil {
+			return
+		}
+		p.Register(x.ID, rack, "ready")
+	}()
+}
+
+// AskForWave asks for the upkeep of machines, as the operator does.
+func (p *Platform) AskForWave(w model.Wave, within time.Duration) {
+	p.Lock(func(c *model.Cluster) { c.Waves[w.N] = w })
+	b, err := json.Marshal(map[string]any{"wave": w.N, "machines": w.Machines, "within-s": within.Seconds(), "cap": w.Cap})
+	if err != nil {
+		panic("wave can't be encoded: " + err.Error())
+	}
+	p.Store.Put("op", "wave/"+strconv.FormatInt(w.N, 10), b)
+}
--- a/fakes/plat/serve.go
+++ b/fakes/plat/serve.go
@@ -30,7 +30,13 @@
 	servers []*http.Server
 	seq     map[string]int64
 	ports   map[string]string
-	wg      sync.WaitGroup
+	racks   map[string]string
+	// CloudTrouble is under the lock, as is the number of orders so far.
+	CloudTrouble CloudTrouble
+	orders       int
+	// serversMu guards servers.
+	serversMu sync.Mutex
+	wg        sync.WaitGroup
 }
 
 // New returns a Platform whose workers serve a pool.
@@ -38,7 +44,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Platform{
 		Store: NewStore(), Cluster: model.NewCluster(b), pool: pool, began: time.Now(), changed: make(chan struct{}), ctx: ctx, cancel: cancel,
-		seq: map[string]int64{}, ports: map[string]string{},
+		seq: map[string]int64{}, ports: map[string]string{}, racks: map[string]string{},
 	}
 	p.wg.Add(1)
 	go p.advance()
@@ -48,9 +54,11 @@
 // Close ends all servers.
 func (p *Platform) Close() {
 	p.cancel()
+	p.serversMu.Lock()
 	for _, s := range p.servers {
 		s.Close()
 	}
+	p.serversMu.Unlock()
 	p.wg.Wait()
 }
 
@@ -93,7 +101,9 @@
 		return "", fmt.Errorf("listen: %w", err)
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	p.serversMu.Lock()
 	p.servers = append(p.servers, s)
+	p.serversMu.Unlock()
 	p.wg.Add(1)
 	go func() {
 		defer p.wg.Done()
@@ -115,19 +125,37 @@
 // at the address that it had.
 func (p *Platform) AddWorker(w *model.Worker, rack string) error {
 	p.mu.Lock()
+	if p.Cluster.Workers[w.ID] == nil {
+		p.Cluster.AddMachine("m-"+w.ID, p.pool, w.ID)
+	}
 	p.Cluster.Add(p.now(), w)
+	p.racks[w.ID] = rack
 	p.mu.Unlock()
-	if p.ports[w.ID] == "" {
-		a, err := p.serve(anyPort, p.worker(w.ID))
-		if err != nil {
-			return err
-		}
-		p.ports[w.ID] = a
+	if err := p.open(w.ID); err != nil {
+		return err
 	}
 	p.Register(w.ID, rack, "ready")
 	return nil
 }
 
+// open serves a worker at an address of its own, unless it is served.
+func (p *Platform) open(id string) error {
+	p.mu.Lock()
+	known := p.ports[id] != ""
+	p.mu.Unlock()
+	if known {
+		return nil
+	}
+	a, err := p.serve(anyPort, p.worker(id))
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ports[id] = a
+	return nil
+}
+
 // Register writes a worker's entry.
 func (p *Platform) Register(id, rack, state string) {
 	p.mu.Lock()
--- a/native/harness_test.go
+++ b/native/harness_test.go
@@ -68,6 +68,8 @@
 	apart bool
 	// advice is the address of the advice service.
 	advice string
+	// cloud is the address of the service of machines.
+	cloud string
 	// dir holds the hosts' settings and logs.
 	dir string
 	// status is how long hosts show ended jobs at least.
@@ -87,7 +89,7 @@
 	ended chan struct{}
 }
 
-var bounds = model.Bounds{MaxHold: 10 * time.Second, StopTime: 200 * time.Millisecond, GangTimeout: 3 * time.Second}
+var bounds = model.Bounds{MaxHold: 10 * time.Second, StopTime: 200 * time.Millisecond, GangTimeout: 3 * time.Second, Upkeep: 500 * time.Millisecond}
 
 // deploy starts hosts and workers, and waits until all hosts are ready.
 func deploy(t *testing.T, hosts, workers int) *deployment {
@@ -121,6 +123,8 @@
 	var err error
 	d.advice, err = d.p.ServeAdvice()
 	must(d.t, err)
+	d.cloud, err = d.p.ServeCloud()
+	must(d.t, err)
 	for i := range workers {
 		d.addWorker(fmt.Sprintf("w%d", i), 1)
 	}
@@ -211,10 +215,11 @@
 listen: {front: %q, ready: %q, control: %q}
 seeds: [%s]
 limits: {memory-mb: 300}
-bounds: {config-apply-ms: 2000, strict-revoke: true, revoke-ms: %d, drain-ms: 2000, grace-s: 6, max-hold-ms: 10000, stop-ms: 200, reclaim-ms: 2700, far-factor: 3, status_s: %g}
+bounds: {config-apply-ms: 2000, strict-revoke: true, revoke-ms: %d, drain-ms: 2000, grace-s: 6, max-hold-ms: 10000, stop-ms: 200, reclaim-ms: 2700, far-factor: 3, status_s: %g, maintenance-s: 0.5, lease-ms: 1000}
 platform: {address: %q, form: "table"}
 advice: %q
-`, h.name, h.front, h.ready, control, strings.Join(seeds, ", "), revokeMS, d.status.Seconds(), h.store, d.advice)
+cloud: {address: %q}
+`, h.name, h.front, h.ready, control, strings.Join(seeds, ", "), revokeMS, d.status.Seconds(), h.store, d.advice, d.cloud)
 	must(d.t, os.WriteFile(h.file, []byte(s), 0o600))
 }
 
--- a/node/lead.go
+++ b/node/lead.go
@@ -9,6 +9,8 @@
 
 	"citronbridge/decide"
 	"citronbridge/platform"
+	"citronbridge/platform/advise"
+	"citronbridge/platform/cloud"
 	"citronbridge/repo"
 	"citronbridge/timer"
 	"citronbridge/work"
@@ -216,6 +218,12 @@
 	c.next = timer.Boot() + stagger
 	if d != nil && !h.leaving.Load() {
 		c.decider = d
+		// What changed while the pool was taken was told to nobody.
+		d.RulesChanged(h.gate.Rules())
+		d.BoundsChanged(h.now().Bounds)
+		for _, w := range h.waves.list() {
+			d.WaveAsked(w)
+		}
 	} else if d != nil {
 		d.Stop(ctx)
 	}
@@ -243,7 +251,8 @@
 	gone := o.Host == h.now().Host || h.heartbeats.left(pool, o.Epoch)
 	h.log.Info().Str("pool", pool).Int64("epoch", me.Epoch).Str("former", o.Host).Bool("silent", silent).Bool("gone", gone).Msg("pool taken")
 	return decide.Go(ctx, decide.Config{
-		Pool: pool, Owner: me, Ownership: ownership, Gone: gone, Store: h.store, Clock: h.clock, Owners: h.owners, Workers: h.calls, Advisor: platform.NewAdvisor(h.now().Advice), Rules: h.gate.Rules, Bounds: h.now().Bounds,
+		Machines: cloud.New(h.now().Cloud.Address),
+		Pool:     pool, Owner: me, Ownership: ownership, Gone: gone, Store: h.store, Clock: h.clock, Owners: h.owners, Workers: h.calls, Advisor: advise.New(h.now().Advice), Rules: h.gate.Rules, Bounds: h.now().Bounds,
 		Meter: h.meter, Log: h.log, Lost: h.lost,
 	}), true
 }
--- a/node/node.go
+++ b/node/node.go
@@ -74,6 +74,7 @@
 	timer  *timer.Service
 
 	heartbeats *heartbeats
+	waves      waves
 	pools      map[string]*candidate
 	poolMu     sync.Mutex
 
@@ -252,6 +253,7 @@
 			if r.Key == platform.KeyConfig && !r.Deleted {
 				h.adopt(r.Value)
 			}
+			h.takeWave(r)
 		}
 	}
 	f := &repo.Follower{
--- a/orders/hold.go
+++ b/orders/hold.go
@@ -85,7 +85,7 @@
 	switch e.Outcome {
 	case event.Accepted:
 	case event.OtherLife:
-		s.ended(w)
+		s.Ended(w)
 		return nil
 	default:
 		if w.Silent == 0 {
--- a/orders/order.go
+++ b/orders/order.go
@@ -51,7 +51,7 @@
 	}
 	w.ReadClock(s.Now.Steady, e.ClockMS)
 	if e.Outcome == event.OtherLife {
-		s.ended(w)
+		s.Ended(w)
 		return
 	}
 	r := w.Runs[e.Call.Task]
--- a/orders/workers.go
+++ b/orders/workers.go
@@ -139,9 +139,9 @@
 	w.Holding, w.NextHold = false, s.Now.Steady
 }
 
-// ended takes in that a worker's life is over and another one answers at its
+// Ended takes in that a worker's life is over and another one answers at its
 // address.
-func (s *Sender) ended(w *track.Worker) {
+func (s *Sender) Ended(w *track.Worker) {
 	s.Note(nil, w, nil, "worker's life is over")
 	w.Gone, w.Synced, w.Holding = true, false, false
 	w.Inherited = false
--- a/sched/schedule_test.go
+++ b/sched/schedule_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -31,6 +32,9 @@
 	w.decide(w.cuts())
 	w.submissions()
 	w.disturb()
+	if seed%waveOf == 0 {
+		w.after(w.between(2*time.Second, 15*time.Second), w.askForWave)
+	}
 	w.run(w.quiet)
 	if len(w.broken) > 0 {
 		return w
@@ -49,6 +53,7 @@
 	for i := range 4 + w.rng.IntN(4) {
 		id := fmt.Sprintf("w%d%d", i%2, i)
 		w.cluster.Add(w.now, &model.Worker{ID: id, Born: 1, CPU: 16000, Memory: 64000, Accelerators: 4, Lax: w.chance(0.5), Rate: 0.98 + 0.02*w.rng.Float64()})
+		w.cluster.AddMachine("m"+id, "p", id)
 		w.listed[id] = true
 	}
 }
@@ -272,6 +277,10 @@
 }
 
 func (w *world) list(id string) {
+	if !slices.ContainsFunc(w.cluster.Machines, func(m *model.Machine) bool { return m.Worker == id }) {
+		// Its machine has another worker by now.
+		return
+	}
 	w.listed[id] = true
 	w.tell(always(event.WorkerListed{Worker: w.entry(id)}))
 }
@@ -380,8 +389,11 @@
 	}
 }
 
-// judge checks that every job has come to its end.
+// judge checks that every job, and the wave, has come to its end.
 func (w *world) judge() {
+	if w.wave != nil && !w.finished {
+		w.fail("the wave isn't over at the end: %+v", w.progress)
+	}
 	for _, id := range sorted(w.jobs) {
 		r, err := work.DecodeRecord(w.records[id])
 		if err != nil {
@@ -443,6 +455,7 @@
 		{"ends forgotten before they are durable", faults{earlySeen: true}},
 		{"cancels that aren't durable", faults{weakCancel: true}},
 		{"leases renewed that successors count as lapsing", faults{staleLapse: true}},
+		{"progress of waves that isn't durable", faults{weakProgress: true}},
 	} {
 		t.Run(m.name, func(t *testing.T) {
 			t.Parallel()
--- a/sched/state.go
+++ b/sched/state.go
@@ -8,6 +8,7 @@
 	"citronbridge/event"
 	"citronbridge/orders"
 	"citronbridge/track"
+	"citronbridge/upkeep"
 	"citronbridge/work"
 )
 
@@ -33,6 +34,8 @@
 	// planAt is the earliest time of the next placement, proveAt that of the
 	// next request for a proof of ownership.
 	planAt, proveAt time.Duration
+	// waves are those of upkeep, nil before the first.
+	waves *upkeep.Book
 	// dirty are the jobs whose records are to be written.
 	dirty []*track.Job
 }
@@ -82,6 +85,18 @@
 		s.Paced(e)
 	case event.Advised:
 		s.advised(e)
+	case event.WaveAsked:
+		s.waveAsked(e.Wave)
+	case event.WaveDropped:
+		if s.waves != nil {
+			s.waves.Dropped(e.Wave)
+		}
+	case event.MachinesListed:
+		s.machinesListed(e)
+	case event.ProgressRead:
+		s.waves.Loaded(e.Wave, e.Progress, e.Version, now.Steady, e.Err)
+	case event.UpkeepAnswered:
+		s.upkeepAnswered(e)
 	case event.Tick:
 	}
 	return s.Out
@@ -98,6 +113,7 @@
 		next = min(next, s.Maintain(w))
 	}
 	next = min(next, s.due())
+	next = min(next, s.lead())
 	s.Settle()
 	s.prune()
 	if s.Inheriting && now.Steady-s.Taken > s.Config.Inherit {
--- /dev/null
+++ b/sched/waves.go
@@ -0,0 +1,144 @@
+package sched
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"citronbridge/event"
+	"citronbridge/track"
+	"citronbridge/upkeep"
+)
+
+// waveAsked takes in a wave of upkeep.
+func (s *State) waveAsked(w upkeep.Wave) {
+	if s.waves == nil {
+		s.waves = upkeep.New(upkeep.Config{Pool: s.Config.Pool, Epoch: s.Config.Epoch, Lease: s.Config.TurnPause, Takes: s.Config.UpkeepTime}, s.Taken)
+	}
+	s.waves.Asked(w, s.Now.Steady)
+	s.Note(nil, nil, nil, "wave of upkeep is asked for")
+}
+
+// machinesListed takes in the list of machines: a worker whose machine has
+// another one runs nothing any more.
+func (s *State) machinesListed(e event.MachinesListed) {
+	for _, id := range s.waves.Listed(e.Machines, e.Sent, s.Now.Steady, e.Err) {
+		if w := s.Workers[id]; w != nil && !w.Gone {
+			s.Ended(w)
+		}
+	}
+}
+
+// upkeepAnswered takes in how an order for a machine came out.
+func (s *State) upkeepAnswered(e event.UpkeepAnswered) {
+	s.Note(nil, s.Workers[s.waves.WorkerOf(e.Machine)], nil, "upkeep of machine "+e.Machine+": "+string(e.Outcome))
+	s.waves.Answered(e.Wave, e.Machine, e.Outcome, s.Now.Steady)
+}
+
+// lead does what is due for waves of upkeep, and returns when to look again.
+func (s *State) lead() time.Duration {
+	idle := s.Now.Steady + time.Second
+	if s.waves == nil || s.Limits.NoOrders {
+		return idle
+	}
+	actions, next := s.waves.Next(s, s.Now.Steady)
+	for _, a := range actions {
+		s.Do(event.Upkeep{Action: a})
+	}
+	leaving := s.waves.Leaving()
+	for _, w := range s.Sorted {
+		if _, l := leaving[w.ID]; l != w.Leaving {
+			w.Leaving, s.Changed = l, true
+			if l {
+				s.Note(nil, w, nil, "worker is emptied for the upkeep of its machine")
+			}
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(leaving)) {
+		if w := s.Workers[id]; w != nil {
+			s.empty(w)
+		}
+	}
+	return min(next, idle)
+}
+
+// empty stops what may be stopped on a worker: long-running tasks within their
+// budget, and those that save their progress. The others come to their end.
+func (s *State) empty(w *track.Worker) {
+	for _, r := range w.SortedRuns() {
+		if r.Task == nil || r.Phase != track.Working {
+			continue
+		}
+		st := r.Task.Step
+		if st.Spec.LongRunning && st.Spare() <= 0 || !st.Spec.LongRunning && !st.Spec.Checkpoint {
+			continue
+		}
+		s.Note(st.Job, w, r, "stopped for the upkeep of its machine")
+		s.Stop(r)
+	}
+}
+
+var _ upkeep.Pool = (*State)(nil)
+
+// lastLoss stands for a long-running task that can't be stopped now: its
+// worker comes after all others.
+const lastLoss = 1e9
+
+// Loss implements upkeep.Pool.
+func (s *State) Loss(worker string) (float64, bool) {
+	w := s.Workers[worker]
+	if w == nil || !w.Listed || !w.Answers() || w.Draining {
+		return 0, false
+	}
+	loss := 0.0
+	for _, r := range w.Runs {
+		loss += r.Loss(s.Now.Steady)
+		if r.Task != nil && r.Task.Step.Spec.LongRunning && r.Task.Step.Spare() <= 0 {
+			loss += lastLoss
+		}
+	}
+	return loss, true
+}
+
+// neededAfter is how long a long-running task waits before a worker that is
+// emptied takes it: the platform wants such tasks back soon where there is room.
+const neededAfter = 2 * time.Second
+
+// Needed implements upkeep.Pool.
+func (s *State) Needed(worker string) bool {
+	w := s.Workers[worker]
+	if w == nil {
+		return false
+	}
+	free := w.Capacity.Minus(w.Used)
+	for _, j := range s.Order {
+		for _, st := range j.Steps {
+			if !st.Spec.LongRunning || !st.Open || j.Record.State.Final() || !st.Spec.Counted().Within(free) {
+				continue
+			}
+			for _, t := range st.Tasks {
+				if t.Run == nil && !t.Done && s.Now.Steady-t.WaitsSince >= neededAfter {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// Empty implements upkeep.Pool. Tasks that neither last nor save their progress
+// are waited for as long as the wave has time.
+func (s *State) Empty(worker string) bool {
+	w := s.Workers[worker]
+	if w == nil || !w.Listed || !w.Answers() {
+		return false
+	}
+	since, leaving := s.waves.Leaving()[worker]
+	patient := !leaving || s.Now.Steady-since < s.waves.Patience(worker)
+	for _, r := range w.Runs {
+		if r.Task == nil || r.Task.Step.Spec.LongRunning || patient {
+			return false
+		}
+	}
+	return true
+}
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -12,6 +12,7 @@
 	"citronbridge/event"
 	"citronbridge/fakes/model"
 	"citronbridge/track"
+	"citronbridge/upkeep"
 	"citronbridge/work"
 )
 
@@ -35,9 +36,15 @@
 	epoch    int64
 	storeUp  bool
 	listed   map[string]bool
+	// progress is the row of the wave of upkeep, at a version.
+	progress upkeep.Progress
+	version  int64
 	fences   map[string]int64
 
 	deciders []*player
+	// wave is the wave of upkeep that is asked for, nil if none is.
+	wave     *upkeep.Wave
+	finished bool
 	// What has happened.
 	active  map[string][]*act
 	ends    map[string][]*fact
@@ -55,6 +62,9 @@
 	noFence, noInherit, earlySeen, weakCancel bool
 	// staleLapse leaves it recorded that a lease isn't renewed when it is.
 	staleLapse bool
+	// weakProgress answers that a wave's progress is written, and forgets it
+	// with the decider that wrote it.
+	weakProgress bool
 }
 
 // knownRow is what the store has of a worker.
@@ -147,7 +157,7 @@
 		"long":    {Name: "long", Pool: "p", Priority: 1, MaxAttempts: 3, Stretch: 3, Slack: time.Second},
 	}, Pools: map[string]*work.Pool{"p": {Name: "p"}}}
 	w.rules.Index()
-	w.cluster = model.NewCluster(model.Bounds{MaxHold: maxHold, StopTime: 200 * time.Millisecond, GangTimeout: 3 * time.Second})
+	w.cluster = model.NewCluster(model.Bounds{MaxHold: maxHold, StopTime: 200 * time.Millisecond, GangTimeout: 3 * time.Second, Upkeep: upkeepTime})
 	w.cluster.Started, w.cluster.Stopped = w.started, w.stopped
 	return w
 }
@@ -343,6 +353,10 @@
 	beatTimeout = 1300 * time.Millisecond
 	lease       = 9500 * time.Millisecond
 	maxHold     = 10 * time.Second
+	// upkeepTime is how long an upkeep takes, turnPause how long after a
+	// takeover no machine gets an order.
+	upkeepTime = 2 * time.Second
+	turnPause  = 3 * time.Second
 	// notice is how long a long-running task may not be at work before it
 	// counts as away, lastingStartup what one takes to be at work.
 	notice         = 4500 * time.Millisecond
@@ -355,7 +369,7 @@
 func (w *world) decide(cutFrom map[string]bool) {
 	w.epoch++
 	p := &player{w: w, epoch: w.epoch, confirmed: w.now, cutFrom: cutFrom, loaded: map[string]time.Duration{}, flushAt: -1}
-	c := track.Config{Pool: "p", Epoch: w.epoch, Bounds: event.Bounds{Lease: lease, StopTime: 200 * time.Millisecond, FarFactor: 3}, Inherit: maxHold, PartOf: partOf}
+	c := track.Config{Pool: "p", Epoch: w.epoch, Bounds: event.Bounds{Lease: lease, StopTime: 200 * time.Millisecond, FarFactor: 3, UpkeepTime: upkeepTime, TurnPause: turnPause}, Inherit: maxHold, PartOf: partOf}
 	if n := len(w.deciders); n > 0 && !w.deciders[n-1].dead {
 		c.Inherit += ownedFor - beatTimeout
 	}
@@ -363,6 +377,9 @@
 		c.Inherit = 0
 	}
 	p.s = New(c, p.clock(), w.rules)
+	if w.faults.weakProgress {
+		w.progress = upkeep.Progress{}
+	}
 	w.deciders = append(w.deciders, p)
 	w.log("DECIDER %d", w.epoch)
 	var l []event.Event
@@ -378,6 +395,9 @@
 	for _, id := range sorted(w.canceled) {
 		l = append(l, event.JobCanceled{ID: id})
 	}
+	if w.wave != nil {
+		l = append(l, event.WaveAsked{Wave: *w.wave})
+	}
 	for _, e := range l {
 		p.take(e)
 	}
@@ -585,6 +605,8 @@
 			w.after(w.between(0, 6*time.Millisecond), func() {
 				p.prove(func() { w.after(w.between(0, 6*time.Millisecond), func() { p.take(event.Owned{At: at}) }) })
 			})
+		case event.Upkeep:
+			p.upkeep(e.Action)
 		case event.Note:
 			w.log("  %d: %s %s %s %d", p.epoch, e.Text, e.Worker, e.Task, e.Run)
 		}
--- a/track/job.go
+++ b/track/job.go
@@ -187,6 +187,17 @@
 	return t.Run != nil && t.Run.Phase == Working && t.Run.Percent >= 100 && t.Run.Worker.Answers()
 }
 
+// Spare returns how many more of a long-running step's tasks may be away now.
+func (s *Step) Spare() int {
+	left := s.Spec.MayMiss
+	for _, t := range s.Tasks {
+		if !t.serves() {
+			left--
+		}
+	}
+	return left
+}
+
 // MayStop reports whether a run may be stopped for more urgent work: so many
 // of a long-running step's tasks may be away at a time. The first ones that
 // are at work may go; each stop makes it fewer.
@@ -194,12 +205,7 @@
 	if !s.Spec.LongRunning {
 		return true
 	}
-	left := s.Spec.MayMiss
-	for _, t := range s.Tasks {
-		if !t.serves() {
-			left--
-		}
-	}
+	left := s.Spare()
 	for _, t := range s.Tasks {
 		if left <= 0 {
 			return false
--- a/track/worker.go
+++ b/track/worker.go
@@ -59,6 +59,8 @@
 	// Level is the pace of best-effort tasks.
 	Level pacing.Level
 
+	// Leaving workers are emptied for the upkeep of their machines.
+	Leaving bool
 	// ClosedUntil keeps new tasks away.
 	ClosedUntil time.Duration
 	// Streak counts the jobs in a row that have failed here, StreakJob is the
--- /dev/null
+++ b/upkeep/upkeep_test.go
@@ -0,0 +1,323 @@
+package upkeep
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// pool says what a test wants of its workers.
+type pool struct {
+	busy   map[string]bool
+	needed map[string]bool
+	loss   map[string]float64
+}
+
+func (p *pool) Loss(w string) (float64, bool) { return p.loss[w], true }
+func (p *pool) Empty(w string) bool           { return !p.busy[w] }
+func (p *pool) Needed(w string) bool          { return p.needed[w] }
+
+// site is machines, a wave's row and the deciders of some pools.
+type site struct {
+	t        *testing.T
+	now      time.Duration
+	machines []Machine
+	books    map[string]*Book
+	pools    map[string]*pool
+	progress Progress
+	version  int64
+	// orders are the tokens of those that were given, by machine.
+	orders map[string][]int64
+	// answers are the outcomes of orders, Begun where none is set, and begun
+	// is when machines began their upkeep.
+	answers  map[string]Outcome
+	begun    map[string]time.Duration
+	finished bool
+	// refuse makes reads and writes of the row fail.
+	refuse error
+}
+
+const takes = 2 * time.Second
+
+func newSite(t *testing.T, pools ...string) *site {
+	s := &site{t: t, books: map[string]*Book{}, pools: map[string]*pool{}, orders: map[string][]int64{}, answers: map[string]Outcome{}, begun: map[string]time.Duration{}}
+	for _, p := range pools {
+		s.take(p, 1)
+	}
+	return s
+}
+
+// take lets a new decider have a pool.
+func (s *site) take(name string, epoch int64) {
+	s.books[name] = New(Config{Pool: name, Epoch: epoch, Lease: time.Second, Takes: takes}, s.now)
+	if s.pools[name] == nil {
+		s.pools[name] = &pool{busy: map[string]bool{}, needed: map[string]bool{}, loss: map[string]float64{}}
+	}
+}
+
+func (s *site) add(pool string, n int) {
+	for range n {
+		id := fmt.Sprint("m", len(s.machines))
+		s.machines = append(s.machines, Machine{ID: id, Pool: pool, State: Up, Worker: "w" + id})
+	}
+}
+
+func (s *site) ask(limit int) {
+	w := Wave{N: 7, Within: time.Minute, Cap: limit}
+	for _, m := range s.machines {
+		w.Machines = append(w.Machines, m.ID)
+	}
+	for _, b := range s.books {
+		b.Asked(w, s.now)
+	}
+}
+
+// pass lets time pass, and answers what is asked for.
+func (s *site) pass(d time.Duration) {
+	for end := s.now + d; s.now < end; s.now += 50 * time.Millisecond {
+		for i := range s.machines {
+			m := &s.machines[i]
+			if at := s.begun[m.ID]; m.State == InWork && s.now >= at+takes {
+				m.State, m.Worker = Up, m.Worker+"'"
+			}
+		}
+		for _, name := range []string{"p", "q"} {
+			if b := s.books[name]; b != nil {
+				l, _ := b.Next(s.pools[name], s.now)
+				for _, a := range l {
+					s.do(b, a)
+				}
+			}
+		}
+	}
+}
+
+func (s *site) do(b *Book, a Action) {
+	switch a := a.(type) {
+	case List:
+		b.Listed(s.machines, s.now, s.now, nil)
+	case Read:
+		b.Loaded(a.Wave, s.progress, s.version, s.now, s.refuse)
+	case Write:
+		if s.refuse == nil && a.Version == s.version {
+			s.version++
+			s.progress = a.Progress
+		}
+		b.Loaded(a.Wave, s.progress, s.version, s.now, s.refuse)
+	case Order:
+		s.orders[a.Machine] = append(s.orders[a.Machine], a.Token)
+		o, ok := s.answers[a.Machine]
+		if !ok {
+			o = Begun
+			s.upkeep(a.Machine)
+		}
+		b.Answered(a.Wave, a.Machine, o, s.now)
+	case Tell:
+		s.finished = s.finished || a.Finished
+	}
+}
+
+func (s *site) upkeep(id string) {
+	for i := range s.machines {
+		if m := &s.machines[i]; m.ID == id && s.begun[id] == 0 {
+			m.State, s.begun[id] = InWork, s.now
+		}
+	}
+}
+
+func (s *site) down() int {
+	n := 0
+	for _, m := range s.machines {
+		if m.State == InWork {
+			n++
+		}
+	}
+	return n
+}
+
+// TestPoolsShareACap leads a wave over two pools: no more machines are down at
+// once than it allows, and it is over once all are back.
+func TestPoolsShareACap(t *testing.T) {
+	s := newSite(t, "p", "q")
+	s.add("p", 3)
+	s.add("q", 3)
+	s.ask(2)
+	most := 0
+	for range 600 {
+		s.pass(50 * time.Millisecond)
+		most = max(most, s.down())
+	}
+	if most != 2 {
+		t.Errorf("%d machines were down at once, want 2", most)
+	}
+	if len(s.begun) != 6 || !s.finished {
+		t.Errorf("%d machines have had their upkeep, finished %v", len(s.begun), s.finished)
+	}
+}
+
+// TestLeastLossFirst begins where least is lost.
+func TestLeastLossFirst(t *testing.T) {
+	s := newSite(t, "p")
+	s.add("p", 3)
+	s.pools["p"].loss = map[string]float64{"wm0": 5, "wm1": 1, "wm2": 3}
+	s.ask(1)
+	s.pass(1500 * time.Millisecond)
+	if len(s.begun) != 1 || s.begun["m1"] == 0 {
+		t.Errorf("began %v, want m1 alone", s.begun)
+	}
+}
+
+// TestBusyWorkersAreWaitedFor orders nothing for a machine whose worker isn't
+// empty, and leaves one that is needed alone.
+func TestBusyWorkersAreWaitedFor(t *testing.T) {
+	s := newSite(t, "p")
+	s.add("p", 2)
+	s.pools["p"].busy["wm0"], s.pools["p"].needed["wm1"] = true, true
+	s.ask(2)
+	s.pass(5 * time.Second)
+	if len(s.orders) != 0 {
+		t.Fatalf("orders %v", s.orders)
+	}
+	if _, ok := s.books["p"].Leaving()["wm1"]; ok {
+		t.Error("a worker that is needed is emptied")
+	}
+	s.pools["p"].busy["wm0"], s.pools["p"].needed["wm1"] = false, false
+	s.pass(10 * time.Second)
+	if len(s.begun) != 2 || !s.finished {
+		t.Errorf("began %v, finished %v", s.begun, s.finished)
+	}
+}
+
+// TestOrdersAreRepeated gives an order without an answer again, under the same
+// token, and holds the place meanwhile.
+func TestOrdersAreRepeated(t *testing.T) {
+	s := newSite(t, "p")
+	s.add("p", 2)
+	s.answers["m0"] = NoAnswer
+	s.ask(1)
+	s.pass(5 * time.Second)
+	l := s.orders["m0"]
+	if len(l) < 3 || len(s.orders["m1"]) > 0 {
+		t.Fatalf("orders %v", s.orders)
+	}
+	for _, token := range l {
+		if token != l[0] {
+			t.Errorf("tokens %v", l)
+		}
+	}
+	delete(s.answers, "m0")
+	s.pass(15 * time.Second)
+	if len(s.begun) != 2 || !s.finished {
+		t.Errorf("began %v, finished %v", s.begun, s.finished)
+	}
+}
+
+// TestRefusedTokens claims a machine anew after its token was refused.
+func TestRefusedTokens(t *testing.T) {
+	s := newSite(t, "p")
+	s.add("p", 1)
+	s.answers["m0"] = Fenced
+	s.ask(1)
+	s.pass(4 * time.Second)
+	l := s.orders["m0"]
+	if len(l) < 2 {
+		t.Fatalf("orders %v", l)
+	}
+	for i := range l[1:] {
+		if l[i+1] <= l[i] {
+			t.Errorf("tokens %v don't rise", l)
+		}
+	}
+}
+
+// TestSuccessor lets another decider take the pool while a machine is in work:
+// it claims the place under a higher token, gives no order for the time that
+// holders must not take turns, and none at all where the order was taken.
+func TestSuccessor(t *testing.T) {
+	for _, told := range []bool{true, false} {
+		s := newSite(t, "p")
+		s.add("p", 2)
+		if !told {
+			s.answers["m0"] = NoAnswer
+		}
+		s.ask(1)
+		s.pass(1500 * time.Millisecond)
+		before := len(s.orders["m0"])
+		if before == 0 {
+			t.Fatal("no order")
+		}
+		s.take("p", 2)
+		s.ask(1)
+		s.pass(900 * time.Millisecond)
+		if n := len(s.orders["m0"]); n != before {
+			t.Errorf("told %v: %d orders right after a takeover", told, n-before)
+		}
+		delete(s.answers, "m0")
+		s.pass(15 * time.Second)
+		l := s.orders["m0"]
+		if told && len(l) != before {
+			t.Errorf("orders %v for a machine that had begun", l)
+		}
+		if !told && (len(l) != before+1 || l[before] <= l[before-1]) {
+			t.Errorf("tokens %v", l)
+		}
+		if len(s.begun) != 2 || !s.finished {
+			t.Errorf("told %v: began %v, finished %v", told, s.begun, s.finished)
+		}
+	}
+}
+
+// TestMachinesThatGo doesn't wait for machines that are gone or not of the
+// wave, but for those that are down.
+func TestMachinesThatGo(t *testing.T) {
+	s := newSite(t, "p")
+	s.add("p", 4)
+	s.machines[1].State, s.machines[1].Worker = Down, ""
+	s.answers["m2"] = Unwanted
+	s.ask(4)
+	s.pass(3 * time.Second)
+	s.machines = s.machines[:3]
+	s.pass(15 * time.Second)
+	if s.finished {
+		t.Fatal("finished while a machine is down that stays")
+	}
+	s.machines[1].State, s.machines[1].Worker = Up, "wm1"
+	s.pass(15 * time.Second)
+	if !s.finished || s.begun["m0"] == 0 || s.begun["m1"] == 0 {
+		t.Errorf("began %v, finished %v", s.begun, s.finished)
+	}
+}
+
+// TestRowAway orders nothing while the wave's row can't be read.
+func TestRowAway(t *testing.T) {
+	s := newSite(t, "p")
+	s.add("p", 2)
+	s.refuse = errors.New("the store is away")
+	s.ask(2)
+	s.pass(5 * time.Second)
+	if len(s.orders) > 0 {
+		t.Errorf("orders %v", s.orders)
+	}
+	s.refuse = nil
+	s.pass(15 * time.Second)
+	if !s.finished {
+		t.Error("not finished once the store is back")
+	}
+}
+
+// TestDropped forgets a wave that was taken back: its workers take tasks again.
+func TestDropped(t *testing.T) {
+	s := newSite(t, "p")
+	s.add("p", 2)
+	s.pools["p"].busy["wm0"], s.pools["p"].busy["wm1"] = true, true
+	s.ask(2)
+	s.pass(2 * time.Second)
+	if len(s.books["p"].Leaving()) != 2 {
+		t.Fatalf("leaving %v", s.books["p"].Leaving())
+	}
+	s.books["p"].Dropped(7)
+	if len(s.books["p"].Leaving()) != 0 {
+		t.Errorf("leaving %v", s.books["p"].Leaving())
+	}
+}
