repo, decide: Give pools up through a store that rejects for a time

Cause: a planned stop wrote its last heartbeat once, and went on after half a second without an answer, or after a conflict with an earlier heartbeat whose answer was lost, as if it had been written. The next decider then waited for silence, and for what may run unseen 2.7 s longer.

Change: the last heartbeat is tried for up to 2 s, through conflicts that teach the row's version, and the log says whether it was written.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -163,9 +163,10 @@
 	d.confirmed = max(d.confirmed, at)
 }
 
-// leaveTimeout bounds the write that gives a pool up: a host that can't tell
-// is replaced when its heartbeats stay out.
-const leaveTimeout = 500 * time.Millisecond
+// leaveTimeout bounds the tries to give a pool up: a host that can't tell is
+// replaced when its heartbeats stay out. The platform leaves a planned stop
+// some seconds.
+const leaveTimeout = 2 * time.Second
 
 // Stop ends the decider and tells the other hosts.
 func (d *Decider) Stop(ctx context.Context) {
@@ -174,8 +175,12 @@
 		d.wg.Wait()
 		ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 		defer cancel()
-		_, err := d.c.Owners.Heartbeat(ctx, d.c.Ownership, repo.Heartbeat{Epoch: d.c.Owner.Epoch, Host: d.c.Owner.Host, N: -1, Left: true})
-		d.log.Info().AnErr("cause", err).Msg("pool given up")
+		err := d.c.Owners.Leave(ctx, d.c.Ownership, repo.Heartbeat{Epoch: d.c.Owner.Epoch, Host: d.c.Owner.Host, N: -1})
+		if err != nil {
+			d.log.Warn().Err(err).Msg("pool given up, and nobody told")
+			return
+		}
+		d.log.Info().Msg("pool given up")
 	})
 }
 
--- a/repo/owner.go
+++ b/repo/owner.go
@@ -96,31 +96,59 @@
 // Heartbeat writes a heartbeat and returns whether the pool is still held. The answer
 // proves it, or its opposite.
 func (s *Owners) Heartbeat(ctx context.Context, ownership *Ownership, b Heartbeat) (bool, error) {
+	written, now, err := s.beat(ctx, ownership, b)
+	if err != nil {
+		return true, err
+	}
+	return written || now.Epoch == b.Epoch, nil
+}
+
+// beat tries to write a heartbeat. If it wasn't written it returns the row as
+// it is: an earlier heartbeat of the same epoch is one whose answer was lost.
+func (s *Owners) beat(ctx context.Context, ownership *Ownership, b Heartbeat) (written bool, now Heartbeat, err error) {
 	v, err := json.Marshal(b)
 	if err != nil {
-		return false, fmt.Errorf("encode heartbeat: %w", err)
+		return false, now, fmt.Errorf("encode heartbeat: %w", err)
 	}
 	a, err := s.store.Apply(ctx, Change{If: []Condition{ownership.Heartbeat}, Put: []Row{newRow(TableHeartbeats, ownership.Heartbeat.Key, v)}})
 	if err != nil {
-		return true, fmt.Errorf("write heartbeat: %w", err)
+		return false, now, fmt.Errorf("write heartbeat: %w", err)
 	}
 	if a.Applied {
 		ownership.Heartbeat.Version = a.Version
-		return true, nil
+		return true, now, nil
 	}
 	for _, r := range a.Current {
-		if r.Table != TableHeartbeats || r.Key != ownership.Heartbeat.Key {
+		if r.Table == TableHeartbeats && r.Key == ownership.Heartbeat.Key {
+			ownership.Heartbeat.Version = r.Version
+			now, err = DecodeHeartbeat(r.Value)
+		}
+	}
+	return false, now, err
+}
+
+// leavePause is kept between two tries to give a pool up.
+const leavePause = 100 * time.Millisecond
+
+// Leave writes the last heartbeat, by which other hosts take the pool at once,
+// trying until it is written, the pool is another's or ctx ends.
+func (s *Owners) Leave(ctx context.Context, ownership *Ownership, b Heartbeat) error {
+	b.Left = true
+	for {
+		written, now, err := s.beat(ctx, ownership, b)
+		if err == nil && (written || now.Left || now.Epoch != b.Epoch) {
+			return nil
+		}
+		if err == nil {
+			// The row's version is known now.
 			continue
 		}
-		c, err := DecodeHeartbeat(r.Value)
-		if err != nil {
-			return false, err
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(leavePause):
 		}
-		// An earlier heartbeat of this epoch whose answer was lost.
-		ownership.Heartbeat.Version = r.Version
-		return c.Epoch == b.Epoch, nil
 	}
-	return false, nil
 }
 
 // fence is a row of TableFences.
--- a/repo/store_test.go
+++ b/repo/store_test.go
@@ -318,3 +318,64 @@
 		t.Error("a former owner believes that it has the pool")
 	}
 }
+
+// TestLeave gives a pool up through lost answers and calls that are rejected,
+// and leaves a pool that is another's alone.
+func TestLeave(t *testing.T) {
+	m := newMemory()
+	s := NewOwners(m)
+	ctx := t.Context()
+	ownership, err := s.Take(ctx, "pool", Owner{1, "a", "x"}, 0)
+	if err != nil || ownership == nil {
+		t.Fatal(err)
+	}
+	former := *ownership
+	// A heartbeat whose answer is lost, then one call that does nothing.
+	m.spoil = func(int, Change) (bool, error) { return true, errLost }
+	s.Heartbeat(ctx, ownership, Heartbeat{Epoch: 1, Host: "a", N: 1})
+	calls := 0
+	m.spoil = func(int, Change) (bool, error) {
+		if calls++; calls == 1 {
+			return false, ErrNotDone
+		}
+		return true, nil
+	}
+	if err := s.Leave(ctx, ownership, Heartbeat{Epoch: 1, Host: "a", N: -1}); err != nil {
+		t.Fatal(err)
+	}
+	row := func() Heartbeat {
+		p, err := m.List(ctx, TableHeartbeats, PartOf(TableHeartbeats, "pool"), "pool", 1)
+		if err != nil || len(p.Rows) == 0 {
+			t.Fatal("no heartbeat", err)
+		}
+		b, err := DecodeHeartbeat(p.Rows[0].Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	if b := row(); !b.Left || b.Epoch != 1 {
+		t.Errorf("the last heartbeat is %+v", b)
+	}
+	m.spoil = nil
+	_, v, err := s.Read(ctx, "pool")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if next, err := s.Take(ctx, "pool", Owner{2, "b", "y"}, v); next == nil {
+		t.Fatal("a successor can't take the pool:", err)
+	}
+	if err := s.Leave(ctx, &former, Heartbeat{Epoch: 1, Host: "a", N: -1}); err != nil {
+		t.Error(err)
+	}
+	if b := row(); b.Left || b.Epoch != 2 {
+		t.Errorf("the successor's heartbeat is %+v", b)
+	}
+	// A context that ends ends the tries.
+	m.spoil = func(int, Change) (bool, error) { return false, ErrNotDone }
+	over, cancel := context.WithCancel(ctx)
+	cancel()
+	if err := s.Leave(over, ownership, Heartbeat{Epoch: 1, Host: "a"}); err == nil {
+		t.Error("no error though nothing was written")
+	}
+}
