node: Hand pools over once, and without waiting for oneself

Cause: three faults of handing over, found by a test that stops deciders as planned. A host that had taken a pool as its own stop began ended the decider under the lock that the decider needs to end, and hung until it was killed (2 of some 70 runs). A host that had heard the owner's silence took the pool also from a successor that had taken it a millisecond before. And whether the former decider had surely ended was looked up after the own first heartbeat had replaced its last one, so that it was forgotten at times: both made the new decider wait 2.7 s longer for what may run unseen. 8 of 12 runs showed one of the latter two.

Ruled out: the tries to give a pool up (the log shows the write); the stand-in (its rows are as the hosts say).

Change: the decider of a leaving host is ended outside the lock; a pool is taken only from an owner whose own heartbeat, or a later one, was heard to be over; the look comes before the take.

Before: TestTakeWhileLeaving hangs, TestTakeFromNewOwner and TestSuccessorOfStop fail. After: they pass, the latter 12 of 12 times, and TestLeaveWhileRejected 40 of 40 by ten at a time.

Conclusion: planned stops in turn make one takeover each.

--- a/native/path_test.go
+++ b/native/path_test.go
@@ -1,6 +1,7 @@
 package native
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -196,6 +197,44 @@
 	}
 }
 
+// TestLeaveWhileRejected stops a decider as planned while the store rejects it
+// for some time: it tells in the end that it has left, so that another need not
+// wait for its silence.
+func TestLeaveWhileRejected(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1, 1)
+	h := d.decider()
+	h.door.Set(plat.Trouble{Status: http.StatusServiceUnavailable})
+	h.signal(t, syscall.SIGTERM)
+	d.await("the planned stop", func() bool { return h.logged("planned stop begins") })
+	time.Sleep(700 * time.Millisecond)
+	h.door.Set(plat.Trouble{})
+	<-h.ended
+	var b struct{ Left bool }
+	must(t, json.Unmarshal(d.p.Store.Value("heartbeats", "", "pool"), &b))
+	if !b.Left {
+		t.Error("the pool was left, and nobody told")
+	}
+}
+
+// TestSuccessorOfStop stops deciders as planned: each successor knows that the
+// former one gives no more orders.
+func TestSuccessorOfStop(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 3, 1)
+	for range 2 {
+		h := d.decider()
+		h.signal(t, syscall.SIGTERM)
+		<-h.ended
+		d.await("a successor", func() bool { return d.decider() != h })
+		next := d.decider()
+		d.await("the successor's line", func() bool { return next.logged("pool taken") })
+		if !next.logged(`"gone":true`) {
+			t.Errorf("%s wasn't told that the pool was left", next.name)
+		}
+	}
+}
+
 // TestAllKilled kills all hosts right after a submission was accepted.
 func TestAllKilled(t *testing.T) {
 	t.Parallel()
--- a/node/lead.go
+++ b/node/lead.go
@@ -101,6 +101,14 @@
 	return now - max(h.at, b.since), ok && h.Left
 }
 
+// epoch returns the epoch of the last heartbeat of a pool's decider, 0 if none
+// was heard.
+func (b *heartbeats) epoch(pool string) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pools[pool].Epoch
+}
+
 // left reports whether the decider of an epoch has given the pool up.
 func (b *heartbeats) left(pool string, epoch int64) bool {
 	b.mu.Lock()
@@ -189,6 +197,7 @@
 		if c.busy || c.decider != nil || timer.Boot() < c.next {
 			continue
 		}
+		epoch := h.heartbeats.epoch(name)
 		silent, left := h.heartbeats.silent(name)
 		wait := patience
 		if left {
@@ -202,36 +211,48 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			h.tryTake(ctx, c, silent >= wait+spread)
+			h.tryTake(ctx, c, silent >= wait+spread, epoch)
 		}()
 	}
 }
 
 // tryTake takes a pool if nobody owns it, a former process of this host does,
-// or its owner is silent.
-func (h *Host) tryTake(ctx context.Context, c *candidate, silent bool) {
-	d, looked := h.take(ctx, c.pool, silent)
+// or its owner is silent: that of an epoch, or one before.
+func (h *Host) tryTake(ctx context.Context, c *candidate, silent bool, epoch int64) {
+	d, looked := h.take(ctx, c.pool, silent, epoch)
+	if !h.keep(c, d, looked) {
+		// Not under the lock: a decider that ends takes it.
+		d.Stop(ctx)
+	}
+}
+
+// keep notes what came of a try to take a pool. It returns false if there is a
+// decider that must stop, as the host leaves.
+func (h *Host) keep(c *candidate, d *decide.Decider, looked bool) bool {
 	h.poolMu.Lock()
 	defer h.poolMu.Unlock()
 	c.busy = false
 	c.looked = c.looked || looked
 	c.next = timer.Boot() + stagger
-	if d != nil && !h.leaving.Load() {
-		c.decider = d
-		// What changed while the pool was taken was told to nobody.
-		d.RulesChanged(h.gate.Rules())
-		d.BoundsChanged(h.now().Bounds)
-		for _, w := range h.waves.list() {
-			d.WaveAsked(w)
-		}
-	} else if d != nil {
-		d.Stop(ctx)
+	switch {
+	case d == nil:
+		return true
+	case h.leaving.Load():
+		return false
 	}
+	c.decider = d
+	// What changed while the pool was taken was told to nobody.
+	d.RulesChanged(h.gate.Rules())
+	d.BoundsChanged(h.now().Bounds)
+	for _, w := range h.waves.list() {
+		d.WaveAsked(w)
+	}
+	return true
 }
 
 // take returns the decider of a pool that was taken, and whether the owner's
 // row could be read.
-func (h *Host) take(ctx context.Context, pool string, silent bool) (*decide.Decider, bool) {
+func (h *Host) take(ctx context.Context, pool string, silent bool, epoch int64) (*decide.Decider, bool) {
 	ctx2, cancel := context.WithTimeout(ctx, electTimeout)
 	defer cancel()
 	o, version, err := h.owners.Read(ctx2, pool)
@@ -239,16 +260,18 @@
 		h.log.Warn().Err(err).Str("pool", pool).Msg("owner can't be read")
 		return nil, false
 	}
-	if version != 0 && !silent && o.Host != h.now().Host {
+	if version != 0 && o.Host != h.now().Host && (!silent || o.Epoch > epoch) {
+		// An owner that wasn't heard yet has just taken the pool.
 		return nil, true
 	}
+	// Before this host's own heartbeat covers that of the former decider.
+	gone := o.Host == h.now().Host || h.heartbeats.left(pool, o.Epoch)
 	me := repo.Owner{Epoch: o.Epoch + 1, Host: h.now().Host, Boot: h.boot}
 	ownership, err := h.owners.Take(ctx2, pool, me, version)
 	if ownership == nil {
 		h.log.Info().AnErr("cause", err).Str("pool", pool).Msg("pool not taken")
 		return nil, true
 	}
-	gone := o.Host == h.now().Host || h.heartbeats.left(pool, o.Epoch)
 	h.log.Info().Str("pool", pool).Int64("epoch", me.Epoch).Str("former", o.Host).Bool("silent", silent).Bool("gone", gone).Msg("pool taken")
 	return decide.Go(ctx, decide.Config{
 		Machines: cloud.New(h.now().Cloud.Address),
--- a/node/lead_test.go
+++ b/node/lead_test.go
@@ -5,6 +5,11 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"citronbridge/fakes/model"
+	"citronbridge/fakes/plat"
+	"citronbridge/platform"
 	"citronbridge/repo"
 )
 
@@ -88,3 +93,73 @@
 		t.Error("a count of a decider that has given the pool up")
 	}
 }
+
+// newHost returns a host on a stand-in of the platform that doesn't run, and a
+// pool that it may take.
+func newHost(t *testing.T) (*Host, *plat.Platform) {
+	p := plat.New("pool", model.Bounds{})
+	t.Cleanup(p.Close)
+	_, store, err := p.Open(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Store.Put("op", "config", []byte(`{"version":1,"services":[{"name":"pool"}]}`))
+	s := &platform.Settings{Host: "a"}
+	s.Listen.Front, s.Listen.Ready, s.Store.Address = "127.0.0.1:0", "127.0.0.1:0", store
+	h, err := New(Config{Settings: s, Log: zerolog.Nop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		h.front.Close()
+		h.ready.Close()
+	})
+	h.adopt(p.Store.Value("op", "", "config"))
+	return h, p
+}
+
+// TestTakeWhileLeaving lets a planned stop begin while a pool is being taken:
+// the decider ends and tells that it has left, and nothing waits for ever.
+func TestTakeWhileLeaving(t *testing.T) {
+	h, p := newHost(t)
+	h.leaving.Store(true)
+	ended := make(chan struct{})
+	go func() {
+		h.tryTake(t.Context(), &candidate{pool: "pool", busy: true}, true, 0)
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		t.Fatal("the decider doesn't end")
+	}
+	b, err := repo.DecodeHeartbeat(p.Store.Value("heartbeats", "", "pool"))
+	if err != nil || !b.Left {
+		t.Errorf("the last heartbeat is %+v, %v", b, err)
+	}
+}
+
+// TestTakeFromNewOwner leaves a pool alone that another host has just taken
+// from the owner whose silence was heard, and takes it from one that was heard.
+func TestTakeFromNewOwner(t *testing.T) {
+	h, _ := newHost(t)
+	if o, err := h.owners.Take(t.Context(), "pool", repo.Owner{Epoch: 2, Host: "b", Boot: "x"}, 0); err != nil || o == nil {
+		t.Fatal(err)
+	}
+	for _, x := range []struct {
+		silent bool
+		epoch  int64
+		takes  bool
+	}{{true, 1, false}, {false, 2, false}, {true, 2, true}} {
+		d, looked := h.take(t.Context(), "pool", x.silent, x.epoch)
+		if (d != nil) != x.takes || !looked {
+			t.Errorf("silent %v in epoch %d: taken %v, looked %v", x.silent, x.epoch, d != nil, looked)
+		}
+		if d != nil {
+			d.Stop(t.Context())
+		}
+	}
+}
+
+// patience bounds how long an awaited event may take. It is no measure.
+const patience = 60 * time.Second
