work, sched: Keep the terms on which a job was accepted

Cause: what a queue says of its jobs (pool, priority, tries) was read from the configuration alone.

Ruled out: keeping former configurations in the store (the row has all that is needed); handing waiting jobs to the new pool (two deciders must agree on when).

Change: a job's row holds its queue's terms as it was accepted. They name its pool, and stand in for the queue once the configuration has it no more. Rows without terms are read as before.

Conclusion: a pool that the configuration has no more still loses its decider.

--- a/decide/shard.go
+++ b/decide/shard.go
@@ -179,9 +179,7 @@
 	s.writer.Known(repo.TableRecords, r.Key, version)
 	pool := rec.Pool
 	if pool == "" {
-		if q := s.d.c.Rules().Queues[j.Queue]; q != nil {
-			pool = q.Pool
-		}
+		pool = s.d.c.Rules().PoolOf(j)
 	}
 	if pool == s.d.c.Pool {
 		s.d.tell(event.JobAdded{Job: j, Record: rec, Inherited: inherited})
--- a/demand/guarantee.go
+++ b/demand/guarantee.go
@@ -63,7 +63,7 @@
 		}
 	}
 	for _, j := range p.Order {
-		if j.Priority(p.Rules) != 0 {
+		if p.Priority(j) != 0 {
 			continue
 		}
 		for _, st := range j.Steps {
--- a/demand/units.go
+++ b/demand/units.go
@@ -16,11 +16,7 @@
 		if j.Record.State.Final() {
 			continue
 		}
-		q := p.Rules.Queues[j.Spec.Queue]
-		if q != nil {
-			j.Queue = q
-		}
-		if j.Queue == nil {
+		if p.QueueOf(j) == nil {
 			continue
 		}
 		for _, st := range j.Steps {
--- a/demand/workers.go
+++ b/demand/workers.go
@@ -42,7 +42,7 @@
 		a.Fixed = true
 		return a
 	}
-	a.Priority = t.Step.Job.Priority(p.Rules)
+	a.Priority = p.Priority(t.Step.Job)
 	a.Ends = r.Since + t.Step.Spec.Estimate
 	if t.Step.Spec.LongRunning {
 		a.Ends = p.Now.Steady + never
--- a/fakes/plat/cloud.go
+++ b/fakes/plat/cloud.go
@@ -109,7 +109,7 @@
 		return
 	}
 	rack := p.racks[old.ID]
-	p.racks[x.ID] = rack
+	p.racks[x.ID], p.pools[x.ID] = rack, p.pools[old.ID]
 	p.wg.Add(1)
 	go func() {
 		defer p.wg.Done()
--- a/fakes/plat/serve.go
+++ b/fakes/plat/serve.go
@@ -31,6 +31,8 @@
 	seq     map[string]int64
 	ports   map[string]string
 	racks   map[string]string
+	// pools are those of workers that don't serve pool.
+	pools map[string]string
 	// CloudTrouble is under the lock, as is the number of orders so far.
 	CloudTrouble CloudTrouble
 	orders       int
@@ -44,7 +46,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Platform{
 		Store: NewStore(), Cluster: model.NewCluster(b), pool: pool, began: time.Now(), changed: make(chan struct{}), ctx: ctx, cancel: cancel,
-		seq: map[string]int64{}, ports: map[string]string{}, racks: map[string]string{},
+		seq: map[string]int64{}, ports: map[string]string{}, racks: map[string]string{}, pools: map[string]string{},
 	}
 	p.wg.Add(1)
 	go p.advance()
@@ -121,12 +123,27 @@
 	return d, a, err
 }
 
+// Assign makes a worker that is added later serve another pool.
+func (p *Platform) Assign(id, pool string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pools[id] = pool
+}
+
+// poolOf returns the pool that a worker serves. The lock is held.
+func (p *Platform) poolOf(id string) string {
+	if pool := p.pools[id]; pool != "" {
+		return pool
+	}
+	return p.pool
+}
+
 // AddWorker begins a life of a worker. A name that was used before comes back
 // at the address that it had.
 func (p *Platform) AddWorker(w *model.Worker, rack string) error {
 	p.mu.Lock()
 	if p.Cluster.Workers[w.ID] == nil {
-		p.Cluster.AddMachine("m-"+w.ID, p.pool, w.ID)
+		p.Cluster.AddMachine("m-"+w.ID, p.poolOf(w.ID), w.ID)
 	}
 	p.Cluster.Add(p.now(), w)
 	p.racks[w.ID] = rack
@@ -162,7 +179,7 @@
 	w := p.Cluster.Workers[id]
 	p.seq[id]++
 	b, err := json.Marshal(map[string]any{
-		"service": p.pool, "address": p.ports[id], "zone": "z", "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0, "seq": p.seq[id],
+		"service": p.poolOf(id), "address": p.ports[id], "zone": "z", "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0, "seq": p.seq[id],
 		"capacity": map[string]int64{"cpu": w.CPU, "mem-mb": w.Memory, "gpu": w.Accelerators}, "labels": []string{"k", rack},
 		"clock-ms": w.ClockMS(), "born": w.Born,
 	})
--- a/native/harness_test.go
+++ b/native/harness_test.go
@@ -6,11 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -64,6 +66,10 @@
 	hosts   []*hostProcess
 	version int64
 	racks   map[string]string
+	// without names queues that the next configuration leaves out, pools the
+	// pools of queues that aren't for "pool".
+	without map[string]bool
+	pools   map[string]string
 	// apart hosts don't know how to reach each other.
 	apart bool
 	// advice is the address of the advice service.
@@ -150,18 +156,34 @@
 // configure puts a configuration in force.
 func (d *deployment) configure(tenants ...map[string]any) {
 	d.version += 3
+	pools := []any{map[string]any{"name": "pool", "max-conns": 64, "enforces-capacity": true}}
+	poolOf := func(queue string) string {
+		if p := d.pools[queue]; p != "" {
+			return p
+		}
+		return "pool"
+	}
+	for _, p := range slices.Compact(slices.Sorted(maps.Values(d.pools))) {
+		pools = append(pools, map[string]any{"name": p, "max-conns": 64, "enforces-capacity": true})
+	}
 	route := func(name, prefix string, priority int, public bool) map[string]any {
 		return map[string]any{
 			"name": name, "host": "jobs.example", "path-prefix": prefix, "type": "unsafe", "timeout-ms": 3000, "slo-ms": 1000,
-			"priority": priority, "service": "pool", "max-attempts": 2, "stretch": 3.0, "public": public,
+			"priority": priority, "service": poolOf(name), "max-attempts": 2, "stretch": 3.0, "public": public,
 		}
 	}
 	advised := route("advised", "/advised/", 1, false)
 	advised["advice"] = map[string]int{"decide-ms": 5, "period-ms": 1, "valid-ms": 2000}
+	var routes []any
+	for _, r := range []map[string]any{route("urgent", "/urgent/", 0, false), route("batch", "/batch/", 2, false), route("open", "/open/", 1, true), advised} {
+		if !d.without[r["name"].(string)] {
+			routes = append(routes, r)
+		}
+	}
 	b, err := json.Marshal(map[string]any{
 		"version":  d.version,
-		"routes":   []any{route("urgent", "/urgent/", 0, false), route("batch", "/batch/", 2, false), route("open", "/open/", 1, true), advised},
-		"services": []any{map[string]any{"name": "pool", "max-conns": 64, "enforces-capacity": true}},
+		"routes":   routes,
+		"services": pools,
 		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 65536, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 		"tenants":  tenants,
 	})
@@ -391,13 +413,16 @@
 	})
 }
 
-// decider returns the host that decides for the pool.
-func (d *deployment) decider() *hostProcess {
+// decider returns the host that decides for "pool".
+func (d *deployment) decider() *hostProcess { return d.deciderOf("pool") }
+
+// deciderOf returns the host that decides for a pool.
+func (d *deployment) deciderOf(pool string) *hostProcess {
 	d.t.Helper()
 	var found *hostProcess
 	d.await("a decider", func() bool {
 		var b struct{ Host string }
-		if json.Unmarshal(d.p.Store.Value("heartbeats", "", "pool"), &b) != nil {
+		if json.Unmarshal(d.p.Store.Value("heartbeats", "", pool), &b) != nil {
 			return false
 		}
 		for _, h := range d.hosts {
--- a/sched/ends.go
+++ b/sched/ends.go
@@ -149,7 +149,7 @@
 	}
 	t.Step.Avoid[w.ID] = true
 	limit := 1
-	if q := s.Rules.Queues[j.Spec.Queue]; q != nil {
+	if q := s.QueueOf(j); q != nil {
 		limit = q.MaxAttempts
 	}
 	if j.Record.AddFailure(t.Key(), n) >= limit {
--- a/sched/share_test.go
+++ b/sched/share_test.go
@@ -208,3 +208,25 @@
 		}
 	}
 }
+
+// TestJobOfRemovedQueue hands a successor a job whose queue the configuration
+// has no more: its tasks run, and fail as often as they may, on the terms that
+// it was accepted on.
+func TestJobOfRemovedQueue(t *testing.T) {
+	b := newBench(t, 1)
+	q := work.Queue{Name: "gone", Pool: "p", Priority: 1, MaxAttempts: 3, Stretch: 2}
+	s := work.Step{Count: 1, Demand: work.Amounts{MilliCPU: 1000}}
+	id := "00000000000000aa"
+	b.step(event.JobAdded{Job: &work.Job{ID: id, Queue: "gone", Steps: []work.Step{s}, Terms: q.Terms()}, Record: &work.Record{State: work.Pending, Queue: "gone"}, Inherited: true})
+	for n := range q.MaxAttempts {
+		b.pass(8 * time.Second)
+		if len(b.running["w0"]) != 1 {
+			t.Fatalf("%d tasks run after %d failures", len(b.running["w0"]), n)
+		}
+		b.end("w0", work.TaskID{Job: id}, event.Failed)
+	}
+	b.pass(8 * time.Second)
+	if len(b.running["w0"]) != 0 || b.s.Jobs[id] != nil {
+		t.Errorf("after %d failures the job goes on", q.MaxAttempts)
+	}
+}
--- a/track/job.go
+++ b/track/job.go
@@ -53,7 +53,7 @@
 type Job struct {
 	Spec   *work.Job
 	Record *work.Record
-	// Queue is the job's queue as last configured.
+	// Queue is the job's queue as last configured, nil if that isn't known.
 	Queue *work.Queue
 	// Steps are those of all open occurrences, in order.
 	Steps []*Step
@@ -74,14 +74,6 @@
 	Failures int
 }
 
-// Priority returns the job's priority, 0 for the most urgent.
-func (j *Job) Priority(r *work.Rules) int {
-	if q := r.Queues[j.Spec.Queue]; q != nil {
-		return q.Priority
-	}
-	return 0
-}
-
 // Open adds the steps of an occurrence.
 func (j *Job) Open(k int, now time.Duration) {
 	for i := range j.Spec.Steps {
--- a/track/pool.go
+++ b/track/pool.go
@@ -186,6 +186,28 @@
 	return max(last, int(p.Config.Epoch-1)*runsPerEpoch) + 1
 }
 
+// QueueOf returns a job's queue as last configured, or as it was when the job
+// was accepted. It is nil if neither is known.
+func (p *Pool) QueueOf(j *Job) *work.Queue {
+	if p.Rules != nil {
+		if q := p.Rules.Queues[j.Spec.Queue]; q != nil {
+			j.Queue = q
+		}
+	}
+	if j.Queue == nil && j.Spec.Terms.Pool != "" {
+		j.Queue = j.Spec.Terms.Queue(j.Spec.Queue)
+	}
+	return j.Queue
+}
+
+// Priority returns a job's priority, 0 for the most urgent.
+func (p *Pool) Priority(j *Job) int {
+	if q := p.QueueOf(j); q != nil {
+		return q.Priority
+	}
+	return 0
+}
+
 // Guaranteed returns an account's guaranteed accelerators.
 func (p *Pool) Guaranteed(account string) int64 {
 	if a := p.Rules.Accounts[account]; a != nil {
--- a/work/job.go
+++ b/work/job.go
@@ -125,6 +125,9 @@
 	Interval time.Duration `json:",omitempty"`
 	// Accepted is when a host recorded the job, in Unix milliseconds.
 	Accepted int64
+	// Terms are the queue's as the job was accepted: they hold once the
+	// configuration has it no more.
+	Terms Terms
 }
 
 // Occurrences returns how often the steps run: 1 for a job without times.
--- a/work/rules.go
+++ b/work/rules.go
@@ -42,6 +42,39 @@
 	Advice bool
 }
 
+// Terms is what a queue says of its jobs.
+type Terms struct {
+	Pool        string
+	Priority    int
+	MaxAttempts int
+	Stretch     float64       `json:",omitempty"`
+	Slack       time.Duration `json:",omitempty"`
+	Advice      bool          `json:",omitempty"`
+}
+
+// Terms returns what the queue says of its jobs.
+func (q *Queue) Terms() Terms {
+	return Terms{q.Pool, q.Priority, q.MaxAttempts, q.Stretch, q.Slack, q.Advice}
+}
+
+// Queue returns a queue of a name with these terms that takes no calls.
+func (t Terms) Queue(name string) *Queue {
+	return &Queue{Name: name, Pool: t.Pool, Priority: t.Priority, MaxAttempts: t.MaxAttempts, Stretch: t.Stretch, Slack: t.Slack, Advice: t.Advice}
+}
+
+// PoolOf returns the pool that a job belongs to that nothing was started of:
+// that of its terms, so that all deciders agree whatever their configuration,
+// or the queue's where the configuration has that pool no more.
+func (r *Rules) PoolOf(j *Job) string {
+	if r.Pools[j.Terms.Pool] != nil {
+		return j.Terms.Pool
+	}
+	if q := r.Queues[j.Queue]; q != nil {
+		return q.Pool
+	}
+	return j.Terms.Pool
+}
+
 // Pool is a number of workers for the same queues.
 type Pool struct {
 	Name string
