orders: Look for room again once a task that lasts is at work

Cause: urgent work may stop a long-running task once the others of its step are at work.

Ruled out: the bound on lost work (the job is within its account's guarantee); the budget itself (one task may be away, and none was).

Change: a long-running run that comes to its whole asks for placement.

Conclusion: a worker tells of progress with its next answer, up to 1.9 s later; urgent work that needs more than a budget allows waits for that each time.

--- a/native/lasting_test.go
+++ b/native/lasting_test.go
@@ -113,3 +113,53 @@
 	}
 	d.check(w)
 }
+
+// TestBudget lets urgent jobs ask for the room of tasks that last in a pool that
+// these fill, also under a decider that is new: each job runs, and no task is
+// stopped while another of its step isn't at work, as one may be away.
+func TestBudget(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 3, 2)
+	w := d.watch()
+	lasting := step{shape: model.Shape{Work: 50 * time.Millisecond, Lasts: time.Hour, CPU: 1000, Memory: 1000, Accelerators: 2}, count: 4, mayMiss: 1}
+	stops := 0
+	d.p.Lock(func(c *model.Cluster) {
+		next := c.Stopped
+		c.Stopped = func(x *model.Worker, e model.End) {
+			next(x, e)
+			if e.How != "stopped" || !strings.HasPrefix(e.Task, id(1)+".") {
+				return
+			}
+			stops++
+			for i := range lasting.count {
+				o := fmt.Sprintf("%s.0.0.%d", id(1), i)
+				if o != e.Task && !slices.ContainsFunc(slices.Collect(maps.Values(c.Workers)), func(y *model.Worker) bool { return y.AtWork(o) }) {
+					w.wrong = append(w.wrong, fmt.Sprintf("%s is stopped while %s is away", e.Task, o))
+				}
+			}
+		}
+	})
+	d.submit(id(1), "/batch/", job(lasting))
+	whole := func() {
+		t.Helper()
+		d.await("all tasks that last", func() bool { return d.serving(w, id(1)) == lasting.count })
+	}
+	urgent := step{shape: model.Shape{Work: 300 * time.Millisecond, CPU: 1000, Memory: 1000, Accelerators: 2}, count: 2}
+	for n := range 3 {
+		whole()
+		if n == 2 {
+			h := d.decider()
+			h.kill()
+			d.await("another decider", func() bool { return d.decider() != h })
+		}
+		d.submit(id(10+n), "/urgent/", job(urgent))
+		d.awaitState("/urgent/", id(10+n), "succeeded")
+	}
+	whole()
+	d.p.Lock(func(*model.Cluster) {
+		if stops < 3 {
+			t.Errorf("%d stops: nothing was asked of the budget", stops)
+		}
+	})
+	d.check(w)
+}
--- a/orders/hold.go
+++ b/orders/hold.go
@@ -150,7 +150,10 @@
 		if x.Saved != "" && x.Saved != r.Saved {
 			r.Saved = x.Saved
 		}
-		r.Measure(s.Now.Steady, x.Percent)
+		if up := r.Percent >= 100; r.Measure(s.Now.Steady, x.Percent) && !up && r.LongRunning() {
+			// Another task of its step may be stopped now.
+			s.Changed = true
+		}
 		r.Tail = time.Duration(x.Figure) * time.Millisecond
 		if r.Phase == track.Starting {
 			r.Phase, r.Waiting, r.Settled = track.Working, false, s.Now.Steady
--- a/sched/share_test.go
+++ b/sched/share_test.go
@@ -230,3 +230,25 @@
 		t.Errorf("after %d failures the job goes on", q.MaxAttempts)
 	}
 }
+
+// TestBudgetComesBack lets urgent work wait for the room of a task that lasts
+// until another one of its step is at work again: nothing but that makes
+// placement look.
+func TestBudgetComesBack(t *testing.T) {
+	b := newBench(t, 2)
+	last := work.Step{Count: 2, Demand: work.Amounts{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 4}, LongRunning: true, MayMiss: 1}
+	b.submit("00000000000000aa", "batch", last)
+	if n := b.all("00000000000000aa", 50, 0); n != 2 {
+		t.Fatalf("%d tasks run", n)
+	}
+	b.submit("00000000000000bb", "urgent", work.Step{Count: 1, Demand: work.Amounts{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 4}})
+	b.pass(5 * time.Second)
+	if len(b.stops) != 0 {
+		t.Fatalf("%d were stopped while none was at work", len(b.stops))
+	}
+	b.all("00000000000000aa", 100, 0)
+	b.pass(3 * time.Second)
+	if len(b.stops) != 1 {
+		t.Errorf("%d were stopped once all were at work, want 1", len(b.stops))
+	}
+}
--- a/track/run.go
+++ b/track/run.go
@@ -96,12 +96,16 @@
 	leastStep = 0.5
 )
 
-// Measure takes in a run's progress.
-func (r *Run) Measure(now time.Duration, percent int) {
+// LongRunning reports whether the run's task goes on until its job is cancelled.
+func (r *Run) LongRunning() bool { return r.Task != nil && r.Task.Step.Spec.LongRunning }
+
+// Measure takes in a run's progress. It reports whether the run has come to its
+// whole: a long-running task is at work then.
+func (r *Run) Measure(now time.Duration, percent int) bool {
 	r.Percent = percent
 	if r.markAt == 0 {
 		r.mark, r.markAt = percent, now
-		return
+		return percent >= 100
 	}
 	if span := now - r.markAt; span >= speedSpan {
 		r.Rate = max(float64(percent-r.mark), leastStep) / span.Seconds()
@@ -109,6 +113,7 @@
 		r.Before = r.markAt
 		r.mark, r.markAt = percent, now
 	}
+	return percent >= 100
 }
 
 // Sensitive reports whether a run has a target for its response times.
