native: Pace tasks that fill on whole processes, under faults

Cause: throttling was shown by a driver alone, and the stand-in's workers knew neither paces nor tails.

Ruled out: a bound in time on whole processes (a slow machine would fail it); the driver's TestHarmEndsInTime keeps that.

Change: the stand-in's workers have tails, what tasks that fill add to them, and paces.

Before the stand-in left the processor of such tasks uncounted, it refused them.

Conclusion: nothing had to be mended in the product for it.

--- a/fakes/model/model.go
+++ b/fakes/model/model.go
@@ -29,6 +29,10 @@
 	Checkpoint bool
 	// Advised tasks start only with a ticket of the advice service.
 	Advised bool
+	// Tail is how long the slowest answers of a task take that serves, and
+	// Target what they must stay below; Harm is what a task that fills adds to
+	// that on its worker, at full pace.
+	Tail, Target, Harm time.Duration
 	// Demand for each resource, in the platform's units.
 	CPU, Memory, Accelerators int64
 }
@@ -63,6 +67,11 @@
 	Saved string
 	// Percent is how much of the work is done.
 	Percent int
+	// Figure is the tail of a task that serves, in milliseconds.
+	Figure int
+	// Pace is the share at which the task works and disturbs, in percent. Its
+	// progress doesn't follow it here.
+	Pace int
 
 	shape Shape
 	key   string
@@ -87,6 +96,8 @@
 	Lax bool
 	// Rate is the speed of the worker's clock.
 	Rate float64
+	// Load is what the tails of its tasks are multiplied by, 0 for 1.
+	Load float64
 
 	c        *Cluster
 	began    time.Duration
@@ -289,7 +300,7 @@
 	if step >= len(l) {
 		return nil, fmt.Errorf("no shape for step %d", step)
 	}
-	p := &Present{Task: o.Task, Run: o.Run, Saved: o.Saved, shape: l[step], since: w.c.now, key: fmt.Sprintf("%s.%d.%d/%d", job, k, step, o.Run)}
+	p := &Present{Task: o.Task, Run: o.Run, Saved: o.Saved, Pace: 100, shape: l[step], since: w.c.now, key: fmt.Sprintf("%s.%d.%d/%d", job, k, step, o.Run)}
 	if o.Saved != "" {
 		ms, err := strconv.ParseInt(o.Saved, 16, 64)
 		if err != nil {
@@ -318,8 +329,14 @@
 
 // fits reports whether a task fits beside what runs.
 func (w *Worker) fits(s Shape) bool {
+	// The processor of tasks that fill isn't counted.
+	if s.Harm > 0 {
+		s.CPU = 0
+	}
 	for _, p := range w.runs {
-		s.CPU += p.shape.CPU
+		if p.shape.Harm == 0 {
+			s.CPU += p.shape.CPU
+		}
 		s.Memory += p.shape.Memory
 		s.Accelerators += p.shape.Accelerators
 	}
@@ -403,11 +420,62 @@
 		if p.shape.Work > 0 {
 			q.Percent = int(100 * p.progress(w.time()) / p.shape.Work)
 		}
+		if p.shape.Target > 0 {
+			q.Figure = int(w.tail(p, true).Milliseconds())
+		}
 		l = append(l, q)
 	}
 	return l, slices.Clone(w.ends), ""
 }
 
+// Pace takes an order to let a run work at a share of its speed. It returns
+// the reason of a refusal.
+func (w *Worker) Pace(task string, run, percent int, fence int64) string {
+	if fence < w.fence {
+		return "fence"
+	}
+	w.fence = fence
+	if p := w.runs[task]; p != nil && p.Run == run {
+		p.Pace = percent
+	}
+	return ""
+}
+
+// tail returns how long the slowest answers of a task take, with those that
+// fill beside it or without.
+func (w *Worker) tail(p *Present, filled bool) time.Duration {
+	d := time.Duration(float64(p.shape.Tail) * max(w.Load, 1))
+	for _, o := range w.runs {
+		if filled {
+			d += o.shape.Harm * time.Duration(o.Pace) / 100
+		}
+	}
+	return d
+}
+
+// Harmed returns the tasks on the worker that are over their target, and would
+// not be without those that fill beside them.
+func (w *Worker) Harmed() []string {
+	var l []string
+	for _, p := range w.list() {
+		if p.shape.Target > 0 && w.tail(p, true) >= p.shape.Target && w.tail(p, false) < p.shape.Target {
+			l = append(l, p.Task)
+		}
+	}
+	return l
+}
+
+// Paces returns the pace of each task that fills on the worker.
+func (w *Worker) Paces() map[string]int {
+	m := map[string]int{}
+	for _, p := range w.list() {
+		if p.shape.Harm > 0 {
+			m[p.Task] = p.Pace
+		}
+	}
+	return m
+}
+
 // AtWork reports whether a task works on w and is not being stopped: a
 // long-running one serves.
 func (w *Worker) AtWork(task string) bool {
--- a/fakes/plat/serve.go
+++ b/fakes/plat/serve.go
@@ -193,7 +193,7 @@
 // orderBody is what an order or a hold carries.
 type orderBody struct {
 	Task, Spec, Saved, Ticket           string
-	Run                                 int
+	Run, Percent                        int
 	Fence, DeadlineMS, SeenUpto, WaitMS int64
 }
 
@@ -206,7 +206,7 @@
 	text := func(k string) string { v, _ := m[k].(string); return v }
 	number := func(k string) int64 { v, _ := m[k].(float64); return int64(v) }
 	return orderBody{
-		Task: text("task"), Spec: text("spec"), Saved: text("last-checkpoint"), Ticket: text("ticket"), Run: int(number("run")), Fence: number("fence"),
+		Task: text("task"), Spec: text("spec"), Saved: text("last-checkpoint"), Ticket: text("ticket"), Run: int(number("run")), Percent: int(number("percent")), Fence: number("fence"),
 		DeadlineMS: number("deadline-ms"), SeenUpto: number("seen-upto"), WaitMS: number("wait-ms"),
 	}, nil
 }
@@ -265,6 +265,8 @@
 			why = x.Start(model.Order{Task: b.Task, Run: b.Run, Spec: b.Spec, Saved: b.Saved, Ticket: b.Ticket, Fence: b.Fence, DeadlineMS: b.DeadlineMS})
 		case "/-/run-stop":
 			why = x.Stop(b.Task, b.Run, b.Fence)
+		case "/-/pace":
+			why = x.Pace(b.Task, b.Run, b.Percent, b.Fence)
 		case "/-/hold":
 			why = p.hold(x, b, body, r.Context())
 		}
@@ -291,7 +293,7 @@
 		if len(ended) > 0 || p.now() >= until || ctx.Err() != nil || !x.Up() {
 			rows, ends := [][]any{}, [][]any{}
 			for _, q := range running {
-				rows = append(rows, []any{q.Task, q.Run, q.Saved, q.Percent})
+				rows = append(rows, []any{q.Task, q.Run, q.Saved, q.Percent, q.Figure})
 			}
 			for _, q := range ended {
 				ends = append(ends, []any{q.N, q.Task, q.Run, q.How, q.Saved})
--- a/native/harness_test.go
+++ b/native/harness_test.go
@@ -347,6 +347,8 @@
 	after []int
 	// mayMiss is the budget of a long-running step.
 	mayMiss int
+	// image names what the tasks run.
+	image string
 }
 
 // job returns a submission's body.
@@ -359,6 +361,7 @@
 			"count": s.count, "cpu": s.shape.CPU, "mem-mb": s.shape.Memory, "gpu": s.shape.Accelerators, "estimate-ms": s.shape.Work.Milliseconds(),
 			"after": s.after, "gang": s.shape.Gang > 0, "checkpoint": s.shape.Checkpoint,
 			"long-running": s.shape.Lasts > 0, "may-miss": s.mayMiss,
+			"target-ms": s.shape.Target.Milliseconds(), "fills": s.shape.Harm > 0, "image": s.image,
 		})
 	}
 	b, err := json.Marshal(map[string]any{"spec": model.Spec(shapes...), "steps": steps})
