--- a/decide/shard.go
+++ b/decide/shard.go
@@ -112,7 +112,11 @@
 // noteEnd remembers a record that is final.
 func (s *shard) noteEnd(r repo.Row) {
 	rec, err := work.DecodeRecord(r.Value)
-	if err != nil || !rec.State.Final() {
+	if err != nil {
+		s.d.log.Error().Err(err).Str("job", r.Key).Msg("record can't be read")
+		return
+	}
+	if !rec.State.Final() {
 		return
 	}
 	s.writer.Known(repo.TableRecords, r.Key, r.Version)
--- a/node/node.go
+++ b/node/node.go
@@ -114,7 +114,7 @@
 	if err = h.openRelay(s); err != nil {
 		return nil, err
 	}
-	h.store = h.health.Watch(h.clock.Watch(h.relay))
+	h.store = watch.Over(h.relay, h.clock, h.health)
 	h.repo = repo.New(h.store, h.health)
 	h.owners = repo.NewOwners(h.store)
 	h.heartbeats = newHeartbeats(timer.Boot, h.heartbeatPause)
--- a/orders/hold.go
+++ b/orders/hold.go
@@ -41,7 +41,7 @@
 	if w.Holding || w.Gone || w.Address == "" || s.Limits.NoOrders {
 		return idle
 	}
-	needed := len(w.Runs) > 0 || !w.Synced || w.Silent > 0 || w.Durable > w.Told || len(w.Ends) > 0
+	needed := len(w.Runs) > 0 || !w.Synced || w.Silent > 0 || w.Durable > w.Told || len(w.Ends) > 0 || w.Replaced > 0
 	if !needed {
 		return idle
 	}
@@ -109,6 +109,9 @@
 		s.Changed = true
 	}
 	w.Silent = 0
+	if e.Call.Sent > w.Replaced && w.Replaced > 0 {
+		w.Replaced, s.Changed = 0, true
+	}
 	if w.Lapsing {
 		w.Lapsing = false
 		s.Record(w, 0)
--- a/orders/workers.go
+++ b/orders/workers.go
@@ -143,7 +143,7 @@
 // address.
 func (s *Sender) Ended(w *track.Worker) {
 	s.Note(nil, w, nil, "worker's life is over")
-	w.Gone, w.Synced, w.Holding = true, false, false
+	w.Gone, w.Synced, w.Holding, w.Replaced = true, false, false, 0
 	w.Inherited = false
 	w.Ends = nil
 	s.lose(w)
--- a/sched/waves.go
+++ b/sched/waves.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"citronbridge/event"
@@ -16,15 +17,15 @@
 		s.waves = upkeep.New(upkeep.Config{Pool: s.Config.Pool, Epoch: s.Config.Epoch, Lease: s.Config.TurnPause, Takes: s.Config.UpkeepTime}, s.Taken)
 	}
 	s.waves.Asked(w, s.Now.Steady)
-	s.Note(nil, nil, nil, "wave of upkeep is asked for")
+	s.Note(nil, nil, nil, "wave "+strconv.FormatInt(w.N, 10)+" of upkeep is asked for")
 }
 
-// machinesListed takes in the list of machines: a worker whose machine has
-// another one runs nothing any more.
+// machinesListed takes in the list of machines, and what it says of workers that
+// others have replaced.
 func (s *State) machinesListed(e event.MachinesListed) {
 	for _, id := range s.waves.Listed(e.Machines, e.Sent, s.Now.Steady, e.Err) {
 		if w := s.Workers[id]; w != nil && !w.Gone {
-			s.Ended(w)
+			w.Replaced = max(s.Now.Steady, 1)
 		}
 	}
 }
@@ -47,6 +48,11 @@
 	}
 	leaving := s.waves.Leaving()
 	for _, w := range s.Sorted {
+		if w.Replaced > 0 && w.Silent > 0 && !w.Gone {
+			// It doesn't answer, and its machine has another worker: what it
+			// ran is gone.
+			s.Ended(w)
+		}
 		if _, l := leaving[w.ID]; l != w.Leaving {
 			w.Leaving, s.Changed = l, true
 			if l {
--- a/track/worker.go
+++ b/track/worker.go
@@ -59,6 +59,10 @@
 	// Level is the pace of best-effort tasks.
 	Level pacing.Level
 
+	// Replaced is when a list of machines said that another worker is on this
+	// one's machine, 0 if none did. It takes no tasks, and is asked whether it
+	// lives, as a list may be old.
+	Replaced time.Duration
 	// Leaving workers are emptied for the upkeep of their machines.
 	Leaving bool
 	// ClosedUntil keeps new tasks away.
--- a/watch/clock.go
+++ b/watch/clock.go
@@ -3,11 +3,8 @@
 package watch
 
 import (
-	"context"
 	"sync"
 	"time"
-
-	"citronbridge/repo"
 )
 
 // Clock reckons the store's steady clock from its answers, so that hosts can
@@ -49,35 +46,3 @@
 		c.store, c.sent, c.answered = store, sent, c.now()
 	}
 }
-
-// Watch returns the store, and observes its answers.
-func (c *Clock) Watch(s repo.Store) repo.Store { return watched{s, c} }
-
-// watched observes answers. Those to Feed are left alone: they wait for a
-// change, and tell little of when the store answered.
-type watched struct {
-	repo.Store
-	clock *Clock
-}
-
-var _ repo.Store = watched{}
-
-// Apply implements Store.
-func (w watched) Apply(ctx context.Context, c repo.Change) (repo.Result, error) {
-	sent := w.clock.now()
-	r, err := w.Store.Apply(ctx, c)
-	if err == nil {
-		w.clock.observe(sent, r.Now)
-	}
-	return r, err
-}
-
-// List implements Store.
-func (w watched) List(ctx context.Context, table, part, from string, limit int) (repo.Page, error) {
-	sent := w.clock.now()
-	p, err := w.Store.List(ctx, table, part, from, limit)
-	if err == nil {
-		w.clock.observe(sent, p.Now)
-	}
-	return p, err
-}
--- a/watch/clock_test.go
+++ b/watch/clock_test.go
@@ -36,7 +36,7 @@
 	}
 	s := ticking{rows.New(), &now, 30 * time.Millisecond}
 	for range 3 {
-		if _, err := c.Watch(s).Apply(context.Background(), repo.Change{}); err != nil {
+		if _, err := Over(s, c, nil).Apply(context.Background(), repo.Change{}); err != nil {
 			t.Fatal(err)
 		}
 		now += 5 * time.Second
--- a/watch/health.go
+++ b/watch/health.go
@@ -48,35 +48,3 @@
 	}
 	h.failing = err != nil
 }
-
-// Watch returns the store, and takes in how its calls come out.
-func (h *Health) Watch(s repo.Store) repo.Store { return tended{s, h} }
-
-// tended takes in how the calls of a store come out.
-type tended struct {
-	store  repo.Store
-	health *Health
-}
-
-var _ repo.Store = tended{}
-
-// Apply implements Store.
-func (t tended) Apply(ctx context.Context, c repo.Change) (repo.Result, error) {
-	r, err := t.store.Apply(ctx, c)
-	t.health.note(ctx, err)
-	return r, err
-}
-
-// List implements Store.
-func (t tended) List(ctx context.Context, table, part, from string, limit int) (repo.Page, error) {
-	p, err := t.store.List(ctx, table, part, from, limit)
-	t.health.note(ctx, err)
-	return p, err
-}
-
-// Feed implements Store.
-func (t tended) Feed(ctx context.Context, table string, after int64, wait time.Duration) (repo.Page, error) {
-	p, err := t.store.Feed(ctx, table, after, wait)
-	t.health.note(ctx, err)
-	return p, err
-}
--- a/watch/health_test.go
+++ b/watch/health_test.go
@@ -30,7 +30,7 @@
 	now := time.Minute
 	h := NewHealth(func() time.Duration { return now })
 	f := &failing{Store: rows.New()}
-	s := h.Watch(f)
+	s := Over(f, nil, h)
 	ctx := context.Background()
 	fails := func(ctx context.Context, err error) {
 		f.err = err
