waves, follow: Split decide and repo as they grew

Ruled out: files alone (the packages stay open to all of it).

Change: `waves` carries out what waves need of the store, the service of machines and the operator; `follow` reads tables and their changes. Both are what they were, but for one name: a Runner in place of methods of the decider.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -18,7 +18,9 @@
 	"citronbridge/sched"
 	"citronbridge/timer"
 	"citronbridge/track"
+	"citronbridge/upkeep"
 	"citronbridge/watch"
+	"citronbridge/waves"
 	"citronbridge/work"
 )
 
@@ -78,7 +80,7 @@
 	Workers Workers
 	Advisor Advisor
 	// Machines leads the machines of workers through waves of upkeep.
-	Machines Machines
+	Machines waves.Machines
 	Rules    func() *work.Rules
 	Bounds   platform.Bounds
 	Meter    *meter.Host
@@ -98,6 +100,8 @@
 	// writer writes what is beside jobs, shards what belongs to them.
 	writer *repo.Writer
 	shards map[string]*shard
+	// waves carries out what waves of upkeep need.
+	waves *waves.Runner
 
 	// proving guards the ownership.
 	proving sync.Mutex
@@ -123,6 +127,10 @@
 	}
 	d.ctx, d.cancel = context.WithCancel(ctx)
 	d.writer = d.newWriter(c.Ownership.Owner)
+	d.waves = waves.New(waves.Config{
+		Host: c.Owner.Host, Store: c.Store, Owner: c.Ownership.Owner, Machines: c.Machines, Now: func() time.Duration { return d.clock().Steady },
+		Tell: d.tell, Ordered: func(o upkeep.Outcome) { c.Meter.Orders.WithLabelValues("upkeep", string(o)).Inc() }, Deposed: d.deposed, Log: d.log,
+	})
 	d.shards = map[string]*shard{}
 	for _, p := range repo.JobParts() {
 		d.shards[p] = &shard{d: d, part: p, ended: map[string]int64{}}
@@ -211,6 +219,12 @@
 	}
 }
 
+// WaveAsked passes a wave of upkeep on.
+func (d *Decider) WaveAsked(w upkeep.Wave) { d.tell(event.WaveAsked{Wave: w}) }
+
+// WaveDropped passes on that a wave was taken back.
+func (d *Decider) WaveDropped(n int64) { d.tell(event.WaveDropped{Wave: n}) }
+
 func (d *Decider) tell(e event.Event) {
 	select {
 	case d.events <- e:
@@ -348,7 +362,7 @@
 			tasks, accelerators := e.Job.Size()
 			d.log.Info().Str("job", e.Job.ID).Str("queue", e.Job.Queue).Str("account", e.Job.Tenant).Int("tasks", tasks).Int64("accelerators", accelerators).Msg("job taken in")
 		case event.Upkeep:
-			d.upkeep(e.Action)
+			d.goes(func() { d.waves.Do(d.ctx, e.Action) })
 		case event.Note:
 			d.log.Info().Str("job", e.Job).Str("worker", e.Worker).Str("task", e.Task).Int("run", e.Run).Msg(e.Text)
 		}
--- a/decide/load.go
+++ b/decide/load.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"citronbridge/event"
+	"citronbridge/follow"
 	"citronbridge/platform"
 	"citronbridge/repo"
 	"citronbridge/timer"
@@ -127,7 +128,7 @@
 
 // follow passes on what changes in the pool.
 func (d *Decider) follow(l *loaded) {
-	f := func(w repo.Follower, after int64) {
+	f := func(w follow.Follower, after int64) {
 		w.Store, w.Wait, w.Now = d.c.Store, feedWait, timer.Boot
 		w.Lost = func(err error) { d.log.Warn().Err(err).Str("table", w.Table).Msg("feed is lost") }
 		d.goes(func() { w.Run(d.ctx, after) })
@@ -146,10 +147,10 @@
 			}
 		}
 	}
-	f(repo.Follower{Table: repo.TableJobs, Spread: true, Listed: jobs, Changed: jobs}, l.version)
-	f(repo.Follower{Table: repo.TableCancels, Spread: true, Listed: cancels, Changed: cancels}, l.version)
+	f(follow.Follower{Table: repo.TableJobs, Spread: true, Listed: jobs, Changed: jobs}, l.version)
+	f(follow.Follower{Table: repo.TableCancels, Spread: true, Listed: cancels, Changed: cancels}, l.version)
 	pause := func() time.Duration { return registryPause }
-	f(repo.Follower{Table: platform.TableServers, Pause: pause, Listed: d.relisted, Changed: func(rows []repo.Row) {
+	f(follow.Follower{Table: platform.TableServers, Pause: pause, Listed: d.relisted, Changed: func(rows []repo.Row) {
 		for _, r := range rows {
 			for _, e := range d.entry(r) {
 				d.tell(e)
--- a/repo/feed.go
+++ b/follow/follow.go
@@ -1,14 +1,17 @@
-package repo
+// Package follow reads tables and then what changes in them.
+package follow
 
 import (
 	"context"
 	"errors"
 	"time"
+
+	"citronbridge/repo"
 )
 
 // Follower reads a table and then what changes in it, until its context ends.
 type Follower struct {
-	Store Store
+	Store repo.Store
 	Table string
 	// Spread tables are in the parts of jobs.
 	Spread bool
@@ -20,8 +23,8 @@
 	Now func() time.Duration
 	// Listed is told all rows of the table: those that aren't among them are
 	// gone. Changed is told single rows.
-	Listed  func([]Row)
-	Changed func([]Row)
+	Listed  func([]repo.Row)
+	Changed func([]repo.Row)
 	// Confirmed, if set, is told a time at which all changes up to then had
 	// been passed on.
 	Confirmed func(time.Duration)
@@ -90,12 +93,12 @@
 
 func (f *Follower) list(ctx context.Context) (int64, error) {
 	sent := f.Now()
-	var p Page
+	var p repo.Page
 	var err error
 	if f.Spread {
-		p, err = AllParts(ctx, f.Store, f.Table)
+		p, err = repo.AllParts(ctx, f.Store, f.Table)
 	} else {
-		p, err = All(ctx, f.Store, f.Table, "")
+		p, err = repo.All(ctx, f.Store, f.Table, "")
 	}
 	if err != nil {
 		return 0, err
@@ -114,7 +117,7 @@
 		wait = 0
 	}
 	p, err := f.Store.Feed(ctx, f.Table, after, wait)
-	if errors.Is(err, ErrHistoryGone) {
+	if errors.Is(err, repo.ErrHistoryGone) {
 		return 0, nil
 	}
 	if err != nil {
--- a/node/lead.go
+++ b/node/lead.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"citronbridge/decide"
+	"citronbridge/follow"
 	"citronbridge/platform"
 	"citronbridge/platform/advise"
 	"citronbridge/platform/cloud"
@@ -160,7 +161,7 @@
 			h.log.Error().Err(err).Msg("heartbeat can't be read")
 		}
 	}
-	f := &repo.Follower{
+	f := &follow.Follower{
 		Store: h.store, Table: repo.TableHeartbeats, Wait: feedWait, Now: timer.Boot, Listed: take, Changed: take, Confirmed: h.heartbeats.answered,
 		Pause: h.heartbeatPause,
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/rs/xid"
 	"github.com/rs/zerolog"
 
+	"citronbridge/follow"
 	"citronbridge/gate"
 	"citronbridge/meter"
 	"citronbridge/platform"
@@ -256,7 +257,7 @@
 			h.takeWave(r)
 		}
 	}
-	f := &repo.Follower{
+	f := &follow.Follower{
 		Store: h.store, Table: platform.TableOperator, Wait: feedWait, Now: timer.Boot, Listed: take, Changed: take,
 		Confirmed: h.gate.Confirm,
 		Lost:      func(err error) { h.log.Warn().Err(err).Msg("store is lost") },
--- /dev/null
+++ b/waves/waves.go
@@ -0,0 +1,118 @@
+// Package waves carries out what a pool's decider wants done for waves of
+// upkeep: in the table service, at the service of machines and towards the
+// operator.
+package waves
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"citronbridge/event"
+	"citronbridge/platform/cloud"
+	"citronbridge/repo"
+	"citronbridge/upkeep"
+)
+
+// Machines is the service of machines.
+type Machines interface {
+	List(ctx context.Context) ([]upkeep.Machine, error)
+	Upkeep(ctx context.Context, machine string, wave int64, holder string, token int64) (upkeep.Outcome, error)
+}
+
+var _ Machines = (*cloud.Client)(nil)
+
+// Config is what a Runner needs.
+type Config struct {
+	// Host names the holder of machines.
+	Host  string
+	Store repo.Store
+	// Owner is what the pool is held by.
+	Owner    repo.Condition
+	Machines Machines
+	// Now tells the decider's steady time.
+	Now func() time.Duration
+	// Tell passes events on to the decider.
+	Tell func(event.Event)
+	// Ordered is told how each order came out.
+	Ordered func(upkeep.Outcome)
+	// Deposed is called if the pool is another host's.
+	Deposed func()
+	Log     zerolog.Logger
+}
+
+// Runner carries out actions.
+type Runner struct{ c Config }
+
+// New returns a Runner.
+func New(c Config) *Runner { return &Runner{c} }
+
+// Do carries out an action, and tells the decider what came of it.
+func (r *Runner) Do(ctx context.Context, a upkeep.Action) {
+	switch a := a.(type) {
+	case upkeep.List:
+		sent := r.c.Now()
+		l, err := r.c.Machines.List(ctx)
+		if err != nil {
+			r.c.Log.Warn().Err(err).Msg("machines can't be listed")
+		}
+		r.c.Tell(event.MachinesListed{Machines: l, Sent: sent, Err: err})
+	case upkeep.Read:
+		p, v, err := r.read(ctx, a.Wave)
+		r.progress(a.Wave, p, v, err)
+	case upkeep.Write:
+		p, v, held, err := r.write(ctx, a)
+		if !held {
+			r.c.Deposed()
+			return
+		}
+		r.progress(a.Wave, p, v, err)
+	case upkeep.Order:
+		o, err := r.c.Machines.Upkeep(ctx, a.Machine, a.Wave, r.c.Host, a.Token)
+		r.c.Log.Info().Str("machine", a.Machine).Int64("wave", a.Wave).Int64("token", a.Token).Str("outcome", string(o)).AnErr("cause", err).Msg("upkeep ordered")
+		r.c.Ordered(o)
+		r.c.Tell(event.UpkeepAnswered{Wave: a.Wave, Machine: a.Machine, Outcome: o})
+	case upkeep.Tell:
+		r.tellOperator(ctx, a)
+	}
+}
+
+// progress passes on how a wave is.
+func (r *Runner) progress(n int64, p upkeep.Progress, version int64, err error) {
+	if err != nil {
+		r.c.Log.Warn().Err(err).Int64("wave", n).Msg("progress of a wave isn't known")
+	} else {
+		r.c.Log.Info().Int64("wave", n).Int64("version", version).Interface("claims", p.Claims).Int("done", len(p.Done)).Msg("progress of a wave")
+	}
+	r.c.Tell(event.ProgressRead{Wave: n, Progress: p, Version: version, Err: err})
+}
+
+// tellPause is kept between two tries to tell the operator.
+const tellPause = 300 * time.Millisecond
+
+// tellOperator tells how a wave is, trying until that succeeds or ctx ends. That
+// it is under way is told once.
+func (r *Runner) tellOperator(ctx context.Context, a upkeep.Tell) {
+	b, err := cloud.EncodeStatus(a.Wave, a.Finished)
+	if err != nil {
+		panic(fmt.Sprint("status of a wave: ", err))
+	}
+	c := repo.Change{If: []repo.Condition{r.c.Owner}, Put: []repo.Row{{Table: cloud.TableStatus, Key: cloud.WaveKey(a.Wave), Value: b}}}
+	if !a.Finished {
+		c.If = append(c.If, repo.Condition{Table: cloud.TableStatus, Key: cloud.WaveKey(a.Wave)})
+	}
+	for ctx.Err() == nil {
+		_, err := r.c.Store.Apply(ctx, c)
+		if err == nil {
+			r.c.Log.Info().Int64("wave", a.Wave).Bool("finished", a.Finished).Msg("operator is told of a wave")
+			return
+		}
+		r.c.Log.Warn().Err(err).Int64("wave", a.Wave).Msg("operator can't be told of a wave yet")
+		select {
+		case <-ctx.Done():
+		case <-time.After(tellPause):
+		}
+	}
+}
