--- a/assign/assign.go
+++ b/assign/assign.go
@@ -204,7 +204,7 @@
 	d := u.Step.Counted()
 	// Most workers of a busy pool have no room: divisions would be most of the
 	// time of a decision.
-	if !d.Within(free) {
+	if !d.Fits(free) {
 		return 0
 	}
 	n := len(u.Indexes)
@@ -311,7 +311,7 @@
 	var l []*Worker
 	full := len(group) == len(p.workers)
 	for _, w := range group {
-		full = full && (w.Closed || !d.Within(w.Free))
+		full = full && (w.Closed || !d.Fits(w.Free))
 		if u.room(w, p.free(u, w)) > 0 && u.eligible(w) {
 			l = append(l, w)
 		}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -11,6 +11,7 @@
 
 	"citronbridge/advice"
 	"citronbridge/event"
+	"citronbridge/maint"
 	"citronbridge/meter"
 	"citronbridge/platform"
 	"citronbridge/platform/advise"
@@ -18,7 +19,6 @@
 	"citronbridge/sched"
 	"citronbridge/timer"
 	"citronbridge/track"
-	"citronbridge/upkeep"
 	"citronbridge/watch"
 	"citronbridge/waves"
 	"citronbridge/work"
@@ -79,7 +79,7 @@
 	Owners  *repo.Owners
 	Workers Workers
 	Advisor Advisor
-	// Machines leads the machines of workers through waves of upkeep.
+	// Machines leads the machines of workers through waves of maintenance.
 	Machines waves.Machines
 	Rules    func() *work.Rules
 	Bounds   platform.Bounds
@@ -100,7 +100,7 @@
 	// writer writes what is beside jobs, shards what belongs to them.
 	writer *repo.Writer
 	shards map[string]*shard
-	// waves carries out what waves of upkeep need.
+	// waves carries out what waves of maintenance need.
 	waves *waves.Runner
 
 	// proving guards the ownership.
@@ -129,7 +129,7 @@
 	d.writer = d.newWriter(c.Ownership.Owner)
 	d.waves = waves.New(waves.Config{
 		Host: c.Owner.Host, Store: c.Store, Owner: c.Ownership.Owner, Machines: c.Machines, Now: func() time.Duration { return d.clock().Steady },
-		Tell: d.tell, Ordered: func(o upkeep.Outcome) { c.Meter.Orders.WithLabelValues("upkeep", string(o)).Inc() }, Deposed: d.deposed, Log: d.log,
+		Tell: d.tell, Ordered: func(o maint.Outcome) { c.Meter.Orders.WithLabelValues("maintenance", string(o)).Inc() }, Deposed: d.deposed, Log: d.log,
 	})
 	d.shards = map[string]*shard{}
 	for _, p := range repo.JobParts() {
@@ -215,12 +215,12 @@
 	return event.Bounds{
 		Lease: platform.Milliseconds(b.MaxHoldMS) - leaseMargin, StopTime: platform.Milliseconds(b.StopMS),
 		Reclaim: platform.Milliseconds(b.ReclaimMS), FarFactor: b.FarFactor,
-		UpkeepTime: platform.Seconds(b.UpkeepS), TurnPause: platform.Milliseconds(b.TurnMS),
+		MaintenanceTime: platform.Seconds(b.MaintenanceS), TurnPause: platform.Milliseconds(b.TurnMS),
 	}
 }
 
-// WaveAsked passes a wave of upkeep on.
-func (d *Decider) WaveAsked(w upkeep.Wave) { d.tell(event.WaveAsked{Wave: w}) }
+// WaveAsked passes a wave of maintenance on.
+func (d *Decider) WaveAsked(w maint.Wave) { d.tell(event.WaveAsked{Wave: w}) }
 
 // WaveDropped passes on that a wave was taken back.
 func (d *Decider) WaveDropped(n int64) { d.tell(event.WaveDropped{Wave: n}) }
@@ -357,11 +357,11 @@
 		case event.JobEnded:
 			q := d.queueLabel(e.Queue)
 			d.c.Meter.Jobs.WithLabelValues(q, string(e.State)).Inc()
-			d.c.Meter.Whole.WithLabelValues(q).Observe(e.Took.Seconds())
+			d.c.Meter.JobTime.WithLabelValues(q).Observe(e.Took.Seconds())
 		case event.TakenIn:
 			tasks, accelerators := e.Job.Size()
 			d.log.Info().Str("job", e.Job.ID).Str("queue", e.Job.Queue).Str("account", e.Job.Tenant).Int("tasks", tasks).Int64("accelerators", accelerators).Msg("job taken in")
-		case event.Upkeep:
+		case event.Maintenance:
 			d.goes(func() { d.waves.Do(d.ctx, e.Action) })
 		case event.Note:
 			d.log.Info().Str("job", e.Job).Str("worker", e.Worker).Str("task", e.Task).Int("run", e.Run).Msg(e.Text)
--- a/demand/units.go
+++ b/demand/units.go
@@ -13,10 +13,7 @@
 func Units(p *track.Pool) []*assign.Unit {
 	var l []*assign.Unit
 	for _, j := range p.Order {
-		if j.Record.State.Final() {
-			continue
-		}
-		if p.QueueOf(j) == nil {
+		if j.Record.State.Final() || p.QueueOf(j) == nil {
 			continue
 		}
 		for _, st := range j.Steps {
@@ -37,7 +34,7 @@
 		return nil
 	}
 	u := &assign.Unit{
-		Key: st.Key, Step: st.Spec, Priority: st.Job.Queue.Priority, Rank: rank(p, st), Preempts: st.Job.Queue.Priority == 0,
+		Key: st.Key, Step: st.Spec, Priority: st.Job.Queue.Priority, Rank: rank(st), Preempts: st.Job.Queue.Priority == 0,
 		Avoid: st.Avoid, Waited: p.Now.Steady - st.ReadyAt, Patience: st.Spec.Estimate,
 	}
 	if st.Spec.AntiAffinity > 0 {
@@ -93,7 +90,7 @@
 }
 
 // rank orders the steps of one priority by when their job should be done.
-func rank(p *track.Pool, st *track.Step) time.Duration {
+func rank(st *track.Step) time.Duration {
 	j := st.Job
 	at := j.Spec.Accepted
 	if j.Spec.Times > 0 {
--- a/event/event.go
+++ b/event/event.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"citronbridge/advice"
-	"citronbridge/upkeep"
+	"citronbridge/maint"
 	"citronbridge/work"
 )
 
@@ -81,9 +81,9 @@
 	// Reclaim is how soon all tasks of an urgent job within its account's
 	// guarantee are to have begun, 0 if that isn't bounded.
 	Reclaim time.Duration
-	// UpkeepTime is how long a machine's upkeep takes, TurnPause how long after
+	// MaintenanceTime is how long a machine's maintenance takes, TurnPause how long after
 	// a takeover no machine gets an order.
-	UpkeepTime, TurnPause time.Duration
+	MaintenanceTime, TurnPause time.Duration
 	// FarFactor is how much longer work takes away from its data's rack.
 	FarFactor float64
 }
@@ -134,62 +134,62 @@
 	Sent, Valid time.Duration
 }
 
-// WaveAsked tells of a wave of upkeep, new or changed.
-type WaveAsked struct{ Wave upkeep.Wave }
+// WaveAsked tells of a wave of maintenance, new or changed.
+type WaveAsked struct{ Wave maint.Wave }
 
 // WaveDropped tells that a wave was taken back.
 type WaveDropped struct{ Wave int64 }
 
-// MachinesListed is the outcome of an upkeep.List.
+// MachinesListed is the outcome of an maint.List.
 type MachinesListed struct {
-	Machines []upkeep.Machine
+	Machines []maint.Machine
 	// Sent is when the list was asked for.
 	Sent time.Duration
 	// Err is why there is no list, nil if there is.
 	Err error
 }
 
-// ProgressRead is the outcome of an upkeep.Read or an upkeep.Write: the row as
+// ProgressRead is the outcome of an maint.Read or an maint.Write: the row as
 // it is now, unless it isn't known.
 type ProgressRead struct {
 	Wave     int64
-	Progress upkeep.Progress
+	Progress maint.Progress
 	// Version is that of the row, 0 if there is none.
 	Version int64
 	Err     error
 }
 
-// UpkeepAnswered is the outcome of an upkeep.Order.
-type UpkeepAnswered struct {
+// MaintenanceAnswered is the outcome of an maint.Order.
+type MaintenanceAnswered struct {
 	Wave    int64
 	Machine string
-	Outcome upkeep.Outcome
+	Outcome maint.Outcome
 }
 
 // Tick lets time pass.
 type Tick struct{}
 
-func (JobAdded) event()       {}
-func (PartLoaded) event()     {}
-func (JobCanceled) event()    {}
-func (WorkerListed) event()   {}
-func (WorkerKnown) event()    {}
-func (WorkerUnlisted) event() {}
-func (WorkerRecorded) event() {}
-func (RulesChanged) event()   {}
-func (BoundsChanged) event()  {}
-func (Owned) event()          {}
-func (RecordSaved) event()    {}
-func (Answered) event()       {}
-func (Reported) event()       {}
-func (Paced) event()          {}
-func (Advised) event()        {}
-func (WaveAsked) event()      {}
-func (WaveDropped) event()    {}
-func (MachinesListed) event() {}
-func (ProgressRead) event()   {}
-func (UpkeepAnswered) event() {}
-func (Tick) event()           {}
+func (JobAdded) event()            {}
+func (PartLoaded) event()          {}
+func (JobCanceled) event()         {}
+func (WorkerListed) event()        {}
+func (WorkerKnown) event()         {}
+func (WorkerUnlisted) event()      {}
+func (WorkerRecorded) event()      {}
+func (RulesChanged) event()        {}
+func (BoundsChanged) event()       {}
+func (Owned) event()               {}
+func (RecordSaved) event()         {}
+func (Answered) event()            {}
+func (Reported) event()            {}
+func (Paced) event()               {}
+func (Advised) event()             {}
+func (WaveAsked) event()           {}
+func (WaveDropped) event()         {}
+func (MachinesListed) event()      {}
+func (ProgressRead) event()        {}
+func (MaintenanceAnswered) event() {}
+func (Tick) event()                {}
 
 // Running is a run that a worker lists as at work.
 type Running struct {
@@ -347,10 +347,10 @@
 // TakenIn tells that a job has become known, for the log.
 type TakenIn struct{ Job *work.Job }
 
-// Upkeep asks for a step of a wave of upkeep. An Order is answered by an
-// UpkeepAnswered, a List by a MachinesListed, a Read and a Write by a
+// Maintenance asks for a step of a wave of maintenance. An Order is answered by an
+// MaintenanceAnswered, a List by a MachinesListed, a Read and a Write by a
 // ProgressRead, a Tell by nothing.
-type Upkeep struct{ Action upkeep.Action }
+type Maintenance struct{ Action maint.Action }
 
 // Note is a line for the log: a decision and what it rests on.
 type Note struct {
@@ -372,5 +372,5 @@
 func (Begun) effect()        {}
 func (JobEnded) effect()     {}
 func (TakenIn) effect()      {}
-func (Upkeep) effect()       {}
+func (Maintenance) effect()  {}
 func (Note) effect()         {}
--- a/fakes/model/model.go
+++ b/fakes/model/model.go
@@ -29,8 +29,8 @@
 	Checkpoint bool
 	// Advised tasks start only with a ticket of the advice service.
 	Advised bool
-	// Tail is how long the slowest answers of a task take that serves, and
-	// Target what they must stay below; Harm is what a task that fills adds to
+	// Tail is how long the slowest answers of a latency-sensitive task take, and
+	// Target what they must stay below; Harm is what a best-effort task adds to
 	// that on its worker, at full pace.
 	Tail, Target, Harm time.Duration
 	// Demand for each resource, in the platform's units.
@@ -67,7 +67,7 @@
 	Saved string
 	// Percent is how much of the work is done.
 	Percent int
-	// Figure is the tail of a task that serves, in milliseconds.
+	// Figure is the tail of a latency-sensitive task, in milliseconds.
 	Figure int
 	// Pace is the share at which the task works and disturbs, in percent. Its
 	// progress doesn't follow it here.
@@ -329,7 +329,7 @@
 
 // fits reports whether a task fits beside what runs.
 func (w *Worker) fits(s Shape) bool {
-	// The processor of tasks that fill isn't counted.
+	// The processor of best-effort tasks isn't counted.
 	if s.Harm > 0 {
 		s.CPU = 0
 	}
@@ -441,10 +441,13 @@
 	return ""
 }
 
-// tail returns how long the slowest answers of a task take, with those that
-// fill beside it or without.
+// tail returns how long the slowest answers of a task take, with the best-effort ones
+// beside it or without.
 func (w *Worker) tail(p *Present, filled bool) time.Duration {
-	d := time.Duration(float64(p.shape.Tail) * max(w.Load, 1))
+	d := p.shape.Tail
+	if w.Load > 0 {
+		d = time.Duration(float64(d) * w.Load)
+	}
 	for _, o := range w.runs {
 		if filled {
 			d += o.shape.Harm * time.Duration(o.Pace) / 100
@@ -454,7 +457,7 @@
 }
 
 // Harmed returns the tasks on the worker that are over their target, and would
-// not be without those that fill beside them.
+// not be without the best-effort ones beside them.
 func (w *Worker) Harmed() []string {
 	var l []string
 	for _, p := range w.list() {
@@ -465,7 +468,7 @@
 	return l
 }
 
-// Paces returns the pace of each task that fills on the worker.
+// Paces returns the pace of each best-effort task on the worker.
 func (w *Worker) Paces() map[string]int {
 	m := map[string]int{}
 	for _, p := range w.list() {
--- a/upkeep/upkeep.go
+++ b/maint/maint.go
@@ -1,14 +1,14 @@
-// Package upkeep takes the machines of a pool through waves of upkeep: which
+// Package maint takes the machines of a pool through waves of maintenance: which
 // one is next, when it may begin, and how far each is. It is a state machine
 // without clock or I/O.
-package upkeep
+package maint
 
 import (
 	"slices"
 	"time"
 )
 
-// Wave is the operator's request that machines have their upkeep.
+// Wave is the operator's request that machines have their maintenance.
 type Wave struct {
 	N        int64
 	Machines []string
@@ -23,10 +23,10 @@
 
 // States of a machine.
 const (
-	Up     State = "Up"
-	Moving State = "Moving"
-	InWork State = "InWork"
-	Down   State = "Down"
+	Up            State = "Up"
+	Moving        State = "Moving"
+	InMaintenance State = "InWork"
+	Down          State = "Down"
 )
 
 // Machine is what the platform's list says of a machine.
@@ -38,7 +38,7 @@
 }
 
 // Claim is the decider that leads a machine, which takes one of its wave's
-// places from before its order until it is back.
+// slots from before its order until it is back.
 type Claim struct {
 	Pool  string
 	Epoch int64
@@ -58,7 +58,7 @@
 
 // Outcomes of orders.
 const (
-	// Begun: the machine has its upkeep now, or had it before.
+	// Begun: the machine has its maintenance now, or had it before.
 	Begun Outcome = "Begun"
 	// Busy: the machine isn't up, or leaves.
 	Busy Outcome = "Busy"
@@ -77,8 +77,8 @@
 	// Lease is how long after a takeover no order is given, so that a former
 	// decider's are over; the platform's bound.
 	Lease time.Duration
-	// Takes is how long an upkeep takes.
-	Takes time.Duration
+	// Duration is how long an maintenance takes.
+	Duration time.Duration
 }
 
 // Times of waves.
@@ -90,7 +90,7 @@
 	readPeriod = 2 * time.Second
 	// orderPause is kept between two orders for one machine.
 	orderPause = time.Second
-	// backSlack is waited beyond an upkeep's time before the list is believed.
+	// backSlack is waited beyond an maintenance's time before the list is believed.
 	backSlack = 250 * time.Millisecond
 )
 
@@ -107,7 +107,7 @@
 		Progress Progress
 		Version  int64
 	}
-	// Order asks for the upkeep of a machine. Tokens rise with each claim.
+	// Order asks for the maintenance of a machine. Tokens rise with each claim.
 	Order struct {
 		Wave    int64
 		Machine string
@@ -131,9 +131,9 @@
 
 // phase is how far a machine of this decider is.
 type phase struct {
-	// worker is what is emptied, leaving since when.
-	worker  string
-	leaving time.Duration
+	// worker is what is drained, leaving since when.
+	worker   string
+	draining time.Duration
 	// token is what orders carry, 0 until the claim is durable; refused is the
 	// highest that was refused.
 	token, refused int64
@@ -141,14 +141,13 @@
 	// of the next.
 	ordering bool
 	orderAt  time.Duration
-	// begun is when the upkeep had begun, 0 before.
+	// begun is when the maintenance had begun, 0 before.
 	begun time.Duration
 }
 
 // wave is a wave under way.
 type wave struct {
 	Wave
-	asked    time.Duration
 	progress Progress
 	// done has the machines that are back, as progress lists them.
 	done map[string]bool
@@ -184,14 +183,14 @@
 }
 
 // Asked takes in a wave, new, changed or told again.
-func (b *Book) Asked(w Wave, now time.Duration) {
+func (b *Book) Asked(w Wave) {
 	if o := b.waves[w.N]; o != nil {
 		if !slices.Equal(o.Machines, w.Machines) || o.Cap != w.Cap || o.Within != w.Within {
 			o.Wave, o.finished = w, false
 		}
 		return
 	}
-	b.waves[w.N] = &wave{Wave: w, asked: now, phases: map[string]*phase{}, unwanted: map[string]bool{}}
+	b.waves[w.N] = &wave{Wave: w, phases: map[string]*phase{}, unwanted: map[string]bool{}}
 	b.order = append(b.order, w.N)
 	slices.Sort(b.order)
 }
@@ -223,7 +222,7 @@
 	return gone
 }
 
-// follow notes the worker of a machine whose upkeep hasn't begun.
+// follow notes the worker of a machine whose maintenance hasn't begun.
 func (b *Book) follow(m Machine) {
 	for _, w := range b.waves {
 		if x := w.phases[m.ID]; x != nil && x.begun == 0 && m.Worker != "" {
@@ -267,7 +266,7 @@
 		}
 		// Claimed by a former decider of the pool, or by a write of this one
 		// whose answer was lost.
-		w.phases[id] = &phase{token: version, leaving: now, worker: b.machines[id].Worker}
+		w.phases[id] = &phase{token: version, draining: now, worker: b.machines[id].Worker}
 		if c.Begun {
 			w.phases[id].begun = max(now, 1)
 		}
@@ -297,14 +296,14 @@
 // leads reports whether a claim is this decider's.
 func (b *Book) leads(c Claim) bool { return c.Pool == b.c.Pool && c.Epoch == b.c.Epoch }
 
-// Leaving returns the workers that are being emptied, and those whose upkeep
+// Draining returns the workers that are being drained, and those whose maintenance
 // has begun, and since when.
-func (b *Book) Leaving() map[string]time.Duration {
+func (b *Book) Draining() map[string]time.Duration {
 	l := map[string]time.Duration{}
 	for _, n := range b.order {
 		for _, x := range b.waves[n].phases {
 			if x.worker != "" {
-				l[x.worker] = x.leaving
+				l[x.worker] = x.draining
 			}
 		}
 	}
@@ -314,20 +313,20 @@
 // WorkerOf returns a machine's worker, or "".
 func (b *Book) WorkerOf(machine string) string { return b.machines[machine].Worker }
 
-// Patience returns how long a worker may take to be emptied: a wave's time is
+// Patience returns how long a worker may take to be drained: a wave's time is
 // shared by the rounds that its cap asks for.
 func (b *Book) Patience(worker string) time.Duration {
 	for _, n := range b.order {
 		w := b.waves[n]
 		for _, x := range w.phases {
 			if x.worker == worker {
-				rounds := (len(w.Machines) + w.places() - 1) / w.places()
-				return max(w.Within/time.Duration(max(rounds, 1))-b.c.Takes-listPeriod, 0)
+				rounds := (len(w.Machines) + w.slots() - 1) / w.slots()
+				return max(w.Within/time.Duration(max(rounds, 1))-b.c.Duration-listPeriod, 0)
 			}
 		}
 	}
 	return 0
 }
 
-// places is how many machines may be down at once.
-func (w *wave) places() int { return max(w.Cap, 1) }
+// slots is how many machines may be down at once.
+func (w *wave) slots() int { return max(w.Cap, 1) }
--- a/upkeep/upkeep_test.go
+++ b/maint/maint_test.go
@@ -1,4 +1,4 @@
-package upkeep
+package maint
 
 import (
 	"errors"
@@ -15,7 +15,7 @@
 }
 
 func (p *pool) Loss(w string) (float64, bool) { return p.loss[w], true }
-func (p *pool) Empty(w string) bool           { return !p.busy[w] }
+func (p *pool) Drained(w string) bool         { return !p.busy[w] }
 func (p *pool) Needed(w string) bool          { return p.needed[w] }
 
 // site is machines, a wave's row and the deciders of some pools.
@@ -30,7 +30,7 @@
 	// orders are the tokens of those that were given, by machine.
 	orders map[string][]int64
 	// answers are the outcomes of orders, Begun where none is set, and begun
-	// is when machines began their upkeep.
+	// is when machines began their maintenance.
 	answers  map[string]Outcome
 	begun    map[string]time.Duration
 	finished bool
@@ -50,7 +50,7 @@
 
 // take lets a new decider have a pool.
 func (s *site) take(name string, epoch int64) {
-	s.books[name] = New(Config{Pool: name, Epoch: epoch, Lease: time.Second, Takes: takes}, s.now)
+	s.books[name] = New(Config{Pool: name, Epoch: epoch, Lease: time.Second, Duration: takes}, s.now)
 	if s.pools[name] == nil {
 		s.pools[name] = &pool{busy: map[string]bool{}, needed: map[string]bool{}, loss: map[string]float64{}}
 	}
@@ -69,7 +69,7 @@
 		w.Machines = append(w.Machines, m.ID)
 	}
 	for _, b := range s.books {
-		b.Asked(w, s.now)
+		b.Asked(w)
 	}
 }
 
@@ -78,7 +78,7 @@
 	for end := s.now + d; s.now < end; s.now += 50 * time.Millisecond {
 		for i := range s.machines {
 			m := &s.machines[i]
-			if at := s.begun[m.ID]; m.State == InWork && s.now >= at+takes {
+			if at := s.begun[m.ID]; m.State == InMaintenance && s.now >= at+takes {
 				m.State, m.Worker = Up, m.Worker+"'"
 			}
 		}
@@ -110,7 +110,7 @@
 		o, ok := s.answers[a.Machine]
 		if !ok {
 			o = Begun
-			s.upkeep(a.Machine)
+			s.maintenance(a.Machine)
 		}
 		b.Answered(a.Wave, a.Machine, o, s.now)
 	case Tell:
@@ -118,10 +118,10 @@
 	}
 }
 
-func (s *site) upkeep(id string) {
+func (s *site) maintenance(id string) {
 	for i := range s.machines {
 		if m := &s.machines[i]; m.ID == id && s.begun[id] == 0 {
-			m.State, s.begun[id] = InWork, s.now
+			m.State, s.begun[id] = InMaintenance, s.now
 		}
 	}
 }
@@ -129,7 +129,7 @@
 func (s *site) down() int {
 	n := 0
 	for _, m := range s.machines {
-		if m.State == InWork {
+		if m.State == InMaintenance {
 			n++
 		}
 	}
@@ -152,7 +152,7 @@
 		t.Errorf("%d machines were down at once, want 2", most)
 	}
 	if len(s.begun) != 6 || !s.finished {
-		t.Errorf("%d machines have had their upkeep, finished %v", len(s.begun), s.finished)
+		t.Errorf("%d machines have had their maintenance, finished %v", len(s.begun), s.finished)
 	}
 }
 
@@ -179,8 +179,8 @@
 	if len(s.orders) != 0 {
 		t.Fatalf("orders %v", s.orders)
 	}
-	if _, ok := s.books["p"].Leaving()["wm1"]; ok {
-		t.Error("a worker that is needed is emptied")
+	if _, ok := s.books["p"].Draining()["wm1"]; ok {
+		t.Error("a worker that is needed is drained")
 	}
 	s.pools["p"].busy["wm0"], s.pools["p"].needed["wm1"] = false, false
 	s.pass(10 * time.Second)
@@ -190,7 +190,7 @@
 }
 
 // TestOrdersAreRepeated gives an order without an answer again, under the same
-// token, and holds the place meanwhile.
+// token, and holds the slot meanwhile.
 func TestOrdersAreRepeated(t *testing.T) {
 	s := newSite(t, "p")
 	s.add("p", 2)
@@ -232,7 +232,7 @@
 }
 
 // TestSuccessor lets another decider take the pool while a machine is in work:
-// it claims the place under a higher token, gives no order for the time that
+// it claims the slot under a higher token, gives no order for the time that
 // holders must not take turns, and none at all where the order was taken.
 func TestSuccessor(t *testing.T) {
 	for _, told := range []bool{true, false} {
@@ -313,11 +313,11 @@
 	s.pools["p"].busy["wm0"], s.pools["p"].busy["wm1"] = true, true
 	s.ask(2)
 	s.pass(2 * time.Second)
-	if len(s.books["p"].Leaving()) != 2 {
-		t.Fatalf("leaving %v", s.books["p"].Leaving())
+	if len(s.books["p"].Draining()) != 2 {
+		t.Fatalf("leaving %v", s.books["p"].Draining())
 	}
 	s.books["p"].Dropped(7)
-	if len(s.books["p"].Leaving()) != 0 {
-		t.Errorf("leaving %v", s.books["p"].Leaving())
+	if len(s.books["p"].Draining()) != 0 {
+		t.Errorf("leaving %v", s.books["p"].Draining())
 	}
 }
--- a/upkeep/next.go
+++ b/maint/next.go
@@ -1,4 +1,4 @@
-package upkeep
+package maint
 
 import (
 	"maps"
@@ -8,11 +8,11 @@
 
 // Pool is what a Book asks of the pool's decider.
 type Pool interface {
-	// Loss returns the work that is lost if a worker is emptied at once, and
+	// Loss returns the work that is lost if a worker is drained at once, and
 	// false if it can't be asked now.
 	Loss(worker string) (float64, bool)
-	// Empty reports whether a worker's upkeep may begin.
-	Empty(worker string) bool
+	// Drained reports whether a worker's maintenance may begin.
+	Drained(worker string) bool
 	// Needed reports whether work waits for a worker's room that must not.
 	Needed(worker string) bool
 }
@@ -82,19 +82,19 @@
 	return ok && m.Pool == b.c.Pool && !w.unwanted[id] && !w.done[id]
 }
 
-// choose begins to empty machines, as many as the wave has places left, those
+// choose begins to drain machines, as many as the wave has slots left, those
 // first where least is lost.
 func (b *Book) choose(w *wave, p Pool, now time.Duration) {
 	maps.DeleteFunc(w.phases, func(id string, x *phase) bool {
 		return x.token == 0 && (!b.mine(w, id) || b.machines[id].State != Up || p.Needed(x.worker))
 	})
-	places := w.places() - len(w.progress.Claims)
+	slots := w.slots() - len(w.progress.Claims)
 	for id, x := range w.phases {
 		if _, claimed := w.progress.Claims[id]; !claimed && x.token == 0 {
-			places--
+			slots--
 		}
 	}
-	if places <= 0 {
+	if slots <= 0 {
 		return
 	}
 	type candidate struct {
@@ -123,8 +123,8 @@
 		}
 		return 0
 	})
-	for _, c := range l[:min(places, len(l))] {
-		w.phases[c.id] = &phase{leaving: now, worker: b.machines[c.id].Worker}
+	for _, c := range l[:min(slots, len(l))] {
+		w.phases[c.id] = &phase{draining: now, worker: b.machines[c.id].Worker}
 	}
 }
 
@@ -139,7 +139,7 @@
 }
 
 // changed returns the wave's progress as it should be, and false if it is so
-// already: machines that are back give their places up, those that are empty
+// already: machines that are back give their slots up, those that are drained
 // take one, and what a former decider of the pool claimed is claimed anew.
 func (b *Book) changed(w *wave, p Pool, now time.Duration) (Progress, bool) {
 	c := Progress{Claims: maps.Clone(w.progress.Claims), Done: slices.Clone(w.progress.Done)}
@@ -156,8 +156,8 @@
 	for _, id := range slices.Sorted(maps.Keys(w.phases)) {
 		x := w.phases[id]
 		m, listed := b.machines[id]
-		back := x.begun > 0 && b.listed >= x.begun+b.c.Takes+backSlack && m.State == Up
-		gone := b.listed > x.leaving && !listed
+		back := x.begun > 0 && b.listed >= x.begun+b.c.Duration+backSlack && m.State == Up
+		gone := b.listed > x.draining && !listed
 		switch {
 		case x.token > 0 && x.token <= x.refused:
 			change = true
@@ -169,7 +169,7 @@
 				c.Done = append(c.Done, id)
 			}
 			change = true
-		case x.token == 0 && len(c.Claims) < w.places() && p.Empty(x.worker):
+		case x.token == 0 && len(c.Claims) < w.slots() && p.Drained(x.worker):
 			c.Claims[id], change = Claim{Pool: b.c.Pool, Epoch: b.c.Epoch}, true
 		}
 	}
@@ -190,7 +190,7 @@
 		}
 		// A claim that was taken over may have been ordered: the machine is
 		// down then, and the order tells.
-		if b.machines[id].State == Up && !p.Empty(x.worker) {
+		if b.machines[id].State == Up && !p.Drained(x.worker) {
 			continue
 		}
 		x.ordering = true
--- a/meter/host.go
+++ b/meter/host.go
@@ -29,9 +29,9 @@
 	// Ends counts runs of tasks by how they ended.
 	Ends *prometheus.CounterVec
 	// Wait is the time from a job's acceptance to its first start, in seconds,
-	// and Whole that to its end. Jobs counts ends by queue and state.
-	Wait, Whole *prometheus.HistogramVec
-	Jobs        *prometheus.CounterVec
+	// and JobTime that to its end. Jobs counts ends by queue and state.
+	Wait, JobTime *prometheus.HistogramVec
+	Jobs          *prometheus.CounterVec
 	// Version is that of the configuration in force.
 	Version  prometheus.Gauge
 	Takeover prometheus.Histogram
@@ -57,7 +57,7 @@
 		Relayed:   s.counters("store_calls_relayed_total", "Calls of the platform's store through other hosts, by outcome.", "outcome"),
 		Ends:      s.counters("run_ends_total", "Runs of tasks by how they ended.", "how"),
 		Wait:      s.histograms("first_start_seconds", "Time from a job's acceptance to its first start.", "queue"),
-		Whole:     s.histograms("job_seconds", "Time from a job's acceptance to its end.", "queue"),
+		JobTime:   s.histograms("job_seconds", "Time from a job's acceptance to its end.", "queue"),
 		Jobs:      s.counters("jobs_ended_total", "Jobs by how they ended.", "queue", "state"),
 		Epoch:     s.gauges("pool_epoch", "Epoch under which this host decides for a pool, 0 if it doesn't.", "pool"),
 		Version:   s.gauge("configuration_version", "Version of the configuration in force."),
--- a/native/lasting_test.go
+++ b/native/lasting_test.go
@@ -114,8 +114,8 @@
 	d.check(w)
 }
 
-// TestBudget lets urgent jobs ask for the room of tasks that last in a pool that
-// these fill, also under a decider that is new: each job runs, and no task is
+// TestBudget lets urgent jobs ask for the room of long-running tasks in a pool
+// that is full of them, also under a decider that is new: each job runs, and no task is
 // stopped while another of its step isn't at work, as one may be away.
 func TestBudget(t *testing.T) {
 	t.Parallel()
@@ -142,7 +142,7 @@
 	d.submit(id(1), "/batch/", job(lasting))
 	whole := func() {
 		t.Helper()
-		d.await("all tasks that last", func() bool { return d.serving(w, id(1)) == lasting.count })
+		d.await("all long-running tasks", func() bool { return d.serving(w, id(1)) == lasting.count })
 	}
 	urgent := step{shape: model.Shape{Work: 300 * time.Millisecond, CPU: 1000, Memory: 1000, Accelerators: 2}, count: 2}
 	for n := range 3 {
--- a/native/upkeep_test.go
+++ b/native/maintenance_test.go
@@ -23,9 +23,9 @@
 	return s.State
 }
 
-// askForWave asks for the upkeep of all machines, and notes what orders do
+// askForWave asks for the maintenance of all machines, and notes what orders do
 // wrong: more machines down than the cap, two holders with one token, and
-// machines taken from under tasks that last.
+// machines taken from under long-running tasks.
 func (d *deployment) askForWave(n int64, limit int, w *watch, lasting string, count int) {
 	v := model.Wave{N: n, Cap: limit}
 	d.p.Lock(func(c *model.Cluster) {
@@ -36,7 +36,7 @@
 		c.Emptied = func(x *model.Worker) {
 			for i := range count {
 				if x.AtWork(fmt.Sprintf("%s.0.0.%d", lasting, i)) {
-					w.wrong = append(w.wrong, fmt.Sprintf("the upkeep of %s ends task %d that lasts", x.ID, i))
+					w.wrong = append(w.wrong, fmt.Sprintf("the maintenance of %s ends long-running task %d", x.ID, i))
 				}
 			}
 		}
@@ -44,7 +44,7 @@
 	d.p.AskForWave(v, 20*time.Second)
 }
 
-// began counts the machines that have begun their upkeep of a wave.
+// began counts the machines that have begun their maintenance of a wave.
 func (d *deployment) began(n int64) int {
 	count := 0
 	d.p.Lock(func(c *model.Cluster) {
@@ -57,32 +57,32 @@
 	return count
 }
 
-// TestUpkeep takes five machines through a wave of upkeep, two at a time, while
+// TestMaintenance takes five machines through a wave of maintenance, two at a time, while
 // tasks last there: with the service of machines losing answers and carrying
 // orders out late, with a decider that is killed and one that is frozen, and
-// with the store losing answers. Each machine has its upkeep, no task that lasts
+// with the store losing answers. Each machine has its maintenance, no long-running task
 // is ended by it, and the others run to their ends.
-func TestUpkeep(t *testing.T) {
+func TestMaintenance(t *testing.T) {
 	t.Parallel()
 	d := deploy(t, 3, 5)
 	w := d.watch()
 	lasting := step{shape: model.Shape{Work: 50 * time.Millisecond, Lasts: time.Hour, CPU: 1000, Memory: 1000, Accelerators: 1}, count: 5, mayMiss: 1}
 	d.submit(id(1), "/batch/", job(lasting))
-	d.await("all tasks that last", func() bool { return d.serving(w, id(1)) == lasting.count })
+	d.await("all long-running tasks", func() bool { return d.serving(w, id(1)) == lasting.count })
 	saving := tasks(6, 3*time.Second)
 	saving.shape.Checkpoint = true
 	d.submit(id(2), "/batch/", job(saving))
 	d.submit(id(3), "/batch/", job(tasks(4, time.Second)))
 	d.p.Lock(func(*model.Cluster) { d.p.CloudTrouble = plat.CloudTrouble{LoseOneIn: 2, LateBy: 2 * time.Second} })
 	d.askForWave(7, 2, w, id(1), lasting.count)
-	d.await("the first upkeep", func() bool { return d.began(7) > 0 })
+	d.await("the first maintenance", func() bool { return d.began(7) > 0 })
 	killed := d.decider()
 	killed.kill()
 	d.await("another decider", func() bool { return d.decider() != killed })
 	if s := d.waveState(7); s != "running" {
 		t.Errorf("the wave is told to be %q", s)
 	}
-	d.await("more upkeeps", func() bool { return d.began(7) > 2 })
+	d.await("more maintenance", func() bool { return d.began(7) > 2 })
 	frozen := d.decider()
 	frozen.signal(t, syscall.SIGSTOP)
 	d.await("a third decider", func() bool { return d.decider() != frozen })
@@ -92,17 +92,17 @@
 	frozen.signal(t, syscall.SIGCONT)
 	d.await("the end of the wave", func() bool { return d.waveState(7) == "succeeded" })
 	if n := d.began(7); n != 5 {
-		t.Errorf("%d of 5 machines have had their upkeep", n)
+		t.Errorf("%d of 5 machines have had their maintenance", n)
 	}
 	d.awaitState("/batch/", id(2), "succeeded")
 	d.awaitState("/batch/", id(3), "succeeded")
-	d.await("all tasks that last again", func() bool { return d.serving(w, id(1)) == lasting.count })
+	d.await("all long-running tasks again", func() bool { return d.serving(w, id(1)) == lasting.count })
 	d.check(w)
 }
 
-// TestUpkeepWithoutService asks for a wave while the service of machines is
+// TestMaintenanceWithoutService asks for a wave while the service of machines is
 // away: tasks go on, and the wave is over once the service is back.
-func TestUpkeepWithoutService(t *testing.T) {
+func TestMaintenanceWithoutService(t *testing.T) {
 	t.Parallel()
 	d := deploy(t, 2, 3)
 	w := d.watch()
@@ -112,12 +112,12 @@
 	d.submit(id(1), "/urgent/", job(tasks(6, 50*time.Millisecond)))
 	d.awaitState("/urgent/", id(1), "succeeded")
 	if n := d.began(3); n != 0 {
-		t.Errorf("%d machines have had their upkeep", n)
+		t.Errorf("%d machines have had their maintenance", n)
 	}
 	d.p.Lock(func(*model.Cluster) { d.p.CloudTrouble = plat.CloudTrouble{} })
 	d.await("the end of the wave", func() bool { return d.waveState(3) == "succeeded" })
 	if n := d.began(3); n != 3 {
-		t.Errorf("%d of 3 machines have had their upkeep", n)
+		t.Errorf("%d of 3 machines have had their maintenance", n)
 	}
 	d.check(w)
 }
--- a/native/pacing_test.go
+++ b/native/pacing_test.go
@@ -36,7 +36,7 @@
 	})
 }
 
-// TestPacing lets tasks that fill run beside ones that serve: these come back
+// TestPacing lets best-effort tasks run beside latency-sensitive ones: these come back
 // below their target each time, with a decider that is killed or frozen as the
 // load rises, and with the store losing answers; and once the load is gone the
 // others work at full pace again.
@@ -47,9 +47,9 @@
 	serving := step{shape: model.Shape{Work: 50 * time.Millisecond, Lasts: time.Hour, CPU: 1000, Memory: 1000, Accelerators: 3, Tail: 20 * time.Millisecond, Target: 100 * time.Millisecond}, count: 2, image: "web"}
 	filling := step{shape: model.Shape{Work: time.Hour, CPU: 8000, Memory: 1000, Harm: 60 * time.Millisecond}, count: 4, image: "batch"}
 	d.submit(id(1), "/batch/", job(serving))
-	d.await("all tasks that serve", func() bool { return d.serving(w, id(1)) == serving.count })
+	d.await("all latency-sensitive tasks", func() bool { return d.serving(w, id(1)) == serving.count })
 	d.submit(id(2), "/batch/", job(filling))
-	d.await("tasks that fill", func() bool { return d.serving(w, id(2)) > 0 })
+	d.await("best-effort tasks", func() bool { return d.serving(w, id(2)) > 0 })
 	calm := func(when string) {
 		t.Helper()
 		d.await("tails below their target "+when, func() bool {
--- a/native/pools_test.go
+++ b/native/pools_test.go
@@ -40,7 +40,7 @@
 }
 
 // TestTwoPools serves two pools with deciders of their own, kills each in turn,
-// and takes all machines through one wave of upkeep, whose cap both share.
+// and takes all machines through one wave of maintenance, whose cap both share.
 func TestTwoPools(t *testing.T) {
 	t.Parallel()
 	d := twoPools(t, 3, 2)
@@ -64,7 +64,7 @@
 	}
 	d.await("the end of the wave", func() bool { return d.waveState(7) == "succeeded" })
 	if n := d.began(7); n != 4 {
-		t.Errorf("%d of 4 machines have had their upkeep", n)
+		t.Errorf("%d of 4 machines have had their maintenance", n)
 	}
 	d.p.Lock(func(c *model.Cluster) {
 		pools := map[string]string{}
--- a/node/lead_test.go
+++ b/node/lead_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -161,5 +163,33 @@
 	}
 }
 
+// TestWavesFollowTheOperator takes waves in, and forgets those that are taken
+// back by a row or left out of a list.
+func TestWavesFollowTheOperator(t *testing.T) {
+	h, _ := newHost(t)
+	row := func(key string, deleted bool) repo.Row {
+		return repo.Row{Table: platform.TableOperator, Key: key, Value: []byte(`{"machines":["m-1"],"within-s":9,"cap":1}`), Deleted: deleted}
+	}
+	for _, n := range []int{3, 4, 5} {
+		h.takeWave(row(fmt.Sprint("wave/", n), false))
+	}
+	h.takeWave(row("wave/4", true))
+	h.takeWave(row("config", false))
+	numbers := func() []int64 {
+		var l []int64
+		for _, w := range h.waves.list() {
+			l = append(l, w.N)
+		}
+		return l
+	}
+	if l := numbers(); !slices.Equal(l, []int64{3, 5}) {
+		t.Errorf("waves %v", l)
+	}
+	h.keepWaves([]repo.Row{row("config", false), row("wave/5", false)})
+	if l := numbers(); !slices.Equal(l, []int64{5}) {
+		t.Errorf("waves after a list without one: %v", l)
+	}
+}
+
 // patience bounds how long an awaited event may take. It is no measure.
 const patience = 60 * time.Second
--- a/node/node.go
+++ b/node/node.go
@@ -258,7 +258,7 @@
 		}
 	}
 	f := &follow.Follower{
-		Store: h.store, Table: platform.TableOperator, Wait: feedWait, Now: timer.Boot, Listed: take, Changed: take,
+		Store: h.store, Table: platform.TableOperator, Wait: feedWait, Now: timer.Boot, Listed: func(rows []repo.Row) { h.keepWaves(rows); take(rows) }, Changed: take,
 		Confirmed: h.gate.Confirm,
 		Lost:      func(err error) { h.log.Warn().Err(err).Msg("store is lost") },
 		Regained:  func() { h.log.Info().Msg("store is regained") },
--- a/node/waves.go
+++ b/node/waves.go
@@ -6,34 +6,47 @@
 	"sync"
 
 	"citronbridge/decide"
+	"citronbridge/maint"
 	"citronbridge/platform/cloud"
 	"citronbridge/repo"
-	"citronbridge/upkeep"
 )
 
-// waves are the operator's waves of upkeep.
+// waves are the operator's waves of maintenance.
 type waves struct {
 	mu sync.Mutex
-	by map[int64]upkeep.Wave
+	by map[int64]maint.Wave
 }
 
 // list returns the waves by their numbers.
-func (w *waves) list() []upkeep.Wave {
+func (w *waves) list() []maint.Wave {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var l []upkeep.Wave
+	var l []maint.Wave
 	for _, n := range slices.Sorted(maps.Keys(w.by)) {
 		l = append(l, w.by[n])
 	}
 	return l
 }
 
+// others returns the waves that aren't among some.
+func (w *waves) others(known map[int64]bool) []int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var l []int64
+	for n := range w.by {
+		if !known[n] {
+			l = append(l, n)
+		}
+	}
+	return l
+}
+
 // set notes a wave, or that it was taken back.
-func (w *waves) set(n int64, v *upkeep.Wave) {
+func (w *waves) set(n int64, v *maint.Wave) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.by == nil {
-		w.by = map[int64]upkeep.Wave{}
+		w.by = map[int64]maint.Wave{}
 	}
 	if v == nil {
 		delete(w.by, n)
@@ -50,21 +63,40 @@
 		return
 	}
 	if r.Deleted {
-		h.waves.set(n, nil)
-		h.log.Info().Int64("wave", n).Msg("wave of upkeep is taken back")
-		h.tellDeciders(func(d *decide.Decider) { d.WaveDropped(n) })
+		h.dropWave(n)
 		return
 	}
 	v, err := cloud.DecodeWave(n, r.Value)
 	if err != nil {
-		h.log.Error().Err(err).Msg("wave of upkeep can't be read")
+		h.log.Error().Err(err).Msg("wave of maintenance can't be read")
 		return
 	}
 	h.waves.set(n, &v)
-	h.log.Info().Int64("wave", n).Int("machines", len(v.Machines)).Int("cap", v.Cap).Dur("within", v.Within).Msg("wave of upkeep is asked for")
+	h.log.Info().Int64("wave", n).Int("machines", len(v.Machines)).Int("cap", v.Cap).Dur("within", v.Within).Msg("wave of maintenance is asked for")
 	h.tellDeciders(func(d *decide.Decider) { d.WaveAsked(v) })
 }
 
+// dropWave forgets a wave that was taken back.
+func (h *Host) dropWave(n int64) {
+	h.waves.set(n, nil)
+	h.log.Info().Int64("wave", n).Msg("wave of maintenance is taken back")
+	h.tellDeciders(func(d *decide.Decider) { d.WaveDropped(n) })
+}
+
+// keepWaves forgets the waves that a list of the operator's rows has no more:
+// their removal may be in a history that is gone.
+func (h *Host) keepWaves(rows []repo.Row) {
+	known := map[int64]bool{}
+	for _, r := range rows {
+		if n, ok := cloud.ParseWaveKey(r.Key); ok {
+			known[n] = true
+		}
+	}
+	for _, n := range h.waves.others(known) {
+		h.dropWave(n)
+	}
+}
+
 // tellDeciders calls f for each decider on this host.
 func (h *Host) tellDeciders(f func(*decide.Decider)) {
 	h.poolMu.Lock()
--- a/orders/order.go
+++ b/orders/order.go
@@ -9,7 +9,7 @@
 func (s *Sender) Start(r *track.Run) {
 	w := r.Worker
 	if s.Limits.NoStarts || s.Limits.NoOrders || w.ClockMS == 0 || !w.Recorded {
-		// The order stays due: maintain sends it when it may.
+		// The order stays due: Maintain sends it when it may.
 		r.Phase, r.Waiting, r.Sent = track.Starting, true, s.Now.Steady
 		return
 	}
--- a/sched/share_test.go
+++ b/sched/share_test.go
@@ -231,7 +231,7 @@
 	}
 }
 
-// TestBudgetComesBack lets urgent work wait for the room of a task that lasts
+// TestBudgetComesBack lets urgent work wait for the room of a long-running task
 // until another one of its step is at work again: nothing but that makes
 // placement look.
 func TestBudgetComesBack(t *testing.T) {
--- a/sched/state.go
+++ b/sched/state.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"citronbridge/event"
+	"citronbridge/maint"
 	"citronbridge/orders"
 	"citronbridge/track"
-	"citronbridge/upkeep"
 	"citronbridge/work"
 )
 
@@ -34,8 +34,8 @@
 	// planAt is the earliest time of the next placement, proveAt that of the
 	// next request for a proof of ownership.
 	planAt, proveAt time.Duration
-	// waves are those of upkeep, nil before the first.
-	waves *upkeep.Book
+	// waves are those of maintenance, nil before the first.
+	waves *maint.Book
 	// dirty are the jobs whose records are to be written.
 	dirty []*track.Job
 }
@@ -95,8 +95,8 @@
 		s.machinesListed(e)
 	case event.ProgressRead:
 		s.waves.Loaded(e.Wave, e.Progress, e.Version, now.Steady, e.Err)
-	case event.UpkeepAnswered:
-		s.upkeepAnswered(e)
+	case event.MaintenanceAnswered:
+		s.maintenanceAnswered(e)
 	case event.Tick:
 	}
 	return s.Out
--- a/sched/waves.go
+++ b/sched/waves.go
@@ -7,17 +7,17 @@
 	"time"
 
 	"citronbridge/event"
+	"citronbridge/maint"
 	"citronbridge/track"
-	"citronbridge/upkeep"
 )
 
-// waveAsked takes in a wave of upkeep.
-func (s *State) waveAsked(w upkeep.Wave) {
+// waveAsked takes in a wave of maintenance.
+func (s *State) waveAsked(w maint.Wave) {
 	if s.waves == nil {
-		s.waves = upkeep.New(upkeep.Config{Pool: s.Config.Pool, Epoch: s.Config.Epoch, Lease: s.Config.TurnPause, Takes: s.Config.UpkeepTime}, s.Taken)
+		s.waves = maint.New(maint.Config{Pool: s.Config.Pool, Epoch: s.Config.Epoch, Lease: s.Config.TurnPause, Duration: s.Config.MaintenanceTime}, s.Taken)
 	}
-	s.waves.Asked(w, s.Now.Steady)
-	s.Note(nil, nil, nil, "wave "+strconv.FormatInt(w.N, 10)+" of upkeep is asked for")
+	s.waves.Asked(w)
+	s.Note(nil, nil, nil, "wave "+strconv.FormatInt(w.N, 10)+" of maintenance is asked for")
 }
 
 // machinesListed takes in the list of machines, and what it says of workers that
@@ -30,13 +30,13 @@
 	}
 }
 
-// upkeepAnswered takes in how an order for a machine came out.
-func (s *State) upkeepAnswered(e event.UpkeepAnswered) {
-	s.Note(nil, s.Workers[s.waves.WorkerOf(e.Machine)], nil, "upkeep of machine "+e.Machine+": "+string(e.Outcome))
+// maintenanceAnswered takes in how an order for a machine came out.
+func (s *State) maintenanceAnswered(e event.MaintenanceAnswered) {
+	s.Note(nil, s.Workers[s.waves.WorkerOf(e.Machine)], nil, "maintenance of machine "+e.Machine+": "+string(e.Outcome))
 	s.waves.Answered(e.Wave, e.Machine, e.Outcome, s.Now.Steady)
 }
 
-// lead does what is due for waves of upkeep, and returns when to look again.
+// lead does what is due for waves of maintenance, and returns when to look again.
 func (s *State) lead() time.Duration {
 	idle := s.Now.Steady + time.Second
 	if s.waves == nil || s.Limits.NoOrders {
@@ -44,25 +44,25 @@
 	}
 	actions, next := s.waves.Next(s, s.Now.Steady)
 	for _, a := range actions {
-		s.Do(event.Upkeep{Action: a})
+		s.Do(event.Maintenance{Action: a})
 	}
-	leaving := s.waves.Leaving()
+	leaving := s.waves.Draining()
 	for _, w := range s.Sorted {
 		if w.Replaced > 0 && w.Silent > 0 && !w.Gone {
 			// It doesn't answer, and its machine has another worker: what it
 			// ran is gone.
 			s.Ended(w)
 		}
-		if _, l := leaving[w.ID]; l != w.Leaving {
-			w.Leaving, s.Changed = l, true
+		if _, l := leaving[w.ID]; l != w.Cordoned {
+			w.Cordoned, s.Changed = l, true
 			if l {
-				s.Note(nil, w, nil, "worker is emptied for the upkeep of its machine")
+				s.Note(nil, w, nil, "worker is drained for the maintenance of its machine")
 			}
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(leaving)) {
 		if w := s.Workers[id]; w != nil {
-			s.empty(w)
+			s.drain(w)
 		}
 	}
 	return min(next, idle)
@@ -70,7 +70,7 @@
 
 // empty stops what may be stopped on a worker: long-running tasks within their
 // budget, and those that save their progress. The others come to their end.
-func (s *State) empty(w *track.Worker) {
+func (s *State) drain(w *track.Worker) {
 	for _, r := range w.SortedRuns() {
 		if r.Task == nil || r.Phase != track.Working {
 			continue
@@ -79,18 +79,18 @@
 		if st.Spec.LongRunning && st.Spare() <= 0 || !st.Spec.LongRunning && !st.Spec.Checkpoint {
 			continue
 		}
-		s.Note(st.Job, w, r, "stopped for the upkeep of its machine")
+		s.Note(st.Job, w, r, "stopped for the maintenance of its machine")
 		s.Stop(r)
 	}
 }
 
-var _ upkeep.Pool = (*State)(nil)
+var _ maint.Pool = (*State)(nil)
 
 // lastLoss stands for a long-running task that can't be stopped now: its
 // worker comes after all others.
 const lastLoss = 1e9
 
-// Loss implements upkeep.Pool.
+// Loss implements maint.Pool.
 func (s *State) Loss(worker string) (float64, bool) {
 	w := s.Workers[worker]
 	if w == nil || !w.Listed || !w.Answers() || w.Draining {
@@ -107,10 +107,10 @@
 }
 
 // neededAfter is how long a long-running task waits before a worker that is
-// emptied takes it: the platform wants such tasks back soon where there is room.
+// drained takes it: the platform wants such tasks back soon where there is room.
 const neededAfter = 2 * time.Second
 
-// Needed implements upkeep.Pool.
+// Needed implements maint.Pool.
 func (s *State) Needed(worker string) bool {
 	w := s.Workers[worker]
 	if w == nil {
@@ -119,7 +119,7 @@
 	free := w.Capacity.Minus(w.Used)
 	for _, j := range s.Order {
 		for _, st := range j.Steps {
-			if !st.Spec.LongRunning || !st.Open || j.Record.State.Final() || !st.Spec.Counted().Within(free) {
+			if !st.Spec.LongRunning || !st.Open || j.Record.State.Final() || !st.Spec.Counted().Fits(free) {
 				continue
 			}
 			for _, t := range st.Tasks {
@@ -132,14 +132,14 @@
 	return false
 }
 
-// Empty implements upkeep.Pool. Tasks that neither last nor save their progress
-// are waited for as long as the wave has time.
-func (s *State) Empty(worker string) bool {
+// Empty implements maint.Pool. Tasks that are neither long-running nor save their
+// progress are waited for as long as the wave has time.
+func (s *State) Drained(worker string) bool {
 	w := s.Workers[worker]
 	if w == nil || !w.Listed || !w.Answers() {
 		return false
 	}
-	since, leaving := s.waves.Leaving()[worker]
+	since, leaving := s.waves.Draining()[worker]
 	patient := !leaving || s.Now.Steady-since < s.waves.Patience(worker)
 	for _, r := range w.Runs {
 		if r.Task == nil || r.Task.Step.Spec.LongRunning || patient {
--- a/sched/waves_test.go
+++ b/sched/waves_test.go
@@ -7,16 +7,16 @@
 
 	"citronbridge/event"
 	"citronbridge/fakes/model"
-	"citronbridge/upkeep"
+	"citronbridge/maint"
 	"citronbridge/work"
 )
 
-// waveOf is of how many schedules one has a wave of upkeep.
+// waveOf is of how many schedules one has a wave of maintenance.
 const waveOf = 3
 
-// askForWave asks for the upkeep of all machines.
+// askForWave asks for the maintenance of all machines.
 func (w *world) askForWave() {
-	v := upkeep.Wave{N: 7, Within: w.between(10*time.Second, 60*time.Second), Cap: 1 + w.rng.IntN(3)}
+	v := maint.Wave{N: 7, Within: w.between(10*time.Second, 60*time.Second), Cap: 1 + w.rng.IntN(3)}
 	for _, m := range w.cluster.Machines {
 		v.Machines = append(v.Machines, m.ID)
 	}
@@ -34,10 +34,10 @@
 	w.tell(always(event.WaveAsked{Wave: v}))
 }
 
-// emptied checks an upkeep that begins on time: it ends no long-running task
+// drained checks an maintenance that begins on time: it ends no long-running task
 // beyond the budget of its step.
-func (w *world) emptied(x *model.Worker) {
-	w.log("UPKEEP of %s", x.ID)
+func (w *world) drained(x *model.Worker) {
+	w.log("MAINTENANCE of %s", x.ID)
 	runs, _, _ := x.Hold(1<<60, 0, 0)
 	for _, r := range runs {
 		id, err := work.ParseTaskID(r.Task)
@@ -51,8 +51,8 @@
 
 var errAway = errors.New("the service is away")
 
-// upkeep carries out a step of a wave, with what the network does to it.
-func (p *player) upkeep(a upkeep.Action) {
+// maintenance carries out a step of a wave, with what the network does to it.
+func (p *player) maintenance(a maint.Action) {
 	w := p.w
 	away := func() bool { return !w.storeUp || p.cut || w.now < p.paused || w.disturbed(0.05) }
 	soon := func(f func()) { w.after(w.between(time.Millisecond, 8*time.Millisecond), f) }
@@ -64,7 +64,7 @@
 		soon(func() { p.take(e) })
 	}
 	switch a := a.(type) {
-	case upkeep.List:
+	case maint.List:
 		sent := w.now
 		soon(func() {
 			e := event.MachinesListed{Sent: sent}
@@ -72,13 +72,13 @@
 				e.Err = errAway
 			}
 			for _, m := range w.cluster.Machines {
-				e.Machines = append(e.Machines, upkeep.Machine{ID: m.ID, Pool: m.Pool, State: states[w.cluster.State(m)], Worker: m.Worker})
+				e.Machines = append(e.Machines, maint.Machine{ID: m.ID, Pool: m.Pool, State: states[w.cluster.State(m)], Worker: m.Worker})
 			}
 			soon(func() { p.take(e) })
 		})
-	case upkeep.Read:
+	case maint.Read:
 		soon(func() { read(a.Wave, away()) })
-	case upkeep.Write:
+	case maint.Write:
 		soon(func() {
 			switch {
 			case away():
@@ -94,46 +94,46 @@
 				read(a.Wave, w.disturbed(0.1))
 			}
 		})
-	case upkeep.Order:
+	case maint.Order:
 		p.machine(a)
-	case upkeep.Tell:
+	case maint.Tell:
 		if !a.Finished {
 			return
 		}
 		w.finished = true
 		for _, m := range w.wave.Machines {
 			if !w.cluster.Began(m, a.Wave) {
-				w.fail("MIXED: the wave is over, and %s has had no upkeep", m)
+				w.fail("MIXED: the wave is over, and %s has had no maintenance", m)
 			}
 		}
 	}
 }
 
 var (
-	states   = map[string]upkeep.State{"up": upkeep.Up, "upkeep": upkeep.InWork, "down": upkeep.Down}
-	outcomes = map[string]upkeep.Outcome{"": upkeep.Begun, "fence": upkeep.Fenced, "busy": upkeep.Busy, "wave": upkeep.Unwanted, "none": upkeep.Unwanted}
+	states   = map[string]maint.State{"up": maint.Up, "upkeep": maint.InMaintenance, "down": maint.Down}
+	outcomes = map[string]maint.Outcome{"": maint.Begun, "fence": maint.Fenced, "busy": maint.Busy, "wave": maint.Unwanted, "none": maint.Unwanted}
 )
 
 // machine carries an order for a machine out, late or without an answer at
 // times.
-func (p *player) machine(a upkeep.Order) {
+func (p *player) machine(a maint.Order) {
 	w := p.w
 	holder := fmt.Sprint("decider ", p.epoch)
-	answer := func(o upkeep.Outcome, after time.Duration) {
-		w.after(after, func() { p.take(event.UpkeepAnswered{Wave: a.Wave, Machine: a.Machine, Outcome: o}) })
+	answer := func(o maint.Outcome, after time.Duration) {
+		w.after(after, func() { p.take(event.MaintenanceAnswered{Wave: a.Wave, Machine: a.Machine, Outcome: o}) })
 	}
 	do := func(late bool) string {
 		w.cluster.Emptied = nil
 		if !late {
-			w.cluster.Emptied = w.emptied
+			w.cluster.Emptied = w.drained
 		}
 		return w.cluster.Upkeep(a.Machine, a.Wave, holder, a.Token)
 	}
 	switch {
 	case w.disturbed(0.05):
-		answer(upkeep.NoAnswer, time.Second)
+		answer(maint.NoAnswer, time.Second)
 	case w.disturbed(0.1):
-		answer(upkeep.NoAnswer, time.Second)
+		answer(maint.NoAnswer, time.Second)
 		w.after(w.between(time.Second, 12*time.Second), func() {
 			w.log("late order for %s by %d", a.Machine, p.epoch)
 			do(true)
@@ -142,7 +142,7 @@
 		w.after(w.between(time.Millisecond, 8*time.Millisecond), func() {
 			o := outcomes[do(false)]
 			if w.disturbed(0.1) {
-				answer(upkeep.NoAnswer, time.Second)
+				answer(maint.NoAnswer, time.Second)
 				return
 			}
 			answer(o, w.between(time.Millisecond, 8*time.Millisecond))
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -11,8 +11,8 @@
 
 	"citronbridge/event"
 	"citronbridge/fakes/model"
+	"citronbridge/maint"
 	"citronbridge/track"
-	"citronbridge/upkeep"
 	"citronbridge/work"
 )
 
@@ -36,14 +36,14 @@
 	epoch    int64
 	storeUp  bool
 	listed   map[string]bool
-	// progress is the row of the wave of upkeep, at a version.
-	progress upkeep.Progress
+	// progress is the row of the wave of maintenance, at a version.
+	progress maint.Progress
 	version  int64
 	fences   map[string]int64
 
 	deciders []*player
-	// wave is the wave of upkeep that is asked for, nil if none is.
-	wave     *upkeep.Wave
+	// wave is the wave of maintenance that is asked for, nil if none is.
+	wave     *maint.Wave
 	finished bool
 	// What has happened.
 	active  map[string][]*act
@@ -157,7 +157,7 @@
 		"long":    {Name: "long", Pool: "p", Priority: 1, MaxAttempts: 3, Stretch: 3, Slack: time.Second},
 	}, Pools: map[string]*work.Pool{"p": {Name: "p"}}}
 	w.rules.Index()
-	w.cluster = model.NewCluster(model.Bounds{MaxHold: maxHold, StopTime: 200 * time.Millisecond, GangTimeout: 3 * time.Second, Upkeep: upkeepTime})
+	w.cluster = model.NewCluster(model.Bounds{MaxHold: maxHold, StopTime: 200 * time.Millisecond, GangTimeout: 3 * time.Second, Upkeep: maintenanceTime})
 	w.cluster.Started, w.cluster.Stopped = w.started, w.stopped
 	return w
 }
@@ -353,10 +353,10 @@
 	beatTimeout = 1300 * time.Millisecond
 	lease       = 9500 * time.Millisecond
 	maxHold     = 10 * time.Second
-	// upkeepTime is how long an upkeep takes, turnPause how long after a
+	// maintenanceTime is how long an maintenance takes, turnPause how long after a
 	// takeover no machine gets an order.
-	upkeepTime = 2 * time.Second
-	turnPause  = 3 * time.Second
+	maintenanceTime = 2 * time.Second
+	turnPause       = 3 * time.Second
 	// notice is how long a long-running task may not be at work before it
 	// counts as away, lastingStartup what one takes to be at work.
 	notice         = 4500 * time.Millisecond
@@ -369,7 +369,7 @@
 func (w *world) decide(cutFrom map[string]bool) {
 	w.epoch++
 	p := &player{w: w, epoch: w.epoch, confirmed: w.now, cutFrom: cutFrom, loaded: map[string]time.Duration{}, flushAt: -1}
-	c := track.Config{Pool: "p", Epoch: w.epoch, Bounds: event.Bounds{Lease: lease, StopTime: 200 * time.Millisecond, FarFactor: 3, UpkeepTime: upkeepTime, TurnPause: turnPause}, Inherit: maxHold, PartOf: partOf}
+	c := track.Config{Pool: "p", Epoch: w.epoch, Bounds: event.Bounds{Lease: lease, StopTime: 200 * time.Millisecond, FarFactor: 3, MaintenanceTime: maintenanceTime, TurnPause: turnPause}, Inherit: maxHold, PartOf: partOf}
 	if n := len(w.deciders); n > 0 && !w.deciders[n-1].dead {
 		c.Inherit += ownedFor - beatTimeout
 	}
@@ -378,7 +378,7 @@
 	}
 	p.s = New(c, p.clock(), w.rules)
 	if w.faults.weakProgress {
-		w.progress = upkeep.Progress{}
+		w.progress = maint.Progress{}
 	}
 	w.deciders = append(w.deciders, p)
 	w.log("DECIDER %d", w.epoch)
@@ -605,8 +605,8 @@
 			w.after(w.between(0, 6*time.Millisecond), func() {
 				p.prove(func() { w.after(w.between(0, 6*time.Millisecond), func() { p.take(event.Owned{At: at}) }) })
 			})
-		case event.Upkeep:
-			p.upkeep(e.Action)
+		case event.Maintenance:
+			p.maintenance(e.Action)
 		case event.Note:
 			w.log("  %d: %s %s %s %d", p.epoch, e.Text, e.Worker, e.Task, e.Run)
 		}
--- a/track/worker.go
+++ b/track/worker.go
@@ -63,8 +63,8 @@
 	// one's machine, 0 if none did. It takes no tasks, and is asked whether it
 	// lives, as a list may be old.
 	Replaced time.Duration
-	// Leaving workers are emptied for the upkeep of their machines.
-	Leaving bool
+	// Cordoned workers take no tasks, as they are drained for the maintenance of their machines.
+	Cordoned bool
 	// ClosedUntil keeps new tasks away.
 	ClosedUntil time.Duration
 	// Streak counts the jobs in a row that have failed here, StreakJob is the
--- a/waves/rows.go
+++ b/waves/rows.go
@@ -6,31 +6,31 @@
 	"fmt"
 	"strconv"
 
+	"citronbridge/maint"
 	"citronbridge/repo"
-	"citronbridge/upkeep"
 )
 
-// Table has a row for each wave of upkeep: which machines have a place, and
+// Table has a row for each wave of maintenance: which machines have a slot, and
 // which are back. It has one part, that of the owners of pools.
-const Table = "upkeep"
+const Table = "maintenance"
 
 // key names a wave's row.
 func key(n int64) string { return strconv.FormatInt(n, 10) }
 
 // read returns how a wave is, and the version of its row, 0 if there is none.
-func (r *Runner) read(ctx context.Context, n int64) (upkeep.Progress, int64, error) {
+func (r *Runner) read(ctx context.Context, n int64) (maint.Progress, int64, error) {
 	p, err := r.c.Store.List(ctx, Table, "", key(n), 1)
 	if err != nil {
-		return upkeep.Progress{}, 0, fmt.Errorf("read progress of wave %d: %w", n, err)
+		return maint.Progress{}, 0, fmt.Errorf("read progress of wave %d: %w", n, err)
 	}
 	if len(p.Rows) == 0 || p.Rows[0].Key != key(n) {
-		return upkeep.Progress{}, 0, nil
+		return maint.Progress{}, 0, nil
 	}
 	return decode(n, p.Rows[0])
 }
 
-func decode(n int64, row repo.Row) (upkeep.Progress, int64, error) {
-	var v upkeep.Progress
+func decode(n int64, row repo.Row) (maint.Progress, int64, error) {
+	var v maint.Progress
 	if err := json.Unmarshal(row.Value, &v); err != nil {
 		return v, 0, fmt.Errorf("decode progress of wave %d: %w", n, err)
 	}
@@ -39,7 +39,7 @@
 
 // write writes how a wave is, if its row has a version and the pool is still
 // held. It returns the row as it is then, and whether the pool is held.
-func (r *Runner) write(ctx context.Context, a upkeep.Write) (now upkeep.Progress, version int64, held bool, err error) {
+func (r *Runner) write(ctx context.Context, a maint.Write) (now maint.Progress, version int64, held bool, err error) {
 	b, err := json.Marshal(a.Progress)
 	if err != nil {
 		return now, 0, true, fmt.Errorf("encode progress of wave %d: %w", a.Wave, err)
--- a/waves/waves.go
+++ b/waves/waves.go
@@ -1,5 +1,5 @@
 // Package waves carries out what a pool's decider wants done for waves of
-// upkeep: in the table service, at the service of machines and towards the
+// maintenance: in the table service, at the service of machines and towards the
 // operator.
 package waves
 
@@ -11,15 +11,15 @@
 	"github.com/rs/zerolog"
 
 	"citronbridge/event"
+	"citronbridge/maint"
 	"citronbridge/platform/cloud"
 	"citronbridge/repo"
-	"citronbridge/upkeep"
 )
 
 // Machines is the service of machines.
 type Machines interface {
-	List(ctx context.Context) ([]upkeep.Machine, error)
-	Upkeep(ctx context.Context, machine string, wave int64, holder string, token int64) (upkeep.Outcome, error)
+	List(ctx context.Context) ([]maint.Machine, error)
+	Maintain(ctx context.Context, machine string, wave int64, holder string, token int64) (maint.Outcome, error)
 }
 
 var _ Machines = (*cloud.Client)(nil)
@@ -37,7 +37,7 @@
 	// Tell passes events on to the decider.
 	Tell func(event.Event)
 	// Ordered is told how each order came out.
-	Ordered func(upkeep.Outcome)
+	Ordered func(maint.Outcome)
 	// Deposed is called if the pool is another host's.
 	Deposed func()
 	Log     zerolog.Logger
@@ -50,37 +50,37 @@
 func New(c Config) *Runner { return &Runner{c} }
 
 // Do carries out an action, and tells the decider what came of it.
-func (r *Runner) Do(ctx context.Context, a upkeep.Action) {
+func (r *Runner) Do(ctx context.Context, a maint.Action) {
 	switch a := a.(type) {
-	case upkeep.List:
+	case maint.List:
 		sent := r.c.Now()
 		l, err := r.c.Machines.List(ctx)
 		if err != nil {
 			r.c.Log.Warn().Err(err).Msg("machines can't be listed")
 		}
 		r.c.Tell(event.MachinesListed{Machines: l, Sent: sent, Err: err})
-	case upkeep.Read:
+	case maint.Read:
 		p, v, err := r.read(ctx, a.Wave)
 		r.progress(a.Wave, p, v, err)
-	case upkeep.Write:
+	case maint.Write:
 		p, v, held, err := r.write(ctx, a)
 		if !held {
 			r.c.Deposed()
 			return
 		}
 		r.progress(a.Wave, p, v, err)
-	case upkeep.Order:
-		o, err := r.c.Machines.Upkeep(ctx, a.Machine, a.Wave, r.c.Host, a.Token)
-		r.c.Log.Info().Str("machine", a.Machine).Int64("wave", a.Wave).Int64("token", a.Token).Str("outcome", string(o)).AnErr("cause", err).Msg("upkeep ordered")
+	case maint.Order:
+		o, err := r.c.Machines.Maintain(ctx, a.Machine, a.Wave, r.c.Host, a.Token)
+		r.c.Log.Info().Str("machine", a.Machine).Int64("wave", a.Wave).Int64("token", a.Token).Str("outcome", string(o)).AnErr("cause", err).Msg("maintenance ordered")
 		r.c.Ordered(o)
-		r.c.Tell(event.UpkeepAnswered{Wave: a.Wave, Machine: a.Machine, Outcome: o})
-	case upkeep.Tell:
+		r.c.Tell(event.MaintenanceAnswered{Wave: a.Wave, Machine: a.Machine, Outcome: o})
+	case maint.Tell:
 		r.tellOperator(ctx, a)
 	}
 }
 
 // progress passes on how a wave is.
-func (r *Runner) progress(n int64, p upkeep.Progress, version int64, err error) {
+func (r *Runner) progress(n int64, p maint.Progress, version int64, err error) {
 	if err != nil {
 		r.c.Log.Warn().Err(err).Int64("wave", n).Msg("progress of a wave isn't known")
 	} else {
@@ -94,7 +94,7 @@
 
 // tellOperator tells how a wave is, trying until that succeeds or ctx ends. That
 // it is under way is told once.
-func (r *Runner) tellOperator(ctx context.Context, a upkeep.Tell) {
+func (r *Runner) tellOperator(ctx context.Context, a maint.Tell) {
 	b, err := cloud.EncodeStatus(a.Wave, a.Finished)
 	if err != nil {
 		panic(fmt.Sprint("status of a wave: ", err))
--- a/waves/waves_test.go
+++ b/waves/waves_test.go
@@ -11,22 +11,22 @@
 
 	"citronbridge/event"
 	"citronbridge/fakes/rows"
+	"citronbridge/maint"
 	"citronbridge/platform/cloud"
 	"citronbridge/repo"
-	"citronbridge/upkeep"
 )
 
 // machines answers as a test says.
 type machines struct {
-	list    []upkeep.Machine
+	list    []maint.Machine
 	err     error
-	outcome upkeep.Outcome
+	outcome maint.Outcome
 	orders  []string
 }
 
-func (m *machines) List(context.Context) ([]upkeep.Machine, error) { return m.list, m.err }
+func (m *machines) List(context.Context) ([]maint.Machine, error) { return m.list, m.err }
 
-func (m *machines) Upkeep(_ context.Context, machine string, _ int64, holder string, _ int64) (upkeep.Outcome, error) {
+func (m *machines) Maintain(_ context.Context, machine string, _ int64, holder string, _ int64) (maint.Outcome, error) {
 	m.orders = append(m.orders, machine+" by "+holder)
 	return m.outcome, m.err
 }
@@ -41,8 +41,8 @@
 	}
 	told, deposed = &[]event.Event{}, new(bool)
 	r = New(Config{
-		Host: host, Store: m, Owner: o.Owner, Machines: &machines{outcome: upkeep.Begun}, Now: func() time.Duration { return time.Second },
-		Tell: func(e event.Event) { *told = append(*told, e) }, Ordered: func(upkeep.Outcome) {}, Deposed: func() { *deposed = true }, Log: zerolog.Nop(),
+		Host: host, Store: m, Owner: o.Owner, Machines: &machines{outcome: maint.Begun}, Now: func() time.Duration { return time.Second },
+		Tell: func(e event.Event) { *told = append(*told, e) }, Ordered: func(maint.Outcome) {}, Deposed: func() { *deposed = true }, Log: zerolog.Nop(),
 	})
 	return r, told, deposed, o.Owner
 }
@@ -60,28 +60,28 @@
 		}
 		return e
 	}
-	a.Do(t.Context(), upkeep.Read{Wave: 7})
+	a.Do(t.Context(), maint.Read{Wave: 7})
 	if e := last(told); e.Version != 0 || len(e.Progress.Claims) > 0 {
 		t.Errorf("a wave without a row: %+v", e)
 	}
-	p := upkeep.Progress{Claims: map[string]upkeep.Claim{"m-1": {Pool: "pool", Epoch: 1}}, Done: []string{"m-0"}}
-	a.Do(t.Context(), upkeep.Write{Wave: 7, Progress: p})
+	p := maint.Progress{Claims: map[string]maint.Claim{"m-1": {Pool: "pool", Epoch: 1}}, Done: []string{"m-0"}}
+	a.Do(t.Context(), maint.Write{Wave: 7, Progress: p})
 	first := last(told)
 	if first.Version == 0 || !reflect.DeepEqual(first.Progress, p) {
 		t.Errorf("written: %+v", first)
 	}
 	// A write for a version that the row no longer has tells how it is.
-	a.Do(t.Context(), upkeep.Write{Wave: 7, Progress: upkeep.Progress{}})
+	a.Do(t.Context(), maint.Write{Wave: 7, Progress: maint.Progress{}})
 	if e := last(told); e.Version != first.Version || !reflect.DeepEqual(e.Progress, p) {
 		t.Errorf("after a conflict: %+v", e)
 	}
 	b, toldB, _, _ := runner(t, m, "b", 2, owner.Version)
-	b.Do(t.Context(), upkeep.Read{Wave: 7})
+	b.Do(t.Context(), maint.Read{Wave: 7})
 	if e := last(toldB); e.Version != first.Version || !reflect.DeepEqual(e.Progress, p) {
 		t.Errorf("the successor reads %+v", e)
 	}
 	n := len(*told)
-	a.Do(t.Context(), upkeep.Write{Wave: 7, Progress: upkeep.Progress{}, Version: first.Version})
+	a.Do(t.Context(), maint.Write{Wave: 7, Progress: maint.Progress{}, Version: first.Version})
 	if !*deposed || len(*told) != n {
 		t.Errorf("a former decider: deposed %v, told %+v", *deposed, (*told)[n:])
 	}
@@ -100,15 +100,15 @@
 		}
 		return string(p.Rows[0].Value)
 	}
-	a.Do(t.Context(), upkeep.Tell{Wave: 7})
+	a.Do(t.Context(), maint.Tell{Wave: 7})
 	if s := status(); s != `{"wave":7,"state":"running"}` {
 		t.Errorf("under way: %s", s)
 	}
-	a.Do(t.Context(), upkeep.Tell{Wave: 7, Finished: true})
+	a.Do(t.Context(), maint.Tell{Wave: 7, Finished: true})
 	over := `{"wave":7,"state":"succeeded"}`
 	b, _, _, _ := runner(t, m, "b", 2, owner.Version)
-	b.Do(t.Context(), upkeep.Tell{Wave: 7})
-	a.Do(t.Context(), upkeep.Tell{Wave: 7})
+	b.Do(t.Context(), maint.Tell{Wave: 7})
+	a.Do(t.Context(), maint.Tell{Wave: 7})
 	if s := status(); s != over {
 		t.Errorf("over: %s", s)
 	}
@@ -117,14 +117,14 @@
 // TestMachines passes on what the service of machines says.
 func TestMachines(t *testing.T) {
 	r, told, _, _ := runner(t, rows.New(), "a", 1, 0)
-	m := &machines{list: []upkeep.Machine{{ID: "m-1", Pool: "pool", State: upkeep.Up, Worker: "i-1"}}, outcome: upkeep.Busy}
+	m := &machines{list: []maint.Machine{{ID: "m-1", Pool: "pool", State: maint.Up, Worker: "i-1"}}, outcome: maint.Busy}
 	r.c.Machines = m
-	r.Do(t.Context(), upkeep.List{})
-	r.Do(t.Context(), upkeep.Order{Wave: 7, Machine: "m-1", Token: 3})
+	r.Do(t.Context(), maint.List{})
+	r.Do(t.Context(), maint.Order{Wave: 7, Machine: "m-1", Token: 3})
 	m.err = errors.New("away")
-	r.Do(t.Context(), upkeep.List{})
+	r.Do(t.Context(), maint.List{})
 	want := []event.Event{
-		event.MachinesListed{Machines: m.list, Sent: time.Second}, event.UpkeepAnswered{Wave: 7, Machine: "m-1", Outcome: upkeep.Busy},
+		event.MachinesListed{Machines: m.list, Sent: time.Second}, event.MaintenanceAnswered{Wave: 7, Machine: "m-1", Outcome: maint.Busy},
 		event.MachinesListed{Machines: m.list, Sent: time.Second, Err: m.err},
 	}
 	if !reflect.DeepEqual(*told, want) {
--- a/work/amounts_test.go
+++ b/work/amounts_test.go
@@ -2,7 +2,7 @@
 
 import "testing"
 
-func TestWithin(t *testing.T) {
+func TestFits(t *testing.T) {
 	for _, x := range []struct {
 		name string
 		a, b Amounts
@@ -15,7 +15,7 @@
 		{"processor that isn't asked for is over-committed", Amounts{0, 100, 0}, Amounts{-500, 100, 0}, true},
 		{"asked for and over-committed", Amounts{1, 0, 0}, Amounts{-500, 100, 4}, false},
 	} {
-		if got := x.a.Within(x.b); got != x.want {
+		if got := x.a.Fits(x.b); got != x.want {
 			t.Errorf("%s: %v", x.name, got)
 		}
 	}
--- a/work/job.go
+++ b/work/job.go
@@ -47,14 +47,9 @@
 	return Amounts{a.MilliCPU - b.MilliCPU, a.MemoryMiB - b.MemoryMiB, a.Accelerators - b.Accelerators}
 }
 
-// Fits reports whether a is at most b in each resource.
+// Fits reports whether a is at most b in each resource that a asks for. What is
+// over-committed, and so negative in b, matters to nobody else.
 func (a Amounts) Fits(b Amounts) bool {
-	return a.MilliCPU <= b.MilliCPU && a.MemoryMiB <= b.MemoryMiB && a.Accelerators <= b.Accelerators
-}
-
-// Within reports whether a is at most b in each resource that a asks for. What
-// is over-committed, and so negative in b, matters to nobody else.
-func (a Amounts) Within(b Amounts) bool {
 	return (a.MilliCPU <= 0 || a.MilliCPU <= b.MilliCPU) && (a.MemoryMiB <= 0 || a.MemoryMiB <= b.MemoryMiB) &&
 		(a.Accelerators <= 0 || a.Accelerators <= b.Accelerators)
 }
