--- a/sched/waves.go
+++ b/sched/waves.go
@@ -132,7 +132,7 @@
 	return false
 }
 
-// Empty implements maint.Pool. Tasks that are neither long-running nor save their
+// Drained implements maint.Pool. Tasks that are neither long-running nor save their
 // progress are waited for as long as the wave has time.
 func (s *State) Drained(worker string) bool {
 	w := s.Workers[worker]
