node, plat: Leave the platform's names to the stand-in in tests

Cause: two tests of `node` wrote rows of the operator by the platform's names.

Ruled out: nothing.

Change: the stand-in writes these rows and returns them.

Conclusion: no product code is changed.

--- a/fakes/plat/cloud.go
+++ b/fakes/plat/cloud.go
@@ -121,12 +121,15 @@
 	}()
 }
 
-// AskForWave asks for the upkeep of machines, as the operator does.
-func (p *Platform) AskForWave(w model.Wave, within time.Duration) {
+// AskForWave asks for the upkeep of machines, as the operator does, and returns
+// the key and the value of its row.
+func (p *Platform) AskForWave(w model.Wave, within time.Duration) (key string, value []byte) {
 	p.Lock(func(c *model.Cluster) { c.Waves[w.N] = w })
 	b, err := json.Marshal(map[string]any{"wave": w.N, "machines": w.Machines, "within-s": within.Seconds(), "cap": w.Cap})
 	if err != nil {
 		panic("wave can't be encoded: " + err.Error())
 	}
-	p.Store.Put("op", "wave/"+strconv.FormatInt(w.N, 10), b)
+	key = "wave/" + strconv.FormatInt(w.N, 10)
+	p.Store.Put("op", key, b)
+	return key, b
 }
--- a/fakes/plat/serve.go
+++ b/fakes/plat/serve.go
@@ -123,6 +123,17 @@
 	return d, a, err
 }
 
+// Configure puts a configuration in force that has the pool and no queue, and
+// returns its row's value.
+func (p *Platform) Configure(version int64) []byte {
+	b, err := json.Marshal(map[string]any{"version": version, "services": []any{map[string]any{"name": p.pool}}})
+	if err != nil {
+		panic("configuration can't be encoded: " + err.Error())
+	}
+	p.Store.Put("op", "config", b)
+	return b
+}
+
 // Assign makes a worker that is added later serve another pool.
 func (p *Platform) Assign(id, pool string) {
 	p.mu.Lock()
--- a/node/lead_test.go
+++ b/node/lead_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -105,7 +104,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p.Store.Put("op", "config", []byte(`{"version":1,"services":[{"name":"pool"}]}`))
+	config := p.Configure(1)
 	s := &platform.Settings{Host: "a"}
 	s.Listen.Front, s.Listen.Ready, s.Store.Address = "127.0.0.1:0", "127.0.0.1:0", store
 	h, err := New(Config{Settings: s, Log: zerolog.Nop()})
@@ -116,7 +115,7 @@
 		h.front.Close()
 		h.ready.Close()
 	})
-	h.adopt(p.Store.Value("op", "", "config"))
+	h.adopt(config)
 	return h, p
 }
 
@@ -166,15 +165,19 @@
 // TestWavesFollowTheOperator takes waves in, and forgets those that are taken
 // back by a row or left out of a list.
 func TestWavesFollowTheOperator(t *testing.T) {
-	h, _ := newHost(t)
-	row := func(key string, deleted bool) repo.Row {
-		return repo.Row{Table: platform.TableOperator, Key: key, Value: []byte(`{"machines":["m-1"],"within-s":9,"cap":1}`), Deleted: deleted}
-	}
-	for _, n := range []int{3, 4, 5} {
-		h.takeWave(row(fmt.Sprint("wave/", n), false))
-	}
-	h.takeWave(row("wave/4", true))
-	h.takeWave(row("config", false))
+	h, p := newHost(t)
+	wave := func(n int64) repo.Row {
+		key, value := p.AskForWave(model.Wave{N: n, Machines: []string{"m-1"}, Cap: 1}, time.Minute)
+		return repo.Row{Table: platform.TableOperator, Key: key, Value: value}
+	}
+	config := repo.Row{Table: platform.TableOperator, Key: platform.KeyConfig, Value: p.Configure(2)}
+	for n := range int64(3) {
+		h.takeWave(wave(n + 3))
+	}
+	gone := wave(4)
+	gone.Deleted = true
+	h.takeWave(gone)
+	h.takeWave(config)
 	numbers := func() []int64 {
 		var l []int64
 		for _, w := range h.waves.list() {
@@ -185,7 +188,7 @@
 	if l := numbers(); !slices.Equal(l, []int64{3, 5}) {
 		t.Errorf("waves %v", l)
 	}
-	h.keepWaves([]repo.Row{row("config", false), row("wave/5", false)})
+	h.keepWaves([]repo.Row{config, wave(5)})
 	if l := numbers(); !slices.Equal(l, []int64{5}) {
 		t.Errorf("waves after a list without one: %v", l)
 	}
