--- a/fakes/model/advice.go
+++ b/fakes/model/advice.go
@@ -23,10 +23,24 @@
 const refuseOneIn = 4
 
 // allows reports whether the policy lets a worker run a step, which hashes of their
-// names decide. Each step is allowed on at least one of the workers, its home.
+// names decide. Each step is allowed on at least one worker, its home, and on the workers
+// that replace it. The home is chosen when the step is first asked for, so that the policy
+// doesn't change as workers are added.
 func (c *Cluster) allows(step, worker string) bool {
-	home := c.workerIDs[xxhash.Sum64String(step)>>32%uint64(len(c.workerIDs))]
-	return worker == home || xxhash.Sum64String(step+"@"+worker)>>32%refuseOneIn != 0
+	if c.homes[step] == "" {
+		c.homes[step] = c.original(c.workerIDs[xxhash.Sum64String(step)>>32%uint64(len(c.workerIDs))])
+	}
+	worker = c.original(worker)
+	return worker == c.homes[step] || xxhash.Sum64String(step+"@"+worker)>>32%refuseOneIn != 0
+}
+
+// original returns the worker that a worker replaces, directly or through others, or the
+// worker itself.
+func (c *Cluster) original(id string) string {
+	for c.Workers[id] != nil && c.Workers[id].Replaces != "" {
+		id = c.Workers[id].Replaces
+	}
+	return id
 }
 
 // Advise returns the tickets, by worker, of those workers that may run a step. The
--- a/fakes/model/model.go
+++ b/fakes/model/model.go
@@ -96,6 +96,8 @@
 	ID string
 	// Born distinguishes the incarnations of an ID.
 	Born int64
+	// Replaces is the ID of the worker that left and was replaced by this one, or empty.
+	Replaces string
 	// Unreachable makes calls to the worker get no answer. Its runs go on.
 	Unreachable bool
 	// FailsAll makes all work that the worker completes fail instead.
@@ -151,11 +153,13 @@
 	workerIDs []string
 	// ticketExpiry is when the tickets of the advice service expire.
 	ticketExpiry map[grant]time.Duration
+	// homes are the workers that the advice service's policy always allows, by step.
+	homes map[string]string
 }
 
 // NewCluster returns a Cluster without workers.
 func NewCluster(b Bounds) *Cluster {
-	return &Cluster{Bounds: b, Workers: map[string]*Worker{}, Waves: map[int64]Wave{}, ticketExpiry: map[grant]time.Duration{}}
+	return &Cluster{Bounds: b, Workers: map[string]*Worker{}, Waves: map[int64]Wave{}, ticketExpiry: map[grant]time.Duration{}, homes: map[string]string{}}
 }
 
 // Add starts an incarnation of a worker without runs.
--- a/launch/dispatch.go
+++ b/launch/dispatch.go
@@ -114,6 +114,9 @@
 			s.Log(r.Task.Step.Job, r.Worker, r, "start cancelled: worker doesn't answer; placing the task again")
 			s.Release(r, event.Stopped, "")
 			return true
+		case r.Worker.Draining:
+			s.cancelStart(r)
+			return true
 		}
 		if at := r.Worker.NextStart; at > s.Now.Steady {
 			next = min(next, at)
@@ -126,6 +129,15 @@
 	return next
 }
 
+// cancelStart gives up a start at a worker that has begun to drain since it was decided.
+// If the start was sent and its answer lost, a stop makes sure that the worker doesn't
+// carry it out later.
+func (s *Launcher) cancelStart(r *track.Run) {
+	r.Queued = false
+	s.Log(r.Task.Step.Job, r.Worker, r, "start cancelled: worker is draining; placing the task again")
+	s.Stop(r)
+}
+
 // sendQueued calls send for each run of a queue that is still at its worker, and
 // returns the runs for which send returned false, as their orders must wait.
 func (s *Launcher) sendQueued(l []*track.Run, send func(*track.Run) bool) []*track.Run {
@@ -236,6 +248,9 @@
 		return at, false
 	case r.Phase != track.Stopping && w.UnansweredCalls > 0:
 		return now + RetryPause, false
+	case r.Phase != track.Stopping && w.Draining:
+		s.cancelStart(r)
+		return now, true
 	case r.Phase == track.Stopping && exceedsMayMiss(r):
 		return now + RetryPause, false
 	}
--- a/launch/dispatch_test.go
+++ b/launch/dispatch_test.go
@@ -104,3 +104,31 @@
 		t.Errorf("%d starts and %d stops sent, want only one stop", len(starts), len(stops))
 	}
 }
+
+// TestNoStartOnDrainingWorker guards against starts that were decided before their worker
+// began to drain and are sent later: one that wasn't sent is cancelled, one whose answer
+// was lost is followed by a stop.
+func TestNoStartOnDrainingWorker(t *testing.T) {
+	l := newLauncher(1, 1)
+	l.Dispatch()
+	starts, _ := takeCalls(l)
+	if len(starts) != 1 {
+		t.Fatalf("%d starts sent, want 1", len(starts))
+	}
+	w := l.Worker("w000")
+	w.Draining = true
+	l.HandleAnswer(event.OrderAnswered{Call: starts[0], Outcome: event.NoAnswer})
+	l.Now.Steady += time.Second
+	l.RetryUnanswered()
+	l.Dispatch()
+	again, stops := takeCalls(l)
+	if len(again) != 0 {
+		t.Errorf("%d starts sent to a draining worker", len(again))
+	}
+	if len(stops) != 1 || stops[0].Task != starts[0].Task {
+		t.Errorf("stops sent: %v, want one of %v", stops, starts[0].Task)
+	}
+	if len(w.Runs) != 1 {
+		t.Errorf("%d runs are left, want only the one that is being stopped", len(w.Runs))
+	}
+}
--- a/sched/schedule_test.go
+++ b/sched/schedule_test.go
@@ -319,7 +319,7 @@
 		w.unlist(x.ID)
 		id := x.ID + "-next"
 		w.after(w.random(500*time.Millisecond, 2*time.Second), func() {
-			w.cluster.Add(w.now, &model.Worker{ID: id, Born: 1, CPU: x.CPU, Memory: x.Memory, Accelerators: x.Accelerators, Overcommits: x.Overcommits, Rate: x.Rate})
+			w.cluster.Add(w.now, &model.Worker{ID: id, Born: 1, Replaces: x.ID, CPU: x.CPU, Memory: x.Memory, Accelerators: x.Accelerators, Overcommits: x.Overcommits, Rate: x.Rate})
 			w.cluster.AddMachine("m"+id, "p", id)
 			w.list(id)
 		})
@@ -501,8 +501,9 @@
 // workers, while workers leave and change their kind.
 func TestSchedulesOfSelectiveSteps(t *testing.T) {
 	// Seed 2051 found a violation of ROUTE in an earlier version of these schedules, in
-	// which no workers left.
-	seeds := []uint64{2051}
+	// which no workers left. 4856, 5644 and 7234 found starts that were sent again to a
+	// worker that had begun to drain.
+	seeds := []uint64{2051, 4856, 5644, 7234}
 	for i := range *selectiveSeeds {
 		seeds = append(seeds, i+1)
 	}
