cells, gangs: Repeat lost orders to forget tasks

Cause: the order to forget ended tasks was sent once. If it was lost, no report mentioned them again, as a target lists only what has changed, so they stayed there until the next takeover. A lost order now makes the next poll of the target list all tasks, and those of no current attempt are discarded.

--- a/cells/watch.go
+++ b/cells/watch.go
@@ -65,11 +65,20 @@
 }
 
 // poll returns the next report of a target. The report is full if the target had to be fenced,
-// because it is new or has restarted; otherwise it has the changes since the last one.
+// because it is new or has restarted; otherwise it has the changes since the last one, or all
+// tasks if an order to forget some of them was lost.
 func (c *Cell) poll(ctx context.Context, x *gangs.Node, wait time.Duration) (r target.Report, full bool, err error) {
 	c.Mu.Lock()
-	fenced, seq, incarnation := x.Fenced, x.Sequence, x.Incarnation
+	fenced, seq, incarnation, relist := x.Fenced, x.Sequence, x.Incarnation, x.Relist
+	if relist {
+		seq, x.Relist = 0, false
+	}
 	c.Mu.Unlock()
+	defer func() {
+		if err != nil && relist {
+			c.RequestRelist(x)
+		}
+	}()
 	if !fenced {
 		r, err = x.Conn.Fence(ctx, c.Hold.Epoch)
 		return r, true, err
@@ -144,7 +153,11 @@
 	go func() {
 		defer c.Work.Done()
 		r, err := c.Send(c.Ctx, x, o)
-		if err != nil || r[len(r)-1] == target.WrongState {
+		if err != nil {
+			c.RequestRelist(x)
+			return
+		}
+		if r[len(r)-1] == target.WrongState {
 			return
 		}
 		c.Mu.Lock()
--- a/gangs/launch.go
+++ b/gangs/launch.go
@@ -299,7 +299,9 @@
 		c.Work.Add(1)
 		go func() {
 			defer c.Work.Done()
-			c.Send(c.Ctx, x, o)
+			if _, err := c.Send(c.Ctx, x, o); err != nil {
+				c.RequestRelist(x)
+			}
 		}()
 	}
 	j.Members, j.Guarantee, j.HaltReason = nil, "", active.HaltNone
--- a/gangs/node.go
+++ b/gangs/node.go
@@ -28,7 +28,10 @@
 	LastRenewal time.Time
 	// StrayTasks holds the room of the tasks that belong to no current attempt.
 	StrayTasks map[target.TaskID]jobs.Room
-	Health     health.Record
+	// Relist makes the next poll list all tasks, as an order to forget some of them had no
+	// answer.
+	Relist bool
+	Health health.Record
 	// UnansweredCalls counts the consecutive calls that the target didn't answer.
 	UnansweredCalls int
 	Cancel          context.CancelFunc
@@ -77,6 +80,14 @@
 	return r, err
 }
 
+// RequestRelist makes the next poll of a target list all its tasks. Those that should have been
+// forgotten are discarded then.
+func (c *Controller) RequestRelist(x *Node) {
+	c.Mu.Lock()
+	defer c.Mu.Unlock()
+	x.Relist = true
+}
+
 // MaxUnansweredCalls is the number of consecutive unanswered calls at which a target is
 // unresponsive and gets no new work.
 const MaxUnansweredCalls = 2
