loads, launch: Replay recorded loads, evacuate early what can't be done in time

Change: deciders log what a job asks for with 'job taken in', the command record turns hosts' logs into a load, and tests replay loads against the decisions of demand, assign and launch without clock, network or store. A run at a draining worker that can't be done in time, by its progress, and doesn't save it is stopped at once; a gang that can be done in time is left alone if a member runs on a worker that stays, as its end is reported there too.

--- a/cmds/parse.go
+++ b/cmds/parse.go
@@ -12,7 +12,7 @@
 func (a *app) commands(p *flaggy.Parser) []command {
 	attachTop := func(s *flaggy.Subcommand, n int) { p.AttachSubcommand(s, n) }
 	l := []command{
-		a.serveCommand(attachTop), a.nodeCommand(attachTop), a.demoCommand(attachTop), a.checkCommand(attachTop),
+		a.serveCommand(attachTop), a.nodeCommand(attachTop), a.demoCommand(attachTop), a.checkCommand(attachTop), a.recordCommand(attachTop),
 		a.remoteCommand(attachTop, "submit", "Send the request in FILE (JSON or YAML): submit job.json --host 127.0.0.1:8080", (*app).runSubmit, a.fileArg),
 		a.remoteCommand(attachTop, "status", "Print the state of a job: status ID --host 127.0.0.1:8080", (*app).runStatus, a.idArg),
 		a.remoteCommand(attachTop, "answer", "Print a job's answer: answer ID --wait 5m --host 127.0.0.1:8080", (*app).runAnswer, a.idArg, a.waitFlag),
@@ -102,6 +102,14 @@
 	return command{s, (*app).runDemo}
 }
 
+func (a *app) recordCommand(add attachFunc) command {
+	s := flaggy.NewSubcommand("record")
+	s.Description = "Print the load of a pool as JSON, from its hosts' logs: record --log a.log --log b.log"
+	s.StringSlice(&a.logs, "", "log", "A log file of hosts, - for standard input; may be repeated.")
+	add(s, 1)
+	return command{s, (*app).runRecord}
+}
+
 func (a *app) checkCommand(add attachFunc) command {
 	s := flaggy.NewSubcommand("check")
 	s.Description = "Check files: check --settings host.yaml, check --manifest m.yaml, check --node node.yaml"
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -12,6 +12,7 @@
 	"citronbridge/advice"
 	"citronbridge/event"
 	"citronbridge/launch"
+	"citronbridge/loads"
 	"citronbridge/maint"
 	"citronbridge/meter"
 	"citronbridge/platform"
@@ -380,7 +381,8 @@
 			d.c.Meter.JobTime.WithLabelValues(q).Observe(e.Took.Seconds())
 		case event.JobReceived:
 			tasks, accelerators := e.Job.Size()
-			d.log.Info().Str("job", e.Job.ID).Str("queue", e.Job.Queue).Str("account", e.Job.Tenant).Int("tasks", tasks).Int64("accelerators", accelerators).Msg("job taken in")
+			a := loads.Arrival{Accepted: e.Job.Accepted, Priority: e.Job.Terms.Priority, Stretch: e.Job.Terms.Stretch, Slack: e.Job.Terms.Slack, Guaranteed: e.Guaranteed, Steps: e.Job.Steps}
+			d.log.Info().Str("job", e.Job.ID).Str("queue", e.Job.Queue).Str("account", e.Job.Tenant).Int("tasks", tasks).Int64("accelerators", accelerators).Interface("arrival", a).Msg(loads.JobTakenIn)
 		case event.Maintenance:
 			d.spawn(func() { d.waves.Do(d.ctx, e.Action) })
 		case event.LogEntry:
--- a/event/event.go
+++ b/event/event.go
@@ -372,8 +372,12 @@
 	Took  time.Duration
 }
 
-// JobReceived reports to the log that the decider has received a job.
-type JobReceived struct{ Job *work.Job }
+// JobReceived reports to the log that the decider has received a job, and the accelerators
+// that its account is guaranteed.
+type JobReceived struct {
+	Job        *work.Job
+	Guaranteed int64
+}
 
 // Maintenance requests an action of a maintenance wave. A maint.OrderMaintenance is
 // answered by a MaintenanceAnswered, a maint.ListMachines by a MachinesListed, and a
--- /dev/null
+++ b/loads/loads_test.go
@@ -0,0 +1,151 @@
+package loads
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"citronbridge/golden"
+	"citronbridge/launch"
+	"citronbridge/trace"
+	"citronbridge/track"
+	"citronbridge/units"
+)
+
+// readLoad reads a load of testdata: yard is a day of high load on 48 workers, large the first
+// seconds of one on 540.
+func readLoad(t testing.TB, name string) *Load {
+	t.Helper()
+	f, err := os.Open("testdata/" + name + ".json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	l, err := Read(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// The replacement of workers by withRelease: a share of them, one after the other.
+const (
+	releasedShare = 0.4
+	releaseStart  = 5 * time.Second
+	releaseTime   = 20 * time.Second
+)
+
+// withRelease returns the load with workers that drain, leave and are replaced.
+func withRelease(l *Load) *Load {
+	r := *l
+	rng := rand.New(rand.NewPCG(5, 1))
+	n := int(releasedShare * float64(l.Workers.Count))
+	for i, w := range rng.Perm(l.Workers.Count)[:n] {
+		between := func(a, b time.Duration) units.Duration {
+			return units.Duration(a + time.Duration(rng.Int64N(int64(b-a))))
+		}
+		r.Absences = append(r.Absences, Absence{
+			Worker: w, From: units.Duration(releaseStart + releaseTime*time.Duration(i)/time.Duration(n)),
+			Notice: between(2*time.Second, 4*time.Second), For: between(1500*time.Millisecond, 6*time.Second),
+		})
+	}
+	return &r
+}
+
+// firstInFirstOut returns the load with all jobs alike but for their order of arrival.
+func firstInFirstOut(l *Load) *Load {
+	r := *l
+	r.Queues = nil
+	for _, q := range l.Queues {
+		q.Priority = 1
+		r.Queues = append(r.Queues, q)
+	}
+	r.IgnoreAims = true
+	return &r
+}
+
+// TestReplays compares what the decisions make of each load with a golden file.
+func TestReplays(t *testing.T) {
+	var b strings.Builder
+	for _, name := range []string{"yard", "large"} {
+		l := readLoad(t, name)
+		for _, c := range []struct {
+			name string
+			load *Load
+		}{{"", l}, {" with workers replaced", withRelease(l)}, {" first in, first out", firstInFirstOut(l)}} {
+			fmt.Fprintf(&b, "%s%s: %s\n", name, c.name, replay(c.load, 1, launch.EvacuateAt))
+		}
+	}
+	golden.Check(t, "testdata/replays.golden", b.String())
+}
+
+// TestEvacuationSavesWork guards against runs that work on at a draining worker although they
+// can't be done before it leaves, and against gangs that are stopped although they can: both
+// throw away more work, and more jobs are late.
+func TestEvacuationSavesWork(t *testing.T) {
+	atLast := func(_, leavesAt, stopTime time.Duration, _ *track.Run) (time.Duration, bool) {
+		return leavesAt - stopTime - 500*time.Millisecond, true
+	}
+	l := withRelease(readLoad(t, "yard"))
+	var wasted, wastedAtLast, earned, earnedAtLast float64
+	for seed := range uint64(8) {
+		a, b := replay(l, seed, launch.EvacuateAt), replay(l, seed, atLast)
+		wasted, wastedAtLast = wasted+a.wasted, wastedAtLast+b.wasted
+		earned, earnedAtLast = earned+a.share(), earnedAtLast+b.share()
+	}
+	t.Logf("thrown away %.0f core-seconds, at the last moment %.0f; earned %.3f, at the last moment %.3f", wasted/8, wastedAtLast/8, earned/8, earnedAtLast/8)
+	if wasted >= wastedAtLast || earned <= earnedAtLast {
+		t.Error("evacuation saves no work")
+	}
+}
+
+// TestRecord checks that a load is recorded from log lines, that a successor's repeated lines
+// count once, and that the load reads back as it was written.
+func TestRecord(t *testing.T) {
+	f, err := os.Open("testdata/hosts.log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	lines, skipped, err := trace.Read(f)
+	if err != nil || skipped > 0 {
+		t.Fatalf("%d lines skipped, %v", skipped, err)
+	}
+	l := Record(lines)
+	l.Workers = Workers{Count: 1, PerRack: 1, FarFactor: 1}
+	var b bytes.Buffer
+	if err := l.Write(&b); err != nil {
+		t.Fatal(err)
+	}
+	golden.Check(t, "testdata/recorded.golden", b.String())
+	again, err := Read(&b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var c bytes.Buffer
+	if err := again.Write(&c); err != nil {
+		t.Fatal(err)
+	}
+	golden.Check(t, "testdata/recorded.golden", c.String())
+}
+
+// TestInvalidLoads checks that each fault of a load is named with its field.
+func TestInvalidLoads(t *testing.T) {
+	for _, c := range []struct{ load, want string }{
+		{`{`, "decode load"},
+		{`{"Worker":{}}`, "unknown field"},
+		{`{"Workers":{"Count":0,"PerRack":1,"FarFactor":1}}`, "Workers.Count"},
+		{`{"Workers":{"Count":1,"PerRack":1,"FarFactor":0}}`, "Workers.FarFactor"},
+		{`{"Workers":{"Count":1,"PerRack":1,"FarFactor":1},"Jobs":[{"At":"1s","Queue":"q9","Steps":[{"Count":1}]}]}`, "Jobs[0].Queue"},
+		{`{"Workers":{"Count":1,"PerRack":1,"FarFactor":1},"Queues":[{"Name":"q0"}],"Jobs":[{"At":"1s","Queue":"q0","Steps":[]}]}`, "Jobs[0].Steps"},
+		{`{"Workers":{"Count":1,"PerRack":1,"FarFactor":1},"Absences":[{"Worker":1,"From":"1s"}]}`, "Absences[0].Worker"},
+	} {
+		if _, err := Read(strings.NewReader(c.load)); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, want an error with %q", c.load, err, c.want)
+		}
+	}
+}
--- a/sched/job.go
+++ b/sched/job.go
@@ -26,7 +26,11 @@
 		s.openDue()
 	}
 	s.NeedsPlacement = true
-	s.Emit(event.JobReceived{Job: j.Spec})
+	received := event.JobReceived{Job: j.Spec}
+	if s.Rules != nil {
+		received.Guaranteed = s.Guaranteed(j.Spec.Tenant)
+	}
+	s.Emit(received)
 	s.reconcileJob(j)
 	if s.earlyCancels[j.Spec.ID] > 0 {
 		delete(s.earlyCancels, j.Spec.ID)
--- a/track/job.go
+++ b/track/job.go
@@ -181,6 +181,17 @@
 	return true
 }
 
+// RunsBeyondDraining reports whether a member of the gang runs on a worker that answers and
+// isn't draining.
+func (s *Step) RunsBeyondDraining() bool {
+	for _, t := range s.Tasks {
+		if t.Run != nil && t.Run.Phase == Running && !t.Run.Worker.Draining && t.Run.Worker.Responsive() {
+			return true
+		}
+	}
+	return false
+}
+
 // serving reports whether a long-running task is known to be serving. Nothing is known of a
 // task on a worker that doesn't answer.
 func (t *Task) serving() bool {
--- a/track/run.go
+++ b/track/run.go
@@ -103,6 +103,20 @@
 	minProgress = 0.5
 )
 
+// ExpectedEnd returns when the run's task should be done, by its progress or, while that isn't
+// known, by its estimate. It returns false if there is neither.
+func (r *Run) ExpectedEnd() (time.Duration, bool) {
+	switch {
+	case r.Task == nil, r.Task.Step.Spec.LongRunning:
+		return 0, false
+	case r.Rate > 0:
+		return r.sampledAt + time.Duration(float64(100-r.sample)/r.Rate*float64(time.Second)), true
+	case r.Task.Step.Spec.Estimate > 0:
+		return r.DecidedAt + r.Task.Step.Spec.Estimate, true
+	}
+	return 0, false
+}
+
 // LongRunning reports whether the run's task continues until its job is cancelled.
 func (r *Run) LongRunning() bool { return r.Task != nil && r.Task.Step.Spec.LongRunning }
 
