sched, demand, assign: Give workers that fail tasks fewer of them

By its logs 53 jobs ended as failed within six seconds: a tenth of the workers failed all tasks within 0.1 s of their start, were free again at once, and so got up to 14 tasks in a second. Jobs with two attempts used both up there. Only a job's first failure counted against a worker, so 12 failed tasks of one job counted once.

Change: after a failure a worker gets no task for 0.25 s, doubled with each further one up to 6 s.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -24,12 +24,17 @@
 	// NoBestEffort workers take no best-effort tasks, as these slow down the
 	// latency-sensitive tasks there.
 	NoBestEffort bool
-	Runs         []*Run
+	// Probation workers take one task at a time, as a task failed there and none was done
+	// since.
+	Probation bool
+	Runs      []*Run
 
 	// reserved is the capacity kept for blocked units that come first in order.
 	reserved work.Amounts
 	// reservedUntil is when the last of these units is expected to start.
 	reservedUntil time.Duration
+	// placed reports whether the plan starts a task on the worker.
+	placed bool
 }
 
 // Run is a running task.
@@ -235,6 +240,12 @@
 	if a := u.Step.AntiAffinity; a > 0 {
 		n = min(n, max(a-u.TasksPerWorker[w.ID], 0))
 	}
+	if w.Probation {
+		if w.placed || len(w.Runs) > 0 {
+			return 0
+		}
+		n = min(n, 1)
+	}
 	return n
 }
 
@@ -252,6 +263,7 @@
 // indexes, start on w.
 func (p *planner) place(u *Unit, i, n int, w *Worker) {
 	d := u.Step.CapacityDemand()
+	w.placed = w.placed || n > 0
 	for _, x := range u.Indexes[i : i+n] {
 		p.plan.Starts = append(p.plan.Starts, Placement{u, x, w.ID})
 		w.Free = w.Free.Minus(d)
--- a/demand/units.go
+++ b/demand/units.go
@@ -3,6 +3,7 @@
 package demand
 
 import (
+	"maps"
 	"time"
 
 	"citronbridge/assign"
@@ -66,12 +67,32 @@
 	if len(u.Indexes) == 0 {
 		return nil
 	}
+	if st.Spec.Gang || len(st.Avoid) > 0 {
+		u.AvoidedWorkers = withSuspects(p, st.Avoid)
+	}
 	if st.Job.Queue.Advice {
 		u.AllowedWorkers = workersWithTicket(p, st)
 	}
 	return u
 }
 
+// withSuspects returns the IDs of the workers to avoid, and of those that are suspected of
+// failing all tasks: a gang would lose all its work there, and a step that has failed before
+// another of its attempts.
+func withSuspects(p *track.Pool, avoid map[string]bool) map[string]bool {
+	m := avoid
+	for _, w := range p.WorkersByID {
+		if !w.Suspect(p.Now.Steady) || m[w.ID] {
+			continue
+		}
+		if len(m) == len(avoid) {
+			m = maps.Clone(avoid)
+		}
+		m[w.ID] = true
+	}
+	return m
+}
+
 // starvedAfter is how long a long-running task waits before it may use room that is
 // reserved for other work. The platform requires it to run again within 6 s where there is
 // room.
--- a/sched/ends.go
+++ b/sched/ends.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"time"
+
 	"citronbridge/event"
 	"citronbridge/track"
 	"citronbridge/work"
@@ -102,7 +104,7 @@
 // taskDone marks a task, or all tasks of a gang, as done in a run. Other runs of them are
 // stopped: such a run was started while the worker of this one was unresponsive.
 func (s *State) taskDone(t *track.Task, w *track.Worker, run int) {
-	w.FailureStreak = 0
+	w.FailureStreak, w.FailedRuns = 0, 0
 	if t.Step.Spec.LongRunning {
 		return
 	}
@@ -136,6 +138,15 @@
 	s.markDirty(j)
 }
 
+// pauseAfterFailure gives a worker no new tasks for a pause that doubles with each failure
+// since a task was last done there. A worker that fails all tasks at once is free again at
+// once, so without a pause it would get more of them than any other.
+func pauseAfterFailure(now time.Duration, w *track.Worker) {
+	w.ClosedUntil = max(w.ClosedUntil, now+min(failurePause<<min(w.FailedRuns, maxFailureDoublings), workerPause))
+	w.FailedRuns++
+	w.LastFailure = now
+}
+
 // taskFailed handles a failed run. The job fails once its attempts are used up.
 func (s *State) taskFailed(t *track.Task, w *track.Worker, n int) {
 	j := t.Step.Job
@@ -144,6 +155,7 @@
 		// It was serving: such tasks may fail at any time, so the failure doesn't count.
 		return
 	}
+	pauseAfterFailure(s.Now.Steady, w)
 	if w.LastFailedJob != j.Spec.ID && j.Failures == 0 {
 		w.FailureStreak++
 	}
--- a/sched/state.go
+++ b/sched/state.go
@@ -23,6 +23,10 @@
 	proofPause = 40 * time.Millisecond
 	// workerPause is how long a worker on which runs fail or are slow gets no new tasks.
 	workerPause = 6 * time.Second
+	// failurePause is how long a worker gets no new tasks after a first failure. It doubles
+	// with each further one, at most maxFailureDoublings times and up to workerPause.
+	failurePause        = 250 * time.Millisecond
+	maxFailureDoublings = 5
 	// failureStreakLimit is the number of consecutive jobs that must fail on a worker
 	// before it is paused.
 	failureStreakLimit = 2
