assign, demand, sched: Let gangs wait for one rack before they spread

Cause: urgent gangs that are slow on several racks were placed across racks 0.9 s after their step had become ready, before they could reclaim the room of a single rack, and at once if they had run before, as the time of the former run counted as waiting.

Change: the wait for a rack counts from the end of the former run, and lasts as long again as the wait before a reclaim.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -24,8 +24,8 @@
 	// NoBestEffort workers take no best-effort tasks, as these slow down the
 	// latency-sensitive tasks there.
 	NoBestEffort bool
-	// Probation workers take one task at a time, as a task failed there and none was done
-	// since.
+	// Probation workers take one task at a time, as jobs have failed there in a row. They take neither members of gangs, which would all be lost with one, nor tasks
+	// of units that have failed before and may be at their last attempt.
 	Probation bool
 	Runs      []*Run
 
@@ -87,12 +87,15 @@
 	AllowedWorkers map[string]bool
 	// Rack, if set, is the rack on which other tasks of a same-rack step run.
 	Rack string
-	// Waited is how long the unit has been ready. Until it reaches LocalityWait,
-	// the unit is placed only on its preferred rack: Step.Affinity, or else Rack.
+	// Waited is how long the unit has waited since it became ready or, if its tasks have
+	// run before, since they ended. Until it reaches LocalityWait, the unit is placed only on its preferred rack: Step.Affinity, or else Rack.
 	Waited, LocalityWait time.Duration
 	// SingleRackWait, if positive, limits how long a gang that is slow on several
 	// racks waits for a single rack that could hold it.
 	SingleRackWait time.Duration
+
+	// ignoresProbation is set if too few workers aren't on probation.
+	ignoresProbation bool
 }
 
 // TaskID returns the ID of the unit's task with the given index.
@@ -136,6 +139,8 @@
 	// isn't closed, reserved capacity included. An entry stays valid for the whole plan, as
 	// free capacity only shrinks while a plan is made.
 	unplaceable map[work.Amounts]bool
+	// probation reports whether any worker is on probation.
+	probation bool
 }
 
 // Decide places units in order of priority and rank. It sorts units and modifies
@@ -144,6 +149,7 @@
 	p := &planner{now: now, workers: workers, unplaceable: map[work.Amounts]bool{}}
 	byRack := map[string]int{}
 	for _, w := range workers {
+		p.probation = p.probation || w.Probation
 		for _, r := range w.Runs {
 			r.worker = w
 		}
@@ -182,10 +188,11 @@
 	return int(min(max(a.Rank-b.Rank, -1), 1))
 }
 
-// relaxAvoidance clears AvoidedWorkers if the other eligible workers could not
-// hold the unit even when empty: all of a gang, or one task of another step.
+// relaxAvoidance clears AvoidedWorkers and ignores probation if the other eligible
+// workers could not hold the unit even when empty: all of a gang, or one task of another
+// step.
 func (p *planner) relaxAvoidance(u *Unit) {
-	if len(u.AvoidedWorkers) == 0 {
+	if len(u.AvoidedWorkers) == 0 && !(p.probation && u.Step.Gang) {
 		return
 	}
 	need := 1
@@ -199,13 +206,16 @@
 		}
 	}
 	if room < need {
-		u.AvoidedWorkers = nil
+		u.AvoidedWorkers, u.ignoresProbation = nil, true
 	}
 }
 
 // eligible reports whether the unit's tasks may run on w, whatever runs there
 // now.
 func (u *Unit) eligible(w *Worker) bool {
+	if w.Probation && !u.ignoresProbation && (u.Step.Gang || len(u.AvoidedWorkers) > 0) {
+		return false
+	}
 	return !u.AvoidedWorkers[w.ID] && (u.AllowedWorkers == nil || u.AllowedWorkers[w.ID]) && u.Fits(w)
 }
 
--- a/demand/guarantee.go
+++ b/demand/guarantee.go
@@ -2,17 +2,22 @@
 
 import (
 	"slices"
+	"time"
 
 	"citronbridge/assign"
 	"citronbridge/track"
 )
 
 // reclaimDivisor determines how long work within a guarantee waits for capacity to become
-// free, and for a single rack if it is slow on several, before it reclaims capacity:
-// ReclaimTime divided by this. Waiting first pays off as urgent runs are short. The rest of
+// free before it reclaims capacity: ReclaimTime divided by this. Waiting first pays off as urgent runs are short. The rest of
 // ReclaimTime is for stopping runs and for the answers to orders.
 const reclaimDivisor = 3
 
+// singleRackFactor is how many times as long such work waits for a single rack, if it is slow
+// on several: for as long again as it waits before it reclaims, so that it reclaims the room of
+// one rack first.
+const singleRackFactor = 2
+
 // applyGuarantees decides which work is within its account's guarantee. Urgent runs are
 // counted first, in the order in which their jobs arrived, then waiting urgent units by
 // rank. Units within the guarantee may reclaim capacity once they have waited long enough.
@@ -20,9 +25,11 @@
 	used, total := markBorrowedRuns(p)
 	urgent := slices.DeleteFunc(slices.Clone(units), func(u *assign.Unit) bool { return u.Priority != 0 })
 	slices.SortStableFunc(urgent, func(a, b *assign.Unit) int { return int(min(max(a.Rank-b.Rank, -1), 1)) })
-	accounts := make([]string, len(urgent))
+	accounts, readyFor := make([]string, len(urgent)), make([]time.Duration, len(urgent))
 	for i, u := range urgent {
-		accounts[i] = p.Jobs[u.TaskID(u.Indexes[0]).Job].Spec.Tenant
+		id := u.TaskID(u.Indexes[0])
+		j := p.Jobs[id.Job]
+		accounts[i], readyFor[i] = j.Spec.Tenant, p.Now.Steady-j.Step(id.Occurrence, id.Step).ReadyAt
 		total[accounts[i]] += u.Accelerators()
 	}
 	for i, u := range urgent {
@@ -34,13 +41,13 @@
 			continue
 		}
 		after := p.Config.ReclaimTime / reclaimDivisor
-		if u.Reclaims = u.Waited >= after; !u.Reclaims {
-			p.PlaceBy(p.Now.Steady + after - u.Waited)
+		if u.Reclaims = readyFor[i] >= after; !u.Reclaims {
+			p.PlaceBy(p.Now.Steady + after - readyFor[i])
 		}
 		if total[a] <= p.Guaranteed(a) && p.Config.ReclaimTime > 0 {
 			// The account's demand is within its guarantee as a whole, so all of it must
 			// start within ReclaimTime, whether near its data or not.
-			u.SingleRackWait = after
+			u.SingleRackWait = singleRackFactor * after
 			u.LocalityWait = min(u.LocalityWait, u.SingleRackWait)
 		}
 	}
--- a/demand/units.go
+++ b/demand/units.go
@@ -3,7 +3,6 @@
 package demand
 
 import (
-	"maps"
 	"time"
 
 	"citronbridge/assign"
@@ -36,11 +35,12 @@
 	}
 	u := &assign.Unit{
 		Key: st.Key, Step: st.Spec, Priority: st.Job.Queue.Priority, Rank: rank(st), MayPreempt: st.Job.Queue.Priority == 0,
-		AvoidedWorkers: st.Avoid, Waited: p.Now.Steady - st.ReadyAt, LocalityWait: st.Spec.Estimate,
+		AvoidedWorkers: st.Avoid, LocalityWait: st.Spec.Estimate,
 	}
 	if st.Spec.AntiAffinity > 0 {
 		u.TasksPerWorker = map[string]int{}
 	}
+	waitingSince := st.ReadyAt
 	for _, t := range st.Tasks {
 		if u.TasksPerWorker != nil && t.Run != nil {
 			// This includes runs of a task that was done in another run.
@@ -61,38 +61,20 @@
 			}
 		default:
 			u.Indexes = append(u.Indexes, t.Index)
+			waitingSince = max(waitingSince, t.WaitingSince)
 			u.Starved = u.Starved || starved(p, t)
 		}
 	}
 	if len(u.Indexes) == 0 {
 		return nil
 	}
-	if st.Spec.Gang || len(st.Avoid) > 0 {
-		u.AvoidedWorkers = withSuspects(p, st.Avoid)
-	}
+	u.Waited = p.Now.Steady - waitingSince
 	if st.Job.Queue.Advice {
 		u.AllowedWorkers = workersWithTicket(p, st)
 	}
 	return u
 }
 
-// withSuspects returns the IDs of the workers to avoid, and of those that are suspected of
-// failing all tasks: a gang would lose all its work there, and a step that has failed before
-// another of its attempts.
-func withSuspects(p *track.Pool, avoid map[string]bool) map[string]bool {
-	m := avoid
-	for _, w := range p.WorkersByID {
-		if !w.Suspect(p.Now.Steady) || m[w.ID] {
-			continue
-		}
-		if len(m) == len(avoid) {
-			m = maps.Clone(avoid)
-		}
-		m[w.ID] = true
-	}
-	return m
-}
-
 // starvedAfter is how long a long-running task waits before it may use room that is
 // reserved for other work. The platform requires it to run again within 6 s where there is
 // room.
--- a/orders/workers.go
+++ b/orders/workers.go
@@ -137,7 +137,8 @@
 	w.Incarnation++
 	w.StartedMS, w.Terminated, w.Synced = startedMS, false, false
 	w.HandledEnd, w.DurableEnd, w.ConfirmedAck, w.PendingEnds = 0, 0, 0, nil
-	w.ClockMS, w.ClockAt, w.UnansweredCalls, w.FailureStreak, w.FailedRuns = 0, 0, 0, 0, 0
+	w.ClockMS, w.ClockAt, w.UnansweredCalls = 0, 0, 0
+	w.FailureStreak, w.FailedRuns, w.FailedJobs = 0, 0, 0
 	w.PaceLevel = pacing.NewLevel()
 	w.HoldInFlight, w.NextHold = false, s.Now.Steady
 	w.StartInFlight, w.NextStart, w.UnansweredStarts = false, 0, 0
--- a/sched/ends.go
+++ b/sched/ends.go
@@ -104,7 +104,7 @@
 // taskDone marks a task, or all tasks of a gang, as done in a run. Other runs of them are
 // stopped: such a run was started while the worker of this one was unresponsive.
 func (s *State) taskDone(t *track.Task, w *track.Worker, run int) {
-	w.FailureStreak, w.FailedRuns = 0, 0
+	w.FailureStreak, w.FailedRuns, w.FailedJobs = 0, 0, 0
 	if t.Step.Spec.LongRunning {
 		return
 	}
@@ -156,6 +156,9 @@
 		return
 	}
 	pauseAfterFailure(s.Now.Steady, w)
+	if w.LastFailedJob != j.Spec.ID {
+		w.FailedJobs++
+	}
 	if w.LastFailedJob != j.Spec.ID && j.Failures == 0 {
 		w.FailureStreak++
 	}
--- a/track/worker.go
+++ b/track/worker.go
@@ -84,10 +84,11 @@
 	// last done here. LastFailedJob is the job of the last failed run here.
 	FailureStreak int
 	LastFailedJob string
-	// FailedRuns is the number of runs that failed since a task was last done here, LastFailure
-	// when the last of them failed.
-	FailedRuns  int
-	LastFailure time.Duration
+	// FailedRuns is the number of runs that failed since a task was last done here, and
+	// FailedJobs how many times in this time another job than before was the one that failed.
+	// LastFailure is when the last of them failed.
+	FailedRuns, FailedJobs int
+	LastFailure            time.Duration
 }
 
 // PendingEnd is an ended run that the worker must remember until the job's record holds it.
@@ -105,13 +106,16 @@
 // hasn't yet reported to this one.
 func (w *Worker) MayHaveUnknownRuns() bool { return w.Inherited && !w.Synced }
 
-// suspectTime is how long after a failure a worker on which nothing was done since is
-// suspected of causing it.
-const suspectTime = 8 * time.Second
+// A worker on which suspectJobs jobs in a row have failed is suspected of causing that for
+// suspectTime, or until a task is done there.
+const (
+	suspectJobs = 2
+	suspectTime = 8 * time.Second
+)
 
 // Suspect reports whether runs may be failing because of the worker.
 func (w *Worker) Suspect(now time.Duration) bool {
-	return w.FailedRuns > 0 && now < w.LastFailure+suspectTime
+	return w.FailedJobs >= suspectJobs && now < w.LastFailure+suspectTime
 }
 
 // Responsive reports whether it is known what runs on the worker: its current incarnation
