launch: Leave gangs on leaving workers alone only if their progress shows that they end

Cause: gangs that were expected to end within 0.3 s after one of their workers could leave were left alone. The simulated replays released such runs at once and so didn't show it; they wait for the lease now.

Change: a gang is left alone only if its reported progress shows that it ends 0.3 s before its worker may leave, and another member's worker stays. All other runs that can't be done by the last moment for a stop are stopped at once.

--- a/launch/evac.go
+++ b/launch/evac.go
@@ -12,18 +12,18 @@
 // the end is lost then.
 const evacuationSlack = 500 * time.Millisecond
 
-// evacuationSlop is how much later than the worker's departure a run may be expected to end
-// and still be left to end there, as workers tend to stay longer than announced.
-const evacuationSlop = 300 * time.Millisecond
+// endMargin is how long before its worker may leave a gang must be expected to end to be left
+// to end there. It covers the rounding of the reported progress.
+const endMargin = 300 * time.Millisecond
 
-// EvacuateAt returns when a run on a draining worker is to be stopped that may leave at a
-// time, or false if it is left to end there.
+// EvacuateAt returns when a run is to be stopped on a draining worker that may leave at a
+// time, or false if the run is left to end there.
 //
 // It answers the load of workers that are replaced one after the other while jobs of several
 // workers run: a run that can't be done in time and doesn't save its progress is stopped at
-// once, as all further work of it, and of its gang, would be thrown away. A gang that can be
-// done in time is left alone: its end is reported by all its workers, so it isn't lost with
-// one of them.
+// once, as all further work of it, and of its gang, would be thrown away. A gang that its
+// progress shows to be done just in time is left alone if one of its members runs on a worker
+// that stays: its end is reported there too, so it isn't lost with the worker that leaves.
 func EvacuateAt(now, leavesAt, stopTime time.Duration, r *track.Run) (time.Duration, bool) {
 	last := leavesAt - stopTime - evacuationSlack
 	if r.Task == nil || r.Task.Step.Spec.LongRunning || r.Task.Step.Spec.Checkpoint {
@@ -31,14 +31,12 @@
 	}
 	end, known := r.ExpectedEnd()
 	switch {
-	case !known:
+	case !known || end <= last:
 		return last, true
-	case end > leavesAt+evacuationSlop:
-		return min(now, last), true
-	case r.Task.Step.Spec.Gang && r.Task.Step.RunsBeyondDraining():
+	case r.Rate > 0 && end <= leavesAt-endMargin && r.Task.Step.RunsBeyondDraining():
 		return 0, false
 	}
-	return last, true
+	return min(now, last), true
 }
 
 // Evacuate stops what still runs on a draining worker before the worker may leave. It returns
--- a/loads/loads_test.go
+++ b/loads/loads_test.go
@@ -84,8 +84,7 @@
 }
 
 // TestEvacuationSavesWork guards against runs that work on at a draining worker although they
-// can't be done before it leaves, and against gangs that are stopped although they can: both
-// throw away more work, and more jobs are late.
+// can't be done before it leaves: that throws away more work, and makes more jobs late.
 func TestEvacuationSavesWork(t *testing.T) {
 	atLast := func(_, leavesAt, stopTime time.Duration, _ *track.Run) (time.Duration, bool) {
 		return leavesAt - stopTime - 500*time.Millisecond, true
--- a/loads/simulate_test.go
+++ b/loads/simulate_test.go
@@ -19,6 +19,9 @@
 // placement and the order take.
 const startDelay = 20 * time.Millisecond
 
+// leaseTime is how long it takes until the lease of a worker that is gone must have ended.
+const leaseTime = 9 * time.Second
+
 // placementPause is the shortest time between two placements.
 const placementPause = 20 * time.Millisecond
 
@@ -315,14 +318,21 @@
 	}
 }
 
-// lose ends a run with its worker, and with it the rest of its gang.
+// lose ends a run with its worker, and with it the rest of its gang. The decider learns of it
+// only as the worker's lease ends.
 func (s *simulation) lose(r *track.Run) {
-	if r.Worker.Runs[r.ID] != r {
+	if r.Worker.Runs[r.ID] != r || r.Phase == track.Stopping {
 		return
 	}
 	st := r.Task.Step
 	s.waste(r, false)
-	s.release(r)
+	delete(s.starts, r)
+	r.Phase = track.Stopping
+	s.after(leaseTime, func() {
+		if r.Worker.Runs[r.ID] == r {
+			s.release(r)
+		}
+	})
 	if st.Spec.Gang {
 		for _, t := range st.Tasks {
 			if t.Run != nil {
--- a/track/job.go
+++ b/track/job.go
@@ -1,6 +1,7 @@
 package track
 
 import (
+	"slices"
 	"time"
 
 	"citronbridge/work"
@@ -181,15 +182,12 @@
 	return true
 }
 
-// RunsBeyondDraining reports whether a member of the gang runs on a worker that answers and
-// isn't draining.
+// RunsBeyondDraining reports whether the step is a gang of which a member runs on a worker
+// that answers and isn't draining.
 func (s *Step) RunsBeyondDraining() bool {
-	for _, t := range s.Tasks {
-		if t.Run != nil && t.Run.Phase == Running && !t.Run.Worker.Draining && t.Run.Worker.Responsive() {
-			return true
-		}
-	}
-	return false
+	return s.Spec.Gang && slices.ContainsFunc(s.Tasks, func(t *Task) bool {
+		return t.Run != nil && t.Run.Phase == Running && !t.Run.Worker.Draining && t.Run.Worker.Responsive()
+	})
 }
 
 // serving reports whether a long-running task is known to be serving. Nothing is known of a
