sched, fakes: Test maintenance on machines that check no fencing tokens

What keeps a former decider from ordering after its successor is the pause after a takeover, together with the age of the proof of ownership. No test played machines that carry out any token.

Change: the stand-in can leave tokens unchecked, 200 schedules with a wave play it, and a mutation takes the pause and the limit of age away.

--- a/fakes/model/machines.go
+++ b/fakes/model/machines.go
@@ -64,13 +64,19 @@
 		return "none"
 	}
 	m := c.Machines[i]
-	if token < m.token {
+	switch {
+	case token >= m.token:
+	case !c.Unfenced:
 		return "fence"
+	case c.OnLowerToken != nil:
+		c.OnLowerToken(machine, token, m.token)
 	}
 	if token == m.token && holder != m.holder {
 		c.violation("ONE: %s and %s use token %d for %s", m.holder, holder, token, machine)
 	}
-	m.token, m.holder = token, holder
+	if token >= m.token {
+		m.token, m.holder = token, holder
+	}
 	w := c.Waves[wave]
 	switch {
 	case m.wavesBegun[wave]:
--- a/fakes/model/model.go
+++ b/fakes/model/model.go
@@ -145,6 +145,10 @@
 	OnMaintenance func(w *Worker)
 	// OnReplacement, if not nil, is called when w has replaced old on its machine.
 	OnReplacement func(old, w *Worker)
+	// Unfenced makes machines carry out orders whose token is lower than that of an earlier one.
+	// OnLowerToken, if not nil, is called before.
+	Unfenced     bool
+	OnLowerToken func(machine string, token, highest int64)
 	// OnViolation, if not nil, is called when orders break a rule of the platform.
 	OnViolation func(text string)
 
--- a/sched/schedule_test.go
+++ b/sched/schedule_test.go
@@ -541,6 +541,7 @@
 		{"cancels that aren't durable", faults{volatileCancel: true}, 1},
 		{"leases renewed that successors count as lapsing", faults{staleLapse: true}, 1},
 		{"progress of waves that isn't durable", faults{volatileProgress: true}, waveEvery},
+		{"machines without fencing and without the pause around a takeover", faults{unfenced: true, noTakeoverPause: true}, waveEvery},
 	} {
 		t.Run(m.name, func(t *testing.T) {
 			t.Parallel()
@@ -555,6 +556,28 @@
 	}
 }
 
+// unfencedSchedules is the number of schedules with a wave on machines that check no tokens.
+const unfencedSchedules = 200
+
+// TestSchedulesWithoutFencing runs schedules with a maintenance wave on machines that carry
+// out orders under any token. Deciders that are paused, cut off or replaced must not give an
+// order after their successor did, and none for a machine twice.
+func TestSchedulesWithoutFencing(t *testing.T) {
+	var g errgroup.Group
+	g.SetLimit(runtime.GOMAXPROCS(0))
+	for seed := uint64(waveEvery); seed <= unfencedSchedules*waveEvery; seed += waveEvery {
+		g.Go(func() error {
+			if w := play(seed, faults{unfenced: true}, false); len(w.violations) > 0 {
+				t.Errorf("seed %d: %s", seed, w.violations[0])
+			}
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // TestHungWorkers hangs all tasks on one worker for good. Single tasks and gangs must end
 // on other workers.
 func TestHungWorkers(t *testing.T) {
--- a/sched/waves_test.go
+++ b/sched/waves_test.go
@@ -121,9 +121,12 @@
 		w.after(after, func() { p.deliver(event.MaintenanceAnswered{Wave: a.Wave, Machine: a.Machine, Outcome: o}) })
 	}
 	do := func(late bool) string {
-		w.cluster.OnMaintenance = nil
+		w.cluster.OnMaintenance, w.cluster.OnLowerToken = nil, nil
 		if !late {
 			w.cluster.OnMaintenance = w.checkMaintenance
+			w.cluster.OnLowerToken = func(machine string, token, highest int64) {
+				w.fail("ONE: %s orders maintenance of %s with token %d after token %d", holder, machine, token, highest)
+			}
 		}
 		return w.cluster.Maintain(a.Machine, a.Wave, holder, a.Token)
 	}
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -96,6 +96,10 @@
 	// volatileProgress acknowledges writes of a wave's progress, and loses them with the
 	// decider that wrote them.
 	volatileProgress bool
+	// unfenced makes machines carry out orders under any token. noTakeoverPause makes a
+	// successor order maintenance at once, and a former decider order it without a recent
+	// proof of ownership.
+	unfenced, noTakeoverPause bool
 }
 
 // workerRow is the store's row of a worker.
@@ -194,6 +198,7 @@
 	w.rules.Index()
 	w.cluster = model.NewCluster(model.Bounds{MaxHold: maxHold, StopTime: 200 * time.Millisecond, GangTimeout: gangTimeout, MaintenanceTime: maintenanceTime})
 	w.cluster.OnStart, w.cluster.OnEnd = w.started, w.stopped
+	w.cluster.Unfenced = f.unfenced
 	w.cluster.OnViolation = func(text string) { w.fail("%s", text) }
 	return w
 }
@@ -450,6 +455,9 @@
 	if w.faults.noInherit {
 		c.InheritTime = 0
 	}
+	if w.faults.noTakeoverPause {
+		c.TakeoverPause = 0
+	}
 	p.s = New(c, p.clock(), w.rules)
 	if w.faults.volatileProgress {
 		w.progress = maint.Progress{}
@@ -618,6 +626,9 @@
 		}
 		p.flushAt = -1
 		age := p.w.now - p.confirmed
+		if p.w.faults.noTakeoverPause {
+			age = 0
+		}
 		p.s.SetLimits(track.Limits{NoStarts: age > startsFor, NoOrders: age > ownedFor})
 		l, next := p.s.Flush(p.clock())
 		p.perform(l)
