guard, node, decide, relay: Contain panics

Cause: operators of similar systems saw one malformed message or unexpected error take a whole process down. Here a panic outside of the HTTP server's own handlers did: in a feed, an election, an order, a call of another host or the decisions for a pool. Fuzz targets cover the decoders of outside data and found none, but nothing contained one that they miss.

Change: a panic in a client's call is answered with 504, as its effect isn't known; one in a feed starts the feed again after 1 s; one in an election, a reading of the settings or a relayed call ends that alone; one in a decider ends that decider, whose successor rebuilds its state. Each is logged with its stack and counted by unit (panics_total).

Measured: TestPanicEndsOnlyTheDecider ended the test process before, and passes; TestPanicEndsOnlyItsUnit, TestRepeatStartsAgain and TestHandlerAnswers pass. No scan of locks that are held without defer was made: a panic under one could still stop its own decider's goroutines from ending.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -11,6 +11,7 @@
 
 	"citronbridge/advice"
 	"citronbridge/event"
+	"citronbridge/guard"
 	"citronbridge/launch"
 	"citronbridge/loads"
 	"citronbridge/maint"
@@ -96,6 +97,8 @@
 	Cores, Capacity float64
 	Meter           *meter.Host
 	Log             zerolog.Logger
+	// Guard contains panics.
+	Guard *guard.Guard
 	// Ended is called when the decider has ended.
 	Ended func(*Decider)
 }
@@ -167,11 +170,15 @@
 	})
 }
 
+// spawn runs f in the background. A panic in it ends the decider, as its state may be
+// incomplete then: a successor rebuilds it from rows and workers.
 func (d *Decider) spawn(f func()) {
 	d.wg.Add(1)
 	go func() {
 		defer d.wg.Done()
-		f()
+		if d.c.Guard.Do("decider", f) {
+			d.cancel()
+		}
 	}()
 }
 
--- a/meter/host.go
+++ b/meter/host.go
@@ -23,6 +23,8 @@
 	StoreTime  *prometheus.HistogramVec
 	// Malformed counts rows of other writers that can't be decoded or used, by source.
 	Malformed *prometheus.CounterVec
+	// Panics counts units of work that a panic ended, by unit.
+	Panics *prometheus.CounterVec
 	// Relayed counts store calls that went through other hosts, by outcome.
 	Relayed *prometheus.CounterVec
 	// Orders counts calls to workers, by order and outcome, OrdersInFlight those that
@@ -72,6 +74,7 @@
 		StoreCalls:     s.counters("store_calls_total", "Calls of the platform's store, by outcome.", "call", "outcome"),
 		StoreTime:      s.histograms("store_call_seconds", "Time that calls of the platform's store took.", "call"),
 		Malformed:      s.counters("malformed_total", "Rows of other writers that can't be used, by source.", "source"),
+		Panics:         s.counters("panics_total", "Units of work that a panic ended.", "unit"),
 		Relayed:        s.counters("store_calls_relayed_total", "Calls of the platform's store through other hosts, by outcome.", "outcome"),
 		RunEnds:        s.counters("run_ends_total", "Runs of tasks by how they ended.", "how"),
 		FirstStart:     s.histograms("first_start_seconds", "Time from a job's acceptance to its first start.", "queue"),
--- a/node/election.go
+++ b/node/election.go
@@ -167,7 +167,9 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			h.tryAcquire(ctx, c, takeoverReason{unresponsiveFor >= wait, handover}, epoch)
+			if h.guard.Do("election", func() { h.tryAcquire(ctx, c, takeoverReason{unresponsiveFor >= wait, handover}, epoch) }) {
+				h.finishAcquire(c, nil, false)
+			}
 		}()
 	}
 }
@@ -246,7 +248,7 @@
 	return decide.Start(ctx, decide.Config{
 		Machines: cloud.New(h.current().Cloud.Address),
 		Pool:     pool, Owner: me, Ownership: ownership, PredecessorStopped: stopped, Store: h.store, Clock: h.clock, Owners: h.owners, Workers: h.workers, Advisor: advise.New(h.current().Advice), Rules: h.gate.Rules, Bounds: h.current().Bounds, Cores: h.current().UsableCores(), Capacity: h.current().Capacity(), Stalls: h.stalls,
-		Meter: h.meter, Log: h.log, Ended: h.deciderEnded,
+		Meter: h.meter, Log: h.log, Guard: h.guard, Ended: h.deciderEnded,
 	}), true
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 
 	"citronbridge/follow"
 	"citronbridge/gate"
+	"citronbridge/guard"
 	"citronbridge/meter"
 	"citronbridge/platform"
 	"citronbridge/pulse"
@@ -65,6 +66,7 @@
 	log         zerolog.Logger
 	boot        string
 	meter       *meter.Host
+	guard       *guard.Guard
 	store       repo.Store
 	clock       *watch.Clock
 	health      *watch.Health
@@ -110,6 +112,7 @@
 		health: watch.NewHealth(timer.SinceBoot),
 		gate:   gate.New(gate.Config{Now: timer.SinceBoot}), pools: map[string]*candidate{}, directStore: platform.NewStore(s.Store.Address, stalls),
 	}
+	h.guard = guard.New(h.log, func(unit string) { h.meter.Panics.WithLabelValues(unit).Inc() })
 	h.applySettings(s)
 	h.settingsVersion = statVersion(c.SettingsFile)
 	var err error
@@ -140,7 +143,7 @@
 // openRelay creates the relay, which listens for other hosts if the settings name an address.
 func (h *Host) openRelay(s *platform.Settings) error {
 	c := relay.Config{
-		Host: s.Host, Direct: meteredStore{h.directStore, h.meter.StoreCalls, h.meter.StoreTime}, Seeds: s.Seeds, Capacity: s.Capacity(), Log: h.log,
+		Host: s.Host, Direct: meteredStore{h.directStore, h.meter.StoreCalls, h.meter.StoreTime}, Seeds: s.Seeds, Capacity: s.Capacity(), Log: h.log, Guard: h.guard,
 		OnRelayed: func(outcome string) { h.meter.Relayed.WithLabelValues(outcome).Inc() },
 	}
 	var err error
@@ -173,7 +176,7 @@
 		}()
 	}
 	front := &http.Server{
-		Handler: &platform.ClientHandler{Jobs: &service{h}}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: h.guard.Handler("call", &platform.ClientHandler{Jobs: &service{h}}), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	ready := &http.Server{Handler: h.mux(), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 3)
@@ -188,15 +191,15 @@
 		spawn(func() { serve(ready, h.metrics) })
 	}
 	spawn(func() { h.relay.Run(ctx) })
-	spawn(func() { h.followOperator(ctx) })
-	spawn(func() { h.followHeartbeats(ctx) })
+	spawn(func() { h.guard.Repeat(ctx, "configuration", func() { h.followOperator(ctx) }) })
+	spawn(func() { h.guard.Repeat(ctx, "heartbeats", func() { h.followHeartbeats(ctx) }) })
 	spawn(func() { h.timer.Run(ctx) })
-	stallTimer := h.timer.Every(stall.Period, h.stallMonitor())
+	stallTimer := h.every(stall.Period, "stalls", h.stallMonitor())
 	defer stallTimer.Cancel()
-	electionTimer := h.timer.Every(electionInterval, func(time.Time) { h.elect(ctx, &wg) })
+	electionTimer := h.every(electionInterval, "election", func(time.Time) { h.elect(ctx, &wg) })
 	defer electionTimer.Cancel()
 	if h.settingsFile != "" {
-		reloadTimer := h.timer.Every(settingsPollInterval, func(time.Time) { h.Reload(false) })
+		reloadTimer := h.every(settingsPollInterval, "settings", func(time.Time) { h.Reload(false) })
 		defer reloadTimer.Cancel()
 	}
 	var err error
@@ -215,6 +218,11 @@
 	return err
 }
 
+// every calls f once in each period. A panic in it ends that call alone.
+func (h *Host) every(period time.Duration, unit string, f func(time.Time)) *timer.Subscription {
+	return h.timer.Every(period, func(t time.Time) { h.guard.Do(unit, func() { f(t) }) })
+}
+
 // leave carries out a planned stop: the ready check fails from now on, pools are
 // released to other hosts, and open calls are answered before the front closes.
 func (h *Host) leave(front *http.Server) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"citronbridge/fault"
+	"citronbridge/guard"
 	"citronbridge/hosts"
 	"citronbridge/repo"
 	"citronbridge/wire"
@@ -62,6 +63,8 @@
 	// Seeds are addresses of peers to use before the list of hosts was read.
 	Seeds []string
 	Log   zerolog.Logger
+	// Guard contains panics in calls of other hosts.
+	Guard *guard.Guard
 	// OnRelayed, if set, is called with the outcome of each call through a peer.
 	OnRelayed func(outcome string)
 }
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -36,7 +36,7 @@
 		go func() {
 			defer r.wg.Done()
 			defer c.Close()
-			r.serveConnection(ctx, c)
+			r.c.Guard.Do("relay", func() { r.serveConnection(ctx, c) })
 		}()
 	}
 }
@@ -63,7 +63,7 @@
 		go func() {
 			defer r.wg.Done()
 			defer t.Close()
-			r.serveCall(ctx, t)
+			r.c.Guard.Do("relay", func() { r.serveCall(ctx, t) })
 		}()
 	}
 }
