assign, demand: Keep retried work off workers whose last run failed

Cause: jobs of the grown yard used up three attempts within 0.7 s at workers that failed all tasks: those of one zone fail together, gangs that need one rack are placed there again, and a worker counted as failing only after two jobs had failed there.

Change: units that have failed before, and so may be at their last attempt, take no worker whose last run failed, while other first attempts still go there one at a time.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -24,10 +24,12 @@
 	// NoBestEffort workers take no best-effort tasks, as these slow down the
 	// latency-sensitive tasks there.
 	NoBestEffort bool
-	// Probation workers take one task at a time, as jobs have failed there in a row. They take neither members of gangs, which would all be lost with one, nor tasks
-	// of units that have failed before and may be at their last attempt.
-	Probation bool
-	Runs      []*Run
+	// Probation workers take one task at a time, as jobs have failed there in a row, and no
+	// members of gangs, which would all be lost with one. Failing workers, on which the last
+	// run failed, take no tasks of units that have failed before, as these may be at their
+	// last attempt.
+	Probation, Failing bool
+	Runs               []*Run
 
 	// reserved is the capacity kept for blocked units that come first in order.
 	reserved work.Amounts
@@ -213,7 +215,7 @@
 // eligible reports whether the unit's tasks may run on w, whatever runs there
 // now.
 func (u *Unit) eligible(w *Worker) bool {
-	if w.Probation && !u.ignoresProbation && (u.Step.Gang || len(u.AvoidedWorkers) > 0) {
+	if !u.ignoresProbation && (w.Probation && u.Step.Gang || w.Failing && len(u.AvoidedWorkers) > 0) {
 		return false
 	}
 	return !u.AvoidedWorkers[w.ID] && (u.AllowedWorkers == nil || u.AllowedWorkers[w.ID]) && u.Fits(w)
--- a/demand/workers.go
+++ b/demand/workers.go
@@ -15,7 +15,7 @@
 	for _, w := range p.WorkersByID {
 		a := &assign.Worker{
 			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Total: w.Capacity, Free: w.Capacity.Minus(w.Used), Closed: p.Closed(w) || !w.Recorded,
-			NoBestEffort: !w.PaceLevel.AdmitsBestEffort(), Probation: w.Suspect(p.Now.Steady),
+			NoBestEffort: !w.PaceLevel.AdmitsBestEffort(), Probation: w.Suspect(p.Now.Steady), Failing: w.Failing(p.Now.Steady),
 		}
 		if !a.Closed || len(w.Runs) > 0 {
 			l = append(l, a)
--- a/track/worker.go
+++ b/track/worker.go
@@ -113,6 +113,11 @@
 	suspectTime = 8 * time.Second
 )
 
+// Failing reports whether the worker's last run to end by itself has failed just now.
+func (w *Worker) Failing(now time.Duration) bool {
+	return w.FailedRuns > 0 && now < w.LastFailure+suspectTime
+}
+
 // Suspect reports whether runs may be failing because of the worker.
 func (w *Worker) Suspect(now time.Duration) bool {
 	return w.FailedJobs >= suspectJobs && now < w.LastFailure+suspectTime
