demand, loads: Rank work that can't be in time behind work that can

Cause: with several times the arrivals that a pool carries, work was ranked by the time at which it should be done. Once the queue was longer than that, each job was started just too late to be in time, as all that was late ranked before all that was not.

Change: work that can't be done in time any more ranks by the time up to which it is of use, three times the aim, and behind all other work of its priority once that can't be reached. It regains its rank in time to be done by then, and accepted work still runs when there is room.

Admission by projected waits isn't built.

--- a/demand/units.go
+++ b/demand/units.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"citronbridge/assign"
+	"citronbridge/event"
 	"citronbridge/track"
 )
 
@@ -34,7 +35,7 @@
 		return nil
 	}
 	u := &assign.Unit{
-		Key: st.Key, Step: st.Spec, Priority: st.Job.Queue.Priority, Rank: rank(st), MayPreempt: st.Job.Queue.Priority == 0,
+		Key: st.Key, Step: st.Spec, Priority: st.Job.Queue.Priority, Rank: rank(p.Now, st), MayPreempt: st.Job.Queue.Priority == 0,
 		AvoidedWorkers: st.Avoid, LocalityWait: st.Spec.Estimate,
 	}
 	if st.Spec.AntiAffinity > 0 {
@@ -94,12 +95,27 @@
 	return true
 }
 
-// rank orders the steps of one priority by the time at which their job should be done.
-func rank(st *track.Step) time.Duration {
+// lateFactor is how many times as long as it should take a job may take and still be of use.
+const lateFactor = 3
+
+// rank orders the steps of one priority by the time at which their job should be done. It
+// answers bursts of several times what the pool carries: work that can't be done in time any
+// more ranks by the time up to which it is still of use, so that it doesn't make late what
+// can be in time, and behind all other work once that can't be reached either.
+func rank(now event.Clock, st *track.Step) time.Duration {
 	j := st.Job
-	at := j.Spec.Accepted
+	accepted := j.Spec.Accepted
 	if j.Spec.Times > 0 {
-		at = j.Spec.Due(st.Occurrence)
+		accepted = j.Spec.Due(st.Occurrence)
+	}
+	from := time.Duration(accepted) * time.Millisecond
+	aim := time.Duration(j.Queue.Stretch*float64(j.Spec.CriticalPath())) + j.Queue.Slack
+	end := time.Duration(now.Wall)*time.Millisecond + st.Spec.Estimate
+	switch {
+	case end <= from+aim:
+		return from + aim
+	case end <= from+lateFactor*aim:
+		return from + lateFactor*aim
 	}
-	return time.Duration(at)*time.Millisecond + time.Duration(j.Queue.Stretch*float64(j.Spec.CriticalPath())) + j.Queue.Slack
+	return from + lateFactor*aim + farFuture
 }
--- a/loads/loads_test.go
+++ b/loads/loads_test.go
@@ -56,6 +56,22 @@
 	return &r
 }
 
+// withBurst returns the load with several times as many arrivals for some seconds.
+func withBurst(l *Load, times int) *Load {
+	r := *l
+	from, to := l.Duration()/2, l.Duration()*3/4
+	r.Jobs = nil
+	for _, j := range l.Jobs {
+		r.Jobs = append(r.Jobs, j)
+		for k := 1; k < times && from <= j.At.D() && j.At.D() < to; k++ {
+			c := j
+			c.At += units.Duration(time.Duration(k) * 37 * time.Millisecond)
+			r.Jobs = append(r.Jobs, c)
+		}
+	}
+	return &r
+}
+
 // firstInFirstOut returns the load with all jobs alike but for their order of arrival.
 func firstInFirstOut(l *Load) *Load {
 	r := *l
@@ -76,7 +92,10 @@
 		for _, c := range []struct {
 			name string
 			load *Load
-		}{{"", l}, {" with workers replaced", withRelease(l)}, {" first in, first out", firstInFirstOut(l)}} {
+		}{
+			{"", l}, {" first in, first out", firstInFirstOut(l)}, {" with workers replaced", withRelease(l)},
+			{" with a burst of 3 times", withBurst(l, 3)}, {" with a burst of 3 times, first in, first out", firstInFirstOut(withBurst(l, 3))},
+		} {
 			fmt.Fprintf(&b, "%s%s: %s\n", name, c.name, replay(c.load, 1, launch.EvacuateAt))
 		}
 	}
