sched: Pause deciders right after a lost maintenance order without fencing

The check is the same and stricter: where tokens aren't checked, a fifth of the orders are lost and followed by a pause of their decider.

--- a/sched/waves_test.go
+++ b/sched/waves_test.go
@@ -131,6 +131,10 @@
 		return w.cluster.Maintain(a.Machine, a.Wave, holder, a.Token)
 	}
 	switch {
+	case w.faults.unfenced && p.owned() && w.faultChance(0.2):
+		// The order is lost, and its decider is paused until a successor may have given it.
+		answer(maint.NoAnswer, 10*time.Millisecond)
+		w.after(time.Millisecond, w.pauseDecider)
 	case w.faultChance(0.05):
 		answer(maint.NoAnswer, time.Second)
 	case w.faultChance(0.1):
