--- a/cells/watch.go
+++ b/cells/watch.go
@@ -54,31 +54,26 @@
 	}
 }
 
-// recordUnanswered counts a call that a target didn't answer.
+// recordUnanswered counts a call that a target didn't answer. The next poll lists all tasks.
 func (c *Cell) recordUnanswered(x *gangs.Node) {
 	c.Mu.Lock()
 	defer c.Mu.Unlock()
 	x.UnansweredCalls++
+	x.Relist = true
 	if x.UnansweredCalls == gangs.MaxUnansweredCalls {
 		c.RequestPlan()
 	}
 }
 
-// poll returns the next report of a target. The report is full if the target had to be fenced,
-// because it is new or has restarted; otherwise it has the changes since the last one, or all
-// tasks if an order to forget some of them was lost.
+// poll returns the next report of a target. It is full if the target had to be fenced, as it is new
+// or has restarted. Otherwise it has the changes since the last one, or all tasks to relist them.
 func (c *Cell) poll(ctx context.Context, x *gangs.Node, wait time.Duration) (r target.Report, full bool, err error) {
 	c.Mu.Lock()
-	fenced, seq, incarnation, relist := x.Fenced, x.Sequence, x.Incarnation, x.Relist
-	if relist {
+	fenced, seq, incarnation := x.Fenced, x.Sequence, x.Incarnation
+	if x.Relist {
 		seq, x.Relist = 0, false
 	}
 	c.Mu.Unlock()
-	defer func() {
-		if err != nil && relist {
-			c.RequestRelist(x)
-		}
-	}()
 	if !fenced {
 		r, err = x.Conn.Fence(ctx, c.Hold.Epoch)
 		return r, true, err
@@ -153,17 +148,15 @@
 	go func() {
 		defer c.Work.Done()
 		r, err := c.Send(c.Ctx, x, o)
-		if err != nil {
-			c.RequestRelist(x)
-			return
-		}
-		if r[len(r)-1] == target.WrongState {
-			return
-		}
 		c.Mu.Lock()
 		defer c.Mu.Unlock()
-		delete(x.StrayTasks, t.ID)
-		c.RequestPlan()
+		switch {
+		case err != nil:
+			x.Relist = true
+		case r[len(r)-1] != target.WrongState:
+			delete(x.StrayTasks, t.ID)
+			c.RequestPlan()
+		}
 	}()
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -30,9 +30,8 @@
 
 // Timeouts and limits of a decider.
 const (
-	// maxStartProofAge is how old the last proof of ownership may be for the
-	// decider to start tasks. It is shorter than repo.HeartbeatTimeout, which
-	// another host waits for before it acquires the pool.
+	// maxStartProofAge is how old the last proof of ownership may be for the decider to start
+	// tasks. Other hosts wait longer, for repo.HeartbeatTimeout, before they acquire the pool.
 	maxStartProofAge = repo.HeartbeatTimeout - 200*time.Millisecond
 	// maxOrderProofAge is how old the last proof of ownership may be for the
 	// decider to send any order, renewals of leases included.
@@ -97,9 +96,8 @@
 	Cores, Capacity float64
 	Meter           *meter.Host
 	Log             zerolog.Logger
-	// Guard contains panics.
+	// Guard contains panics. Ended is called when the decider has ended.
 	Guard *guard.Guard
-	// Ended is called when the decider has ended.
 	Ended func(*Decider)
 }
 
@@ -170,8 +168,7 @@
 	})
 }
 
-// spawn runs f in the background. A panic in it ends the decider, as its state may be
-// incomplete then: a successor rebuilds it from rows and workers.
+// spawn runs f in the background. A panic ends the decider, as its state may be incomplete.
 func (d *Decider) spawn(f func()) {
 	d.wg.Add(1)
 	go func() {
@@ -388,8 +385,7 @@
 			d.c.Meter.JobTime.WithLabelValues(q).Observe(e.Took.Seconds())
 		case event.JobReceived:
 			tasks, accelerators := e.Job.Size()
-			a := loads.Arrival{Accepted: e.Job.Accepted, Priority: e.Job.Terms.Priority, Stretch: e.Job.Terms.Stretch, Slack: e.Job.Terms.Slack, Guaranteed: e.Guaranteed, Steps: e.Job.Steps}
-			d.log.Info().Str("job", e.Job.ID).Str("queue", e.Job.Queue).Str("account", e.Job.Tenant).Int("tasks", tasks).Int64("accelerators", accelerators).Interface("arrival", a).Msg(loads.JobTakenIn)
+			d.log.Info().Str("job", e.Job.ID).Str("queue", e.Job.Queue).Str("account", e.Job.Tenant).Int("tasks", tasks).Int64("accelerators", accelerators).Interface("arrival", loads.NewArrival(e.Job, e.Guaranteed)).Msg(loads.JobTakenIn)
 		case event.Maintenance:
 			d.spawn(func() { d.waves.Do(d.ctx, e.Action) })
 		case event.LogEntry:
--- a/loads/record.go
+++ b/loads/record.go
@@ -32,6 +32,11 @@
 	Steps      []work.Step
 }
 
+// NewArrival returns the arrival of a job whose account is guaranteed so many accelerators.
+func NewArrival(j *work.Job, guaranteed int64) Arrival {
+	return Arrival{j.Accepted, j.Terms.Priority, j.Terms.Stretch, j.Terms.Slack, guaranteed, j.Steps}
+}
+
 // Record returns the load of a pool that the log lines of its deciders describe, except for the
 // workers, of which they tell nothing. Queues and accounts are numbered in place of their names,
 // the most urgent queue and the largest guarantee first. Periodic jobs count once.
--- a/node/node.go
+++ b/node/node.go
@@ -194,13 +194,10 @@
 	spawn(func() { h.guard.Repeat(ctx, "configuration", func() { h.followOperator(ctx) }) })
 	spawn(func() { h.guard.Repeat(ctx, "heartbeats", func() { h.followHeartbeats(ctx) }) })
 	spawn(func() { h.timer.Run(ctx) })
-	stallTimer := h.every(stall.Period, "stalls", h.stallMonitor())
-	defer stallTimer.Cancel()
-	electionTimer := h.every(electionInterval, "election", func(time.Time) { h.elect(ctx, &wg) })
-	defer electionTimer.Cancel()
+	defer h.every(stall.Period, "stalls", h.stallMonitor()).Cancel()
+	defer h.every(electionInterval, "election", func(time.Time) { h.elect(ctx, &wg) }).Cancel()
 	if h.settingsFile != "" {
-		reloadTimer := h.every(settingsPollInterval, "settings", func(time.Time) { h.Reload(false) })
-		defer reloadTimer.Cancel()
+		defer h.every(settingsPollInterval, "settings", func(time.Time) { h.Reload(false) }).Cancel()
 	}
 	var err error
 	select {
@@ -218,7 +215,6 @@
 	return err
 }
 
-// every calls f once in each period. A panic in it ends that call alone.
 func (h *Host) every(period time.Duration, unit string, f func(time.Time)) *timer.Subscription {
 	return h.timer.Every(period, func(t time.Time) { h.guard.Do(unit, func() { f(t) }) })
 }
