demand, track: Place again once a worker's failures no longer count

Cause: read in the diff: the end of a worker's probation after 8 s changed what may be placed, but nothing asked for a placement then, so a gang that waited for it could stand still until something else happened. TestPlacedOnceProbationEnds fails without the change. Two comments are reflowed.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -90,7 +90,8 @@
 	// Rack, if set, is the rack on which other tasks of a same-rack step run.
 	Rack string
 	// Waited is how long the unit has waited since it became ready or, if its tasks have
-	// run before, since they ended. Until it reaches LocalityWait, the unit is placed only on its preferred rack: Step.Affinity, or else Rack.
+	// run before, since they ended. Until it reaches LocalityWait, the unit is placed
+	// only on its preferred rack: Step.Affinity, or else Rack.
 	Waited, LocalityWait time.Duration
 	// SingleRackWait, if positive, limits how long a gang that is slow on several
 	// racks waits for a single rack that could hold it.
--- a/demand/guarantee.go
+++ b/demand/guarantee.go
@@ -9,7 +9,8 @@
 )
 
 // reclaimDivisor determines how long work within a guarantee waits for capacity to become
-// free before it reclaims capacity: ReclaimTime divided by this. Waiting first pays off as urgent runs are short. The rest of
+// free before it reclaims capacity: ReclaimTime divided by this. Waiting first pays off as
+// urgent runs are short. The rest of
 // ReclaimTime is for stopping runs and for the answers to orders.
 const reclaimDivisor = 3
 
--- a/demand/units_test.go
+++ b/demand/units_test.go
@@ -44,3 +44,18 @@
 		t.Errorf("order is %q, want %q", got, want)
 	}
 }
+
+// TestPlacedOnceProbationEnds guards against work that waits for workers on which runs have
+// failed, and isn't placed when that no longer counts against them, as nothing else happens.
+func TestPlacedOnceProbationEnds(t *testing.T) {
+	const now = 20 * time.Second
+	p := track.NewPool(track.Config{Pool: "p"}, event.Clock{Steady: now}, &work.Rules{})
+	w := p.Worker("w0")
+	w.FailedRuns, w.FailedJobs, w.LastFailure = 2, 2, now-time.Second
+	if l, _ := Workers(p); p.PlaceAt != w.SuspectUntil() || len(l) != 0 {
+		t.Errorf("the next placement is at %v, want %v", p.PlaceAt, w.SuspectUntil())
+	}
+	if p.PlaceAt = 0; !w.Suspect(now) || w.Suspect(w.SuspectUntil()) {
+		t.Error("the worker isn't suspected just until then")
+	}
+}
--- a/demand/workers.go
+++ b/demand/workers.go
@@ -17,6 +17,9 @@
 			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Total: w.Capacity, Free: w.Capacity.Minus(w.Used), Closed: p.Closed(w) || !w.Recorded,
 			NoBestEffort: !w.PaceLevel.AdmitsBestEffort(), Probation: w.Suspect(p.Now.Steady), Failing: w.Failing(p.Now.Steady),
 		}
+		if a.Failing {
+			p.PlaceBy(w.SuspectUntil())
+		}
 		if !a.Closed || len(w.Runs) > 0 {
 			l = append(l, a)
 		}
--- a/track/worker.go
+++ b/track/worker.go
@@ -113,14 +113,17 @@
 	suspectTime = 8 * time.Second
 )
 
+// SuspectUntil is when the last failure on the worker no longer counts against it.
+func (w *Worker) SuspectUntil() time.Duration { return w.LastFailure + suspectTime }
+
 // Failing reports whether the worker's last run to end by itself has failed just now.
 func (w *Worker) Failing(now time.Duration) bool {
-	return w.FailedRuns > 0 && now < w.LastFailure+suspectTime
+	return w.FailedRuns > 0 && now < w.SuspectUntil()
 }
 
 // Suspect reports whether runs may be failing because of the worker.
 func (w *Worker) Suspect(now time.Duration) bool {
-	return w.FailedJobs >= suspectJobs && now < w.LastFailure+suspectTime
+	return w.FailedJobs >= suspectJobs && now < w.SuspectUntil()
 }
 
 // Responsive reports whether it is known what runs on the worker: its current incarnation
