--- a/cells/watch_test.go
+++ b/cells/watch_test.go
@@ -47,9 +47,6 @@
 		Connect: func(fleet.Host, time.Duration) setup.Conn { return conn },
 	}, ledger.Ownership{Cell: "c", Epoch: 1}, time.Now(), func(why string) { t.Errorf("deposed: %s", why) })
 	defer c.Close()
-	c.Mu.Lock()
-	c.startWatch(fleet.Host{ID: "t1", Room: room})
-	c.Mu.Unlock()
 
 	id := target.TaskID{Job: jobs.Key{Account: "a", ID: "00000000000000aa"}, Attempt: jobs.Attempt{Epoch: 1, Number: 1}}
 	order := func(o target.Order) {
@@ -58,12 +55,20 @@
 			t.Fatalf("%s: %v, %v", o.Action, r, err)
 		}
 	}
-	order(target.Order{Action: target.Reserve, Room: room, Targets: []string{"t1"}, Arguments: []string{"Run=300ms"}})
-	conn.toLose.Store(3)
-	order(target.Order{Action: target.Start, Lease: units.Duration(time.Second)})
-	for end := time.Now().Add(20 * time.Second); len(x.Tasks()) > 0; time.Sleep(20 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("tasks are left: %+v", x.Tasks())
+	await := func(what string, f func() bool) {
+		for end := time.Now().Add(20 * time.Second); !f(); time.Sleep(20 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%s: %+v", what, x.Tasks())
+			}
 		}
 	}
+	order(target.Order{Action: target.Reserve, Room: room, Targets: []string{"t1"}, Arguments: []string{"Run=1ms"}})
+	order(target.Order{Action: target.Start, Lease: units.Duration(time.Second)})
+	await("the task isn't complete", func() bool { return x.Tasks()[0].State == target.Complete })
+	conn.toLose.Store(3)
+	// The cell is watched only now, as it would stop and forget the task before its start.
+	c.Mu.Lock()
+	c.startWatch(fleet.Host{ID: "t1", Room: room})
+	c.Mu.Unlock()
+	await("tasks are left", func() bool { return len(x.Tasks()) == 0 })
 }
