--- a/demand/guarantee.go
+++ b/demand/guarantee.go
@@ -10,8 +10,8 @@
 
 // reclaimDivisor determines how long work within a guarantee waits for capacity to become
 // free before it reclaims capacity: ReclaimTime divided by this. Waiting first pays off as
-// urgent runs are short. The rest of
-// ReclaimTime is for stopping runs and for the answers to orders.
+// urgent runs are short. The rest of ReclaimTime is for stopping runs and for the answers to
+// orders.
 const reclaimDivisor = 3
 
 // singleRackFactor is how many times as long such work waits for a single rack, if it is slow
--- a/loads/record.go
+++ b/loads/record.go
@@ -105,12 +105,7 @@
 	l.Queues = slices.SortedFunc(maps.Values(m), func(a, b Queue) int {
 		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Name, b.Name))
 	})
-	numbers := map[string]string{}
-	for i := range l.Queues {
-		n := "q" + strconv.Itoa(i)
-		numbers[l.Queues[i].Name], l.Queues[i].Name = n, n
-	}
-	return numbers
+	return number(l.Queues, "q", func(q *Queue) *string { return &q.Name })
 }
 
 // addAccounts is addQueues for accounts.
@@ -122,12 +117,18 @@
 	l.Accounts = slices.SortedFunc(maps.Values(m), func(a, b Account) int {
 		return cmp.Or(cmp.Compare(b.Guaranteed, a.Guaranteed), cmp.Compare(a.Name, b.Name))
 	})
-	numbers := map[string]string{}
-	for i := range l.Accounts {
-		n := "a" + strconv.Itoa(i)
-		numbers[l.Accounts[i].Name], l.Accounts[i].Name = n, n
+	return number(l.Accounts, "a", func(a *Account) *string { return &a.Name })
+}
+
+// number replaces the names in a list by numbers behind a prefix, and returns them by name.
+func number[T any](l []T, prefix string, name func(*T) *string) map[string]string {
+	m := map[string]string{}
+	for i := range l {
+		n := name(&l[i])
+		m[*n] = prefix + strconv.Itoa(i)
+		*n = m[*n]
 	}
-	return numbers
+	return m
 }
 
 // arrivalOf returns the arrival that a log line holds, and false if it holds none.
