review: Stand-ins that page ends, lose answers and go down

Cause: cases need a store that is down or loses answers, and workers that return 500 ends at a time, as the protocol says.

--- a/review/standins/bed.go
+++ b/review/standins/bed.go
@@ -40,6 +40,8 @@
 	// advice and cloud are the addresses of these services in the hosts' settings.
 	advice, cloud string
 	store         *store
+	// inFront, if set, starts a server in front of a worker and returns its address.
+	inFront func(id, address string) (string, error)
 	// perRack is the number of workers of a rack.
 	perRack int
 	version int64
@@ -129,6 +131,17 @@
 		if err := b.platform.AddWorker(w, fmt.Sprintf("r%d", i/b.perRack)); err != nil {
 			return fmt.Errorf("%w: %w", errCannotRun, err)
 		}
+		if b.inFront != nil {
+			var failed error
+			b.platform.Redirect(w.ID, func(address string) string {
+				a, err := b.inFront(w.ID, address)
+				failed = err
+				return a
+			})
+			if failed != nil {
+				return fmt.Errorf("%w: %w", errCannotRun, failed)
+			}
+		}
 		b.store.put("servers", w.ID, b.platform.Store.Value("servers", "", w.ID))
 	}
 	b.configure()
@@ -234,7 +247,7 @@
 		return err
 	}
 	h.cmd = exec.Command("target/citronbridge", "node")
-	h.cmd.Env = append(os.Environ(), "CITRONBRIDGE_NODE_FILE="+h.settings, "GOMAXPROCS=1")
+	h.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + b.dir, "LANG=" + os.Getenv("LANG"), "CITRONBRIDGE_NODE_FILE=" + h.settings}
 	h.cmd.Stdout, h.cmd.Stderr = log, log
 	if err := h.cmd.Start(); err != nil {
 		log.Close()
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -15,11 +15,16 @@
 // cases returns the cases by name. Each reports whether its rule was broken.
 func cases() map[string]func(*bed) (broken bool, err error) {
 	return map[string]func(*bed) (bool, error){
-		"avoid":  avoid,
-		"cancel": cancel,
-		"growth": growth,
-		"pace":   pace,
-		"rack":   rack,
+		"avoid":   avoid,
+		"cancel":  cancel,
+		"ends":    ends,
+		"growth":  growth,
+		"memory":  memory,
+		"move":    move,
+		"pace":    pace,
+		"rack":    rack,
+		"reserve": reserve,
+		"waiting": waiting,
 	}
 }
 
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -46,7 +46,9 @@
 	// lose, if set, says of a transaction whether its answer is lost, and how much later it
 	// is done.
 	lose func() (bool, time.Duration)
-	l    net.Listener
+	// up is closed while the store is up.
+	up chan struct{}
+	l  net.Listener
 }
 
 // newStore starts a store on a free port.
@@ -55,7 +57,8 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{parts: map[tablePart]*partRows{}, logs: map[string][]plat.Row{}, changed: make(chan struct{}), began: time.Now(), l: l}
+	s := &store{parts: map[tablePart]*partRows{}, logs: map[string][]plat.Row{}, changed: make(chan struct{}), began: time.Now(), up: make(chan struct{}), l: l}
+	close(s.up)
 	srv := &http.Server{Handler: s, ReadHeaderTimeout: time.Second}
 	go srv.Serve(l)
 	return s, nil
@@ -225,6 +228,16 @@
 
 // ServeHTTP serves the calls of the store.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	up := s.up
+	s.mu.Unlock()
+	select {
+	case <-up:
+	default:
+		// A store that is down doesn't answer.
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	q := r.URL.Query()
 	status, body := http.StatusOK, map[string]any(nil)
 	switch r.URL.Path {
@@ -290,3 +303,19 @@
 	s.set(plat.Row{Table: table, Key: key, Version: s.version, Deleted: true})
 	s.wake()
 }
+
+// setDown takes the store down, or up again. While it is down it answers no call, those that
+// wait for a change included.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if down {
+		s.up = make(chan struct{})
+	} else {
+		select {
+		case <-s.up:
+		default:
+			close(s.up)
+		}
+	}
+}
