review: Case 1 with three workers

Cause: with one worker, the second page of ends and the new starts race, so that in some plays only two tasks ran twice. Done: 21 jobs instead of 7, so that two workers have over 500 ends to return.

--- a/review/standins/ends.go
+++ b/review/standins/ends.go
@@ -100,7 +100,7 @@
 // With trouble, the store is down meanwhile. No task may start after a run of it is done.
 func ends(b *bed) (bool, error) {
 	const (
-		jobs    = 7
+		jobs    = 21
 		width   = 90
 		work    = 8 * time.Second
 		downFor = 4500 * time.Millisecond
