--- a/review/standins/avoid.go
+++ b/review/standins/avoid.go
@@ -96,8 +96,15 @@
 	if state == "succeeded" || fails >= 4 {
 		return false, nil
 	}
-	room := 0
-	b.platform.Lock(func(c *model.Cluster) { room = c.Workers[free].FittingTasks(1000, 1000, 1) })
-	b.logf("LOST: the job has nothing running, while worker %s, which has the label, has room for %d such tasks", free, room)
-	return room >= 2, nil
+	room, idle := 0, 0
+	b.platform.Lock(func(c *model.Cluster) {
+		room = c.Workers[free].FittingTasks(1000, 1000, 1)
+		for i := range workers {
+			if c.Workers[fmt.Sprintf("w%02d", i)].FittingTasks(8000, 8000, 8) > 0 {
+				idle++
+			}
+		}
+	})
+	b.logf("LOST: the job has nothing running, while worker %s, which has the label, has room for %d such tasks, and %d of %d workers are idle", free, room, idle, workers)
+	return room >= 2 && 2*idle > workers, nil
 }
--- a/review/standins/bed.go
+++ b/review/standins/bed.go
@@ -160,6 +160,8 @@
 	}
 	for _, h := range b.hosts {
 		if !await(20*time.Second, func() bool { return h.isReady() }) {
+			v, _ := os.ReadFile(h.settings + ".log")
+			b.logf("the log of %s ends with: %s", h.name, v[max(len(v)-500, 0):])
 			return fmt.Errorf("%w: %s isn't ready", errCannotRun, h.name)
 		}
 	}
@@ -198,9 +200,13 @@
 func (b *bed) addHost(i int) error {
 	h := &host{name: fmt.Sprintf("edge-%d", i+1)}
 	h.settings = filepath.Join(b.dir, h.name+".yaml")
+	// Each host of each play has a loopback address of its own, so that nothing else takes its
+	// ports before it listens.
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 64+pid>>14&63, pid>>6&255, pid&63*4+i+1)
 	var l [3]string
 	for k := range l {
-		a, err := net.Listen("tcp", "127.0.0.1:0")
+		a, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			return err
 		}
