repo: Reject an incomplete list of rows

A page without rows that isn't the last one passed for the end of a list, though callers take rows that a list lacks for deleted. It is an error now, as a page without an answer already is. By reading; the store's page doesn't say that it sends such a page.

--- a/repo/jobs.go
+++ b/repo/jobs.go
@@ -159,6 +159,9 @@
 // maxPageRows is the platform's limit of rows in the answer to one List.
 const maxPageRows = 500
 
+// errEmptyPage is returned if a page without rows isn't the last one.
+var errEmptyPage = errors.New("page has no rows, but more follow")
+
 // ListAll reads all pages of one partition of a table. The Version of the result is that
 // of the first page, so that a feed started from it misses no change made in between.
 func ListAll(ctx context.Context, s Store, table, partition string) (Page, error) {
@@ -173,9 +176,12 @@
 			all.Version = p.Version
 		}
 		all.Rows = append(all.Rows, p.Rows...)
-		if !p.More || len(p.Rows) == 0 {
+		if !p.More {
 			return all, nil
 		}
+		if len(p.Rows) == 0 {
+			return Page{}, fmt.Errorf("list %s: %w", table, errEmptyPage)
+		}
 		from = p.Rows[len(p.Rows)-1].Key + "\x00"
 	}
 }
