orders: Keep runs whose ends a worker hasn't listed yet

Cause: a worker lists at most 500 ends at a time, from the first that isn't acknowledged on. While the store is away no record is saved, so nothing is acknowledged and the other ends aren't listed. ReconcileRuns released each run that was in neither list, as if it were lost, and it was placed again.

Each end that was listed had been handled, so none was dropped.

Change: the answer to a Hold says whether ends may be missing from it. No run is released by such a report. A successor had the same fault by another path: the first report of a worker made it forget that the worker may have ends of a former decider. It waits for the complete list now, or for the end of the lease.

Stand-in workers list 500 ends at a time now, as the platform says.

--- a/event/event.go
+++ b/event/event.go
@@ -126,6 +126,9 @@
 	StartedMS int64
 	Running   []Running
 	Ended     []Ended
+	// MoreEnds means that Ended may be incomplete. A run that is in neither list may
+	// have ended then.
+	MoreEnds bool
 }
 
 // PaceAnswered is the outcome of a Pace.
--- a/fakes/model/model.go
+++ b/fakes/model/model.go
@@ -138,6 +138,8 @@
 	// OnStart and OnEnd, if not nil, are called when a run has started or ended.
 	OnStart func(w *Worker, p *ActiveRun)
 	OnEnd   func(w *Worker, e End)
+	// EndsPerPage is the most ends in the answer to one Hold.
+	EndsPerPage int
 	// Machines host the workers. Waves are the maintenance waves by number.
 	Machines []*Machine
 	Waves    map[int64]Wave
@@ -161,9 +163,12 @@
 	homes map[string]string
 }
 
+// defaultEndsPerPage is the platform's limit.
+const defaultEndsPerPage = 500
+
 // NewCluster returns a Cluster without workers.
 func NewCluster(b Bounds) *Cluster {
-	return &Cluster{Bounds: b, Workers: map[string]*Worker{}, Waves: map[int64]Wave{}, ticketExpiry: map[grant]time.Duration{}, homes: map[string]string{}}
+	return &Cluster{Bounds: b, EndsPerPage: defaultEndsPerPage, Workers: map[string]*Worker{}, Waves: map[int64]Wave{}, ticketExpiry: map[grant]time.Duration{}, homes: map[string]string{}}
 }
 
 // Add starts an incarnation of a worker without runs.
@@ -481,7 +486,7 @@
 }
 
 // Hold extends the lease until deadline, unless that is 0, and returns the active
-// runs and the ends after N seen, or the reason of a refusal.
+// runs and the first ends after N seen, or the reason of a refusal.
 func (w *Worker) Hold(fence, seen, deadline int64) ([]ActiveRun, []End, string) {
 	if fence < w.fence {
 		return nil, nil, "fence"
@@ -502,7 +507,7 @@
 		}
 		l = append(l, q)
 	}
-	return l, slices.Clone(w.ends), ""
+	return l, slices.Clone(w.ends[:min(len(w.ends), w.c.EndsPerPage)]), ""
 }
 
 // Pace carries out an order to limit a run to a percentage of its speed. It returns
--- a/launch/ended.go
+++ b/launch/ended.go
@@ -10,7 +10,7 @@
 func (s *Launcher) IncarnationEnded(w *track.Worker) {
 	s.Log(nil, w, nil, "worker was replaced or has restarted; its runs are lost")
 	w.Terminated, w.Synced, w.HoldInFlight, w.ReplacedAt = true, false, false, 0
-	w.Inherited = false
+	w.Inherited, w.MoreEnds = false, false
 	w.PendingEnds = nil
 	s.LoseRuns(w)
 }
--- a/orders/hold.go
+++ b/orders/hold.go
@@ -48,7 +48,7 @@
 	if !needed {
 		return nextCheck
 	}
-	if !w.Listed && len(w.Runs) == 0 && (!w.Inherited || now-s.AcquiredAt > s.Config.InheritTime) {
+	if !w.Listed && len(w.Runs) == 0 && !w.MoreEnds && (!w.Inherited || now-s.AcquiredAt > s.Config.InheritTime) {
 		s.forgetWorker(w)
 		return nextCheck
 	}
@@ -130,6 +130,10 @@
 		s.NeedsPlacement = true
 	}
 	w.ConfirmedAck = max(w.ConfirmedAck, w.SendingAck)
+	if w.MoreEnds && !e.MoreEnds {
+		s.NeedsPlacement = true
+	}
+	w.MoreEnds = e.MoreEnds
 	return w
 }
 
@@ -142,7 +146,8 @@
 }
 
 // ReconcileRuns compares the runs that a worker reports with those that are expected
-// there. Unexpected runs are adopted or stopped, missing ones are released.
+// there. Unexpected runs are adopted or stopped. Missing ones are released, unless the
+// report may have left out their ends.
 func (s *Sender) ReconcileRuns(w *track.Worker, e event.HoldAnswered) {
 	seen := map[work.TaskID]bool{}
 	for _, x := range e.Running {
@@ -169,6 +174,9 @@
 			s.RunStarted(r)
 		}
 	}
+	if e.MoreEnds {
+		return
+	}
 	for _, r := range w.SortedRuns() {
 		if seen[r.ID] || r.Phase == track.Recording {
 			continue
--- a/orders/workers.go
+++ b/orders/workers.go
@@ -105,8 +105,11 @@
 		return now + time.Second
 	case now < w.InheritedUntil:
 		return w.InheritedUntil
+	case w.Synced && (w.UnansweredCalls == 0 || now < w.LeaseEnd):
+		// Its lease was renewed, and later reports may list the other ends.
+		return now + time.Second
 	}
-	w.Inherited, s.NeedsPlacement = false, true
+	w.Inherited, w.MoreEnds, s.NeedsPlacement = false, false, true
 	s.Log(nil, w, nil, "inherited lease expired; the worker's former tasks may be placed again")
 	return now + time.Second
 }
@@ -136,7 +139,7 @@
 	s.Log(nil, w, nil, "worker has restarted; its state is read again")
 	w.Incarnation++
 	w.StartedMS, w.Terminated, w.Synced = startedMS, false, false
-	w.HandledEnd, w.DurableEnd, w.ConfirmedAck, w.PendingEnds = 0, 0, 0, nil
+	w.HandledEnd, w.DurableEnd, w.ConfirmedAck, w.PendingEnds, w.MoreEnds = 0, 0, 0, nil, false
 	w.ClockMS, w.ClockAt, w.UnansweredCalls = 0, 0, 0
 	w.FailureStreak, w.FailedRuns, w.FailedJobs = 0, 0, 0
 	w.PaceLevel = pacing.NewLevel()
@@ -166,9 +169,12 @@
 	now := s.Now.Steady
 	s.letLeaseLapse(w)
 	next := s.expireInherited(w)
-	if len(w.Runs) > 0 && w.LeaseEnd > 0 && now >= w.LeaseEnd && w.UnansweredCalls > 0 {
-		s.Log(nil, w, nil, "lease of the unresponsive worker expired; its runs are lost")
-		s.LoseRuns(w)
+	if w.LeaseExpired(now) {
+		w.MoreEnds = false
+		if len(w.Runs) > 0 {
+			s.Log(nil, w, nil, "lease of the unresponsive worker expired; its runs are lost")
+			s.LoseRuns(w)
+		}
 	}
 	if w.LeaseEnd > now {
 		next = min(next, w.LeaseEnd)
--- a/sched/overload_test.go
+++ b/sched/overload_test.go
@@ -81,7 +81,7 @@
 				w.after(40*time.Millisecond, poll)
 				return
 			}
-			answer(report(e, x, running, ended, why))
+			answer(w.report(e, x, running, ended, why))
 		}
 		poll()
 	}, event.HoldAnswered{Call: e.Call, Outcome: event.NoAnswer})
--- a/sched/schedule_test.go
+++ b/sched/schedule_test.go
@@ -146,11 +146,25 @@
 	return j
 }
 
+// submit stores a job once the store is available. The feed of jobs may report it twice, and
+// it may be cancelled.
 func (w *world) submit(j *work.Job) {
 	if !w.storeUp {
 		w.after(200*time.Millisecond, func() { w.submit(j) })
 		return
 	}
+	added := w.accept(j)
+	if w.chance(0.2) {
+		// A feed that is read again reports the job again.
+		w.after(w.random(100*time.Millisecond, 20*time.Second), func() { w.broadcast(added) })
+	}
+	if w.chance(0.2) {
+		w.after(w.random(0, 8*time.Second), func() { w.cancel(j.ID) })
+	}
+}
+
+// accept stores a job and reports it to the deciders. It returns the report.
+func (w *world) accept(j *work.Job) func(*decider) event.Event {
 	j.Accepted = w.wall()
 	r := &work.Record{State: work.Pending, Queue: j.Queue}
 	b, err := r.Encode()
@@ -172,13 +186,7 @@
 		return event.JobAdded{Job: j, Record: r}
 	}
 	w.broadcast(added)
-	if w.chance(0.2) {
-		// A feed that is read again reports the job again.
-		w.after(w.random(100*time.Millisecond, 20*time.Second), func() { w.broadcast(added) })
-	}
-	if w.chance(0.2) {
-		w.after(w.random(0, 8*time.Second), func() { w.cancel(j.ID) })
-	}
+	return added
 }
 
 func (w *world) cancel(id string) {
--- a/sched/state.go
+++ b/sched/state.go
@@ -3,6 +3,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"citronbridge/event"
@@ -128,7 +129,7 @@
 	next = min(next, s.RetryUnanswered(), s.openDue(), s.advanceWaves())
 	s.AdvanceDurableEnds()
 	s.prune()
-	if s.Inheriting && now.Steady-s.AcquiredAt > s.Config.InheritTime {
+	if s.Inheriting && now.Steady-s.AcquiredAt > s.Config.InheritTime && !slices.ContainsFunc(s.WorkersByID, (*track.Worker).MayHaveUnknownRuns) {
 		s.Inheriting = false
 		s.NeedsPlacement = true
 	}
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -36,6 +36,8 @@
 	workerRows  map[string]workerRow
 	epoch       int64
 	storeUp     bool
+	// unavailable is a partition that can't be loaded while storeUp is true.
+	unavailable string
 	listed      map[string]bool
 	// progress is the row of the maintenance wave, version its version.
 	progress maint.Progress
@@ -504,7 +506,7 @@
 	switch {
 	case p.dead:
 		return
-	case !w.storeUp || p.cut || w.now < p.pausedUntil:
+	case !w.storeUp || w.unavailable == part || p.cut || w.now < p.pausedUntil:
 		w.after(100*time.Millisecond, func() { p.loadPartition(part) })
 		return
 	case w.fences[part] > p.epoch:
@@ -838,7 +840,7 @@
 				w.after(40*time.Millisecond, poll)
 				return
 			}
-			r := report(e, x, running, ended, why)
+			r := w.report(e, x, running, ended, why)
 			if lost {
 				noAnswer()
 				return
@@ -850,8 +852,8 @@
 }
 
 // report returns a worker's answer to a Hold.
-func report(e event.Hold, x *model.Worker, running []model.ActiveRun, ended []model.End, why string) event.HoldAnswered {
-	r := event.HoldAnswered{Call: e.Call, Outcome: reasons[why], ClockMS: x.ClockMS(), StartedMS: x.Born}
+func (w *world) report(e event.Hold, x *model.Worker, running []model.ActiveRun, ended []model.End, why string) event.HoldAnswered {
+	r := event.HoldAnswered{Call: e.Call, Outcome: reasons[why], ClockMS: x.ClockMS(), StartedMS: x.Born, MoreEnds: len(ended) >= w.cluster.EndsPerPage}
 	for _, q := range running {
 		id, _ := work.ParseTaskID(q.Task)
 		r.Running = append(r.Running, event.Running{Task: id, Run: q.Run, Checkpoint: q.Saved, Progress: q.Percent})
--- a/track/worker.go
+++ b/track/worker.go
@@ -64,6 +64,8 @@
 	HandledEnd, DurableEnd, SendingAck, ConfirmedAck int64
 	// PendingEnds are the ends above DurableEnd, in order.
 	PendingEnds []PendingEnd
+	// MoreEnds reports that the last report may have left out ends.
+	MoreEnds bool
 
 	// Runs are the runs that occupy capacity of the worker, Used the sum of their demands.
 	Runs map[work.TaskID]*Run
@@ -102,9 +104,15 @@
 	Unapplied *event.Ended
 }
 
-// MayHaveUnknownRuns reports whether the worker may run tasks of a former decider that it
-// hasn't yet reported to this one.
-func (w *Worker) MayHaveUnknownRuns() bool { return w.Inherited && !w.Synced }
+// MayHaveUnknownRuns reports whether the worker may have runs of a former decider, or ends
+// of them, that it hasn't yet reported to this one.
+func (w *Worker) MayHaveUnknownRuns() bool { return w.Inherited && (!w.Synced || w.MoreEnds) }
+
+// LeaseExpired reports whether the worker doesn't answer and its lease has expired, so that
+// nothing runs there any more.
+func (w *Worker) LeaseExpired(now time.Duration) bool {
+	return w.UnansweredCalls > 0 && w.LeaseEnd > 0 && now >= w.LeaseEnd
+}
 
 // A worker on which suspectJobs jobs in a row have failed is suspected of causing that for
 // suspectTime, or until a task is done there.
