repo: Keep submissions out that are stored after their cancel

Cause: Cancel answered "no such job" from a read alone. A submission whose answer was lost depends only on the absence of the job's record, so the store could carry it out seconds later, and nothing told the decider of the cancel.

Change: a cancel that finds no record writes one on the condition that there is none, and answers 410 only then. The record is hidden from clients; a submission that finds it is stored as a cancelled job. Deciders learn of these records by the feed of cancels and delete them like those of ended jobs. This costs one write for a cancel that finds no job.

--- a/decide/load.go
+++ b/decide/load.go
@@ -165,8 +165,8 @@
 	}
 	cancels := func(rows []repo.Row) {
 		for _, r := range rows {
-			if !r.Deleted {
-				d.enqueue(event.JobCanceled{ID: r.Key})
+			if s := d.partitions[r.Partition]; s != nil && !r.Deleted {
+				s.jobCanceled(r)
 			}
 		}
 	}
--- a/decide/partition.go
+++ b/decide/partition.go
@@ -79,7 +79,7 @@
 		s.trackEnded(r)
 	}
 	for _, r := range pages[0].Rows {
-		s.d.enqueue(event.JobCanceled{ID: r.Key})
+		s.jobCanceled(r)
 	}
 	for _, r := range pages[1].Rows {
 		s.addJob(r, records[r.Key], true)
@@ -127,6 +127,25 @@
 	s.endedAt[r.Key] = rec.Ended
 }
 
+// jobCanceled handles a job's cancellation. A job that was never stored is only remembered for
+// sweep.
+func (s *partition) jobCanceled(r repo.Row) {
+	c, err := repo.DecodeCancelRow(r.Value)
+	if err != nil {
+		s.d.log.Error().Err(err).Str("job", r.Key).Msg("cancellation can't be decoded; the job is cancelled all the same")
+	}
+	if c.Ended == 0 {
+		s.d.enqueue(event.JobCanceled{ID: r.Key})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endedAt[r.Key] = c.Ended
+	if s.loaded {
+		s.writer.RecordVersion(repo.TableRecords, r.Key, r.Version)
+	}
+}
+
 // sweep deletes the records and cancels of jobs that ended before a time, in Unix milliseconds.
 func (s *partition) sweep(endedBefore int64) {
 	s.mu.Lock()
--- a/native/store_test.go
+++ b/native/store_test.go
@@ -48,6 +48,41 @@
 	}
 }
 
+// TestCancelOfUnansweredSubmission guards against a job that runs after its cancellation was
+// answered with 410: the store carries out the job's submission only later.
+func TestCancelOfUnansweredSubmission(t *testing.T) {
+	t.Parallel()
+	const lateBy = 1200 * time.Millisecond
+	d := deploy(t, 2, 2)
+	w := d.monitorRuns()
+	faulty, other := d.hosts[0], d.hosts[1]
+	if d.decider() == faulty {
+		faulty, other = other, faulty
+	}
+	faulty.endpoint.SetFaults(plat.StoreFaults{LoseOneIn: 1, LateBy: lateBy})
+	path, body := "/batch/"+jobID(1), jobBody(singleTasks(1, time.Millisecond))
+	status, _ := faulty.callWithDeadline(600*time.Millisecond, http.MethodPost, path, apiKey, body)
+	if status != http.StatusGatewayTimeout {
+		t.Fatalf("submission without an answer of the store: status %d, want 504", status)
+	}
+	if status, b := other.call(http.MethodDelete, path, apiKey, ""); status != http.StatusGone {
+		t.Fatalf("cancel before the submission is stored: status %d, want 410: %s", status, b)
+	}
+	faulty.endpoint.SetFaults(plat.StoreFaults{})
+	time.Sleep(2 * lateBy)
+	if s := other.state("/batch/", jobID(1)); s != "410" {
+		t.Errorf("state of the job after its submission was stored: %s, want 410", s)
+	}
+	if status, b := other.call(http.MethodPost, path, apiKey, body); status != http.StatusOK {
+		t.Errorf("submission after the cancel: status %d, want 200: %s", status, b)
+	}
+	d.awaitState("/batch/", jobID(1), "canceled")
+	if n := d.startedTasks(w); n > 0 {
+		t.Errorf("%d tasks of the cancelled job have started", n)
+	}
+	d.checkRuns(w)
+}
+
 // TestStoreRejectsIsolatedHost makes the store reject a host that has no peers to relay its
 // calls. The host must answer that nothing has run, and report that it isn't ready, while
 // the other host serves.
--- a/repo/jobs.go
+++ b/repo/jobs.go
@@ -19,8 +19,8 @@
 	TableJobs = "jobs"
 	// TableRecords holds the progress of each job, keyed by job ID.
 	TableRecords = "records"
-	// TableCancels holds a row for each job whose cancellation was requested, keyed by
-	// job ID.
+	// TableCancels holds a CancelRow for each job whose cancellation was requested, keyed
+	// by job ID.
 	TableCancels = "cancels"
 	// TableOwners holds the current Owner of each pool, keyed by pool.
 	TableOwners = "owners"
@@ -75,7 +75,8 @@
 // Submit stores a new job. If the ID already exists the submission counts as a
 // repetition and changes nothing. Submit retries until ctx ends, because after a lost
 // answer only another try can show whether the job is stored. It returns NotRun only if
-// no try can still take effect, and at once while the store is unavailable.
+// no try can still take effect, and at once while the store is unavailable. A job that was
+// cancelled before it was stored is stored as cancelled.
 func (r *Repo) Submit(ctx context.Context, j *work.Job) (Verdict, error) {
 	job, err := work.EncodeJob(j)
 	if err != nil {
@@ -89,7 +90,10 @@
 		If:  []Condition{hasVersion(TableRecords, j.ID, 0)},
 		Put: []Row{newRow(TableJobs, j.ID, job), newRow(TableRecords, j.ID, rec)},
 	}
-	_, v, err := r.apply(ctx, c)
+	a, v, err := r.apply(ctx, c)
+	if v == Done && !a.Applied {
+		return r.storeCanceled(ctx, j, a.Current)
+	}
 	return v, err
 }
 
@@ -122,6 +126,15 @@
 
 // Record reads a job's progress. The record is nil unless the verdict is Done.
 func (r *Repo) Record(ctx context.Context, id string) (*work.Record, Verdict, error) {
+	rec, v, err := r.readRecord(ctx, id)
+	if rec != nil && rec.Unsubmitted {
+		return nil, Absent, nil
+	}
+	return rec, v, err
+}
+
+// readRecord is Record, but also returns records of jobs that were never stored.
+func (r *Repo) readRecord(ctx context.Context, id string) (*work.Record, Verdict, error) {
 	for {
 		if r.health.Unavailable() {
 			return nil, NotRun, errUnavailable
@@ -145,17 +158,6 @@
 	}
 }
 
-// Cancel stores a request to cancel a job. A job that has already ended is left alone,
-// and the verdict is Done.
-func (r *Repo) Cancel(ctx context.Context, id string) (Verdict, error) {
-	rec, v, err := r.Record(ctx, id)
-	if v != Done || rec.State.Final() {
-		return v, err
-	}
-	_, v, err = r.apply(ctx, Change{If: []Condition{hasVersion(TableCancels, id, 0)}, Put: []Row{newRow(TableCancels, id, []byte("{}"))}})
-	return v, err
-}
-
 // maxPageRows is the platform's limit of rows in the answer to one List.
 const maxPageRows = 500
 
--- a/work/record.go
+++ b/work/record.go
@@ -31,6 +31,9 @@
 	Queue string
 	// Ended is when the job ended, in Unix milliseconds.
 	Ended int64 `json:",omitempty"`
+	// Unsubmitted is set if the job was cancelled before it was stored. The record keeps a
+	// submission that is stored later from running, and isn't shown to clients.
+	Unsubmitted bool `json:",omitempty"`
 	// Pool is the pool in which the job's tasks were first started, empty before
 	// that.
 	Pool string `json:",omitempty"`
@@ -118,11 +121,11 @@
 const maxRecordBytes = 48 << 10
 
 // Encode returns the value of the record's row. A final record keeps only State,
-// Queue and Ended. One that exceeds maxRecordBytes loses Placed and Saved, which
+// Queue, Ended and Unsubmitted. One that exceeds maxRecordBytes loses Placed and Saved, which
 // the job can do without, and is marked as Unsure.
 func (r *Record) Encode() ([]byte, error) {
 	if r.State.Final() {
-		return json.Marshal(&Record{State: r.State, Queue: r.Queue, Ended: r.Ended})
+		return json.Marshal(&Record{State: r.State, Queue: r.Queue, Ended: r.Ended, Unsubmitted: r.Unsubmitted})
 	}
 	b, err := json.Marshal(r)
 	if err != nil || len(b) <= maxRecordBytes {
@@ -145,7 +148,7 @@
 	default:
 		l.Add("State", r.State, "Pending, Running, Succeeded, Failed or Canceled")
 	}
-	l.Check(r.Queue != "", "Queue", r.Queue, "the name of a queue")
+	l.Check(r.Queue != "" || r.Unsubmitted, "Queue", r.Queue, "the name of a queue")
 	return r, l.Err()
 }
 
