sched: Try a failed task again on the worker that it failed on

Cause: a step avoided the workers on which its tasks had failed for good. That was lifted only if the other workers couldn't hold the step even when empty, though tasks that last never leave them.

Evidence: 12 s after the failure the worker is open, isn't suspected, has room and is used for other steps; only the step's own list names it. Pause and probation were over, one of four attempts was used, the label was there.

Change: a step avoids a worker for 8 s after its task has failed there, as long as workers are suspected after failures, and uses it after all others then. It still stays off workers on which anything failed last within these 8 s.

--- a/advice/advice_test.go
+++ b/advice/advice_test.go
@@ -80,3 +80,33 @@
 		t.Error("step still cached after Retain without it")
 	}
 }
+
+// TestAdviceReachesFreeWorkers guards against a step that waits for good for the workers that
+// are known to be allowed, which have no room, while others with room are never asked about.
+func TestAdviceReachesFreeWorkers(t *testing.T) {
+	b := NewCache()
+	l := incarnations(usualWorkersPerCall + 1)
+	full, free := l[0], l[usualWorkersPerCall]
+	c, _ := b.NextCall("s", 1, l, 0)
+	b.HandleAnswer(c, map[string]string{full.Worker: "a"}, 0, time.Second)
+	// The ticket is renewed first, although the worker without room comes last.
+	now := 2 * time.Second
+	for range 2 {
+		if _, ok := b.Ticket("s", free, now); ok {
+			t.Fatal("there is a ticket before the service was asked")
+		}
+		c, ok := b.NextCall("s", 1, []Incarnation{free, full}, now)
+		if !ok {
+			t.Fatalf("no call at %v", now)
+		}
+		tickets := map[string]string{}
+		for _, i := range c.Incarnations {
+			tickets[i.Worker] = "b"
+		}
+		b.HandleAnswer(c, tickets, now, time.Second)
+		now += 20 * time.Millisecond
+	}
+	if _, ok := b.Ticket("s", free, now); !ok {
+		t.Error("the worker with room wasn't asked about")
+	}
+}
--- a/assign/assign.go
+++ b/assign/assign.go
@@ -82,8 +82,9 @@
 	Starved bool
 	// TasksPerWorker counts the step's tasks by worker, for anti-affinity.
 	TasksPerWorker map[string]int
-	// AvoidedWorkers holds the IDs of workers on which the step's tasks failed.
-	AvoidedWorkers map[string]bool
+	// AvoidedWorkers holds the IDs of workers on which the step's tasks failed. Those in
+	// ReleasedWorkers failed long enough ago to be used again, after all others.
+	AvoidedWorkers, ReleasedWorkers map[string]bool
 	// AllowedWorkers, if not nil, holds the IDs of the only workers that may run
 	// the unit.
 	AllowedWorkers map[string]bool
@@ -219,7 +220,8 @@
 	if !u.ignoresProbation && (w.Probation && u.Step.Gang || w.Failing && len(u.AvoidedWorkers) > 0) {
 		return false
 	}
-	return !u.AvoidedWorkers[w.ID] && (u.AllowedWorkers == nil || u.AllowedWorkers[w.ID]) && u.Fits(w)
+	avoided := u.AvoidedWorkers[w.ID] && !u.ReleasedWorkers[w.ID]
+	return !avoided && (u.AllowedWorkers == nil || u.AllowedWorkers[w.ID]) && u.Fits(w)
 }
 
 // Fits reports whether w takes tasks, has the required label and has enough total
@@ -348,7 +350,8 @@
 }
 
 // workersWithRoom returns the eligible workers of a group that have room for a task
-// of the unit now, those with the least free capacity first.
+// of the unit now, those with the least free capacity first. Workers on which its tasks
+// failed come last.
 func (p *planner) workersWithRoom(u *Unit, group []*Worker) []*Worker {
 	d := u.Step.CapacityDemand()
 	if p.unplaceable[d] {
@@ -366,6 +369,12 @@
 		p.unplaceable[d] = true
 	}
 	slices.SortStableFunc(l, func(a, b *Worker) int {
+		if x, y := u.AvoidedWorkers[a.ID], u.AvoidedWorkers[b.ID]; x != y {
+			if y {
+				return -1
+			}
+			return 1
+		}
 		if a.Free.Accelerators != b.Free.Accelerators {
 			return int(a.Free.Accelerators - b.Free.Accelerators)
 		}
--- a/demand/units.go
+++ b/demand/units.go
@@ -36,8 +36,9 @@
 	}
 	u := &assign.Unit{
 		Key: st.Key, Step: st.Spec, Priority: st.Job.Queue.Priority, Rank: rank(p.Now, st), MayPreempt: st.Job.Queue.Priority == 0,
-		AvoidedWorkers: st.Avoid, LocalityWait: st.Spec.Estimate,
+		LocalityWait: st.Spec.Estimate,
 	}
+	avoidWorkers(p, st, u)
 	if st.Spec.AntiAffinity > 0 {
 		u.TasksPerWorker = map[string]int{}
 	}
@@ -76,6 +77,23 @@
 	return u
 }
 
+// avoidWorkers sets which workers the unit avoids, as a task of its step failed there, and
+// which of them it may use again: the others may have no room for as long as their tasks last.
+func avoidWorkers(p *track.Pool, st *track.Step, u *assign.Unit) {
+	if len(st.FailedOn) == 0 {
+		return
+	}
+	u.AvoidedWorkers, u.ReleasedWorkers = map[string]bool{}, map[string]bool{}
+	for id, at := range st.FailedOn {
+		u.AvoidedWorkers[id] = true
+		if until := at + track.SuspectTime; p.Now.Steady < until {
+			p.PlaceBy(until)
+		} else {
+			u.ReleasedWorkers[id] = true
+		}
+	}
+}
+
 // starvedAfter is how long a long-running task waits before it may use room that is
 // reserved for other work. The platform requires it to run again within 6 s where there is
 // room.
--- a/sched/ends.go
+++ b/sched/ends.go
@@ -171,7 +171,7 @@
 	if t.Step.Spec.LongRunning || t.Done {
 		return
 	}
-	t.Step.Avoid[w.ID] = true
+	t.Step.FailedOn[w.ID] = s.Now.Steady
 	limit := 1
 	if q := s.QueueOf(j); q != nil {
 		limit = q.MaxAttempts
--- a/sched/state_test.go
+++ b/sched/state_test.go
@@ -18,6 +18,7 @@
 	// running is what each worker runs, with its progress and metric.
 	running map[string][]event.Running
 	ended   map[string][]event.Ended
+	starts  []event.Start
 	stops   []event.Stop
 	paces   []event.Pace
 	// losePaces leaves orders to change the pace without an answer.
@@ -82,6 +83,7 @@
 	for _, e := range l {
 		switch e := e.(type) {
 		case event.Start:
+			b.starts = append(b.starts, e)
 			b.running[e.Worker] = append(b.running[e.Worker], event.Running{Task: e.Task, Run: e.Run})
 			b.step(event.OrderAnswered{Call: e.Call, Outcome: event.Accepted, ClockMS: b.clockMS()})
 		case event.Stop:
--- a/track/job.go
+++ b/track/job.go
@@ -48,8 +48,8 @@
 	Checkpoint string
 	// ReadyAt is when the step became ready, 0 before.
 	ReadyAt time.Duration
-	// Avoid has the IDs of the workers on which a task of the step failed.
-	Avoid map[string]bool
+	// FailedOn says when a task of the step last failed on a worker, by worker ID.
+	FailedOn map[string]time.Duration
 	// Ready reports whether all steps that this one depends on are durably done, so that
 	// its tasks may start.
 	Ready bool
@@ -84,7 +84,7 @@
 // OpenOccurrence adds the steps of an occurrence to the job.
 func (j *Job) OpenOccurrence(k int, now time.Duration) {
 	for i := range j.Spec.Steps {
-		st := &Step{Job: j, Spec: &j.Spec.Steps[i], Occurrence: k, Index: i, Key: j.Spec.ID + "." + work.StepKey(k, i), Avoid: map[string]bool{}}
+		st := &Step{Job: j, Spec: &j.Spec.Steps[i], Occurrence: k, Index: i, Key: j.Spec.ID + "." + work.StepKey(k, i), FailedOn: map[string]time.Duration{}}
 		st.Checkpoint = j.Record.Saved[work.StepKey(k, i)]
 		for n := range st.Spec.Count {
 			t := &Task{Step: st, Index: n, Done: j.Record.IsDone(k, i, n), Inherited: j.Inherited, Checkpoint: j.Record.Saved[work.TaskKey(k, i, n)]}
--- a/track/worker.go
+++ b/track/worker.go
@@ -115,14 +115,15 @@
 }
 
 // A worker on which suspectJobs jobs in a row have failed is suspected of causing that for
-// suspectTime, or until a task is done there.
+// SuspectTime, or until a task is done there. A step whose task failed on a worker doesn't
+// use it for as long.
 const (
 	suspectJobs = 2
-	suspectTime = 8 * time.Second
+	SuspectTime = 8 * time.Second
 )
 
 // SuspectUntil is when the last failure on the worker no longer counts against it.
-func (w *Worker) SuspectUntil() time.Duration { return w.LastFailure + suspectTime }
+func (w *Worker) SuspectUntil() time.Duration { return w.LastFailure + SuspectTime }
 
 // Failing reports whether the worker's last run to end by itself has failed just now.
 func (w *Worker) Failing(now time.Duration) bool {
