assign: Let a gang span racks whose room never gets free

Cause: a gang may span racks only if no single rack could hold it even when empty, and whole racks were counted, though tasks that last never leave them.

Evidence: the same events in the state machine start nothing before; without the lasting tasks, or without the worker that leaves, the gang starts at once. Room, reservations and locality don't keep it.

Change: a rack can hold a gang if it does once all runs that end by themselves have ended. If only stopping runs that last would make one rack free, a gang that may preempt still gets that rack first, and spans racks where preemption would throw away too much.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -51,6 +51,8 @@
 	Loss float64
 	// EndsAt is when the run is expected to end.
 	EndsAt time.Duration
+	// Lasts is set for runs that don't end by themselves and aren't being stopped.
+	Lasts bool
 	// NoPreempt runs can't be stopped, or are being stopped already.
 	NoPreempt bool
 	// Borrowed runs are urgent and exceed their account's guarantee.
@@ -385,41 +387,78 @@
 
 // placeGang places all tasks of a gang, or none and preempts or reserves for it.
 func (p *planner) placeGang(u *Unit) {
-	for _, group := range p.gangGroups(u) {
-		if p.placeGangOn(u, group) {
+	racks := p.byLocality(u, p.racks)
+	for _, rack := range p.racksWithRoom(u, racks) {
+		if p.placeGangOn(u, rack) {
 			return
 		}
 	}
+	span := spanRacks
+	if u.Step.SameRack {
+		span = p.rackSpan(u)
+	}
+	if span == spanUnlessPreempting && u.MayPreempt && p.preempt(u, false) {
+		return
+	}
+	if span != singleRack && p.placeGangOn(u, slices.Concat(racks...)) {
+		return
+	}
 	p.preemptOrReserve(u)
 }
 
-// maySpanRacks reports whether a gang that is slow on several racks may be placed
-// on them: it has waited for SingleRackWait, or no single rack could hold it even
-// when empty.
-func (p *planner) maySpanRacks(u *Unit) bool {
+// rackSpan says whether a gang that is slow on several racks may be placed on them.
+type rackSpan int
+
+const (
+	// singleRack: the gang waits for a single rack.
+	singleRack rackSpan = iota
+	// spanUnlessPreempting: the room of a single rack is free only if runs that last are
+	// stopped for the gang.
+	spanUnlessPreempting
+	// spanRacks: no single rack could hold the gang even when empty, or it has waited
+	// long enough.
+	spanRacks
+)
+
+// rackSpan returns whether a gang may be placed on several racks now.
+func (p *planner) rackSpan(u *Unit) rackSpan {
 	if u.SingleRackWait > 0 && u.Waited >= u.SingleRackWait {
-		return true
+		return spanRacks
 	}
+	span := spanRacks
 	for _, r := range p.racks {
-		total := 0
+		total, attainable := 0, 0
 		for _, w := range r {
 			if u.eligible(w) {
 				total += u.countFitting(w, w.Total)
+				attainable += u.countFitting(w, w.attainable())
 			}
 		}
-		if total >= len(u.Indexes) {
-			return false
+		switch {
+		case attainable >= len(u.Indexes):
+			return singleRack
+		case total >= len(u.Indexes):
+			span = spanUnlessPreempting
 		}
 	}
-	return true
+	return span
 }
 
-// gangGroups returns the groups of workers to try for a whole gang: first the
-// single racks with room for it, those with the least room first unless the unit
-// prefers a rack. The workers of all racks come last, unless the gang is slow on
-// several racks and still waits for a single one.
-func (p *planner) gangGroups(u *Unit) [][]*Worker {
-	racks := p.byLocality(u, p.racks)
+// attainable returns the capacity of w that is free once all runs have ended that end by
+// themselves.
+func (w *Worker) attainable() work.Amounts {
+	c := w.Total
+	for _, r := range w.Runs {
+		if r.Lasts {
+			c = c.Minus(r.Demand)
+		}
+	}
+	return c
+}
+
+// racksWithRoom returns the racks with room for a whole gang, those with the least room
+// first unless the unit prefers a rack.
+func (p *planner) racksWithRoom(u *Unit, racks [][]*Worker) [][]*Worker {
 	type scored struct {
 		group []*Worker
 		free  int
@@ -439,14 +478,11 @@
 	if u.Step.Affinity == "" && u.Rack == "" {
 		slices.SortStableFunc(l, func(a, b scored) int { return a.free - b.free })
 	}
-	g := make([][]*Worker, 0, len(l)+1)
+	g := make([][]*Worker, 0, len(l))
 	for _, s := range l {
 		g = append(g, s.group)
 	}
-	if u.Step.SameRack && !p.maySpanRacks(u) {
-		return g
-	}
-	return append(g, slices.Concat(racks...))
+	return g
 }
 
 // placeGangOn places the gang on a group of workers if all its tasks fit, and
--- a/assign/wait.go
+++ b/assign/wait.go
@@ -10,7 +10,7 @@
 // expected to be free first. It reports whether to try further tasks of the same
 // step.
 func (p *planner) preemptOrReserve(u *Unit) bool {
-	if u.MayPreempt && p.preempt(u) {
+	if u.MayPreempt && p.preempt(u, true) {
 		return true
 	}
 	if p.reservations >= maxReservations {
@@ -31,11 +31,11 @@
 
 // preempt makes room where the least work is lost, and reports whether it did.
 // Borrowed runs of the unit's own priority are stopped only if stopping runs of
-// lower priority isn't enough.
-func (p *planner) preempt(u *Unit) bool {
-	best := p.cheapestOption(u, false)
+// lower priority isn't enough. If span is not set, the unit gets room on a single rack.
+func (p *planner) preempt(u *Unit, span bool) bool {
+	best := p.cheapestOption(u, false, span)
 	if best == nil && u.Reclaims {
-		best = p.cheapestOption(u, true)
+		best = p.cheapestOption(u, true, span)
 	}
 	if best == nil || !u.Reclaims && u.Step.Estimate > 0 && best.loss > maxLossRatio*u.estimatedWork() {
 		return false
@@ -64,8 +64,9 @@
 }
 
 // cheapestOption returns the option with the least loss for the unit, or nil if
-// there is none. If borrowed is set, borrowed runs may be stopped too.
-func (p *planner) cheapestOption(u *Unit, borrowed bool) *option {
+// there is none. If borrowed is set, borrowed runs may be stopped too. If span is set, a
+// unit that may span racks is given room on several of them if no single rack can hold it.
+func (p *planner) cheapestOption(u *Unit, borrowed, span bool) *option {
 	groups := [][]*Worker{p.workers}
 	if u.Step.SameRack || u.Step.Affinity != "" {
 		groups = p.byLocality(u, p.racks)
@@ -76,7 +77,7 @@
 			best = o
 		}
 	}
-	if best == nil && len(groups) > 1 && (!u.Step.SameRack || p.maySpanRacks(u)) {
+	if best == nil && span && len(groups) > 1 && (!u.Step.SameRack || p.rackSpan(u) != singleRack) {
 		best = p.optionOn(u, p.workers, borrowed)
 	}
 	return best
--- a/demand/workers.go
+++ b/demand/workers.go
@@ -50,6 +50,7 @@
 	a.EndsAt = r.DecidedAt + t.Step.Spec.Estimate
 	if t.Step.Spec.LongRunning {
 		a.EndsAt = p.Now.Steady + farFuture
+		a.Lasts = r.Phase != track.Stopping && !t.Step.Job.Record.State.Final()
 	}
 	a.NoPreempt = r.Phase != track.Running || t.Step.Job.Record.State.Final() || !t.Step.MayStop(r)
 	if t.Step.Spec.Gang {
