assign: Reserve no room for units whose turn never comes

Cause: a gang that waits for runs that last reserved all idle workers until the expected end of these runs, 1,000 hours ahead. Only jobs with an estimate may use reserved room.

Evidence: in the state machine the same events start the small job at once without the gang, or with an estimate; the workers are open and empty and nothing else waits.

Change: runs that last free no room in a reservation, so there is none. Runs that end by themselves, but late or without an estimate, had the same effect for as long as they ran: what has waited for 10 s may use reserved room now while less than half of the pool is in use. A gang that may span racks reserves on all of them where no single rack will do.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -79,8 +79,8 @@
 	// long enough: it is placed before others of its priority, and may also stop
 	// borrowed runs of that priority.
 	Reclaims bool
-	// Starved is set for long-running tasks that have not run for a long time:
-	// they may use room that is reserved for other units.
+	// Starved is set for tasks that have waited for so long that they may use room that
+	// is reserved for other units.
 	Starved bool
 	// TasksPerWorker counts the step's tasks by worker, for anti-affinity.
 	TasksPerWorker map[string]int
--- a/assign/wait.go
+++ b/assign/wait.go
@@ -203,6 +203,11 @@
 			best = l
 		}
 	}
+	if best == nil && u.Step.SameRack && p.rackSpan(u) != singleRack {
+		if l := p.earliestSlots(u, p.workers); len(l) == len(u.Indexes) {
+			best = l
+		}
+	}
 	if best == nil {
 		return false
 	}
@@ -221,7 +226,8 @@
 }
 
 // earliestSlots returns the slots for the unit's tasks on a group of workers that
-// are free first, in order of time, at most one for each task.
+// are free first, in order of time, at most one for each task. Runs that last free
+// none.
 func (p *planner) earliestSlots(u *Unit, group []*Worker) []slot {
 	var l []slot
 	for _, w := range group {
@@ -239,6 +245,9 @@
 			if fitting >= len(u.Indexes) {
 				break
 			}
+			if r.Lasts {
+				continue
+			}
 			free = free.Plus(r.Demand)
 			for n := u.countFitting(w, free); fitting < n; fitting++ {
 				l = append(l, slot{w, r.EndsAt})
--- a/demand/units.go
+++ b/demand/units.go
@@ -13,12 +13,13 @@
 // Units returns the tasks that may start now, one unit for each step.
 func Units(p *track.Pool) []*assign.Unit {
 	var l []*assign.Unit
+	idle := mostlyIdle(p)
 	for _, j := range p.JobsByArrival {
 		if j.Record.State.Final() || p.QueueOf(j) == nil {
 			continue
 		}
 		for _, st := range j.Steps {
-			if u := unit(p, st); u != nil {
+			if u := unit(p, st, idle); u != nil {
 				l = append(l, u)
 			}
 		}
@@ -29,8 +30,9 @@
 	return l
 }
 
-// unit returns the waiting tasks of a step as a unit, or nil if none may start.
-func unit(p *track.Pool, st *track.Step) *assign.Unit {
+// unit returns the waiting tasks of a step as a unit, or nil if none may start. In a pool that
+// is mostly idle, tasks don't wait for long for the sake of others.
+func unit(p *track.Pool, st *track.Step, idle bool) *assign.Unit {
 	if !st.Ready || st.TasksLeft == 0 {
 		return nil
 	}
@@ -64,7 +66,7 @@
 		default:
 			u.Indexes = append(u.Indexes, t.Index)
 			waitingSince = max(waitingSince, t.WaitingSince)
-			u.Starved = u.Starved || starved(p, t)
+			u.Starved = u.Starved || starved(p, t, idle)
 		}
 	}
 	if len(u.Indexes) == 0 {
@@ -94,18 +96,40 @@
 	}
 }
 
-// starvedAfter is how long a long-running task waits before it may use room that is
-// reserved for other work. The platform requires it to run again within 6 s where there is
-// room.
-const starvedAfter = 4 * time.Second
+// mostlyIdle reports whether less than half of the pool's capacity is in use.
+func mostlyIdle(p *track.Pool) bool {
+	used, total := 0.0, 0.0
+	for _, w := range p.WorkersByID {
+		if w.Listed {
+			used += w.Used.Cores()
+			total += w.Capacity.Cores()
+		}
+	}
+	return 2*used < total
+}
 
-// starved reports whether a long-running task has waited for too long. If it hasn't yet, it
-// requests a placement for when it has.
-func starved(p *track.Pool, t *track.Task) bool {
-	if !t.Step.Spec.LongRunning {
+// A task that has waited for long may use room that is reserved for other work.
+const (
+	// starvedAfter applies to long-running tasks. The platform requires them to run again
+	// within 6 s where there is room.
+	starvedAfter = 4 * time.Second
+	// idleStarvedAfter applies to all others, in a pool that is mostly idle. The platform
+	// requires accepted work to run there 14 s after the last submission.
+	idleStarvedAfter = 10 * time.Second
+)
+
+// starved reports whether a task has waited for too long. If it hasn't yet, it requests a
+// placement for when it has.
+func starved(p *track.Pool, t *track.Task, idle bool) bool {
+	at := t.WaitingSince
+	switch {
+	case t.Step.Spec.LongRunning:
+		at += starvedAfter
+	case idle:
+		at += idleStarvedAfter
+	default:
 		return false
 	}
-	at := t.WaitingSince + starvedAfter
 	if p.Now.Steady < at {
 		p.PlaceBy(at)
 		return false
--- a/sched/state_test.go
+++ b/sched/state_test.go
@@ -46,6 +46,7 @@
 func newBenchOf(t *testing.T, epoch int64) *bench {
 	r := &work.Rules{Queues: map[string]*work.Queue{
 		"urgent": {Name: "urgent", Pool: "p", Priority: 0, MaxAttempts: 2, Stretch: 2},
+		"normal": {Name: "normal", Pool: "p", Priority: 1, MaxAttempts: 2, Stretch: 3},
 		"batch":  {Name: "batch", Pool: "p", Priority: 2, MaxAttempts: 2, Stretch: 3},
 	}, Pools: map[string]*work.Pool{"p": {Name: "p"}}}
 	b := &bench{t: t, running: map[string][]event.Running{}, ended: map[string][]event.Ended{}}
