work: Keep the record of a recurring job within its row

Cause: the record kept an entry for each step of each occurrence that was done, until the store refused the row. The writer repeats its write, and with it all others of the partition, for ever.

Change: occurrences that are done are one bit each, and their steps leave the record once it has more than 64. Failures and checkpoints leave it with their task. Records of few occurrences stay readable for versions without this.

Result: TestPeriodicJobAcrossTakeovers failed before (14,704 bytes for 120 occurrences of ten steps, 4,096 allowed) and passes, with each task run once over ten takeovers. That the writer repeats a write that is refused for good is left, see the postmortem.

--- a/sched/ends.go
+++ b/sched/ends.go
@@ -130,6 +130,7 @@
 	}
 	if t.Step.TasksLeft == 0 {
 		j.StepsLeft--
+		j.RecordOccurrence(t.Step.Occurrence)
 	}
 	if j.Finished() {
 		s.finish(j, work.Succeeded)
--- a/track/job.go
+++ b/track/job.go
@@ -137,6 +137,16 @@
 	}
 }
 
+// RecordOccurrence marks an occurrence as done in the record if all its tasks are.
+func (j *Job) RecordOccurrence(k int) {
+	for i := range j.Spec.Steps {
+		if j.Step(k, i).TasksLeft > 0 {
+			return
+		}
+	}
+	j.Record.SetOccurrenceDone(k)
+}
+
 // Finished reports whether every task of every occurrence is done.
 func (j *Job) Finished() bool {
 	return j.StepsLeft == 0 && j.NextOccurrence >= j.Spec.Occurrences()
--- a/work/record.go
+++ b/work/record.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
+	"strings"
 
 	"citronbridge/fault"
 )
@@ -44,8 +46,10 @@
 	// Unsure is set if the record grew too large, so that Placed and Saved were
 	// dropped.
 	Unsure bool `json:",omitempty"`
-	// Done has a bit for each task that is done, by step key.
-	Done map[string][]byte `json:",omitempty"`
+	// Done has a bit for each task that is done, by step key. DoneOccurrences has a bit for
+	// each occurrence of which all tasks are; Done may lack its steps.
+	Done            map[string][]byte `json:",omitempty"`
+	DoneOccurrences []byte            `json:",omitempty"`
 	// FailedRuns lists the numbers of failed runs, by task key, or by step key for
 	// gangs. It holds numbers instead of a count, so that a failure that is reported
 	// again after a takeover isn't counted twice.
@@ -64,21 +68,54 @@
 	return StepKey(occurrence, step) + "." + strconv.Itoa(index)
 }
 
-// SetDone marks a task as done and removes its placement.
+// SetDone marks a task as done and removes what only a waiting or running task needs: its
+// placement, failures and checkpoint, or those of its gang.
 func (r *Record) SetDone(occurrence, step, index int) {
 	if r.Done == nil {
 		r.Done = map[string][]byte{}
 	}
 	k := StepKey(occurrence, step)
-	b := r.Done[k]
-	for len(b) <= index/8 {
+	r.Done[k] = setBit(r.Done[k], index)
+	task := TaskKey(occurrence, step, index)
+	delete(r.Placed, task)
+	for _, k := range []string{k, task} {
+		delete(r.FailedRuns, k)
+		delete(r.Saved, k)
+	}
+}
+
+// maxDoneSteps is the number of steps in Done beyond which those of done occurrences are
+// left to DoneOccurrences. Up to there, hosts of versions without it can read the record.
+const maxDoneSteps = 64
+
+// SetOccurrenceDone marks an occurrence of which all tasks are done.
+func (r *Record) SetOccurrenceDone(occurrence int) {
+	r.DoneOccurrences = setBit(r.DoneOccurrences, occurrence)
+	if len(r.Done) <= maxDoneSteps {
+		return
+	}
+	maps.DeleteFunc(r.Done, func(k string, _ []byte) bool {
+		n, err := strconv.Atoi(k[:max(strings.IndexByte(k, '.'), 0)])
+		return err == nil && r.IsOccurrenceDone(n)
+	})
+}
+
+// IsOccurrenceDone reports whether an occurrence is marked as done.
+func (r *Record) IsOccurrenceDone(occurrence int) bool {
+	return hasBit(r.DoneOccurrences, occurrence)
+}
+
+// setBit returns b with bit n set, extended where necessary.
+func setBit(b []byte, n int) []byte {
+	for len(b) <= n/8 {
 		b = append(b, 0)
 	}
-	b[index/8] |= 1 << (index % 8)
-	r.Done[k] = b
-	delete(r.Placed, TaskKey(occurrence, step, index))
+	b[n/8] |= 1 << (n % 8)
+	return b
 }
 
+func hasBit(b []byte, n int) bool { return n/8 < len(b) && b[n/8]&(1<<(n%8)) != 0 }
+
 // SetPlaced records the worker that was chosen for a task.
 func (r *Record) SetPlaced(occurrence, step, index int, worker string) {
 	if r.Placed == nil {
@@ -89,8 +126,7 @@
 
 // IsDone reports whether a task is marked as done.
 func (r *Record) IsDone(occurrence, step, index int) bool {
-	b := r.Done[StepKey(occurrence, step)]
-	return index/8 < len(b) && b[index/8]&(1<<(index%8)) != 0
+	return r.IsOccurrenceDone(occurrence) || hasBit(r.Done[StepKey(occurrence, step)], index)
 }
 
 // AddFailure records a failed run under key and returns the number of failed runs.
