track: Bound the occurrences of a job that are open at a time

Cause: all occurrences that were due were opened at once and kept until the job was over.

Change: at most 1,000 steps and 20,000 tasks of a job are in unfinished occurrences; further ones are opened as others are done. Occurrences that are done leave memory once that is durable and no run of them is left.

TestFewOpenOccurrences runs each task once across takeovers.

--- a/sched/ends.go
+++ b/sched/ends.go
@@ -113,11 +113,11 @@
 		l = t.Step.Tasks
 	}
 	j := t.Step.Job
-	before := t.Step.TasksLeft
+	done := 0
 	for _, o := range l {
 		if !o.Done {
 			o.Done = true
-			t.Step.TasksLeft--
+			done++
 			j.Record.SetDone(t.Step.Occurrence, t.Step.Index, o.Index)
 		}
 		if o.Run != nil && o.Run.N != run {
@@ -125,13 +125,10 @@
 			s.Stop(o.Run)
 		}
 	}
-	if t.Step.TasksLeft == before {
+	if done == 0 {
 		return
 	}
-	if t.Step.TasksLeft == 0 {
-		j.StepsLeft--
-		j.RecordOccurrence(t.Step.Occurrence)
-	}
+	j.TasksDone(t.Step, done)
 	if j.Finished() {
 		s.finish(j, work.Succeeded)
 		return
--- a/sched/job.go
+++ b/sched/job.go
@@ -129,7 +129,7 @@
 	s.NeedsPlacement = true
 }
 
-// openDue opens the occurrences that are due. It returns the steady time by which it is to
+// openDue opens the occurrences that are due, as many as a job may have open. It returns the steady time by which it is to
 // be called again.
 func (s *State) openDue() time.Duration {
 	next := s.Now.Steady + time.Second
@@ -137,7 +137,8 @@
 		if j.Spec.Times == 0 || j.Record.State.Final() {
 			continue
 		}
-		for j.NextOccurrence < j.Spec.Times {
+		j.Compact()
+		for j.NextOccurrence < j.Spec.Times && j.MayOpen(&s.Config) {
 			if d := j.Spec.Due(j.NextOccurrence) - s.Now.Wall; d > 0 {
 				next = min(next, s.Now.Steady+time.Duration(d)*time.Millisecond)
 				break
--- a/sched/periodic_test.go
+++ b/sched/periodic_test.go
@@ -49,3 +49,91 @@
 		t.Errorf("the record grew to %d bytes, want at most %d", largest, maxRecord)
 	}
 }
+
+// TestOccurrencesDueAtOnce guards against a decider that runs out of memory, as it opens all
+// occurrences of a job whose schedule began long ago. All must run, and no more be open at a
+// time than the limits allow, also under a successor.
+func TestOccurrencesDueAtOnce(t *testing.T) {
+	const occurrences, tasks = 3000, 94
+	w := newWorld(1, faults{})
+	w.faultsUntil = 0
+	for i := range 4 {
+		id := fmt.Sprintf("w%d%d", i%2, i)
+		w.cluster.Add(0, &model.Worker{ID: id, Born: 1, CPU: 16000, Memory: 64000})
+		w.listed[id] = true
+	}
+	w.startDecider(nil)
+	w.run(time.Second)
+	s := work.Step{Count: tasks, Demand: work.Amounts{MilliCPU: 1000, MemoryMiB: 100}}
+	x := model.TaskProfile{Work: time.Second, CPU: 1000, Memory: 100}
+	j := &work.Job{ID: "00000000000000aa", Queue: "long", Times: occurrences, Start: wallStart - 1e9, Interval: time.Millisecond, Steps: []work.Step{s}, Spec: model.Spec(x)}
+	w.accept(j)
+	for _, takeover := range []bool{false, true} {
+		if takeover {
+			w.owner().dead = true
+			w.startDecider(nil)
+		}
+		starts := w.starts
+		w.run(w.now + 5*time.Second)
+		open := 0
+		for _, st := range w.owner().s.Jobs[j.ID].Steps {
+			open += len(st.Tasks)
+		}
+		if open == 0 || open > work.MaxTasks+tasks {
+			t.Errorf("takeover %v: %d tasks are open, want at most %d", takeover, open, work.MaxTasks+tasks)
+		}
+		if n := w.starts - starts; n < 64 {
+			t.Errorf("takeover %v: %d starts in 5 s, want 64 at least", takeover, n)
+		}
+	}
+	for _, v := range w.violations {
+		t.Error(v)
+	}
+}
+
+// TestFewOpenOccurrences runs jobs of many occurrences with few open at a time, while deciders
+// are replaced: each task must run once, and the job end.
+func TestFewOpenOccurrences(t *testing.T) {
+	const occurrences = 40
+	for seed := range uint64(20) {
+		w := newWorld(seed, faults{})
+		w.faultsUntil = 0
+		w.maxOpenSteps = 6
+		for i := range 3 {
+			id := fmt.Sprintf("w%d%d", i%2, i)
+			w.cluster.Add(0, &model.Worker{ID: id, Born: 1, CPU: 16000, Memory: 64000})
+			w.listed[id] = true
+		}
+		w.startDecider(nil)
+		w.run(time.Second)
+		demand := work.Amounts{MilliCPU: 1000, MemoryMiB: 1000}
+		j := &work.Job{ID: "00000000000000aa", Queue: "long", Times: occurrences, Start: wallStart, Interval: 50 * time.Millisecond, Steps: []work.Step{
+			{Count: 2, Demand: demand}, {Count: 3, Demand: demand, Gang: true, After: []int{0}}, {Count: 1, Demand: demand},
+		}}
+		gang := model.TaskProfile{Work: w.random(10*time.Millisecond, time.Second), Gang: 3, CPU: 1000, Memory: 1000}
+		single := model.TaskProfile{Work: w.random(10*time.Millisecond, time.Second), CPU: 1000, Memory: 1000}
+		j.Spec = model.Spec(single, gang, single)
+		w.accept(j)
+		for range 6 {
+			w.run(w.now + w.random(500*time.Millisecond, 3*time.Second))
+			w.owner().dead = true
+			w.startDecider(nil)
+		}
+		w.run(w.now + 2*time.Minute)
+		for _, v := range w.violations {
+			t.Errorf("seed %d: %s", seed, v)
+		}
+		if s := w.stateOf(j.ID); s != work.Succeeded {
+			t.Errorf("seed %d: the job is %s after %d starts", seed, s, w.starts)
+		}
+		for k := range occurrences {
+			for i, s := range j.Steps {
+				for n := range s.Count {
+					if id := (work.TaskID{Job: j.ID, Occurrence: k, Step: i, Index: n}).String(); len(w.doneRuns[id]) != 1 {
+						t.Fatalf("seed %d: task %s was done %d times", seed, id, len(w.doneRuns[id]))
+					}
+				}
+			}
+		}
+	}
+}
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -51,6 +51,8 @@
 	// inTouchFrom is the time from which the deciders' hosts count as in touch with their
 	// workers.
 	inTouchFrom time.Duration
+	// maxOpenSteps limits the occurrences of a job that are open, 0 for the default.
+	maxOpenSteps int
 	// selective makes steps use only some of the workers, see playSelective. Workers in
 	// changed are of the other kind.
 	selective bool
@@ -451,6 +453,7 @@
 	if n := len(w.deciders); n > 0 && !w.deciders[n-1].dead {
 		c.InheritTime += ownedFor - heartbeatTimeout
 	}
+	c.MaxOpenSteps = w.maxOpenSteps
 	if w.faults.noWindow {
 		c.Window = 1 << 20
 	}
--- a/track/pool.go
+++ b/track/pool.go
@@ -25,6 +25,9 @@
 	// Window is the maximum number of orders in flight, as a host can handle only so many
 	// within their timeout. 0 stands for a default.
 	Window int
+	// MaxOpenSteps and MaxOpenTasks limit the occurrences of a job that are open at a time.
+	// 0 stands for a default.
+	MaxOpenSteps, MaxOpenTasks int
 	// PartitionOf returns the partition that a job is in. Each partition is loaded on its own.
 	PartitionOf func(job string) string
 }
