launch: Reset the pace of a worker on which nothing runs

Cause: a worker's pace rises only with its reports, which end when nothing runs there any more. A worker at a low pace gets no best-effort tasks, so one that was slow and then idle never got any again.

Change: a worker whose last run has ended has its full pace again.

Result: TestPaceOfIdleWorker failed before and passes: the task starts once the worker is free, and not while a task over its target is left there.

--- a/launch/order.go
+++ b/launch/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"citronbridge/event"
+	"citronbridge/pacing"
 	"citronbridge/track"
 )
 
@@ -128,6 +129,10 @@
 	}
 	delete(r.Worker.Runs, r.ID)
 	r.Worker.Used = r.Worker.Used.Minus(r.Demand)
+	if len(r.Worker.Runs) == 0 {
+		// Only reports of runs raise the pace, and none of an idle worker follow.
+		r.Worker.PaceLevel = pacing.NewLevel()
+	}
 	s.NeedsPlacement = true
 	s.Emit(event.RunEnded{Reason: reason})
 	t := r.Task
