pulse: Give no count of waiting jobs before they are known

Cause: the heartbeat that is written with a takeover has no counts, and a missing count passed for 0. The decider also counted before it had read all jobs.

Change: heartbeats have no counts until all partitions are loaded.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -124,7 +124,8 @@
 	// provedAt is the send time of the last call that proved the ownership.
 	provedAt     time.Duration
 	heartbeatSeq int64
-	// waitingJobs counts waiting jobs by queue, for the heartbeat.
+	// waitingJobs counts waiting jobs by queue, for the heartbeat. It is nil until the
+	// count is known.
 	waitingJobs map[string]int
 	wg          sync.WaitGroup
 	stopOnce    sync.Once
@@ -140,7 +141,7 @@
 func Start(ctx context.Context, c Config) *Decider {
 	d := &Decider{
 		c: c, log: c.Log.With().Str("pool", c.Pool).Int64("epoch", c.Owner.Epoch).Logger(), events: make(chan event.Event, eventQueueSize),
-		provedAt: timer.SinceBoot(), waitingJobs: map[string]int{}, listed: map[string]bool{}, rejected: map[string]string{},
+		provedAt: timer.SinceBoot(), listed: map[string]bool{}, rejected: map[string]string{},
 	}
 	d.ctx, d.cancel = context.WithCancel(ctx)
 	d.writer = d.newWriter(c.Ownership.Owner)
@@ -339,11 +340,20 @@
 		effects, next := d.state.Flush(n)
 		t.Reset(max(next-n.Steady, time.Millisecond))
 		d.perform(append(pending, effects...))
-		w := d.state.WaitingByQueue()
-		d.mu.Lock()
-		d.waitingJobs = w
-		d.mu.Unlock()
+		d.countWaiting()
+	}
+}
+
+// countWaiting counts the waiting jobs for the next heartbeat. There is no count before all
+// partitions are loaded.
+func (d *Decider) countWaiting() {
+	if len(d.state.LoadedPartitions) < len(d.partitions) {
+		return
 	}
+	w := d.state.WaitingByQueue()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.waitingJobs = w
 }
 
 // perform carries out effects.
--- a/pulse/pulse.go
+++ b/pulse/pulse.go
@@ -32,6 +32,10 @@
 	received time.Duration
 	// firstReceived is when the first heartbeat of the same epoch was received.
 	firstReceived time.Duration
+	// waiting has the last counts of waiting jobs of any decider of the pool, nil if there
+	// are none. They were received at countedAt.
+	waiting   map[string]int
+	countedAt time.Duration
 }
 
 // New returns a Tracker without heartbeats. now returns a monotonic time that includes the
@@ -60,10 +64,13 @@
 		}
 		if o := b.pools[r.Key]; v.Epoch > o.Epoch || (v.Epoch == o.Epoch && v.N != o.N) {
 			now := b.now()
-			l := heartbeat{v, now, now}
+			l := heartbeat{Heartbeat: v, received: now, firstReceived: now, waiting: v.Waiting, countedAt: now}
 			if v.Epoch == o.Epoch {
 				l.firstReceived = o.firstReceived
 			}
+			if v.Waiting == nil {
+				l.waiting, l.countedAt = o.waiting, o.countedAt
+			}
 			b.pools[r.Key] = l
 		}
 	}
@@ -125,15 +132,15 @@
 	return h.Left && h.Epoch == epoch
 }
 
-// Waiting returns the number of waiting jobs of a queue from the last heartbeat of the
-// pool's decider. It returns false if that is older than maxCountAge or the decider has
-// released the pool.
+// Waiting returns the number of waiting jobs of a queue as last counted by a decider of the
+// pool. It returns false if there is no count, the count is older than maxCountAge, or the
+// decider has released the pool.
 func (b *Tracker) Waiting(pool, queue string) (int, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	h, ok := b.pools[pool]
-	if !ok || h.Left || b.now()-h.received > maxCountAge {
+	h := b.pools[pool]
+	if h.waiting == nil || h.Left || b.now()-h.countedAt > maxCountAge {
 		return 0, false
 	}
-	return h.Waiting[queue], true
+	return h.waiting[queue], true
 }
--- a/pulse/pulse_test.go
+++ b/pulse/pulse_test.go
@@ -105,6 +105,33 @@
 	}
 }
 
+// TestWaitingAfterTakeover guards against an empty queue being reported after a takeover: the
+// first heartbeats of a decider that hasn't read all jobs yet have no counts. The last counts
+// hold until they are too old.
+func TestWaitingAfterTakeover(t *testing.T) {
+	b, now := newTestTracker()
+	record(t, b, repo.Heartbeat{Epoch: 1, N: 0})
+	if n, ok := b.Waiting("p", "q"); ok {
+		t.Errorf("%d jobs are waiting before any count", n)
+	}
+	record(t, b, repo.Heartbeat{Epoch: 1, N: 1, Waiting: map[string]int{"q": 4}})
+	for i := range 4 {
+		*now += maxCountAge / 4
+		record(t, b, repo.Heartbeat{Epoch: 2, N: int64(i)})
+		if n, ok := b.Waiting("p", "q"); n != 4 || !ok {
+			t.Errorf("%d jobs are waiting (known: %v), want the 4 that the former decider counted", n, ok)
+		}
+	}
+	*now += 1
+	if n, ok := b.Waiting("p", "q"); ok {
+		t.Errorf("%d jobs are waiting by a count older than maxCountAge", n)
+	}
+	record(t, b, repo.Heartbeat{Epoch: 2, N: 4, Waiting: map[string]int{}})
+	if n, ok := b.Waiting("p", "q"); n != 0 || !ok {
+		t.Errorf("%d jobs are waiting (known: %v), want 0", n, ok)
+	}
+}
+
 // TestWeakerFor checks for how long a decider counts as weaker than a host: not if its
 // capacity is unknown, it has released the pool, or the store doesn't answer, and anew with
 // each epoch.
--- a/repo/owner.go
+++ b/repo/owner.go
@@ -22,7 +22,8 @@
 	Host  string
 	// N differs between consecutive heartbeats of an epoch.
 	N int64
-	// Waiting counts, by queue, the jobs of which no task has started.
+	// Waiting counts, by queue, the jobs of which no task has started. It is nil while the
+	// decider doesn't know all jobs yet.
 	Waiting map[string]int
 	// Left means that the decider has released the pool.
 	Left bool
