platform: Follow the addresses of the services in the settings

Cause: a decider kept the addresses of the advice service and of the service of machines from its start.

Change: their clients ask for the address at each call.

Result: TestAdviceServiceMoves failed before (no call at the new address) and passes.

--- a/native/advice_test.go
+++ b/native/advice_test.go
@@ -1,6 +1,13 @@
 package native
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -29,3 +36,33 @@
 		t.Errorf("%d tasks are done, want 12", n)
 	}
 }
+
+// TestAdviceServiceMoves guards against jobs with advice that never start, as the running
+// decider still calls an address of the advice service that the settings no longer name.
+func TestAdviceServiceMoves(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 2, 3)
+	s := singleTasks(2, 100*time.Millisecond)
+	s.shape.Advised = true
+	d.submit(jobID(1), "/advised/", jobBody(s))
+	d.awaitState("/advised/", jobID(1), "succeeded")
+	decider := d.decider()
+	var calls atomic.Int64
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: d.adviceAddress})
+	moved := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		proxy.ServeHTTP(w, r)
+	}))
+	defer moved.Close()
+	d.adviceAddress = strings.TrimPrefix(moved.URL, "http://")
+	for _, h := range d.hosts {
+		d.writeSettings(h, 5000)
+		h.signal(t, syscall.SIGHUP)
+		d.await("the host applies the settings", func() bool { return h.hasLogged("settings are in force") })
+	}
+	d.submit(jobID(2), "/advised/", jobBody(s))
+	d.awaitState("/advised/", jobID(2), "succeeded")
+	if calls.Load() == 0 || d.decider() != decider {
+		t.Errorf("%d calls to the address in the settings; the same host decides: %v", calls.Load(), d.decider() == decider)
+	}
+}
--- a/node/election.go
+++ b/node/election.go
@@ -246,8 +246,8 @@
 	}
 	h.log.Info().Str("pool", pool).Int64("epoch", me.Epoch).Str("former", o.Host).Bool("silent", v.unresponsive).Bool("weak", v.weaker).Bool("gone", stopped).Msg("pool taken")
 	return decide.Start(ctx, decide.Config{
-		Machines: cloud.New(h.current().Cloud.Address),
-		Pool:     pool, Owner: me, Ownership: ownership, PredecessorStopped: stopped, Store: h.store, Clock: h.clock, Owners: h.owners, Workers: h.workers, Advisor: advise.New(h.current().Advice), Rules: h.gate.Rules, Bounds: h.current().Bounds, Cores: h.current().UsableCores(), Capacity: h.current().Capacity(), Stalls: h.stalls,
+		Machines: cloud.New(func() string { return h.current().Cloud.Address }),
+		Pool:     pool, Owner: me, Ownership: ownership, PredecessorStopped: stopped, Store: h.store, Clock: h.clock, Owners: h.owners, Workers: h.workers, Advisor: advise.New(func() string { return h.current().Advice }), Rules: h.gate.Rules, Bounds: h.current().Bounds, Cores: h.current().UsableCores(), Capacity: h.current().Capacity(), Stalls: h.stalls,
 		Meter: h.meter, Log: h.log, Guard: h.guard, Ended: h.deciderEnded,
 	}), true
 }
