repo: Don't let a row that the store rejects block its partition

A row that is rejected by itself is queued again after a second, alone, unless a newer value takes its place. The stand-in rejects values over row-bytes now.

--- a/fakes/plat/store.go
+++ b/fakes/plat/store.go
@@ -186,6 +186,9 @@
 // transaction.
 const maxTransactionRows = 100
 
+// maxValueBytes is the platform's limit for a row's value.
+const maxValueBytes = 65536
+
 // maxNameBytes is the platform's limit for a row's table, partition and key.
 const maxNameBytes = 200
 
@@ -205,7 +208,7 @@
 		}
 	}
 	for _, r := range slices.Concat(t.If, t.Put, t.Delete) {
-		if len(r.Table) > maxNameBytes || len(r.Part) > maxNameBytes || len(r.Key) > maxNameBytes {
+		if len(r.Table) > maxNameBytes || len(r.Part) > maxNameBytes || len(r.Key) > maxNameBytes || len(r.Value) > maxValueBytes {
 			return http.StatusBadRequest, nil
 		}
 	}
--- a/repo/store.go
+++ b/repo/store.go
@@ -58,6 +58,10 @@
 // none. After any other error a change may have been applied, or may still be.
 var ErrNotDone = errors.New("nothing was done")
 
+// ErrInvalid is wrapped by errors of Apply if the store rejects the change itself, such as a row
+// that is too large. The change has had no effect.
+var ErrInvalid = errors.New("store rejects the change")
+
 // ErrHistoryGone is wrapped by errors of Feed if the store no longer keeps the changes
 // since the requested version; the table has to be listed again.
 var ErrHistoryGone = errors.New("history is no longer available")
--- a/repo/writer.go
+++ b/repo/writer.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -24,8 +25,10 @@
 	mu         sync.Mutex
 	queue      map[rowKey]*write
 	queueOrder []rowKey
-	versions   map[rowKey]int64
-	wake       chan struct{}
+	// rejected are the writes that the store has rejected and that aren't queued again yet.
+	rejected map[rowKey]*write
+	versions map[rowKey]int64
+	wake     chan struct{}
 }
 
 type rowKey struct{ table, key string }
@@ -36,6 +39,8 @@
 	// alsoDelete names further rows that the same transaction deletes.
 	alsoDelete []rowKey
 	done       []func()
+	// rejected is set if the store has rejected the row. It is written by itself then.
+	rejected bool
 }
 
 // WriterConfig configures a Writer. All fields are required.
@@ -59,7 +64,7 @@
 func NewWriter(c WriterConfig) *Writer {
 	return &Writer{
 		store: c.Store, owner: c.Owner, onDeposed: c.OnDeposed, onConfirmed: c.OnConfirmed, now: c.Now, onError: c.OnError,
-		queue: map[rowKey]*write{}, versions: map[rowKey]int64{}, wake: make(chan struct{}, 1),
+		queue: map[rowKey]*write{}, rejected: map[rowKey]*write{}, versions: map[rowKey]int64{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -82,9 +87,11 @@
 	k := rowKey{table, key}
 	q := w.queue[k]
 	if q == nil {
-		q = &write{}
-		w.queue[k] = q
-		w.queueOrder = append(w.queueOrder, k)
+		if q = w.rejected[k]; q == nil {
+			q = &write{}
+		}
+		delete(w.rejected, k)
+		w.enqueue(k, q)
 	}
 	q.value = value
 	if value == nil {
@@ -98,10 +105,7 @@
 		q.done = append(q.done, done)
 	}
 	w.mu.Unlock()
-	select {
-	case w.wake <- struct{}{}:
-	default:
-	}
+	w.signal()
 }
 
 // maxBatchRows limits the rows of one transaction. The platform allows 100 entries, and a
@@ -139,22 +143,37 @@
 	size := 0
 	for len(w.queueOrder) > 0 && len(keys) < maxBatchRows && size < maxBatchBytes {
 		k := w.queueOrder[0]
+		if w.queue[k].rejected && len(keys) > 0 {
+			break
+		}
 		w.queueOrder = w.queueOrder[1:]
 		keys = append(keys, k)
 		batch = append(batch, w.queue[k])
 		size += len(w.queue[k].value)
+		rejected := w.queue[k].rejected
 		delete(w.queue, k)
+		if rejected {
+			break
+		}
 	}
 	return keys, batch
 }
 
+// invalidRetryInterval is the wait before a row that the store rejects is written again. Other
+// rows are written meanwhile.
+const invalidRetryInterval = time.Second
+
 // commit writes a batch, retrying until the store holds it. It returns false if another
-// decider has the pool or ctx has ended.
+// decider has the pool or ctx has ended. A row that the store rejects doesn't keep the others
+// from being written.
 func (w *Writer) commit(ctx context.Context, keys []rowKey, batch []*write) bool {
 	for ctx.Err() == nil {
 		sent := w.now()
 		a, err := w.store.Apply(ctx, w.buildChange(keys, batch))
 		switch {
+		case errors.Is(err, ErrInvalid):
+			w.onError(err)
+			return w.commitSingly(ctx, keys, batch)
 		case err != nil:
 			w.onError(err)
 			select {
@@ -189,6 +208,60 @@
 	return false
 }
 
+// commitSingly writes each row of a batch that the store rejects in a transaction of its own.
+// A row that is rejected by itself is queued again later.
+func (w *Writer) commitSingly(ctx context.Context, keys []rowKey, batch []*write) bool {
+	if len(keys) == 1 {
+		w.setAside(keys[0], batch[0])
+		return true
+	}
+	for i := range keys {
+		if !w.commit(ctx, keys[i:i+1], batch[i:i+1]) {
+			return false
+		}
+	}
+	return true
+}
+
+// setAside queues a write that the store has rejected again after invalidRetryInterval, unless
+// a later Put of the row does so before. If one has been queued already, that replaces it.
+func (w *Writer) setAside(k rowKey, b *write) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if q := w.queue[k]; q != nil {
+		if q.value != nil {
+			q.done = append(b.done, q.done...)
+		}
+		q.alsoDelete = append(b.alsoDelete, q.alsoDelete...)
+		return
+	}
+	b.rejected = true
+	w.rejected[k] = b
+	time.AfterFunc(invalidRetryInterval, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.rejected[k] == b {
+			delete(w.rejected, k)
+			w.enqueue(k, b)
+			w.signal()
+		}
+	})
+}
+
+// enqueue appends a write to the queue. The caller holds w.mu.
+func (w *Writer) enqueue(k rowKey, b *write) {
+	w.queue[k] = b
+	w.queueOrder = append(w.queueOrder, k)
+}
+
+// signal wakes Run.
+func (w *Writer) signal() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
 // alreadyStored reports whether the store already holds a whole batch, which is so after
 // a try that was applied but whose answer was lost.
 func (w *Writer) alreadyStored(keys []rowKey, batch []*write, current map[rowKey]Row) bool {
