assign: Let a gang span racks that stay occupied in an idle pool

The same 2 s hold now for the use of reserved room, where half of the pool idle for a moment was enough; that let small work in between during a burst.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -80,7 +80,7 @@
 	// borrowed runs of that priority.
 	Reclaims bool
 	// Starved is set for tasks that have waited for so long that they may use room that
-	// is reserved for other units.
+	// is reserved for other units, and a gang several racks.
 	Starved bool
 	// TasksPerWorker counts the step's tasks by worker, for anti-affinity.
 	TasksPerWorker map[string]int
@@ -422,7 +422,7 @@
 
 // rackSpan returns whether a gang may be placed on several racks now.
 func (p *planner) rackSpan(u *Unit) rackSpan {
-	if u.SingleRackWait > 0 && u.Waited >= u.SingleRackWait {
+	if u.Starved || u.SingleRackWait > 0 && u.Waited >= u.SingleRackWait {
 		return spanRacks
 	}
 	span := spanRacks
--- a/demand/units.go
+++ b/demand/units.go
@@ -13,7 +13,7 @@
 // Units returns the tasks that may start now, one unit for each step.
 func Units(p *track.Pool) []*assign.Unit {
 	var l []*assign.Unit
-	idle := mostlyIdle(p)
+	idle := idleForLong(p)
 	for _, j := range p.JobsByArrival {
 		if j.Record.State.Final() || p.QueueOf(j) == nil {
 			continue
@@ -96,6 +96,28 @@
 	}
 }
 
+// longIdle is how long a pool must be mostly idle before tasks no longer wait for the sake of
+// others. The platform allows 3 s.
+const longIdle = 2 * time.Second
+
+// idleForLong reports whether the pool has been mostly idle for longIdle. If it may be so later,
+// it requests a placement for then.
+func idleForLong(p *track.Pool) bool {
+	now := p.Now.Steady
+	switch {
+	case !mostlyIdle(p):
+		p.IdleSince = 0
+		return false
+	case p.IdleSince == 0:
+		p.IdleSince = max(now, 1)
+	}
+	if at := p.IdleSince + longIdle; now < at {
+		p.PlaceBy(at)
+		return false
+	}
+	return true
+}
+
 // mostlyIdle reports whether less than half of the pool's capacity is in use.
 func mostlyIdle(p *track.Pool) bool {
 	used, total := 0.0, 0.0
--- a/track/pool.go
+++ b/track/pool.go
@@ -66,6 +66,8 @@
 	// nothing changes before, 0 for none.
 	NeedsPlacement bool
 	PlaceAt        time.Duration
+	// IdleSince is when the pool was found mostly idle, 0 if it isn't.
+	IdleSince time.Duration
 	// Limits is what the decider holds back while its ownership isn't proved.
 	Limits Limits
 	// OwnedAt is the latest time at which the decider is proved to have owned the pool.
