--- a/assign/wait.go
+++ b/assign/wait.go
@@ -31,11 +31,11 @@
 
 // preempt makes room where the least work is lost, and reports whether it did.
 // Borrowed runs of the unit's own priority are stopped only if stopping runs of
-// lower priority isn't enough. If span is not set, the unit gets room on a single rack.
-func (p *planner) preempt(u *Unit, span bool) bool {
-	best := p.cheapestOption(u, false, span)
+// lower priority isn't enough. If acrossRacks is not set, the unit gets room on a single rack.
+func (p *planner) preempt(u *Unit, acrossRacks bool) bool {
+	best := p.cheapestOption(u, false, acrossRacks)
 	if best == nil && u.Reclaims {
-		best = p.cheapestOption(u, true, span)
+		best = p.cheapestOption(u, true, acrossRacks)
 	}
 	if best == nil || !u.Reclaims && u.Step.Estimate > 0 && best.loss > maxLossRatio*u.estimatedWork() {
 		return false
@@ -64,9 +64,9 @@
 }
 
 // cheapestOption returns the option with the least loss for the unit, or nil if
-// there is none. If borrowed is set, borrowed runs may be stopped too. If span is set, a
-// unit that may span racks is given room on several of them if no single rack can hold it.
-func (p *planner) cheapestOption(u *Unit, borrowed, span bool) *option {
+// there is none. If borrowed is set, borrowed runs may be stopped too. If acrossRacks is
+// set, a unit that may span racks gets room on several if no single rack can hold it.
+func (p *planner) cheapestOption(u *Unit, borrowed, acrossRacks bool) *option {
 	groups := [][]*Worker{p.workers}
 	if u.Step.SameRack || u.Step.Affinity != "" {
 		groups = p.byLocality(u, p.racks)
@@ -77,7 +77,7 @@
 			best = o
 		}
 	}
-	if best == nil && span && len(groups) > 1 && (!u.Step.SameRack || p.rackSpan(u) != singleRack) {
+	if best == nil && acrossRacks && len(groups) > 1 && (!u.Step.SameRack || p.spanOf(u) != singleRack) {
 		best = p.optionOn(u, p.workers, borrowed)
 	}
 	return best
@@ -203,7 +203,7 @@
 			best = l
 		}
 	}
-	if best == nil && u.Step.SameRack && p.rackSpan(u) != singleRack {
+	if best == nil && u.Step.SameRack && p.spanOf(u) != singleRack {
 		if l := p.earliestSlots(u, p.workers); len(l) == len(u.Indexes) {
 			best = l
 		}
--- a/orders/hold.go
+++ b/orders/hold.go
@@ -218,7 +218,12 @@
 			r.Progress = 0
 		}
 	}
-	if t == nil {
+	switch {
+	case t != nil:
+	case j != nil && x.Task.Step < len(j.Spec.Steps):
+		// Its occurrence is done.
+		r.Demand = j.Spec.Steps[x.Task.Step].CapacityDemand()
+	default:
 		// The demand of an unknown task isn't known, so it holds the whole worker.
 		r.Demand = w.Capacity
 	}
--- a/sched/job.go
+++ b/sched/job.go
@@ -129,8 +129,8 @@
 	s.NeedsPlacement = true
 }
 
-// openDue opens the occurrences that are due, as many as a job may have open. It returns the steady time by which it is to
-// be called again.
+// openDue opens the occurrences that are due, as many as a job may have open. It returns
+// the steady time by which it is to be called again.
 func (s *State) openDue() time.Duration {
 	next := s.Now.Steady + time.Second
 	for _, j := range s.JobsByArrival {
--- a/sched/periodic_test.go
+++ b/sched/periodic_test.go
@@ -5,10 +5,22 @@
 	"testing"
 	"time"
 
+	"citronbridge/event"
 	"citronbridge/fakes/model"
 	"citronbridge/work"
 )
 
+// startWithWorkers starts a number of workers and a decider.
+func (w *world) startWithWorkers(n int) {
+	for i := range n {
+		id := fmt.Sprintf("w%d%d", i%2, i)
+		w.cluster.Add(0, &model.Worker{ID: id, Born: 1, CPU: 16000, Memory: 64000})
+		w.listed[id] = true
+	}
+	w.startDecider(nil)
+	w.run(time.Second)
+}
+
 // TestPeriodicJobAcrossTakeovers guards against a job of many occurrences whose record
 // outgrows the store's rows, and against occurrences that run again under a successor, which
 // knows them only from the record.
@@ -16,13 +28,7 @@
 	const occurrences, steps, maxRecord = 120, 10, 4 << 10
 	w := newWorld(1, faults{})
 	w.faultsUntil = 0
-	for i := range 4 {
-		id := fmt.Sprintf("w%d%d", i%2, i)
-		w.cluster.Add(0, &model.Worker{ID: id, Born: 1, CPU: 16000, Memory: 64000})
-		w.listed[id] = true
-	}
-	w.startDecider(nil)
-	w.run(time.Second)
+	w.startWithWorkers(4)
 	j := &work.Job{ID: "00000000000000aa", Queue: "long", Times: occurrences, Start: wallStart + 1000, Interval: 200 * time.Millisecond}
 	var profiles []model.TaskProfile
 	for range steps {
@@ -57,13 +63,7 @@
 	const occurrences, tasks = 3000, 94
 	w := newWorld(1, faults{})
 	w.faultsUntil = 0
-	for i := range 4 {
-		id := fmt.Sprintf("w%d%d", i%2, i)
-		w.cluster.Add(0, &model.Worker{ID: id, Born: 1, CPU: 16000, Memory: 64000})
-		w.listed[id] = true
-	}
-	w.startDecider(nil)
-	w.run(time.Second)
+	w.startWithWorkers(4)
 	s := work.Step{Count: tasks, Demand: work.Amounts{MilliCPU: 1000, MemoryMiB: 100}}
 	x := model.TaskProfile{Work: time.Second, CPU: 1000, Memory: 100}
 	j := &work.Job{ID: "00000000000000aa", Queue: "long", Times: occurrences, Start: wallStart - 1e9, Interval: time.Millisecond, Steps: []work.Step{s}, Spec: model.Spec(x)}
@@ -99,13 +99,7 @@
 		w := newWorld(seed, faults{})
 		w.faultsUntil = 0
 		w.maxOpenSteps = 6
-		for i := range 3 {
-			id := fmt.Sprintf("w%d%d", i%2, i)
-			w.cluster.Add(0, &model.Worker{ID: id, Born: 1, CPU: 16000, Memory: 64000})
-			w.listed[id] = true
-		}
-		w.startDecider(nil)
-		w.run(time.Second)
+		w.startWithWorkers(3)
 		demand := work.Amounts{MilliCPU: 1000, MemoryMiB: 1000}
 		j := &work.Job{ID: "00000000000000aa", Queue: "long", Times: occurrences, Start: wallStart, Interval: 50 * time.Millisecond, Steps: []work.Step{
 			{Count: 2, Demand: demand}, {Count: 3, Demand: demand, Gang: true, After: []int{0}}, {Count: 1, Demand: demand},
@@ -137,3 +131,37 @@
 		}
 	}
 }
+
+// TestLateRunOfDoneOccurrence guards against a worker that gets no tasks, as it reports a run
+// of an occurrence that is done: the run must be stopped, and hold no more than its demand.
+func TestLateRunOfDoneOccurrence(t *testing.T) {
+	b := newBench(t, 2)
+	s := work.Step{Count: 1, Demand: work.Amounts{MilliCPU: 1000, MemoryMiB: 1000}, Estimate: time.Minute}
+	j := &work.Job{ID: "00000000000000aa", Queue: "batch", Times: 2, Start: wallStart - 1000, Interval: time.Hour, Steps: []work.Step{s}}
+	b.step(event.JobAdded{Job: j, Record: &work.Record{State: work.Pending, Queue: "batch"}})
+	b.pass(200 * time.Millisecond)
+	if len(b.starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(b.starts))
+	}
+	first := b.starts[0]
+	b.end(first.Worker, first.Task, event.Done)
+	b.pass(time.Second)
+	if n := b.s.Jobs[j.ID].FirstOccurrence; n != 1 {
+		t.Fatalf("the first occurrence in memory is %d, want 1", n)
+	}
+	other := "w0"
+	if first.Worker == other {
+		other = "w1"
+	}
+	b.loseStops = true
+	b.running[other] = append(b.running[other], event.Running{Task: first.Task, Run: first.Run + 1})
+	b.submit("00000000000000bb", "batch", work.Step{Count: 1, Demand: s.Demand, LongRunning: true, AntiAffinity: 1})
+	b.submit("00000000000000cc", "batch", work.Step{Count: 2, Demand: s.Demand, LongRunning: true, AntiAffinity: 1})
+	b.pass(time.Second)
+	if used := b.s.Workers[other].Used; len(b.stops) == 0 || used.MilliCPU > 3*s.Demand.MilliCPU {
+		t.Errorf("%d stops were sent; %s has %+v in use", len(b.stops), other, used)
+	}
+	if n := len(b.starts); n != 4 {
+		t.Errorf("%d starts, want 4", n)
+	}
+}
