native: Tests that hold on a machine under load

TestCancelOfUnansweredSubmission carried the lost submission out after 1.2 s, by which time the cancel hadn't been sent. The stand-in holds the write back now until the test asks for it, so that the order is fixed.

--- a/fakes/plat/store.go
+++ b/fakes/plat/store.go
@@ -57,9 +57,11 @@
 	// Delay is added before each call is carried out.
 	Delay time.Duration
 	// LoseOneIn, if positive, drops the answer to one in LoseOneIn writes, drawn at
-	// random. Such writes take effect at once, or LateBy later if that is positive.
+	// random. Such writes take effect at once, LateBy later if that is positive, or
+	// with HoldBack only by StoreEndpoint.ApplyHeldBack.
 	LoseOneIn int
 	LateBy    time.Duration
+	HoldBack  bool
 }
 
 // Store is the platform's metadata store, in memory.
@@ -303,6 +305,8 @@
 
 	mu     sync.Mutex
 	faults StoreFaults
+	// heldBack are the lost transactions that aren't carried out yet.
+	heldBack []transaction
 	// faultsChanged is closed, and replaced, when faults are set.
 	faultsChanged chan struct{}
 	rng           *rand.Rand
@@ -323,6 +327,18 @@
 	d.faultsChanged = make(chan struct{})
 }
 
+// ApplyHeldBack carries out the transactions that HoldBack has kept, and returns their number.
+func (d *StoreEndpoint) ApplyHeldBack() int {
+	d.mu.Lock()
+	l := d.heldBack
+	d.heldBack = nil
+	d.mu.Unlock()
+	for _, t := range l {
+		d.store.apply(t)
+	}
+	return len(l)
+}
+
 // ServeHTTP serves the calls of the store: transactions, reads and feeds.
 func (d *StoreEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	d.mu.Lock()
@@ -354,6 +370,12 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		if lose && t.HoldBack {
+			d.mu.Lock()
+			d.heldBack = append(d.heldBack, b)
+			d.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
 		if lose && t.LateBy > 0 {
 			time.AfterFunc(t.LateBy, func() { d.store.apply(b) })
 			panic(http.ErrAbortHandler)
