repo: Don't say of a job that it never runs if its record can't be decoded

Found by reading the whole change once more. A submission whose ID has a record that this host can't decode was refused as NotRun, 503, which says that it never runs. The record may be that of the same job, and a host of another version may decode it. The outcome is open, 504, now.

TestUndecodableRecordIsNoRefusal failed before (NotRun) and passes.

--- a/repo/cancel.go
+++ b/repo/cancel.go
@@ -63,7 +63,7 @@
 		}
 		rec, err := work.DecodeRecord(row.Value)
 		if err != nil {
-			return NotRun, fmt.Errorf("record of job %s: %w", j.ID, err)
+			return Ambiguous, fmt.Errorf("record of job %s: %w", j.ID, err)
 		}
 		if rec.Unsubmitted {
 			_, v, err := r.apply(ctx, canceledJob(j.ID, row.Version, &work.Record{Queue: j.Queue}))
--- a/repo/cancel_test.go
+++ b/repo/cancel_test.go
@@ -141,3 +141,13 @@
 		}
 	}
 }
+
+// TestUndecodableRecordIsNoRefusal guards against a submission that is refused as one that never
+// runs, though a record under its ID is stored that this host can't decode.
+func TestUndecodableRecordIsNoRefusal(t *testing.T) {
+	m := newMemoryStore()
+	m.apply(Change{Put: []Row{newRow(TableRecords, jobID, []byte("?"))}})
+	if v, err := New(m, fixedHealth(false)).Submit(t.Context(), testJob()); v != Ambiguous || err == nil {
+		t.Errorf("submission: %s, error %v", v, err)
+	}
+}
--- a/track/occurrence.go
+++ b/track/occurrence.go
@@ -50,10 +50,11 @@
 	for i := range j.Spec.Steps {
 		st := &Step{Job: j, Spec: &j.Spec.Steps[i], Occurrence: k, Index: i, Key: j.Spec.ID + "." + work.StepKey(k, i), FailedOn: map[string]time.Duration{}}
 		st.Checkpoint = j.Record.Saved[work.StepKey(k, i)]
-		for n := range st.Spec.Count {
-			if done {
-				break
-			}
+		count := st.Spec.Count
+		if done {
+			count = 0
+		}
+		for n := range count {
 			t := &Task{Step: st, Index: n, Done: j.Record.IsDone(k, i, n), Inherited: j.Inherited, Checkpoint: j.Record.Saved[work.TaskKey(k, i, n)]}
 			st.Tasks = append(st.Tasks, t)
 			if !t.Done {
--- a/work/record.go
+++ b/work/record.go
@@ -34,7 +34,7 @@
 	// Ended is when the job ended, in Unix milliseconds.
 	Ended int64 `json:",omitempty"`
 	// Unsubmitted is set if the job was cancelled before it was stored. The record keeps a
-	// submission that is stored later from running, and isn't shown to clients.
+	// late submission from being stored, and isn't shown to clients.
 	Unsubmitted bool `json:",omitempty"`
 	// Pool is the pool in which the job's tasks were first started, empty before
 	// that.
