sched: Check in calm schedules that no job stands still beside free room

The schedules checked that all jobs end, and long-running tasks for waits, but not that a job whose turn has come starts while there is room. The new check submits jobs after the faults have ended, with preferred racks and estimates that are far off, and fails if a job has nothing running for more than 3 s while there is room for a task of it, or its whole gang, twice.

--- a/fakes/model/advice.go
+++ b/fakes/model/advice.go
@@ -34,6 +34,12 @@
 	return worker == c.homes[step] || xxhash.Sum64String(step+"@"+worker)>>32%refuseOneIn != 0
 }
 
+// Allows reports whether the policy lets a worker run a step. It doesn't choose a home for a
+// step that nobody has asked for yet.
+func (c *Cluster) Allows(step, worker string) bool {
+	return c.homes[step] != "" && c.allows(step, worker)
+}
+
 // original returns the worker that a worker replaces, directly or through others, or the
 // worker itself.
 func (c *Cluster) original(id string) string {
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -76,14 +76,16 @@
 	wave         *maint.Wave
 	waveFinished bool
 	// What has happened.
-	active     map[string][]*activeRun
-	doneRuns   map[string][]*doneRun
-	failed     map[string]int
-	serving    map[string]*longRunningTask
-	violations []string
-	starts     int
-	trace      []string
-	tracing    bool
+	active   map[string][]*activeRun
+	doneRuns map[string][]*doneRun
+	failed   map[string]int
+	serving  map[string]*longRunningTask
+	// standstills are the jobs that have had nothing running in vain.
+	standstills map[string]*standstill
+	violations  []string
+	starts      int
+	trace       []string
+	tracing     bool
 }
 
 // faults breaks mechanisms of the decider or its surroundings on purpose, to check that the
@@ -192,7 +194,7 @@
 		rng: rand.New(rand.NewPCG(seed, 7)), faults: f, faultsUntil: 30 * time.Second,
 		jobs: map[string]*work.Job{}, records: map[string][]byte{}, canceled: map[string]time.Duration{}, cancelAcked: map[string]time.Duration{},
 		workerRows: map[string]workerRow{}, storeUp: true, listed: map[string]bool{}, fences: map[string]int64{}, changed: map[string]bool{}, drainsSince: map[string]time.Duration{}, leavesAtMS: map[string]int64{},
-		active: map[string][]*activeRun{}, doneRuns: map[string][]*doneRun{}, failed: map[string]int{}, serving: map[string]*longRunningTask{},
+		active: map[string][]*activeRun{}, doneRuns: map[string][]*doneRun{}, failed: map[string]int{}, serving: map[string]*longRunningTask{}, standstills: map[string]*standstill{},
 	}
 	w.rules = &work.Rules{Version: 1, Queues: map[string]*work.Queue{
 		"urgent":  {Name: "urgent", Pool: "p", Priority: 0, MaxAttempts: 2, Stretch: 2, Slack: time.Second},
