demand, sched, decide: Report jobs that wait although there is room

The log had no line that says why a job that waits isn't placed, nor what its decider saw. A decider now keeps, for each step that waits, since when nothing of its job has run although there is room for it twice, and reports the cause after 1.5 s, at most every 5 s for each step: tickets, failures, reserved room, the preferred rack, a single rack, or the order of placement. Beside it, at most every 5 s, what it sees of the pool: free accelerators, workers that get no tasks and why, proof of ownership, loaded partitions, starts left.

No decision changes, but the reports bring about placements at their times.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -238,13 +238,25 @@
 // countFitting returns how many of the unit's waiting tasks fit into the given
 // free capacity of w, within the step's anti-affinity limit.
 func (u *Unit) countFitting(w *Worker, free work.Amounts) int {
+	n := u.Fitting(w.ID, free, len(u.Indexes))
+	if w.Probation {
+		if w.placed || len(w.Runs) > 0 {
+			return 0
+		}
+		n = min(n, 1)
+	}
+	return n
+}
+
+// Fitting returns how many of the unit's tasks, up to n, fit into the given free capacity of a
+// worker, within the step's anti-affinity limit.
+func (u *Unit) Fitting(worker string, free work.Amounts, n int) int {
 	d := u.Step.CapacityDemand()
 	// Most workers of a busy pool have no room. Without this check the divisions
 	// below would take most of the time of a decision.
 	if !d.Fits(free) {
 		return 0
 	}
-	n := len(u.Indexes)
 	if d.MilliCPU > 0 {
 		n = min(n, int(free.MilliCPU/d.MilliCPU))
 	}
@@ -255,13 +267,7 @@
 		n = min(n, int(free.Accelerators/d.Accelerators))
 	}
 	if a := u.Step.AntiAffinity; a > 0 {
-		n = min(n, max(a-u.TasksPerWorker[w.ID], 0))
-	}
-	if w.Probation {
-		if w.placed || len(w.Runs) > 0 {
-			return 0
-		}
-		n = min(n, 1)
+		n = min(n, max(a-u.TasksPerWorker[worker], 0))
 	}
 	return n
 }
--- /dev/null
+++ b/assign/cause.go
@@ -0,0 +1,43 @@
+package assign
+
+// Causes for which a unit waits although workers have room for it.
+const (
+	CauseAdvice   = "no worker with room has a ticket"
+	CauseWorkers  = "runs have failed or were slow on the workers with room"
+	CauseReserved = "the room is reserved for other work"
+	CauseRack     = "the room is not on the preferred rack"
+	CauseRacks    = "the room is not on a single rack"
+	CauseOrder    = "other work is placed first"
+)
+
+// CauseOf returns why a unit that the last plan left waiting got no room, given the workers of
+// that plan. The workers have room for the unit.
+func CauseOf(u *Unit, workers []*Worker) string {
+	need := 1
+	if u.Step.Gang {
+		need = len(u.Indexes)
+	}
+	p := &planner{workers: workers}
+	count := func(room func(w *Worker) int) int {
+		n := 0
+		for _, w := range workers {
+			if u.eligible(w) {
+				n += room(w)
+			}
+		}
+		return n
+	}
+	switch {
+	case u.AllowedWorkers != nil && len(u.AllowedWorkers) == 0:
+		return CauseAdvice
+	case count(func(w *Worker) int { return u.countFitting(w, w.Free) }) < need:
+		return CauseWorkers
+	case count(func(w *Worker) int { return u.countFitting(w, p.available(u, w)) }) < need:
+		return CauseReserved
+	case u.Waited < u.LocalityWait && (u.Step.Affinity != "" || u.Rack != ""):
+		return CauseRack
+	case u.Step.Gang && u.Step.SameRack:
+		return CauseRacks
+	}
+	return CauseOrder
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -398,6 +398,11 @@
 			d.log.Info().Str("job", e.Job.ID).Str("queue", e.Job.Queue).Str("account", e.Job.Tenant).Int("tasks", tasks).Int64("accelerators", accelerators).Interface("arrival", loads.NewArrival(e.Job, e.Guaranteed)).Msg(loads.JobTakenIn)
 		case event.Maintenance:
 			d.spawn(func() { d.waves.Do(d.ctx, e.Action) })
+		case event.JobWaits:
+			d.c.Meter.Waits.WithLabelValues(e.Cause).Inc()
+			d.log.Warn().Str("job", e.Job).Str("step", e.Step).Str("cause", e.Cause).Dur("waited", e.Waited).Dur("roomFor", e.RoomFor).Int("tasks", e.Tasks).Int("room", e.Room).Msg("job has nothing running although there is room")
+		case event.PoolState:
+			d.log.Info().Int("jobs", e.Jobs).Dur("longest", e.Longest).Int64("free", e.Free).Int64("total", e.Total).Int("workers", e.Workers).Interface("closed", e.Closed).Int("startsLeft", e.StartsLeft).Bool("noStarts", e.NoStarts).Dur("proofAge", e.ProofAge).Int("partitions", e.Partitions).Bool("inheriting", e.Inheriting).Msg("jobs wait; state of the pool")
 		case event.LogEntry:
 			d.log.Info().Str("job", e.Job).Str("worker", e.Worker).Str("task", e.Task).Int("run", e.Run).Msg(e.Text)
 		}
--- a/event/event.go
+++ b/event/event.go
@@ -388,6 +388,42 @@
 // answer.
 type Maintenance struct{ Action maint.Action }
 
+// JobWaits reports a job of which nothing runs although there is room.
+type JobWaits struct {
+	Job, Step string
+	// Waited is how long the step has waited since it became ready or its last run ended,
+	// RoomFor how long there has been room for it twice.
+	Waited, RoomFor time.Duration
+	// Tasks is the number of tasks that must start together, Room for how many there is
+	// room, counted up to twice as many.
+	Tasks, Room int
+	// Cause says what keeps the step from that room.
+	Cause string
+}
+
+// PoolState reports what a decider sees of its pool while jobs wait in it.
+type PoolState struct {
+	// Jobs is the number of jobs with a step that is ready and nothing running, Longest how
+	// long the longest of them has waited.
+	Jobs    int
+	Longest time.Duration
+	// Free and Total are the accelerators of the listed workers.
+	Free, Total int64
+	// Workers counts the listed workers, Closed those of them that get no tasks, by cause.
+	Workers int
+	Closed  map[string]int
+	// StartsLeft is how many more starts may be decided now.
+	StartsLeft int
+	// NoStarts reports whether starts are held back, as the last proof of ownership, of
+	// ProofAge, is too old.
+	NoStarts bool
+	ProofAge time.Duration
+	// Partitions is the number of loaded partitions. Inheriting reports whether tasks of a
+	// former decider may be running unknown to this one.
+	Partitions int
+	Inheriting bool
+}
+
 // LogEntry is a line for the log: a decision and its reason.
 type LogEntry struct {
 	Job, Worker, Text string
@@ -411,3 +447,5 @@
 func (JobReceived) effect()    {}
 func (Maintenance) effect()    {}
 func (LogEntry) effect()       {}
+func (JobWaits) effect()       {}
+func (PoolState) effect()      {}
--- a/launch/order.go
+++ b/launch/order.go
@@ -113,6 +113,9 @@
 		st.GangOrderedAt = 0
 	}
 	j := st.Job
+	for _, o := range j.Steps {
+		o.RoomSince = 0
+	}
 	if !j.Started {
 		j.Started = true
 		s.Emit(event.JobStarted{Queue: j.Spec.Queue, Wait: s.Now.Steady - j.AddedAt})
--- a/meter/host.go
+++ b/meter/host.go
@@ -39,6 +39,8 @@
 	GangStart prometheus.Histogram
 	Stalled   prometheus.Counter
 	PoolEpoch *prometheus.GaugeVec
+	// Waits counts reports of jobs of which nothing runs although there is room, by cause.
+	Waits *prometheus.CounterVec
 	// RunEnds counts runs of tasks by how they ended.
 	RunEnds *prometheus.CounterVec
 	// FirstStart is the time from a job's acceptance to its first start, JobTime that to
@@ -76,6 +78,7 @@
 		Malformed:      s.counters("malformed_total", "Rows of other writers that can't be used, by source.", "source"),
 		Panics:         s.counters("panics_total", "Units of work that a panic ended.", "unit"),
 		Relayed:        s.counters("store_calls_relayed_total", "Calls of the platform's store through other hosts, by outcome.", "outcome"),
+		Waits:          s.counters("waits_with_room_total", "Reports of jobs with nothing running although there is room, by cause.", "cause"),
 		RunEnds:        s.counters("run_ends_total", "Runs of tasks by how they ended.", "how"),
 		FirstStart:     s.histograms("first_start_seconds", "Time from a job's acceptance to its first start.", "queue"),
 		JobTime:        s.histograms("job_seconds", "Time from a job's acceptance to its end.", "queue"),
--- a/sched/place.go
+++ b/sched/place.go
@@ -43,6 +43,7 @@
 	s.startsDeferred = len(starts) < len(p.Starts)
 	s.start(starts)
 	demand.AskAdvice(s.Pool, units, workers)
+	demand.ReportWaits(s.Pool, units, workers)
 }
 
 // surveyTime is how long a new decider waits for the workers' first answers before it stops
--- a/sched/standstill_test.go
+++ b/sched/standstill_test.go
@@ -130,7 +130,7 @@
 	if j == nil {
 		return "unknown to the decider"
 	}
-	return fmt.Sprintf("known since %v, record saved %d of %d", j.AddedAt, j.SavedSeq, j.Seq)
+	return fmt.Sprintf("known since %v, record saved %d of %d, reported cause %q", j.AddedAt, j.SavedSeq, j.Seq, w.waitCauses[id])
 }
 
 // calmJobs is how many jobs are submitted once the faults have ended.
--- a/sched/state.go
+++ b/sched/state.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"citronbridge/demand"
 	"citronbridge/event"
 	"citronbridge/maint"
 	"citronbridge/orders"
@@ -50,6 +51,8 @@
 	startsDeferred bool
 	// waves holds the maintenance waves, nil before the first.
 	waves *maint.Planner
+	// nextReport is when the state of the pool is to be reported again if jobs wait.
+	nextReport time.Duration
 	// dirty are the jobs whose records must be saved.
 	dirty []*track.Job
 }
@@ -149,6 +152,9 @@
 	} else if s.NeedsPlacement {
 		next = min(next, s.nextPlacement)
 	}
+	if now.Steady >= s.nextReport {
+		s.nextReport = demand.ReportPool(s.Pool, s.StartBudget())
+	}
 	s.saveDirty()
 	next = min(next, s.requestProof(), s.StopIncompleteGangs(), s.Dispatch())
 	return s.PendingEffects, min(next, s.SendHolds())
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -82,6 +82,8 @@
 	serving  map[string]*longRunningTask
 	// standstills are the jobs that have had nothing running in vain.
 	standstills map[string]*standstill
+	// waitCauses are the last reported causes for which jobs wait beside room.
+	waitCauses map[string]string
 	violations  []string
 	starts      int
 	trace       []string
@@ -194,7 +196,7 @@
 		rng: rand.New(rand.NewPCG(seed, 7)), faults: f, faultsUntil: 30 * time.Second,
 		jobs: map[string]*work.Job{}, records: map[string][]byte{}, canceled: map[string]time.Duration{}, cancelAcked: map[string]time.Duration{},
 		workerRows: map[string]workerRow{}, storeUp: true, listed: map[string]bool{}, fences: map[string]int64{}, changed: map[string]bool{}, drainsSince: map[string]time.Duration{}, leavesAtMS: map[string]int64{},
-		active: map[string][]*activeRun{}, doneRuns: map[string][]*doneRun{}, failed: map[string]int{}, serving: map[string]*longRunningTask{}, standstills: map[string]*standstill{},
+		active: map[string][]*activeRun{}, doneRuns: map[string][]*doneRun{}, failed: map[string]int{}, serving: map[string]*longRunningTask{}, standstills: map[string]*standstill{}, waitCauses: map[string]string{},
 	}
 	w.rules = &work.Rules{Version: 1, Queues: map[string]*work.Queue{
 		"urgent":  {Name: "urgent", Pool: "p", Priority: 0, MaxAttempts: 2, Stretch: 2, Slack: time.Second},
@@ -725,6 +727,9 @@
 			})
 		case event.Maintenance:
 			p.maintenance(e.Action)
+		case event.JobWaits:
+			w.waitCauses[e.Job] = e.Cause
+			w.tracef("  %d: job waits %s for %v: %s", p.epoch, e.Step, e.RoomFor, e.Cause)
 		case event.LogEntry:
 			w.tracef("  %d: %s %s %s %d", p.epoch, e.Text, e.Worker, e.Task, e.Run)
 		}
--- a/track/job.go
+++ b/track/job.go
@@ -50,6 +50,10 @@
 	ReadyAt time.Duration
 	// FailedOn says when a task of the step last failed on a worker, by worker ID.
 	FailedOn map[string]time.Duration
+	// RoomSince is the time since which the step has waited with nothing of its job running
+	// although there is room for it twice, 0 if that isn't so. ReportedAt is when that was
+	// last reported.
+	RoomSince, ReportedAt time.Duration
 	// Ready reports whether all steps that this one depends on are durably done, so that
 	// its tasks may start.
 	Ready bool
@@ -130,6 +134,18 @@
 	return j.StepsLeft == 0 && j.NextOccurrence >= j.Spec.Occurrences()
 }
 
+// Idle reports whether no run of the job is known to have started and not ended.
+func (j *Job) Idle() bool {
+	for _, st := range j.Steps {
+		for _, t := range st.Tasks {
+			if t.Run != nil && t.Run.Phase >= Running {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // HasRuns reports whether any run of the job still occupies a worker.
 func (j *Job) HasRuns() bool { return hasRuns(j.Steps) }
 
--- a/track/pool.go
+++ b/track/pool.go
@@ -176,8 +176,33 @@
 // Closed reports whether the worker gets no new tasks now. A synced worker gets none before
 // a proof that the pool was still owned after the sync: any successor takes over after that,
 // and learns what runs there.
-func (p *Pool) Closed(w *Worker) bool {
-	return !w.Listed || w.EntryOutdated() || w.Terminated || w.Draining || w.Cordoned || w.ReplacedAt > 0 || !w.Synced || p.OwnedAt <= w.SyncedAt || w.UnansweredCalls > 0 || p.Now.Steady < w.ClosedUntil
+func (p *Pool) Closed(w *Worker) bool { return p.ClosedBy(w) != "" }
+
+// Paused is the cause for which a worker gets no tasks for a short time: it refused a start,
+// or runs failed or were slow there.
+const Paused = "paused"
+
+// ClosedBy returns why the worker gets no new tasks now, or "" if it does.
+func (p *Pool) ClosedBy(w *Worker) string {
+	switch {
+	case !w.Listed:
+		return "unlisted"
+	case w.Terminated, w.ReplacedAt > 0:
+		return "replaced"
+	case w.Draining:
+		return "draining"
+	case w.Cordoned:
+		return "maintenance"
+	case w.UnansweredCalls > 0:
+		return "unresponsive"
+	case !w.Synced, w.EntryOutdated():
+		return "not synced"
+	case p.OwnedAt <= w.SyncedAt:
+		return "ownership not proved"
+	case p.Now.Steady < w.ClosedUntil:
+		return Paused
+	}
+	return ""
 }
 
 // Fence returns the fence for the worker's current incarnation.
