launch: Don't repeat stops at a worker that has restarted

Callers saw long-running tasks that never ran again, beside free room (LOST). The orders to stop them got no answer, as their worker had gone. A repeated stop of a long-running task waits while more tasks of its step are missing than it allows; the two themselves were missing, so nothing ended that. The run stayed at its worker, even after that had restarted and reported nothing.

What a stop is to end has ended with the former incarnation of the worker. The run is released now by the first report of the next one, like a start that was sent before.

--- a/launch/ended.go
+++ b/launch/ended.go
@@ -23,13 +23,14 @@
 	s.NeedsPlacement = true
 }
 
-// AbandonStarts cancels the starts at a worker that has restarted, as the worker may
+// AbandonOrders cancels the starts at a worker that has restarted, as the worker may
 // be of another kind now. A start that was already sent may have been carried out by
-// the new incarnation, whose next report shows whether it was.
-func (s *Launcher) AbandonStarts(w *track.Worker) {
+// the new incarnation, whose next report shows whether it was. No stop needs to be
+// repeated, as what it was to stop has ended with the former incarnation.
+func (s *Launcher) AbandonOrders(w *track.Worker) {
 	for _, r := range w.SortedRuns() {
 		switch {
-		case r.Phase == track.Starting && r.StartsSent > 0:
+		case r.Phase == track.Starting && r.StartsSent > 0, r.Phase == track.Stopping:
 			r.AwaitingAnswer, r.AnsweredAt = false, s.Now.Steady
 		case r.Phase == track.Recording, r.Phase == track.Starting:
 			s.Log(r.Task.Step.Job, w, r, "start cancelled: worker has restarted; placing the task again")
--- a/orders/workers.go
+++ b/orders/workers.go
@@ -145,7 +145,7 @@
 	w.PaceLevel = pacing.NewLevel()
 	w.HoldInFlight, w.NextHold = false, s.Now.Steady
 	w.StartInFlight, w.NextStart, w.UnansweredStarts = false, 0, 0
-	s.AbandonStarts(w)
+	s.AbandonOrders(w)
 }
 
 // forgetWorker removes a worker that isn't listed and runs nothing.
