assign: Don't let a gang wait for a rack that can't hold it

It preferred a rack that could not have held it even when empty, and the wait for a preferred rack ends only with the step's estimate. What has waited for 10 s in a pool that is mostly idle took other racks for a gang that is slow on several, but not for one with a preferred rack.

A unit waits for its preferred rack only if that could hold it, and not once it is starved. TestPreferredRackThatIsTooSmall failed before for both.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -294,8 +294,8 @@
 }
 
 // byLocality returns the racks to try for a unit in order: its preferred rack, and
-// the others only if the unit has exceeded its locality wait or the preferred
-// rack has no workers. Without a preferred rack it returns racks unchanged.
+// the others only if the unit no longer waits for it or the rack couldn't hold the
+// unit. Without a preferred rack it returns racks unchanged.
 func (p *planner) byLocality(u *Unit, racks [][]*Worker) [][]*Worker {
 	rack := u.Step.Affinity
 	if rack == "" {
@@ -305,12 +305,14 @@
 		return racks
 	}
 	l := make([][]*Worker, 0, len(racks))
+	holds := false
 	for _, r := range racks {
 		if len(r) > 0 && r[0].Rack == rack {
 			l = append(l, r)
+			holds = u.holdable(r)
 		}
 	}
-	if len(l) > 0 && u.Waited < u.LocalityWait {
+	if holds && u.Waited < u.LocalityWait && !u.Starved {
 		return l
 	}
 	for _, r := range racks {
@@ -321,6 +323,21 @@
 	return l
 }
 
+// holdable reports whether a group of workers could hold the unit if they were empty: all of a
+// gang, or one task of another step.
+func (u *Unit) holdable(group []*Worker) bool {
+	need := 1
+	if u.Step.Gang {
+		need = len(u.Indexes)
+	}
+	for _, w := range group {
+		if u.eligible(w) {
+			need -= u.countFitting(w, w.Total)
+		}
+	}
+	return need <= 0
+}
+
 // placeTasks places the tasks of a step that is not a gang one by one, on the
 // workers with the least free capacity first (best fit). For the tasks that don't
 // fit it preempts or reserves.
