assign, demand: Bound the wait of jobs beside free room

A unit may be kept from room for the sake of something better or of other work: by its preferred rack, by a single rack, by room that is reserved, by failures on workers (pause, suspicion, avoidance), by tickets that are renewed for others. Each wait had a limit of its own, or none while the pool was busy; they added up, and each began anew at a takeover.

A decider now keeps since when nothing of a job has run although there is room for a step twice, and from 2.2 s on, or 0.2 s after a takeover for a job that was open before, places the gang, or one task of another step, wherever there is room: first on other racks and in reserved room, then on workers on which runs have failed or were slow. Room that is kept while runs are stopped for more urgent work stays kept, as that is short; without this, urgent work stopped more runs. Each long-running task counts for itself. Refused starts still close a worker. A placement follows after 1 s at the latest while a task waits, so that a missing event delays it no longer.

CauseOf took the plan's time for 0 and so named the order of placement where room was reserved; it is given the time now.

Three mutations are caught: no bound, workers that stay closed, lost wake-ups of placement. TestJobThatStandsStill has each cause by itself.

--- a/advice/advice.go
+++ b/advice/advice.go
@@ -70,6 +70,12 @@
 	return v.ticket.text, v.allowed && now < v.ticket.usableUntil
 }
 
+// Denied reports whether the service said that an incarnation may not run a step.
+func (b *Cache) Denied(step string, l Incarnation) bool {
+	v, known := b.steps[step][l]
+	return known && !v.allowed
+}
+
 // NextCall returns a call for tickets for a number of tasks of a step, and marks it
 // as in flight. The candidates are the incarnations that could run the tasks, best
 // first. It returns false if no call is to be made now.
--- a/assign/assign.go
+++ b/assign/assign.go
@@ -21,6 +21,9 @@
 	Free, Freeing work.Amounts
 	// Closed workers take no new tasks: they are draining, failing or unreachable.
 	Closed bool
+	// Paused workers take tasks only of units that have waited for too long, as runs have just
+	// failed or were slow there.
+	Paused bool
 	// NoBestEffort workers take no best-effort tasks, as these slow down the
 	// latency-sensitive tasks there.
 	NoBestEffort bool
@@ -33,6 +36,9 @@
 
 	// reserved is the capacity kept for blocked units that come first in order.
 	reserved work.Amounts
+	// claimed is the part of reserved that is kept while runs are stopped for a unit, which
+	// is short.
+	claimed work.Amounts
 	// reservedUntil is when the last of these units is expected to start.
 	reservedUntil time.Duration
 	// placed reports whether the plan starts a task on the worker.
@@ -79,9 +85,12 @@
 	// long enough: it is placed before others of its priority, and may also stop
 	// borrowed runs of that priority.
 	Reclaims bool
-	// Starved is set for tasks that have waited for so long that they may use room that
-	// is reserved for other units, and a gang several racks.
+	// Starved is set for tasks that have waited for so long that they wait for the sake of
+	// others or of a better place no longer.
 	Starved bool
+	// StandsStill is set if nothing of the unit's job has run for long although there is room
+	// for the unit twice. Its gang, or one of its tasks, is placed as if it were starved.
+	StandsStill bool
 	// TasksPerWorker counts the step's tasks by worker, for anti-affinity.
 	TasksPerWorker map[string]int
 	// AvoidedWorkers holds the IDs of workers on which the step's tasks failed. Those in
@@ -100,6 +109,8 @@
 	// racks waits for a single rack that could hold it.
 	SingleRackWait time.Duration
 
+	// waives is what the unit currently doesn't wait for.
+	waives waiver
 	// ignoresProbation is set if too few workers aren't on probation.
 	ignoresProbation bool
 }
@@ -122,6 +133,9 @@
 	Unit   *Unit
 	Index  int
 	Worker string
+	// Waived reports whether the unit's preferences, or reservations of others, would have
+	// kept the task from the worker.
+	Waived bool
 }
 
 // Plan lists the tasks to start now and the runs to stop for units that don't
@@ -219,11 +233,16 @@
 // eligible reports whether the unit's tasks may run on w, whatever runs there
 // now.
 func (u *Unit) eligible(w *Worker) bool {
-	if !u.ignoresProbation && (w.Probation && u.Step.Gang || w.Failing && len(u.AvoidedWorkers) > 0) {
+	switch {
+	case u.AllowedWorkers != nil && !u.AllowedWorkers[w.ID]:
+		return false
+	case u.waives >= waiveWorker:
+		return u.Fits(w)
+	case w.Paused, !u.ignoresProbation && (w.Probation && u.Step.Gang || w.Failing && len(u.AvoidedWorkers) > 0):
 		return false
 	}
 	avoided := u.AvoidedWorkers[w.ID] && !u.ReleasedWorkers[w.ID]
-	return !avoided && (u.AllowedWorkers == nil || u.AllowedWorkers[w.ID]) && u.Fits(w)
+	return !avoided && u.Fits(w)
 }
 
 // Fits reports whether w takes tasks, has the required label and has enough total
@@ -239,7 +258,7 @@
 // free capacity of w, within the step's anti-affinity limit.
 func (u *Unit) countFitting(w *Worker, free work.Amounts) int {
 	n := u.Fitting(w.ID, free, len(u.Indexes))
-	if w.Probation {
+	if w.Probation && u.waives < waiveWorker {
 		if w.placed || len(w.Runs) > 0 {
 			return 0
 		}
@@ -273,10 +292,13 @@
 }
 
 // available returns the capacity of w that the unit may use now. It excludes
-// reserved capacity, unless the unit is starved or is expected to end before the
-// reservations are used (backfill).
+// reserved capacity, unless the unit no longer waits for that or is expected to end
+// before the reservations are used (backfill).
 func (p *planner) available(u *Unit, w *Worker) work.Amounts {
-	if u.Starved || u.Step.Estimate > 0 && p.now+u.Step.Estimate <= w.reservedUntil {
+	if u.waives >= waivePlace && !u.Starved {
+		return w.Free.Minus(w.claimed)
+	}
+	if u.waives >= waivePlace || u.Step.Estimate > 0 && p.now+u.Step.Estimate <= w.reservedUntil {
 		return w.Free
 	}
 	return w.Free.Minus(w.reserved)
@@ -287,8 +309,11 @@
 func (p *planner) place(u *Unit, i, n int, w *Worker) {
 	d := u.Step.CapacityDemand()
 	w.placed = w.placed || n > 0
+	if u.TasksPerWorker != nil {
+		u.TasksPerWorker[w.ID] += n
+	}
 	for _, x := range u.Indexes[i : i+n] {
-		p.plan.Starts = append(p.plan.Starts, Placement{u, x, w.ID})
+		p.plan.Starts = append(p.plan.Starts, Placement{u, x, w.ID, u.waives > waiveNothing})
 		w.Free = w.Free.Minus(d)
 	}
 }
@@ -312,7 +337,7 @@
 			holds = u.holdable(r)
 		}
 	}
-	if holds && u.Waited < u.LocalityWait && !u.Starved {
+	if holds && u.Waited < u.LocalityWait && u.waives < waivePlace {
 		return l
 	}
 	for _, r := range racks {
@@ -338,21 +363,22 @@
 	return need <= 0
 }
 
-// placeTasks places the tasks of a step that is not a gang one by one, on the
-// workers with the least free capacity first (best fit). For the tasks that don't
-// fit it preempts or reserves.
+// placeTasks places the tasks of a step that is not a gang one by one. For the tasks that
+// don't fit it preempts or reserves.
 func (p *planner) placeTasks(u *Unit) {
 	i := 0
-	for _, group := range p.taskGroups(u) {
-		l := p.workersWithRoom(u, group)
-		for _, w := range l {
-			n := min(u.countFitting(w, p.available(u, w)), len(u.Indexes)-i)
-			p.place(u, i, n, w)
-			i += n
-			if i == len(u.Indexes) {
-				return
-			}
+	for _, v := range u.waivers() {
+		n := len(u.Indexes)
+		if v > waiveNothing && !u.Starved && !u.Step.LongRunning {
+			// The job doesn't stand still once one task runs.
+			n = 1
 		}
+		u.waives = v
+		i = p.placeUpTo(u, i, n)
+	}
+	u.waives = waiveNothing
+	if i == len(u.Indexes) {
+		return
 	}
 	rest := *u
 	rest.Indexes = u.Indexes[i:]
@@ -365,6 +391,25 @@
 	}
 }
 
+// placeUpTo places the tasks of a unit from position i of its indexes up to position n, on
+// the workers with the least free capacity first (best fit). It returns the position of the
+// first task that isn't placed.
+func (p *planner) placeUpTo(u *Unit, i, n int) int {
+	if i >= n {
+		return i
+	}
+	for _, group := range p.taskGroups(u) {
+		for _, w := range p.workersWithRoom(u, group) {
+			c := min(u.countFitting(w, p.available(u, w)), n-i)
+			p.place(u, i, c, w)
+			if i += c; i == n {
+				return i
+			}
+		}
+	}
+	return i
+}
+
 // taskGroups returns the groups of workers to try in order for the tasks of a step
 // that is not a gang.
 func (p *planner) taskGroups(u *Unit) [][]*Worker {
@@ -376,7 +421,7 @@
 
 // workersWithRoom returns the eligible workers of a group that have room for a task
 // of the unit now, those with the least free capacity first. Workers on which its tasks
-// failed come last.
+// failed come last, and before them those on which others failed or were slow.
 func (p *planner) workersWithRoom(u *Unit, group []*Worker) []*Worker {
 	d := u.Step.CapacityDemand()
 	if p.unplaceable[d] {
@@ -394,11 +439,8 @@
 		p.unplaceable[d] = true
 	}
 	slices.SortStableFunc(l, func(a, b *Worker) int {
-		if x, y := u.AvoidedWorkers[a.ID], u.AvoidedWorkers[b.ID]; x != y {
-			if y {
-				return -1
-			}
-			return 1
+		if x, y := u.doubt(a), u.doubt(b); x != y {
+			return x - y
 		}
 		if a.Free.Accelerators != b.Free.Accelerators {
 			return int(a.Free.Accelerators - b.Free.Accelerators)
@@ -407,3 +449,15 @@
 	})
 	return l
 }
+
+// doubt ranks workers by the reasons to expect that a task of the unit fails there, lowest
+// first.
+func (u *Unit) doubt(w *Worker) int {
+	switch {
+	case u.AvoidedWorkers[w.ID]:
+		return 2
+	case u.waives >= waiveWorker && (w.Paused || w.Probation || w.Failing):
+		return 1
+	}
+	return 0
+}
--- a/assign/cause.go
+++ b/assign/cause.go
@@ -1,5 +1,7 @@
 package assign
 
+import "time"
+
 // Causes for which a unit waits although workers have room for it.
 const (
 	CauseAdvice   = "no worker with room has a ticket"
@@ -10,14 +12,14 @@
 	CauseOrder    = "other work is placed first"
 )
 
-// CauseOf returns why a unit that the last plan left waiting got no room, given the workers of
-// that plan. The workers have room for the unit.
-func CauseOf(u *Unit, workers []*Worker) string {
+// CauseOf returns why a unit that the plan made just now left waiting got no room, given the
+// workers of that plan. The workers have room for the unit.
+func CauseOf(now time.Duration, u *Unit, workers []*Worker) string {
 	need := 1
 	if u.Step.Gang {
 		need = len(u.Indexes)
 	}
-	p := &planner{workers: workers}
+	p := &planner{now: now, workers: workers}
 	count := func(room func(w *Worker) int) int {
 		n := 0
 		for _, w := range workers {
--- a/assign/gang.go
+++ b/assign/gang.go
@@ -8,10 +8,24 @@
 
 // placeGang places all tasks of a gang, or none and preempts or reserves for it.
 func (p *planner) placeGang(u *Unit) {
+	for _, v := range u.waivers() {
+		u.waives = v
+		done := p.tryGang(u)
+		u.waives = waiveNothing
+		if done {
+			return
+		}
+	}
+	p.preemptOrReserve(u)
+}
+
+// tryGang places all tasks of a gang, or makes room for them on a single rack, and reports
+// whether it did.
+func (p *planner) tryGang(u *Unit) bool {
 	racks := p.byLocality(u, p.racks)
 	for _, rack := range p.racksWithRoom(u, racks) {
 		if p.placeGangOn(u, rack) {
-			return
+			return true
 		}
 	}
 	span := spanRacks
@@ -19,12 +33,9 @@
 		span = p.spanOf(u)
 	}
 	if span == spanUnlessPreempting && u.MayPreempt && p.preempt(u, false) {
-		return
+		return true
 	}
-	if span != singleRack && p.placeGangOn(u, slices.Concat(racks...)) {
-		return
-	}
-	p.preemptOrReserve(u)
+	return span != singleRack && p.placeGangOn(u, slices.Concat(racks...))
 }
 
 // rackSpan says whether a gang that is slow on several racks may be placed on them.
@@ -43,7 +54,7 @@
 
 // spanOf returns whether a gang may be placed on several racks now.
 func (p *planner) spanOf(u *Unit) rackSpan {
-	if u.Starved || u.SingleRackWait > 0 && u.Waited >= u.SingleRackWait {
+	if u.Starved || u.waives >= waivePlace || u.SingleRackWait > 0 && u.Waited >= u.SingleRackWait {
 		return spanRacks
 	}
 	span := spanRacks
--- a/assign/wait.go
+++ b/assign/wait.go
@@ -43,7 +43,7 @@
 	d := u.Step.CapacityDemand()
 	for i, w := range best.workers {
 		for range best.counts[i] {
-			w.reserved = w.reserved.Plus(d)
+			w.reserved, w.claimed = w.reserved.Plus(d), w.claimed.Plus(d)
 		}
 	}
 	for _, r := range best.stops {
--- a/demand/advice.go
+++ b/demand/advice.go
@@ -1,6 +1,7 @@
 package demand
 
 import (
+	"slices"
 	"time"
 
 	"citronbridge/advice"
@@ -24,7 +25,8 @@
 	return m
 }
 
-// AskAdvice requests advice on the first unit that still waits for lack of tickets.
+// AskAdvice requests advice on the first unit that still waits for lack of tickets. Units whose
+// jobs stand still come first, as the tickets of the others may be renewed all the time.
 func AskAdvice(p *track.Pool, units []*assign.Unit, workers []*assign.Worker) {
 	var steps []string
 	for _, u := range units {
@@ -33,7 +35,17 @@
 		}
 	}
 	p.Advice.Retain(steps)
-	for _, u := range units {
+	l := slices.Clone(units)
+	slices.SortStableFunc(l, func(a, b *assign.Unit) int {
+		if a.StandsStill == b.StandsStill {
+			return 0
+		}
+		if a.StandsStill {
+			return -1
+		}
+		return 1
+	})
+	for _, u := range l {
 		if u.AllowedWorkers == nil || len(u.Indexes) == 0 || allPlaced(p, u) {
 			continue
 		}
@@ -69,7 +81,7 @@
 		l := p.Workers[w.ID].IncarnationID()
 		switch {
 		case !u.Fits(w):
-		case u.Step.CapacityDemand().Fits(w.Free):
+		case u.Step.CapacityDemand().Fits(w.Free) && !w.Paused:
 			now = append(now, l)
 		default:
 			later = append(later, l)
--- a/demand/waits.go
+++ b/demand/waits.go
@@ -9,36 +9,63 @@
 	"citronbridge/work"
 )
 
+// Times after which a job with nothing running that has room twice isn't kept from it for the
+// sake of others or of a better place. The platform allows 3 s in all, also across a takeover,
+// with what the start itself takes.
+const (
+	standsStillAfter         = 2200 * time.Millisecond
+	standsStillAfterTakeover = 200 * time.Millisecond
+	// roomGap is how long the room may be missing in between and still count as there.
+	roomGap = 250 * time.Millisecond
+)
+
 // Reports of jobs that wait although there is room.
 const (
-	// reportAfter is how long a job waits before it is reported. It is below the 3 s for which
-	// the platform allows it.
+	// reportAfter is how long a job waits before it is reported.
 	reportAfter = 1500 * time.Millisecond
 	// reportPause is the shortest time between two reports of the same step, or of the pool.
 	reportPause = 5 * time.Second
 )
 
-// ReportWaits keeps RoomSince of the waiting steps up to date, and reports those that have
-// waited for long. The units and workers are those of the last plan.
-func ReportWaits(p *track.Pool, units []*assign.Unit, workers []*assign.Worker) {
+// replanPause is the longest time between two placements while a task waits. It bounds the wait
+// if no event brings about a placement.
+const replanPause = time.Second
+
+// patience returns how long a step is kept waiting beside room for it twice.
+func patience(st *track.Step) time.Duration {
+	if st.Job.TakenOver && st.ReadyAt <= st.Job.AddedAt {
+		return standsStillAfterTakeover
+	}
+	return standsStillAfter
+}
+
+// standsStill reports whether nothing of a step's job has run for too long although there is
+// room for the step twice.
+func standsStill(p *track.Pool, st *track.Step) bool {
+	return st.RoomSince > 0 && p.Now.Steady-st.RoomSince >= patience(st)
+}
+
+// TrackWaits keeps RoomSince of the waiting steps up to date, requests a placement for when
+// they stand still, and reports those that do. The units and workers are those of the last plan.
+func TrackWaits(p *track.Pool, units []*assign.Unit, workers []*assign.Worker) {
 	now := p.Now.Steady
-	full := map[work.Amounts]bool{}
+	c := newRoomCounter(p)
 	for _, u := range units {
-		st := stepOf(p, u)
-		tasks := 1
+		if allPlaced(p, u) {
+			continue
+		}
+		p.PlaceBy(now + replanPause)
+		st, tasks := stepOf(p, u), 1
 		if u.Step.Gang {
 			tasks = len(u.Indexes)
 		}
-		room := 0
-		if !allPlaced(p, u) {
-			room = roomFor(p, u, 2*tasks, full)
-		}
-		switch {
-		case room < 2*tasks || !u.Step.LongRunning && !st.Job.Idle():
+		room := c.room(u, 2*tasks)
+		if !hasRoom(now, st, room >= 2*tasks) || !u.Step.LongRunning && !st.Job.Idle() {
 			st.RoomSince, st.ReportedAt = 0, 0
 			continue
-		case st.RoomSince == 0:
-			st.RoomSince = max(now, 1)
+		}
+		if at := st.RoomSince + patience(st); now < at {
+			p.PlaceBy(at)
 		}
 		at := st.RoomSince + reportAfter
 		if st.ReportedAt > 0 {
@@ -50,46 +77,100 @@
 		}
 		st.ReportedAt = now
 		p.Emit(event.JobWaits{
-			Job: st.Job.Spec.ID, Step: st.Key, Waited: u.Waited, RoomFor: now - st.RoomSince, Tasks: tasks, Room: room, Cause: assign.CauseOf(u, workers),
+			Job: st.Job.Spec.ID, Step: st.Key, Waited: u.Waited, RoomFor: now - st.RoomSince, Tasks: tasks, Room: room, Cause: assign.CauseOf(now, u, workers),
 		})
 	}
 }
 
+// hasRoom records whether there is room for a step twice now, and reports whether there has been
+// since RoomSince.
+func hasRoom(now time.Duration, st *track.Step, room bool) bool {
+	switch {
+	case room && st.RoomSince == 0:
+		st.RoomSince, st.FullSince = max(now, 1), 0
+	case room:
+		st.FullSince = 0
+	case st.RoomSince == 0:
+		return false
+	case st.FullSince == 0:
+		st.FullSince = max(now, 1)
+	}
+	return st.FullSince == 0 || now-st.FullSince < roomGap
+}
+
 // stepOf returns the step of a unit.
 func stepOf(p *track.Pool, u *assign.Unit) *track.Step {
 	id := u.TaskID(u.Indexes[0])
 	return p.Jobs[id.Job].Step(id.Occurrence, id.Step)
 }
 
-// roomFor returns for how many tasks of a unit the workers have room, counted up to enough.
-// Workers that are paused count, reservations and preferences don't. Demands for which no
-// worker has room are recorded in full.
-func roomFor(p *track.Pool, u *assign.Unit, enough int, full map[work.Amounts]bool) int {
-	d := u.Step.CapacityDemand()
-	if full[d] {
-		return 0
-	}
-	n, anyFits := 0, false
+// roomCounter counts for how many tasks of a step the workers have room. Reservations and
+// preferences don't matter to it, nor whether a worker is paused.
+type roomCounter struct {
+	p *track.Pool
+	// workers are those that may get tasks and have an idle accelerator or processor.
+	workers []*assign.Worker
+	// counts holds the results for steps that may use any worker with the label, counted up to
+	// maxRoom.
+	counts map[roomKey]int
+}
+
+type roomKey struct {
+	demand   work.Amounts
+	requires string
+	fills    bool
+}
+
+// maxRoom is the room beyond which it isn't counted further where the result is kept.
+const maxRoom = 512
+
+func newRoomCounter(p *track.Pool) *roomCounter {
+	c := &roomCounter{p: p, counts: map[roomKey]int{}}
 	for _, w := range p.WorkersByID {
 		free := w.Capacity.Minus(w.Used)
-		if !d.Fits(free) {
+		if free.Accelerators <= 0 && free.MilliCPU <= 0 {
 			continue
 		}
-		if c := p.ClosedBy(w); c != "" && c != track.Paused || !w.Recorded {
+		if s := p.ClosedBy(w); s != "" && s != track.Paused || !w.Recorded {
 			continue
 		}
-		anyFits = true
-		if u.Fits(&assign.Worker{Labels: w.Labels, Total: w.Capacity, NoBestEffort: !w.PaceLevel.AdmitsBestEffort()}) {
-			n += u.Fitting(w.ID, free, enough-n)
-		}
+		c.workers = append(c.workers, &assign.Worker{ID: w.ID, Labels: w.Labels, Total: w.Capacity, Free: free, NoBestEffort: !w.PaceLevel.AdmitsBestEffort()})
+	}
+	return c
+}
+
+// room returns for how many tasks of a unit there is room, counted up to enough.
+func (c *roomCounter) room(u *assign.Unit, enough int) int {
+	if u.AllowedWorkers != nil || u.TasksPerWorker != nil || enough > maxRoom {
+		return c.count(u, enough)
+	}
+	k := roomKey{u.Step.CapacityDemand(), u.Step.Requires, u.Step.Fills}
+	n, ok := c.counts[k]
+	if !ok {
+		n = c.count(u, maxRoom)
+		c.counts[k] = n
+	}
+	return min(n, enough)
+}
+
+func (c *roomCounter) count(u *assign.Unit, enough int) int {
+	n := 0
+	for _, w := range c.workers {
 		if n >= enough {
-			return n
+			break
+		}
+		if f := u.Fitting(w.ID, w.Free, enough-n); f > 0 && u.Fits(w) && !c.denied(u, w) {
+			n += f
 		}
 	}
-	full[d] = !anyFits
 	return n
 }
 
+// denied reports whether the advice service has said that a worker may not run a unit.
+func (c *roomCounter) denied(u *assign.Unit, w *assign.Worker) bool {
+	return u.AllowedWorkers != nil && c.p.Advice.Denied(u.Key, c.p.Workers[w.ID].IncarnationID())
+}
+
 // ReportPool reports the state of the pool if a job has waited for long with nothing running. It
 // returns when to call it again.
 func ReportPool(p *track.Pool, startsLeft int) time.Duration {
--- a/demand/workers.go
+++ b/demand/workers.go
@@ -13,8 +13,9 @@
 	byKey := map[string]*track.Run{}
 	l := make([]*assign.Worker, 0, len(p.WorkersByID))
 	for _, w := range p.WorkersByID {
+		closed := p.ClosedBy(w)
 		a := &assign.Worker{
-			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Total: w.Capacity, Free: w.Capacity.Minus(w.Used), Closed: p.Closed(w) || !w.Recorded,
+			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Total: w.Capacity, Free: w.Capacity.Minus(w.Used), Closed: closed != "" && closed != track.Paused || !w.Recorded, Paused: closed == track.Paused,
 			NoBestEffort: !w.PaceLevel.AdmitsBestEffort(), Probation: w.Suspect(p.Now.Steady), Failing: w.Failing(p.Now.Steady),
 		}
 		if a.Failing {
--- a/launch/order.go
+++ b/launch/order.go
@@ -113,8 +113,11 @@
 		st.GangOrderedAt = 0
 	}
 	j := st.Job
+	j.TakenOver = false
 	for _, o := range j.Steps {
-		o.RoomSince = 0
+		if !o.Spec.LongRunning || o == st && !st.Waits() {
+			o.RoomSince = 0
+		}
 	}
 	if !j.Started {
 		j.Started = true
--- a/orders/workers.go
+++ b/orders/workers.go
@@ -180,12 +180,14 @@
 		next = min(next, w.LeaseEnd)
 	}
 	next = min(next, s.Evacuate(w))
-	switch {
-	case w.ClosedUntil > now:
-		next = min(next, w.ClosedUntil)
-	case w.ClosedUntil > 0:
-		w.ClosedUntil = 0
-		s.NeedsPlacement = true
+	for _, until := range []*time.Duration{&w.ClosedUntil, &w.PausedUntil} {
+		switch {
+		case *until > now:
+			next = min(next, *until)
+		case *until > 0:
+			*until = 0
+			s.NeedsPlacement = true
+		}
 	}
 	return next
 }
--- a/sched/ends.go
+++ b/sched/ends.go
@@ -140,7 +140,7 @@
 // since a task was last done there. A worker that fails all tasks at once is free again at
 // once, so without a pause it would get more of them than any other.
 func pauseAfterFailure(now time.Duration, w *track.Worker) {
-	w.ClosedUntil = max(w.ClosedUntil, now+min(failurePause<<min(w.FailedRuns, maxFailureDoublings), workerPause))
+	w.PausedUntil = max(w.PausedUntil, now+min(failurePause<<min(w.FailedRuns, maxFailureDoublings), workerPause))
 	w.FailedRuns++
 	w.LastFailure = now
 }
@@ -162,7 +162,7 @@
 	}
 	w.LastFailedJob = j.Spec.ID
 	if w.FailureStreak >= failureStreakLimit {
-		w.ClosedUntil = s.Now.Steady + workerPause
+		w.PausedUntil = s.Now.Steady + workerPause
 		s.Log(nil, w, nil, "jobs keep failing on worker; pausing new tasks on it")
 	}
 	j.Failures++
--- a/sched/job.go
+++ b/sched/job.go
@@ -14,7 +14,7 @@
 	if s.Jobs[e.Job.ID] != nil || s.EndedAt[e.Job.ID] > 0 || e.Record.State.Final() {
 		return
 	}
-	j := &track.Job{Spec: e.Job, Record: e.Record, AddedAt: s.Now.Steady}
+	j := &track.Job{Spec: e.Job, Record: e.Record, AddedAt: s.Now.Steady, TakenOver: e.Inherited}
 	j.Inherited = e.Inherited && e.Record.Pool != ""
 	j.Started = j.Inherited
 	s.Jobs[j.Spec.ID] = j
--- a/sched/place.go
+++ b/sched/place.go
@@ -43,7 +43,7 @@
 	s.startsDeferred = len(starts) < len(p.Starts)
 	s.start(starts)
 	demand.AskAdvice(s.Pool, units, workers)
-	demand.ReportWaits(s.Pool, units, workers)
+	demand.TrackWaits(s.Pool, units, workers)
 }
 
 // surveyTime is how long a new decider waits for the workers' first answers before it stops
@@ -100,7 +100,11 @@
 		if j.Queue.Advice {
 			r.Ticket, _ = s.Advice.Ticket(st.Key, w.IncarnationID(), s.Now.Steady)
 		}
-		s.Log(j, w, r, "task placed")
+		text := "task placed"
+		if p.Waived {
+			text = "task placed on any worker with room, as it has waited for long"
+		}
+		s.Log(j, w, r, text)
 		// The order is sent once the record durably says where the task may be running.
 		j.Record.State, j.Record.Pool = work.Running, s.Config.Pool
 		j.Record.SetPlaced(st.Occurrence, st.Index, t.Index, w.ID)
@@ -120,7 +124,7 @@
 			continue
 		}
 		s.Log(r.Task.Step.Job, w, r, "run is slow on its worker; moving it to another one")
-		w.ClosedUntil = s.Now.Steady + workerPause
+		w.PausedUntil = s.Now.Steady + workerPause
 		st := r.Task.Step
 		for _, t := range st.Tasks {
 			if t == r.Task || (st.Spec.Gang && t.Run != nil) {
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -84,10 +84,10 @@
 	standstills map[string]*standstill
 	// waitCauses are the last reported causes for which jobs wait beside room.
 	waitCauses map[string]string
-	violations  []string
-	starts      int
-	trace       []string
-	tracing     bool
+	violations []string
+	starts     int
+	trace      []string
+	tracing    bool
 }
 
 // faults breaks mechanisms of the decider or its surroundings on purpose, to check that the
@@ -108,6 +108,31 @@
 	// successor order maintenance at once, and a former decider order it without a recent
 	// proof of ownership.
 	unfenced, noTakeoverPause bool
+	// noWaitBound forgets since when steps wait beside room. closedForGood closes each worker
+	// on which a run has failed for an hour. lostWakeUps drops the requests for placement at
+	// later times, and at once by events without other effects.
+	noWaitBound, closedForGood, lostWakeUps bool
+}
+
+// mutate breaks what the decider believes, before it does what is due.
+func (f faults) mutate(s *State) {
+	if f.noWaitBound {
+		for _, j := range s.JobsByArrival {
+			for _, st := range j.Steps {
+				st.RoomSince = 0
+			}
+		}
+	}
+	if f.closedForGood {
+		for _, w := range s.WorkersByID {
+			if w.LastFailure > 0 {
+				w.ClosedUntil = w.LastFailure + time.Hour
+			}
+		}
+	}
+	if f.lostWakeUps {
+		s.NeedsPlacement, s.PlaceAt = s.NeedsPlacement && len(s.PendingEffects) > 0, 0
+	}
 }
 
 // workerRow is the store's row of a worker.
@@ -639,6 +664,7 @@
 			age = 0
 		}
 		p.s.SetLimits(track.Limits{NoStarts: age > startsFor, NoOrders: age > ownedFor})
+		p.w.faults.mutate(p.s)
 		l, next := p.s.Flush(p.clock())
 		p.perform(l)
 		p.flush(max(next, p.w.now+time.Millisecond))
@@ -753,6 +779,7 @@
 			}
 			a.Tickets = w.cluster.Advise(e.Step, ids, a.Valid)
 		}
+		w.tracef("  %d: advice on %s: %d of %d workers, %v, error %v", p.epoch, e.Step, len(a.Tickets), len(e.Incarnations), a.Valid, a.Err)
 		p.deliver(a)
 	})
 }
--- a/track/job.go
+++ b/track/job.go
@@ -51,9 +51,10 @@
 	// FailedOn says when a task of the step last failed on a worker, by worker ID.
 	FailedOn map[string]time.Duration
 	// RoomSince is the time since which the step has waited with nothing of its job running
-	// although there is room for it twice, 0 if that isn't so. ReportedAt is when that was
-	// last reported.
-	RoomSince, ReportedAt time.Duration
+	// although there is room for it twice, but for moments, the current one of which began at
+	// FullSince. Both are 0 if that isn't so. Each task of a long-running step waits for
+	// itself, whatever else of its job runs. ReportedAt is when the wait was last reported.
+	RoomSince, FullSince, ReportedAt time.Duration
 	// Ready reports whether all steps that this one depends on are durably done, so that
 	// its tasks may start.
 	Ready bool
@@ -80,6 +81,9 @@
 	StepsLeft int
 	// AddedAt is when the decider received the job.
 	AddedAt time.Duration
+	// TakenOver reports whether the job was open when the decider acquired the pool and nothing
+	// of it has run since. It may have stood still for long then.
+	TakenOver bool
 	// Started reports whether any task of the job has started, or may have under a former
 	// decider.
 	Started bool
@@ -134,6 +138,11 @@
 	return j.StepsLeft == 0 && j.NextOccurrence >= j.Spec.Occurrences()
 }
 
+// Waits reports whether a task of the step has neither a run nor ended.
+func (s *Step) Waits() bool {
+	return slices.ContainsFunc(s.Tasks, func(t *Task) bool { return t.Run == nil && !t.Done })
+}
+
 // Idle reports whether no run of the job is known to have started and not ended.
 func (j *Job) Idle() bool {
 	for _, st := range j.Steps {
--- a/track/pool.go
+++ b/track/pool.go
@@ -178,8 +178,8 @@
 // and learns what runs there.
 func (p *Pool) Closed(w *Worker) bool { return p.ClosedBy(w) != "" }
 
-// Paused is the cause for which a worker gets no tasks for a short time: it refused a start,
-// or runs failed or were slow there.
+// Paused is the cause for which a worker gets no tasks but those of jobs that would stand
+// still: runs failed or were slow there.
 const Paused = "paused"
 
 // ClosedBy returns why the worker gets no new tasks now, or "" if it does.
@@ -200,6 +200,8 @@
 	case p.OwnedAt <= w.SyncedAt:
 		return "ownership not proved"
 	case p.Now.Steady < w.ClosedUntil:
+		return "refused a start"
+	case p.Now.Steady < w.PausedUntil:
 		return Paused
 	}
 	return ""
