decide: Don't let a full queue of events stop the decider for good

A partition passed rows of the feed, and those buffered while it was loaded, to the queue of events under its lock. With a full queue it waited there for the decider, while the decider waited for the same lock to note the end of a job. The heartbeats went on, so no other host took the pool.

The times at which jobs ended have a lock of their own now, under which nothing waits. TestFullQueueDoesNotBlockDecider failed before after 10 s and passes now.

--- a/decide/partition.go
+++ b/decide/partition.go
@@ -20,16 +20,21 @@
 	// writer is set before the first job of the partition is handled.
 	writer *repo.Writer
 
+	// mu guards loaded, listVersion and buffered. It is held while events are enqueued, so the
+	// goroutine that takes them from the queue must not lock it.
 	mu     sync.Mutex
 	loaded bool
 	// listVersion is the store version of the list of jobs. Rows of the feed
 	// that aren't newer were in the list.
 	listVersion int64
+	// buffered are rows that the feed reported before the partition was loaded.
+	buffered []repo.Row
+
+	// endedMu guards endedAt. Nothing that may block is done under it.
+	endedMu sync.Mutex
 	// endedAt holds the times at which the jobs with final records ended, in
 	// Unix milliseconds, by job ID.
 	endedAt map[string]int64
-	// buffered are rows that the feed reported before the partition was loaded.
-	buffered []repo.Row
 }
 
 // run fences the partition, reads its jobs, retrying until that succeeds, and
@@ -105,9 +110,14 @@
 		return
 	}
 	s.writer.Put(repo.TableRecords, id, e.Record, done, repo.TableJobs)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.endedAt[id] = time.Now().UnixMilli()
+	s.setEnded(id, time.Now().UnixMilli())
+}
+
+// setEnded remembers when a job ended, in Unix milliseconds.
+func (s *partition) setEnded(id string, at int64) {
+	s.endedMu.Lock()
+	defer s.endedMu.Unlock()
+	s.endedAt[id] = at
 }
 
 // trackEnded remembers when the job of a final record ended, so that sweep
@@ -122,9 +132,7 @@
 		return
 	}
 	s.writer.RecordVersion(repo.TableRecords, r.Key, r.Version)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.endedAt[r.Key] = rec.Ended
+	s.setEnded(r.Key, rec.Ended)
 }
 
 // jobCanceled handles a job's cancellation. A job that was never stored is only remembered for
@@ -138,9 +146,9 @@
 		s.d.enqueue(event.JobCanceled{ID: r.Key})
 		return
 	}
+	s.setEnded(r.Key, c.Ended)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.endedAt[r.Key] = c.Ended
 	if s.loaded {
 		s.writer.RecordVersion(repo.TableRecords, r.Key, r.Version)
 	}
@@ -153,6 +161,8 @@
 	if !s.loaded {
 		return
 	}
+	s.endedMu.Lock()
+	defer s.endedMu.Unlock()
 	for id, at := range s.endedAt {
 		if at < endedBefore {
 			delete(s.endedAt, id)
