decide: Let one proof of ownership answer all requests that wait for it

The state machine asks for a proof every 40 ms while a worker that has answered waits for one, and each request wrote a heartbeat of its own, one after the other. Where a write takes longer than 40 ms the requests queued up, and the first proof that is newer than a worker's answer came after all those before it: with writes of 200 ms, a worker that answers 2 s after the takeover waits some 8 s more. Starts at that worker wait as long.

At most one request waits behind the write in flight now, and its proof counts from when its write is sent rather than from the request. In TestProofsDoNotQueueUp, with 52 requests during one write, the last was answered by proof 51 or 52 before, and is by proof 2 at the latest now.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -118,6 +119,8 @@
 
 	// ownershipMu serializes heartbeats, each of which changes c.Ownership.
 	ownershipMu sync.Mutex
+	// proofQueued means that a requested proof of ownership waits for ownershipMu.
+	proofQueued atomic.Bool
 
 	// mu guards provedAt, heartbeatSeq, waitingJobs and c.Bounds.
 	mu sync.Mutex
@@ -378,11 +381,9 @@
 		case event.ForgetWorker:
 			d.writer.Put(repo.TableWorkers, repo.WorkerKey(d.c.Pool, e.ID), nil, nil)
 		case event.ProveOwnership:
-			d.spawn(func() {
-				if sent := d.clock().Steady; d.proveOwnership() {
-					d.enqueue(event.OwnershipProved{At: sent})
-				}
-			})
+			if d.proofQueued.CompareAndSwap(false, true) {
+				d.spawn(d.answerProofRequest)
+			}
 		case event.RunEnded:
 			d.c.Meter.RunEnds.WithLabelValues(string(e.Reason)).Inc()
 		case event.JobStarted:
@@ -496,11 +497,34 @@
 	}
 }
 
-// proveOwnership writes the pool's heartbeat, which also carries the counts of waiting jobs that
-// other hosts show to clients. It returns whether the write proves that the pool is still owned.
-func (d *Decider) proveOwnership() bool {
+// answerProofRequest proves the ownership for the state machine. The call is sent after all
+// requests that came while it waited for its turn, so it answers them too.
+func (d *Decider) answerProofRequest() {
+	if sent, proved := d.proveInTurn(); proved {
+		d.enqueue(event.OwnershipProved{At: sent})
+	}
+}
+
+// proveInTurn is proveOwnership for a queued request. It also returns when the call was sent.
+func (d *Decider) proveInTurn() (time.Duration, bool) {
 	d.ownershipMu.Lock()
 	defer d.ownershipMu.Unlock()
+	d.proofQueued.Store(false)
+	sent := d.clock().Steady
+	return sent, d.writeHeartbeat()
+}
+
+// proveOwnership writes the pool's heartbeat once those before it are written.
+func (d *Decider) proveOwnership() {
+	d.ownershipMu.Lock()
+	defer d.ownershipMu.Unlock()
+	d.writeHeartbeat()
+}
+
+// writeHeartbeat writes the pool's heartbeat, which also carries the counts of waiting jobs that
+// other hosts show to clients. It returns whether the write proves that the pool is still owned.
+// The caller holds ownershipMu.
+func (d *Decider) writeHeartbeat() bool {
 	d.mu.Lock()
 	d.heartbeatSeq++
 	b := repo.Heartbeat{Epoch: d.c.Owner.Epoch, Host: d.c.Owner.Host, N: d.heartbeatSeq, Waiting: d.waitingJobs, Capacity: d.c.Capacity}
