decide: End a decider that has panicked before its end is reported

The report takes the lock under which the host passes a new configuration on to its deciders. With a full queue of events that call waited until the decider ends, and the decider, whose loop was gone, waited for the lock to report its end and was only ended after that. The pool's heartbeats went on, no other host took it, and the host took over no further configuration.

The decider ends before the report now. TestPanicWithFullQueue failed before after 10 s.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -263,6 +263,8 @@
 func (d *Decider) run() {
 	defer d.c.Ended(d)
 	defer d.c.Meter.PoolEpoch.WithLabelValues(d.c.Pool).Set(0)
+	// Before Ended, which may wait for a caller that waits for room in the queue of events.
+	defer d.cancel()
 	d.spawn(d.sendHeartbeats)
 	began := timer.SinceBoot()
 	l := d.loadWorkers()
--- a/decide/panic_test.go
+++ b/decide/panic_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -41,3 +42,45 @@
 		t.Error("the decider goes on after a panic")
 	}
 }
+
+// TestPanicWithFullQueue guards against a host that stands still for good after a panic: it passes
+// changes on under a lock that the end of the decider takes, and the queue of events is full.
+func TestPanicWithFullQueue(t *testing.T) {
+	var poolMu sync.Mutex
+	full, ended := make(chan struct{}), make(chan struct{})
+	m := rows.New()
+	owners, self := repo.NewOwners(m), repo.Owner{Host: "h", Epoch: 1}
+	o, err := owners.Acquire(t.Context(), "p", self, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := Start(t.Context(), Config{
+		Pool: "p", Owner: self, Ownership: o, Store: m, Owners: owners,
+		Clock: watch.NewClock(timer.SinceBoot), Stalls: stall.New(timer.SinceBoot), Meter: meter.NewHost(func() int64 { return 0 }), Log: zerolog.Nop(),
+		Guard: guard.New(zerolog.Nop(), func(string) {}),
+		Rules: func() *work.Rules {
+			<-full
+			panic("unexpected configuration")
+		},
+		Ended: func(*Decider) {
+			poolMu.Lock()
+			defer poolMu.Unlock()
+			close(ended)
+		},
+	})
+	go func() {
+		poolMu.Lock()
+		defer poolMu.Unlock()
+		for range eventQueueSize {
+			d.RulesChanged(nil)
+		}
+		close(full)
+		d.RulesChanged(nil)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the decider hasn't ended")
+	}
+	d.wg.Wait()
+}
