node: Don't keep a decider that has ended before its pool is recorded

A decider may end, by a panic or as another host takes the pool, between its start and the moment at which the host records that it owns the pool. The report of the end found no decider then, and the host recorded one that had ended: it took part in no further election of this pool until its own restart. On a single host, or once this has happened on all, the pool stood still for good.

The host records only a decider that runs. TestDeciderThatEndsAtOnce failed before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -164,6 +164,9 @@
 // Pool returns the pool's name.
 func (d *Decider) Pool() string { return d.c.Pool }
 
+// Running reports whether the decider goes on. It is false before Config.Ended is called.
+func (d *Decider) Running() bool { return d.ctx.Err() == nil }
+
 // newWriter returns a Writer whose transactions are all subject to a condition.
 func (d *Decider) newWriter(c repo.Condition) *repo.Writer {
 	return repo.NewWriter(repo.WriterConfig{
--- a/node/election.go
+++ b/node/election.go
@@ -208,6 +208,10 @@
 		return true
 	case h.leaving.Load():
 		return false
+	case !d.Running():
+		// deciderEnded may have been called already.
+		c.retryAt = timer.SinceBoot() + repo.HeartbeatTimeout
+		return true
 	}
 	c.decider = d
 	// Changes that came while the pool was being acquired reached no decider.
--- a/node/election_test.go
+++ b/node/election_test.go
@@ -58,6 +58,22 @@
 	}
 }
 
+// TestDeciderThatEndsAtOnce guards against a host that takes a pool for its own for good and never
+// acquires it again: the decider has ended before the acquisition is recorded.
+func TestDeciderThatEndsAtOnce(t *testing.T) {
+	h, _ := newHost(t)
+	c := &candidate{pool: "pool", acquiring: true}
+	h.pools["pool"] = c
+	d, ownerRead := h.acquire(t.Context(), c, takeoverReason{unresponsive: true}, 0)
+	if d == nil {
+		t.Fatal("the pool wasn't acquired")
+	}
+	d.Stop(t.Context())
+	if !h.finishAcquire(c, d, ownerRead) || c.decider != nil || c.acquiring {
+		t.Errorf("the host keeps a decider that has ended: %v, acquiring %v", c.decider != nil, c.acquiring)
+	}
+}
+
 // TestAcquireFromNewOwner guards against a takeover from an owner that has only
 // just acquired the pool: the missing heartbeats are those of the owner before it.
 // Once the new owner's own heartbeats are missing the pool may be acquired.
