node, decide, pulse: Log who owns a pool, and what a takeover waits for

The logs of an incident didn't say who owned a pool at a time, unless those of the very owners were there, nor what a successor waited for.

Every host logs each change of owner and each release that the heartbeats show, with the epochs, the owners and the time without heartbeats. `pool taken` says for how long the heartbeats had been missing.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -114,6 +114,8 @@
 	// partitions, which are keyed by name.
 	writer     *repo.Writer
 	partitions map[string]*partition
+	// takeover logs how far the takeover of the pool has come.
+	takeover takeover
 	// waves carries out the actions of maintenance waves.
 	waves *waves.Runner
 
@@ -147,6 +149,7 @@
 		provedAt: timer.SinceBoot(), listed: map[string]bool{}, rejected: map[string]string{},
 	}
 	d.ctx, d.cancel = context.WithCancel(ctx)
+	d.takeover.began, d.takeover.log = timer.SinceBoot(), d.log
 	d.writer = d.newWriter(c.Ownership.Owner)
 	d.waves = waves.New(waves.Config{
 		Host: c.Owner.Host, Store: c.Store, Owner: c.Ownership.Owner, Machines: c.Machines, Now: func() time.Duration { return d.clock().Steady },
@@ -269,7 +272,6 @@
 	// Before Ended, which may wait for a caller that waits for room in the queue of events.
 	defer d.cancel()
 	d.spawn(d.sendHeartbeats)
-	began := timer.SinceBoot()
 	l := d.loadWorkers()
 	if l == nil {
 		return
@@ -296,8 +298,8 @@
 	d.spawn(d.sweep)
 	d.followTables(l)
 	d.perform(pending)
-	d.log.Info().Int("events", len(l.events)).Dur("took", timer.SinceBoot()-began).Msg("workers of the pool are loaded; decider is running")
-	d.c.Meter.Takeover.Observe((timer.SinceBoot() - began).Seconds())
+	d.log.Info().Int("events", len(l.events)).Dur("took", timer.SinceBoot()-d.takeover.began).Msg("workers of the pool are loaded; decider is running")
+	d.c.Meter.Takeover.Observe((timer.SinceBoot() - d.takeover.began).Seconds())
 	d.loop()
 }
 
@@ -348,6 +350,7 @@
 		effects, next := d.state.Flush(n)
 		t.Reset(max(next-n.Steady, time.Millisecond))
 		d.perform(append(pending, effects...))
+		d.takeover.logProgress(d.state)
 		d.countWaiting()
 	}
 }
@@ -370,6 +373,7 @@
 	for _, e := range l {
 		switch e := e.(type) {
 		case event.Start:
+			d.takeover.startOrdered(e.Worker)
 			d.call("start", decided, func() (event.Event, event.Outcome) { return d.sendStart(e, decided) })
 		case event.Stop:
 			d.call("stop", decided, func() (event.Event, event.Outcome) { a := d.c.Workers.Stop(d.ctx, e); return a, a.Outcome })
--- a/decide/partition.go
+++ b/decide/partition.go
@@ -9,6 +9,7 @@
 
 	"citronbridge/event"
 	"citronbridge/repo"
+	"citronbridge/timer"
 	"citronbridge/work"
 )
 
@@ -40,6 +41,7 @@
 // run fences the partition, reads its jobs, retrying until that succeeds, and
 // then writes its rows until the decider ends.
 func (s *partition) run() {
+	began := timer.SinceBoot()
 	for s.d.ctx.Err() == nil {
 		c, mine, err := s.d.c.Owners.Fence(s.d.ctx, s.d.c.Pool, s.name, s.d.c.Owner.Epoch)
 		switch {
@@ -52,8 +54,10 @@
 			if s.writer == nil {
 				s.writer = s.d.newWriter(c)
 			}
-			err = s.readJobs(s.d.ctx)
+			var jobs int
+			jobs, err = s.readJobs(s.d.ctx)
 			if err == nil {
+				s.d.log.Info().Str("part", s.name).Int("jobs", jobs).Dur("took", timer.SinceBoot()-began).Msg("jobs of the partition are loaded")
 				s.writer.Run(s.d.ctx)
 				return
 			}
@@ -64,8 +68,9 @@
 }
 
 // readJobs reads the partition's jobs. It is called once the partition is fenced,
-// as no other decider can change a record from then on.
-func (s *partition) readJobs(ctx context.Context) error {
+// as no other decider can change a record from then on. It returns the number of jobs, those of
+// other pools included.
+func (s *partition) readJobs(ctx context.Context) (int, error) {
 	var pages [3]repo.Page
 	g, ctx := errgroup.WithContext(ctx)
 	for i, t := range []string{repo.TableCancels, repo.TableJobs, repo.TableRecords} {
@@ -76,7 +81,7 @@
 		})
 	}
 	if err := g.Wait(); err != nil {
-		return err
+		return 0, err
 	}
 	records := map[string]repo.Row{}
 	for _, r := range pages[2].Rows {
@@ -97,7 +102,7 @@
 	}
 	s.buffered = nil
 	s.d.enqueue(event.PartitionLoaded{Partition: s.name})
-	return nil
+	return len(pages[1].Rows), nil
 }
 
 // saveRecord makes a job's record durable. If the record is final, the job's own
--- a/node/election.go
+++ b/node/election.go
@@ -13,6 +13,7 @@
 	"citronbridge/platform"
 	"citronbridge/platform/advise"
 	"citronbridge/platform/cloud"
+	"citronbridge/pulse"
 	"citronbridge/repo"
 	"citronbridge/timer"
 	"citronbridge/work"
@@ -83,6 +84,15 @@
 	f.Run(ctx, 0)
 }
 
+// logOwnerChange logs that the heartbeats show another owner of a pool, or its release.
+func (h *Host) logOwnerChange(c pulse.OwnerChange) {
+	text := "heartbeats show another owner of the pool"
+	if c.Released {
+		text = "heartbeats show that the pool is released"
+	}
+	h.log.Info().Str("pool", c.Pool).Int64("epoch", c.Epoch).Str("owner", c.Owner).Int64("formerEpoch", c.FormerEpoch).Str("former", c.FormerOwner).Dur("silent", c.Silent).Msg(text)
+}
+
 // heartbeatPause returns how long this host pauses between two calls of the heartbeat feed.
 // Of many hosts, only some, chosen by a hash of their names, receive heartbeats without delay.
 func (h *Host) heartbeatPause() time.Duration {
@@ -242,13 +252,14 @@
 	}
 	// Read this before Acquire, which replaces the former decider's heartbeat by one of this host.
 	stopped := o.Host == h.current().Host || h.heartbeats.Released(pool, o.Epoch)
+	silentFor, _ := h.heartbeats.UnresponsiveFor(pool)
 	me := repo.Owner{Epoch: o.Epoch + 1, Host: h.current().Host, Boot: h.boot}
 	ownership, err := h.owners.Acquire(callCtx, pool, me, version)
 	if ownership == nil {
 		h.log.Info().AnErr("cause", err).Str("pool", pool).Msg("pool not acquired; another host was first or the store failed")
 		return nil, true
 	}
-	h.log.Info().Str("pool", pool).Int64("epoch", me.Epoch).Str("former", o.Host).Bool("silent", v.unresponsive).Bool("weak", v.weaker).Bool("gone", stopped).Msg("pool taken")
+	h.log.Info().Str("pool", pool).Int64("epoch", me.Epoch).Str("former", o.Host).Bool("silent", v.unresponsive).Dur("silentFor", silentFor).Bool("weak", v.weaker).Bool("gone", stopped).Msg("pool taken")
 	return decide.Start(ctx, decide.Config{
 		Machines: cloud.New(func() string { return h.current().Cloud.Address }),
 		Pool:     pool, Owner: me, Ownership: ownership, PredecessorStopped: stopped, Store: h.store, Clock: h.clock, Owners: h.owners, Workers: h.workers, Advisor: advise.New(func() string { return h.current().Advice }), Rules: h.gate.Rules, Bounds: h.current().Bounds, Cores: h.current().UsableCores(), Capacity: h.current().Capacity(), Stalls: h.stalls,
--- a/node/node.go
+++ b/node/node.go
@@ -123,6 +123,7 @@
 	h.repo = repo.New(h.store, h.health)
 	h.owners = repo.NewOwners(h.store)
 	h.heartbeats = pulse.New(timer.SinceBoot, h.heartbeatPause)
+	h.heartbeats.OnOwnerChange = h.logOwnerChange
 	h.meter.RegisterConfigAge(func() float64 { return h.gate.Age().Seconds() })
 	if h.front, err = net.Listen("tcp", s.Listen.Front); err != nil {
 		return nil, fmt.Errorf("listen for clients: %w", err)
--- a/pulse/pulse.go
+++ b/pulse/pulse.go
@@ -12,8 +12,24 @@
 // maxCountAge is the platform's limit for the age of a reported count of waiting jobs.
 const maxCountAge = 2 * time.Second
 
+// OwnerChange is a change of a pool's ownership that a heartbeat has shown.
+type OwnerChange struct {
+	Pool string
+	// Epoch and Owner are those of the heartbeat, FormerEpoch and FormerOwner those of the one
+	// before it, zero if it was the first.
+	Epoch, FormerEpoch int64
+	Owner, FormerOwner string
+	// Released means that the owner has released the pool.
+	Released bool
+	// Silent is how long no heartbeat of the pool had come before, 0 if it was the first.
+	Silent time.Duration
+}
+
 // Tracker holds the last heartbeat of each pool's decider.
 type Tracker struct {
+	// OnOwnerChange, if set before the first Record, is called with each change of ownership.
+	OnOwnerChange func(OwnerChange)
+
 	mu    sync.Mutex
 	pools map[string]heartbeat
 	// lastAnswer is when the store last answered, answeringSince the start of the
@@ -50,9 +66,21 @@
 // deciders and repeated ones, skips rows that can't be decoded, and returns the error of
 // the last of these.
 func (b *Tracker) Record(rows []repo.Row) error {
+	changes, err := b.record(rows)
+	if b.OnOwnerChange != nil {
+		for _, c := range changes {
+			b.OnOwnerChange(c)
+		}
+	}
+	return err
+}
+
+// record is Record, but returns the changes of ownership.
+func (b *Tracker) record(rows []repo.Row) ([]OwnerChange, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var lastErr error
+	var changes []OwnerChange
 	for _, r := range rows {
 		if r.Deleted {
 			continue
@@ -72,9 +100,16 @@
 				l.waiting, l.countedAt = o.waiting, o.countedAt
 			}
 			b.pools[r.Key] = l
+			if v.Epoch != o.Epoch || v.Host != o.Host || v.Left != o.Left {
+				c := OwnerChange{Pool: r.Key, Epoch: v.Epoch, Owner: v.Host, Released: v.Left, FormerEpoch: o.Epoch, FormerOwner: o.Host}
+				if o.received > 0 {
+					c.Silent = now - o.received
+				}
+				changes = append(changes, c)
+			}
 		}
 	}
-	return lastErr
+	return changes, lastErr
 }
 
 // RecordAnswer records that the store has answered just now. The argument, which makes it a
--- a/pulse/pulse_test.go
+++ b/pulse/pulse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"testing"
 	"time"
 
@@ -171,3 +172,27 @@
 		}
 	}
 }
+
+// TestOwnerChange checks that changes of the owner and releases are reported once, with the time
+// without heartbeats, and plain heartbeats aren't.
+func TestOwnerChange(t *testing.T) {
+	b, now := newTestTracker()
+	var got []OwnerChange
+	b.OnOwnerChange = func(c OwnerChange) { got = append(got, c) }
+	for _, v := range []repo.Heartbeat{
+		{Epoch: 3, Host: "a", N: 1}, {Epoch: 3, Host: "a", N: 2}, {Epoch: 3, Host: "a", N: -1, Left: true}, {Epoch: 3, Host: "a", N: -1, Left: true},
+		{Epoch: 4, Host: "b"}, {Epoch: 4, Host: "b", N: 1}, {Epoch: 3, Host: "a", N: 7}, {Epoch: 5, Host: "b"},
+	} {
+		record(t, b, v)
+		*now += time.Second
+	}
+	want := []OwnerChange{
+		{Pool: "p", Epoch: 3, Owner: "a"},
+		{Pool: "p", Epoch: 3, Owner: "a", FormerEpoch: 3, FormerOwner: "a", Released: true, Silent: time.Second},
+		{Pool: "p", Epoch: 4, Owner: "b", FormerEpoch: 3, FormerOwner: "a", Silent: 2 * time.Second},
+		{Pool: "p", Epoch: 5, Owner: "b", FormerEpoch: 4, FormerOwner: "b", Silent: 2 * time.Second},
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("reported changes are\n%+v, want\n%+v", got, want)
+	}
+}
