node: Find out whether an acquisition without an answer took effect

An attempt to acquire a pool whose answer was lost may have been carried out. The store has an owner and a fresh heartbeat then, but no decider runs, and every host, this one included, waited for the heartbeat timeout, their delays and the inherited leases before the next attempt. While the store takes over a second for a call, reading the owner and acquiring the pool don't fit into the time limit of an attempt, so that the next attempt ended the same way.

The host remembers such an attempt, reads the owner again after the usual pause, and starts the decider if the row is that of the attempt. TestAcquireWithoutAnswer failed before.

--- a/node/election.go
+++ b/node/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -53,7 +54,16 @@
 	retryAt   time.Duration // the earliest time of the next attempt
 	// ownerRead means that the owner row was read, unowned that the pool had none (see setUnowned).
 	ownerRead, unowned bool
-	decider            *decide.Decider // nil unless this host owns the pool
+	// unconfirmed is the attempt to acquire the pool whose outcome isn't known.
+	unconfirmed attempt
+	decider     *decide.Decider // nil unless this host owns the pool
+}
+
+// attempt is an attempt to acquire a pool. The zero value is none.
+type attempt struct {
+	owner repo.Owner
+	// predecessorStopped is for decide.Config.
+	predecessorStopped bool
 }
 
 // notifyRules passes a configuration to the pool's decider, if it runs here.
@@ -170,7 +180,7 @@
 		stagger := time.Duration(xxhash.Sum64String(h.current().Host+"/"+name) % uint64(maxStagger))
 		wait += delay + stagger
 		handover := delay == 0 && h.heartbeats.WeakerFor(name, minFitShare*h.current().Capacity()) >= handoverDelay+stagger
-		if c.ownerRead && unresponsiveFor < wait && !handover {
+		if c.ownerRead && c.unconfirmed == (attempt{}) && unresponsiveFor < wait && !handover {
 			continue
 		}
 		c.acquiring = true
@@ -198,6 +208,15 @@
 	}
 }
 
+// swapUnconfirmed replaces the attempt whose outcome isn't known, and returns the former one.
+func (h *Host) swapUnconfirmed(c *candidate, a attempt) attempt {
+	h.poolMu.Lock()
+	defer h.poolMu.Unlock()
+	former := c.unconfirmed
+	c.unconfirmed = a
+	return former
+}
+
 // setUnowned records whether a pool has never had an owner.
 func (h *Host) setUnowned(c *candidate, unowned bool) {
 	h.poolMu.Lock()
@@ -244,6 +263,11 @@
 		h.log.Warn().Err(err).Str("pool", pool).Msg("owner of the pool not read; retrying")
 		return nil, false
 	}
+	if a := h.swapUnconfirmed(c, attempt{}); a != (attempt{}) && o == a.owner {
+		// Until its decider runs, all hosts take the heartbeat that it wrote for one of an owner.
+		h.log.Info().Str("pool", pool).Int64("epoch", o.Epoch).Msg("pool taken by an attempt whose answer was lost")
+		return h.startDecider(ctx, pool, a, h.owners.Confirm(pool, version)), true
+	}
 	if o.Host != h.current().Host && (v == takeoverReason{} || o.Epoch > epoch) {
 		// There is no reason for a takeover, or another host has just acquired
 		// the pool and its first heartbeat hasn't been received yet.
@@ -255,16 +279,25 @@
 	silentFor, _ := h.heartbeats.UnresponsiveFor(pool)
 	me := repo.Owner{Epoch: o.Epoch + 1, Host: h.current().Host, Boot: h.boot}
 	ownership, err := h.owners.Acquire(callCtx, pool, me, version)
+	a := attempt{me, stopped}
 	if ownership == nil {
+		if err != nil && !errors.Is(err, repo.ErrNotDone) {
+			h.swapUnconfirmed(c, a)
+		}
 		h.log.Info().AnErr("cause", err).Str("pool", pool).Msg("pool not acquired; another host was first or the store failed")
 		return nil, true
 	}
 	h.log.Info().Str("pool", pool).Int64("epoch", me.Epoch).Str("former", o.Host).Bool("silent", v.unresponsive).Dur("silentFor", silentFor).Bool("weak", v.weaker).Bool("gone", stopped).Msg("pool taken")
+	return h.startDecider(ctx, pool, a, ownership), true
+}
+
+// startDecider starts the decider of a pool that an attempt has acquired.
+func (h *Host) startDecider(ctx context.Context, pool string, a attempt, o *repo.Ownership) *decide.Decider {
 	return decide.Start(ctx, decide.Config{
 		Machines: cloud.New(func() string { return h.current().Cloud.Address }),
-		Pool:     pool, Owner: me, Ownership: ownership, PredecessorStopped: stopped, Store: h.store, Clock: h.clock, Owners: h.owners, Workers: h.workers, Advisor: advise.New(func() string { return h.current().Advice }), Rules: h.gate.Rules, Bounds: h.current().Bounds, Cores: h.current().UsableCores(), Capacity: h.current().Capacity(), Stalls: h.stalls,
+		Pool:     pool, Owner: a.owner, Ownership: o, PredecessorStopped: a.predecessorStopped, Store: h.store, Clock: h.clock, Owners: h.owners, Workers: h.workers, Advisor: advise.New(func() string { return h.current().Advice }), Rules: h.gate.Rules, Bounds: h.current().Bounds, Cores: h.current().UsableCores(), Capacity: h.current().Capacity(), Stalls: h.stalls,
 		Meter: h.meter, Log: h.log, Guard: h.guard, Ended: h.deciderEnded,
-	}), true
+	})
 }
 
 // deciderEnded removes an ended decider. The pool may be acquired again after a heartbeat timeout.
--- a/node/election_test.go
+++ b/node/election_test.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"context"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -74,6 +76,63 @@
 	}
 }
 
+// muteStore is a store whose answers to changes are lost, and that isn't there for a while then.
+type muteStore struct {
+	repo.Store
+	mute, away bool
+}
+
+// Apply implements repo.Store.
+func (s *muteStore) Apply(ctx context.Context, c repo.Change) (repo.Result, error) {
+	r, err := s.Store.Apply(ctx, c)
+	if s.mute {
+		s.away = true
+		return repo.Result{}, context.DeadlineExceeded
+	}
+	return r, err
+}
+
+// List implements repo.Store.
+func (s *muteStore) List(ctx context.Context, table, part, from string, limit int) (repo.Page, error) {
+	if s.away {
+		return repo.Page{}, context.DeadlineExceeded
+	}
+	return s.Store.List(ctx, table, part, from, limit)
+}
+
+// TestAcquireWithoutAnswer guards against a pool that all hosts take for owned though no decider
+// runs: the store has carried an acquisition out, but its answer was lost.
+func TestAcquireWithoutAnswer(t *testing.T) {
+	h, p := newHost(t)
+	m := &muteStore{Store: h.store, mute: true}
+	h.owners = repo.NewOwners(m)
+	c := &candidate{pool: "pool", acquiring: true}
+	h.pools["pool"] = c
+	h.tryAcquire(t.Context(), c, takeoverReason{unresponsive: true}, 0)
+	if c.decider != nil {
+		t.Fatal("the pool was acquired without an answer")
+	}
+	m.mute, m.away = false, false
+	h.heartbeats.RecordAnswer(0)
+	if err := h.heartbeats.Record([]repo.Row{{Key: "pool", Value: p.Store.Value("heartbeats", "", "pool")}}); err != nil || h.heartbeats.Epoch("pool") != 1 {
+		t.Fatal(err, h.heartbeats.Epoch("pool"))
+	}
+	c.retryAt = 0
+	var wg sync.WaitGroup
+	h.elect(t.Context(), &wg)
+	wg.Wait()
+	if c.decider == nil {
+		t.Fatal("the host doesn't find out that its attempt has acquired the pool")
+	}
+	c.decider.Stop(t.Context())
+	if o, _, err := h.owners.Read(t.Context(), "pool"); err != nil || o.Epoch != 1 {
+		t.Errorf("owner is %+v (error %v), want that of the first attempt", o, err)
+	}
+	if b, err := repo.DecodeHeartbeat(p.Store.Value("heartbeats", "", "pool")); err != nil || !b.Left {
+		t.Errorf("the last heartbeat is %+v (error %v), want Left to be set", b, err)
+	}
+}
+
 // TestAcquireFromNewOwner guards against a takeover from an owner that has only
 // just acquired the pool: the missing heartbeats are those of the owner before it.
 // Once the new owner's own heartbeats are missing the pool may be acquired.
