stall: Let calls time out although the regular ticks don't come

The time since the last tick counts as a stall of the process, so a time-out was put off again and again, for good, if ticks stopped while the process ran on. Nothing is known to stop them.

A time-out that comes due ticks itself, as it shows that the process runs. In TestTimeoutWithoutTicks a call of 0.4 s hadn't timed out after a minute before, and does within 1 s.

--- a/stall/stall.go
+++ b/stall/stall.go
@@ -46,6 +46,8 @@
 	t = time.AfterFunc(timeout, func() {
 		mu.Lock()
 		defer mu.Unlock()
+		// The process runs, whether or not the regular ticks come.
+		m.Tick()
 		if left := timeout + m.StalledSince(began) - (m.now() - began); left > 0 {
 			t.Reset(left)
 			return
@@ -61,8 +63,8 @@
 // New returns a Monitor. now returns a monotonic time.
 func New(now func() time.Duration) *Monitor { return &Monitor{now: now, lastTick: now()} }
 
-// Tick records that the process is running. It has to be called every Period; the time by
-// which a call is late counts as a stall.
+// Tick records that the process is running. It has to be called at least every Period; the time
+// by which a call is late counts as a stall.
 func (m *Monitor) Tick() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/stall/stall_test.go
+++ b/stall/stall_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -79,3 +80,22 @@
 	defer cancelPlain()
 	<-plainCtx.Done()
 }
+
+// TestTimeoutWithoutTicks guards against calls that never time out, because the process runs but
+// nothing ticks.
+func TestTimeoutWithoutTicks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		m := New(func() time.Duration { return time.Since(began) })
+		ctx, cancel := m.WithTimeout(t.Context(), 4*Period)
+		defer cancel()
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Minute):
+			t.Fatal("the call hasn't timed out after a minute")
+		}
+		if took := time.Since(began); took > 10*Period {
+			t.Errorf("a call of %v timed out after %v", 4*Period, took)
+		}
+	})
+}
