native: Check that a successor logs what it waits for

TestSuccessorAfterPlannedStop also waits for the lines that say when all partitions are loaded and all workers may get tasks, so that they can't go unnoticed; no check was taken out.

--- a/native/lifecycle_test.go
+++ b/native/lifecycle_test.go
@@ -235,6 +235,9 @@
 		if !successor.hasLogged(`"gone":true`) {
 			t.Errorf("%s didn't learn that its predecessor had left the pool", successor.name)
 		}
+		for _, text := range []string{"heartbeats show that the pool is released", "heartbeats show another owner of the pool", "takeover: all partitions are loaded", "takeover: all listed workers may get tasks"} {
+			d.await("the successor logs: "+text, func() bool { return successor.hasLogged(text) })
+		}
 	}
 }
 
