--- a/decide/decide.go
+++ b/decide/decide.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -113,11 +114,15 @@
 	// partitions, which are keyed by name.
 	writer     *repo.Writer
 	partitions map[string]*partition
+	// takeover logs how far the takeover of the pool has come.
+	takeover takeover
 	// waves carries out the actions of maintenance waves.
 	waves *waves.Runner
 
 	// ownershipMu serializes heartbeats, each of which changes c.Ownership.
 	ownershipMu sync.Mutex
+	// proofQueued means that a requested proof of ownership waits for ownershipMu.
+	proofQueued atomic.Bool
 
 	// mu guards provedAt, heartbeatSeq, waitingJobs and c.Bounds.
 	mu sync.Mutex
@@ -144,6 +149,7 @@
 		provedAt: timer.SinceBoot(), listed: map[string]bool{}, rejected: map[string]string{},
 	}
 	d.ctx, d.cancel = context.WithCancel(ctx)
+	d.takeover.began, d.takeover.log = timer.SinceBoot(), d.log
 	d.writer = d.newWriter(c.Ownership.Owner)
 	d.waves = waves.New(waves.Config{
 		Host: c.Owner.Host, Store: c.Store, Owner: c.Ownership.Owner, Machines: c.Machines, Now: func() time.Duration { return d.clock().Steady },
@@ -161,6 +167,9 @@
 // Pool returns the pool's name.
 func (d *Decider) Pool() string { return d.c.Pool }
 
+// Running reports whether the decider goes on. It is false before Config.Ended is called.
+func (d *Decider) Running() bool { return d.ctx.Err() == nil }
+
 // newWriter returns a Writer whose transactions are all subject to a condition.
 func (d *Decider) newWriter(c repo.Condition) *repo.Writer {
 	return repo.NewWriter(repo.WriterConfig{
@@ -260,8 +269,9 @@
 func (d *Decider) run() {
 	defer d.c.Ended(d)
 	defer d.c.Meter.PoolEpoch.WithLabelValues(d.c.Pool).Set(0)
+	// Before Ended, which may wait for a caller that waits for room in the queue of events.
+	defer d.cancel()
 	d.spawn(d.sendHeartbeats)
-	began := timer.SinceBoot()
 	l := d.loadWorkers()
 	if l == nil {
 		return
@@ -288,8 +298,8 @@
 	d.spawn(d.sweep)
 	d.followTables(l)
 	d.perform(pending)
-	d.log.Info().Int("events", len(l.events)).Dur("took", timer.SinceBoot()-began).Msg("workers of the pool are loaded; decider is running")
-	d.c.Meter.Takeover.Observe((timer.SinceBoot() - began).Seconds())
+	d.log.Info().Int("events", len(l.events)).Dur("took", timer.SinceBoot()-d.takeover.began).Msg("workers of the pool are loaded; decider is running")
+	d.c.Meter.Takeover.Observe((timer.SinceBoot() - d.takeover.began).Seconds())
 	d.loop()
 }
 
@@ -340,6 +350,7 @@
 		effects, next := d.state.Flush(n)
 		t.Reset(max(next-n.Steady, time.Millisecond))
 		d.perform(append(pending, effects...))
+		d.takeover.logProgress(d.state)
 		d.countWaiting()
 	}
 }
@@ -362,6 +373,7 @@
 	for _, e := range l {
 		switch e := e.(type) {
 		case event.Start:
+			d.takeover.startOrdered(e.Worker)
 			d.call("start", decided, func() (event.Event, event.Outcome) { return d.sendStart(e, decided) })
 		case event.Stop:
 			d.call("stop", decided, func() (event.Event, event.Outcome) { a := d.c.Workers.Stop(d.ctx, e); return a, a.Outcome })
@@ -378,11 +390,9 @@
 		case event.ForgetWorker:
 			d.writer.Put(repo.TableWorkers, repo.WorkerKey(d.c.Pool, e.ID), nil, nil)
 		case event.ProveOwnership:
-			d.spawn(func() {
-				if sent := d.clock().Steady; d.proveOwnership() {
-					d.enqueue(event.OwnershipProved{At: sent})
-				}
-			})
+			if d.proofQueued.CompareAndSwap(false, true) {
+				d.spawn(d.answerProofRequest)
+			}
 		case event.RunEnded:
 			d.c.Meter.RunEnds.WithLabelValues(string(e.Reason)).Inc()
 		case event.JobStarted:
@@ -496,11 +506,34 @@
 	}
 }
 
-// proveOwnership writes the pool's heartbeat, which also carries the counts of waiting jobs that
-// other hosts show to clients. It returns whether the write proves that the pool is still owned.
-func (d *Decider) proveOwnership() bool {
+// answerProofRequest proves the ownership for the state machine. The call is sent after all
+// requests that came while it waited for its turn, so it answers them too.
+func (d *Decider) answerProofRequest() {
+	if sent, proved := d.proveInTurn(); proved {
+		d.enqueue(event.OwnershipProved{At: sent})
+	}
+}
+
+// proveInTurn is proveOwnership for a queued request. It also returns when the call was sent.
+func (d *Decider) proveInTurn() (time.Duration, bool) {
+	d.ownershipMu.Lock()
+	defer d.ownershipMu.Unlock()
+	d.proofQueued.Store(false)
+	sent := d.clock().Steady
+	return sent, d.writeHeartbeat()
+}
+
+// proveOwnership writes the pool's heartbeat once those before it are written.
+func (d *Decider) proveOwnership() {
 	d.ownershipMu.Lock()
 	defer d.ownershipMu.Unlock()
+	d.writeHeartbeat()
+}
+
+// writeHeartbeat writes the pool's heartbeat, which also carries the counts of waiting jobs that
+// other hosts show to clients. It returns whether the write proves that the pool is still owned.
+// The caller holds ownershipMu.
+func (d *Decider) writeHeartbeat() bool {
 	d.mu.Lock()
 	d.heartbeatSeq++
 	b := repo.Heartbeat{Epoch: d.c.Owner.Epoch, Host: d.c.Owner.Host, N: d.heartbeatSeq, Waiting: d.waitingJobs, Capacity: d.c.Capacity}
--- a/decide/partition.go
+++ b/decide/partition.go
@@ -9,6 +9,7 @@
 
 	"citronbridge/event"
 	"citronbridge/repo"
+	"citronbridge/timer"
 	"citronbridge/work"
 )
 
@@ -20,21 +21,27 @@
 	// writer is set before the first job of the partition is handled.
 	writer *repo.Writer
 
+	// mu guards loaded, listVersion and buffered. It is held while events are enqueued, so the
+	// goroutine that takes them from the queue must not lock it.
 	mu     sync.Mutex
 	loaded bool
 	// listVersion is the store version of the list of jobs. Rows of the feed
 	// that aren't newer were in the list.
 	listVersion int64
+	// buffered are rows that the feed reported before the partition was loaded.
+	buffered []repo.Row
+
+	// endedMu guards endedAt. Nothing that may block is done under it.
+	endedMu sync.Mutex
 	// endedAt holds the times at which the jobs with final records ended, in
 	// Unix milliseconds, by job ID.
 	endedAt map[string]int64
-	// buffered are rows that the feed reported before the partition was loaded.
-	buffered []repo.Row
 }
 
 // run fences the partition, reads its jobs, retrying until that succeeds, and
 // then writes its rows until the decider ends.
 func (s *partition) run() {
+	began := timer.SinceBoot()
 	for s.d.ctx.Err() == nil {
 		c, mine, err := s.d.c.Owners.Fence(s.d.ctx, s.d.c.Pool, s.name, s.d.c.Owner.Epoch)
 		switch {
@@ -47,8 +54,10 @@
 			if s.writer == nil {
 				s.writer = s.d.newWriter(c)
 			}
-			err = s.readJobs(s.d.ctx)
+			var jobs int
+			jobs, err = s.readJobs(s.d.ctx)
 			if err == nil {
+				s.d.log.Info().Str("part", s.name).Int("jobs", jobs).Dur("took", timer.SinceBoot()-began).Msg("jobs of the partition are loaded")
 				s.writer.Run(s.d.ctx)
 				return
 			}
@@ -59,8 +68,9 @@
 }
 
 // readJobs reads the partition's jobs. It is called once the partition is fenced,
-// as no other decider can change a record from then on.
-func (s *partition) readJobs(ctx context.Context) error {
+// as no other decider can change a record from then on. It returns the number of jobs, those of
+// other pools included.
+func (s *partition) readJobs(ctx context.Context) (int, error) {
 	var pages [3]repo.Page
 	g, ctx := errgroup.WithContext(ctx)
 	for i, t := range []string{repo.TableCancels, repo.TableJobs, repo.TableRecords} {
@@ -71,7 +81,7 @@
 		})
 	}
 	if err := g.Wait(); err != nil {
-		return err
+		return 0, err
 	}
 	records := map[string]repo.Row{}
 	for _, r := range pages[2].Rows {
@@ -92,7 +102,7 @@
 	}
 	s.buffered = nil
 	s.d.enqueue(event.PartitionLoaded{Partition: s.name})
-	return nil
+	return len(pages[1].Rows), nil
 }
 
 // saveRecord makes a job's record durable. If the record is final, the job's own
@@ -105,9 +115,14 @@
 		return
 	}
 	s.writer.Put(repo.TableRecords, id, e.Record, done, repo.TableJobs)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.endedAt[id] = time.Now().UnixMilli()
+	s.setEnded(id, time.Now().UnixMilli())
+}
+
+// setEnded remembers when a job ended, in Unix milliseconds.
+func (s *partition) setEnded(id string, at int64) {
+	s.endedMu.Lock()
+	defer s.endedMu.Unlock()
+	s.endedAt[id] = at
 }
 
 // trackEnded remembers when the job of a final record ended, so that sweep
@@ -122,9 +137,7 @@
 		return
 	}
 	s.writer.RecordVersion(repo.TableRecords, r.Key, r.Version)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.endedAt[r.Key] = rec.Ended
+	s.setEnded(r.Key, rec.Ended)
 }
 
 // jobCanceled handles a job's cancellation. A job that was never stored is only remembered for
@@ -138,9 +151,9 @@
 		s.d.enqueue(event.JobCanceled{ID: r.Key})
 		return
 	}
+	s.setEnded(r.Key, c.Ended)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.endedAt[r.Key] = c.Ended
 	if s.loaded {
 		s.writer.RecordVersion(repo.TableRecords, r.Key, r.Version)
 	}
@@ -153,6 +166,8 @@
 	if !s.loaded {
 		return
 	}
+	s.endedMu.Lock()
+	defer s.endedMu.Unlock()
 	for id, at := range s.endedAt {
 		if at < endedBefore {
 			delete(s.endedAt, id)
