native: Check in the calm of soaks that no job stands still beside free room

Cause: the soak checked that all accepted jobs end, however long they waited. A job with nothing running beside free room was seen only if it never started.

Change: every 250 ms, a check compares the rows of jobs with the runs at the workers, and reports a job that has had nothing running for more than 3 s while its turn has come and there is room for a task, or its whole gang, twice. It looks once there has been no fault or change for 4 s. The clients of a soak go on submitting for 10 s after the last fault. They keep more than two connections to a host open, until the host closes them. The check fails if it has watched no job. Its own tests feed it histories, and a deployment whose workers refuse starts.

--- a/fakes/model/model.go
+++ b/fakes/model/model.go
@@ -100,6 +100,8 @@
 	Replaces string
 	// Unreachable makes calls to the worker get no answer. Its runs go on.
 	Unreachable bool
+	// RefusesStarts makes the worker refuse all starts for want of room.
+	RefusesStarts bool
 	// FailsAll makes all work that the worker completes fail instead.
 	FailsAll bool
 
@@ -313,7 +315,7 @@
 	if p.profile.Advised && !w.hasTicket(o) {
 		return "ticket"
 	}
-	if !w.Overcommits && !w.fits(p.profile) {
+	if w.RefusesStarts || !w.Overcommits && !w.fits(p.profile) {
 		w.extend(o.DeadlineMS)
 		return "room"
 	}
--- a/fakes/plat/store.go
+++ b/fakes/plat/store.go
@@ -115,6 +115,19 @@
 	return s.rows[rowID(table, part, key)].Value
 }
 
+// Values returns the values of a table's rows by key, from all partitions.
+func (s *Store) Values(table string) map[string][]byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := map[string][]byte{}
+	for _, r := range s.rows {
+		if r.Table == table {
+			m[r.Key] = r.Value
+		}
+	}
+	return m
+}
+
 // RowCount returns the number of rows of a table, in all partitions.
 func (s *Store) RowCount(table string) int {
 	s.mu.Lock()
--- a/native/harness_test.go
+++ b/native/harness_test.go
@@ -332,6 +332,9 @@
 	return r.StatusCode == http.StatusOK
 }
 
+// client keeps all connections open, as the users' clients do, until a host closes them.
+var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+
 // call sends a client's request and returns the status and the body of the answer. If
 // there is no answer, the status is 0 and the body is the error.
 func (h *hostProcess) call(method, path, k, body string) (int, string) {
@@ -351,7 +354,7 @@
 	if k != "" {
 		q.Header.Set("X-Credential", k)
 	}
-	r, err := http.DefaultClient.Do(q)
+	r, err := client.Do(q)
 	if err != nil {
 		return 0, err.Error()
 	}
--- a/native/soak_test.go
+++ b/native/soak_test.go
@@ -28,6 +28,10 @@
 	soakClients = 6
 )
 
+// soakCalm is for how long clients go on after the last fault of a soak: until jobs that they
+// submitted once it was calm could stand still.
+const soakCalm = calmTime + 2*maxStandstill
+
 var toxicCount atomic.Int64
 
 // callInput is a client's call on a job: the job's ID and the HTTP method.
@@ -217,9 +221,14 @@
 	}
 }
 
-// run sends calls until the given time.
-func (c *soakClient) run(until time.Time) {
-	for time.Now().Before(until) {
+// run sends calls until ended is closed.
+func (c *soakClient) run(ended <-chan struct{}) {
+	for {
+		select {
+		case <-ended:
+			return
+		default:
+		}
 		switch {
 		case len(c.accepted) == 0 || c.rng.IntN(3) == 0:
 			c.submit()
@@ -263,8 +272,11 @@
 	t.Logf("seed %d:\n%s", seed, strings.Join(text, "\n"))
 
 	w := d.monitorRunsAllowingLapses()
+	still := newStandstills(d, w, &s.disruptions)
+	stopWatch := still.watch()
 	h := &history{began: time.Now()}
 	var clients []*soakClient
+	ended := make(chan struct{})
 	var wg sync.WaitGroup
 	for n := range soakClients {
 		c := &soakClient{index: n, d: d, history: h, rng: rand.New(rand.NewPCG(seed, uint64(n))), rejected: map[string]bool{}, canceled: map[string]bool{}, withdrawn: map[string]bool{}}
@@ -272,10 +284,12 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			c.run(h.began.Add(soakFaultWindow + longestSoakFault))
+			c.run(ended)
 		}()
 	}
 	s.run(plan)
+	time.Sleep(soakCalm)
+	close(ended)
 	wg.Wait()
 	for _, x := range d.hosts {
 		d.awaitReady(x)
@@ -288,6 +302,8 @@
 			})
 		}
 	}
+	stopWatch()
+	still.check(t)
 	n, withdrawn := d.checkRuns(w), 0
 	d.platform.Lock(func(*model.Cluster) {
 		for _, c := range clients {
--- a/native/soakplan_test.go
+++ b/native/soakplan_test.go
@@ -156,9 +156,10 @@
 	links *links
 	// hostMu and linkMu serialize the faults of each host's process and the cuts of each
 	// link, as faults overlap.
-	hostMu []sync.Mutex
-	linkMu []sync.Mutex
-	wg     sync.WaitGroup
+	hostMu      []sync.Mutex
+	linkMu      []sync.Mutex
+	wg          sync.WaitGroup
+	disruptions disruptions
 }
 
 // run injects the faults of a plan and returns when all have ended.
@@ -188,6 +189,7 @@
 // inject injects a fault, waits for its duration and ends it. Faults of the same host's
 // process wait for each other, as do cuts of the same link.
 func (s *soak) inject(f fault) {
+	defer s.disruptions.begin()()
 	if f.host == deciderHost {
 		f.host = s.deciderIndex()
 	}
--- /dev/null
+++ b/native/standstill_test.go
@@ -0,0 +1,316 @@
+package native
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"citronbridge/fakes/model"
+	"citronbridge/repo"
+	"citronbridge/work"
+)
+
+// Bounds of LOST: a job whose turn has come may have nothing running beside room for it
+// twice for maxStandstill, once there has been no disruption for calmTime.
+const (
+	maxStandstill   = 3 * time.Second
+	calmTime        = 4 * time.Second
+	standstillPause = 250 * time.Millisecond
+)
+
+// disruptions tells how long there has been no disruption.
+type disruptions struct {
+	mu     sync.Mutex
+	active int
+	ended  time.Time
+}
+
+// begin notes the start of a disruption and returns a function that notes its end.
+func (u *disruptions) begin() (end func()) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.active++
+	return func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		u.active--
+		u.ended = time.Now()
+	}
+}
+
+// calm reports whether the calmTime before now was without disruption.
+func (u *disruptions) calm(now time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.active == 0 && now.Sub(u.ended) >= calmTime
+}
+
+// standstills checks, from the rows of the store and the runs at the workers, that no job
+// has nothing running for longer than maxStandstill while a task or a whole gang of it is
+// due and the workers have room for it twice. It knows of one pool.
+type standstills struct {
+	d           *deployment
+	runs        *runMonitor
+	disruptions *disruptions
+	// Fields below are guarded by the platform's lock. since is when a job was first seen
+	// without runs; a start deletes it, as it may end before the next look.
+	since map[string]time.Time
+	// watched are the open jobs seen in calm, waited those that had nothing running then.
+	watched, waited map[string]bool
+	found           map[string]string
+	longest         time.Duration
+}
+
+// newStandstills returns a check of d's jobs. Its runs must come from a monitor of d.
+func newStandstills(d *deployment, w *runMonitor, u *disruptions) *standstills {
+	s := &standstills{d: d, runs: w, disruptions: u, since: map[string]time.Time{}, watched: map[string]bool{}, waited: map[string]bool{}, found: map[string]string{}}
+	d.platform.Lock(func(c *model.Cluster) {
+		previous := c.OnStart
+		c.OnStart = func(x *model.Worker, p *model.ActiveRun) {
+			previous(x, p)
+			id, _, _ := strings.Cut(p.Task, ".")
+			delete(s.since, id)
+		}
+	})
+	return s
+}
+
+// watch looks regularly until the returned function is called.
+func (s *standstills) watch() (stop func()) {
+	done, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		t := time.NewTicker(standstillPause)
+		defer t.Stop()
+		for {
+			select {
+			case now := <-t.C:
+				s.look(now)
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() { close(done); <-ended }
+}
+
+// look takes one look at all jobs.
+func (s *standstills) look(now time.Time) {
+	jobs, records, cancels := s.d.platform.Store.Values(repo.TableJobs), s.d.platform.Store.Values(repo.TableRecords), s.d.platform.Store.Values(repo.TableCancels)
+	s.d.platform.Lock(func(c *model.Cluster) {
+		if !s.disruptions.calm(now) {
+			clear(s.since)
+			return
+		}
+		busy := map[string]bool{}
+		for task, running := range s.runs.running {
+			if id, _, _ := strings.Cut(task, "."); running {
+				busy[id] = true
+			}
+		}
+		for id, b := range jobs {
+			j, err := work.DecodeJob(b)
+			if err != nil {
+				s.found[id] = err.Error()
+				continue
+			}
+			r, err := work.DecodeRecord(records[id])
+			if err != nil {
+				s.found[id] = err.Error()
+				continue
+			}
+			if r.State.Final() || cancels[id] != nil {
+				delete(s.since, id)
+				continue
+			}
+			s.watched[id] = true
+			step := runnable(c, j, r, now)
+			if busy[id] || step == "" {
+				delete(s.since, id)
+				continue
+			}
+			s.waited[id] = true
+			if s.since[id].IsZero() {
+				s.since[id] = now
+			}
+			d := now.Sub(s.since[id])
+			s.longest = max(s.longest, d)
+			if d > maxStandstill && s.found[id] == "" {
+				s.found[id] = fmt.Sprintf("nothing running from %s to %s although there is room for step %s", s.since[id].UTC().Format(time.RFC3339Nano), now.UTC().Format(time.RFC3339Nano), step)
+			}
+		}
+	})
+}
+
+// check fails the test for each job that stood still, and if no job was watched.
+func (s *standstills) check(t *testing.T) {
+	t.Helper()
+	s.d.platform.Lock(func(*model.Cluster) {
+		for id, text := range s.found {
+			t.Errorf("LOST: job %s: %s; job %s; record %s", id, text, s.d.platform.Store.Values(repo.TableJobs)[id], s.d.platform.Store.Values(repo.TableRecords)[id])
+		}
+		if len(s.watched) == 0 {
+			t.Error("no open job was watched in calm")
+		}
+		t.Logf("%d open jobs watched in calm, %d of them seen without runs beside room, for %v at most", len(s.watched), len(s.waited), s.longest)
+	})
+}
+
+// runnable describes a step of a job whose turn has come and that has room twice, or
+// returns "" if there is none.
+func runnable(c *model.Cluster, j *work.Job, r *work.Record, now time.Time) string {
+	for k := range j.Occurrences() {
+		if j.Due(k) > now.UnixMilli() {
+			break
+		}
+		for i, s := range j.Steps {
+			if n := waitingTasks(j, r, k, i); n > 0 && room(c, s) >= 2*n {
+				return fmt.Sprintf("%s (%d of %d tasks, gang %v)", work.StepKey(k, i), n, s.Count, s.Gang)
+			}
+		}
+	}
+	return ""
+}
+
+// waitingTasks returns how many tasks of a step must start together: all of a gang, or one
+// of another step. It returns 0 if the step isn't due or has no task left.
+func waitingTasks(j *work.Job, r *work.Record, k, i int) int {
+	left := func(i int) int {
+		n := 0
+		for x := range j.Steps[i].Count {
+			if !r.IsDone(k, i, x) {
+				n++
+			}
+		}
+		return n
+	}
+	for _, a := range j.Steps[i].After {
+		if left(a) > 0 {
+			return 0
+		}
+	}
+	if j.Steps[i].Gang {
+		return left(i)
+	}
+	return min(left(i), 1)
+}
+
+// room returns how many tasks of a step the workers have room for.
+func room(c *model.Cluster, s work.Step) int {
+	n := 0
+	for _, x := range c.Workers {
+		if x.Unreachable {
+			continue
+		}
+		a := s.CapacityDemand()
+		fitting := x.FittingTasks(a.MilliCPU, a.MemoryMiB, a.Accelerators)
+		if s.AntiAffinity > 0 {
+			fitting = min(fitting, s.AntiAffinity)
+		}
+		n += fitting
+	}
+	return n
+}
+
+// TestStandstillsAreFound checks that a job that the workers refuse is reported, and that
+// others of the same deployment aren't.
+func TestStandstillsAreFound(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 2, 3)
+	s := newStandstills(d, d.monitorRuns(), &disruptions{})
+	stop := s.watch()
+	d.submit(jobID(1), "/batch/", jobBody(singleTasks(2, 5*time.Second)))
+	d.submit(jobID(2), "/batch/", jobBody(singleTasks(1, 100*time.Millisecond)))
+	d.awaitState("/batch/", jobID(2), "succeeded")
+	d.platform.Lock(func(c *model.Cluster) {
+		for _, x := range c.Workers {
+			x.RefusesStarts = true
+		}
+	})
+	d.submit(jobID(3), "/batch/", jobBody(singleTasks(1, 100*time.Millisecond)))
+	d.awaitState("/batch/", jobID(1), "succeeded")
+	stop()
+	if len(s.watched) != 3 || len(s.found) != 1 || s.found[jobID(3)] == "" {
+		t.Errorf("%d jobs watched, found %q; want 3, and job %s alone", len(s.watched), s.found, jobID(3))
+	}
+}
+
+// TestStandstillRules checks which jobs the check takes for standing still.
+func TestStandstillRules(t *testing.T) {
+	t.Parallel()
+	second := work.Step{Count: 1, Demand: work.Amounts{MilliCPU: 1000}, After: []int{0}}
+	first := work.Step{Count: 1, Demand: work.Amounts{MilliCPU: 16000}}
+	for _, x := range []struct {
+		name     string
+		workers  int
+		steps    []work.Step
+		done     []int
+		canceled bool
+		final    work.State
+		due      time.Duration
+		// disruptedAt and startedAt are when a disruption ends and a run starts and
+		// ends, in time since the first look.
+		disruptedAt, startedAt time.Duration
+		want                   bool
+	}{
+		{name: "room twice", workers: 2, steps: []work.Step{first}, want: true},
+		{name: "room once", workers: 1, steps: []work.Step{first}},
+		{name: "gang with room twice", workers: 4, steps: []work.Step{{Count: 2, Gang: true, Demand: first.Demand}}, want: true},
+		{name: "gang with room once", workers: 3, steps: []work.Step{{Count: 2, Gang: true, Demand: first.Demand}}},
+		{name: "tasks with room for two", workers: 2, steps: []work.Step{{Count: 9, Demand: first.Demand}}, want: true},
+		{name: "anti-affinity", workers: 1, steps: []work.Step{{Count: 2, AntiAffinity: 1, Demand: second.Demand}}},
+		{name: "later step", workers: 1, steps: []work.Step{first, second}},
+		{name: "later step whose turn has come", workers: 1, steps: []work.Step{first, second}, done: []int{0}, want: true},
+		{name: "all tasks done", workers: 2, steps: []work.Step{first}, done: []int{0}},
+		{name: "canceled", workers: 2, steps: []work.Step{first}, canceled: true},
+		{name: "final", workers: 2, steps: []work.Step{first}, final: work.Succeeded},
+		{name: "not due", workers: 2, steps: []work.Step{first}, due: time.Hour},
+		{name: "disrupted", workers: 2, steps: []work.Step{first}, disruptedAt: time.Second},
+		{name: "short run", workers: 2, steps: []work.Step{first}, startedAt: 2 * time.Second},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			d := newDeployment(t, time.Minute)
+			for i := range x.workers {
+				d.addWorker(fmt.Sprint("w", i), 1)
+			}
+			u := &disruptions{}
+			s := newStandstills(d, d.monitorRuns(), u)
+			now := time.Now()
+			j := &work.Job{ID: jobID(1), Queue: "batch", Steps: x.steps}
+			if x.due > 0 {
+				j.Times, j.Start = 1, now.Add(x.due).UnixMilli()
+			}
+			r := &work.Record{State: work.Pending, Queue: "batch"}
+			if x.final != "" {
+				r.State = x.final
+			}
+			for _, i := range x.done {
+				r.SetDone(0, i, 0)
+			}
+			job, err := work.EncodeJob(j)
+			must(t, err)
+			record, err := r.Encode()
+			must(t, err)
+			d.platform.Store.Put(repo.TableJobs, j.ID, job)
+			d.platform.Store.Put(repo.TableRecords, j.ID, record)
+			if x.canceled {
+				d.platform.Store.Put(repo.TableCancels, j.ID, []byte("{}"))
+			}
+			for at := time.Duration(0); at <= maxStandstill+standstillPause; at += standstillPause {
+				if at == x.disruptedAt && at > 0 {
+					u.ended = now.Add(at)
+				}
+				if at == x.startedAt && at > 0 {
+					d.platform.Lock(func(c *model.Cluster) { c.OnStart(c.Workers["w0"], &model.ActiveRun{Task: j.ID + ".0.0.0"}) })
+					s.runs.running[j.ID+".0.0.0"] = false
+				}
+				s.look(now.Add(at))
+			}
+			if got := s.found[j.ID] != ""; got != x.want {
+				t.Errorf("found %q, want a report: %v", s.found, x.want)
+			}
+		})
+	}
+}
