native: Soak of handovers with preferred racks, gangs and failing runs

Cause: the soak's faults hit links and the store more often than the decider, its jobs have one step, an exact estimate, and runs that don't fail. Pools changed hands once or twice in a run, and hardly any calm followed.

Change: TestSoakHandovers kills, pauses, stops and reconfigures hosts in two rounds, half of the time the decider: stops while a host is paused, kills in the grace of a stop, series of SIGHUPs and of configurations, restarts with another share of the processor. Calm follows each round, long enough for a job to stand still. Jobs have up to three steps, preferred racks, gangs within a rack, limits per worker, estimates far off and runs that fail. The text of a job that stood still now holds its rows of that time.

--- a/native/harness_test.go
+++ b/native/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -70,6 +71,8 @@
 	// poolByQueue names the pools of the queues that "pool" doesn't serve.
 	omittedQueues map[string]bool
 	poolByQueue   map[string]string
+	// maxAttempts is how often a task may fail, 0 for defaultAttempts.
+	maxAttempts int
 	// isolated starts hosts without each other's addresses, so that none can reach
 	// the store through another.
 	isolated bool
@@ -171,6 +174,9 @@
 	d.configure(map[string]any{"name": "tenant-a", "api-keys": []string{apiKey}, "guaranteed": map[string]int{"gpu": 4}})
 }
 
+// defaultAttempts is how often a task may fail, unless a test sets another number.
+const defaultAttempts = 2
+
 // configure publishes a new version of the configuration with the given accounts.
 func (d *deployment) configure(tenants ...map[string]any) {
 	d.configVersion += 3
@@ -184,10 +190,11 @@
 	for _, p := range slices.Compact(slices.Sorted(maps.Values(d.poolByQueue))) {
 		pools = append(pools, map[string]any{"name": p, "max-conns": 64, "enforces-capacity": true})
 	}
+	attempts := cmp.Or(d.maxAttempts, defaultAttempts)
 	route := func(name, prefix string, priority int, public bool) map[string]any {
 		return map[string]any{
 			"name": name, "host": "jobs.example", "path-prefix": prefix, "type": "unsafe", "timeout-ms": 3000, "slo-ms": 1000,
-			"priority": priority, "service": poolOf(name), "max-attempts": 2, "stretch": 3.0, "public": public,
+			"priority": priority, "service": poolOf(name), "max-attempts": attempts, "stretch": 3.0, "public": public,
 		}
 	}
 	advised := route("advised", "/advised/", 1, false)
@@ -387,6 +394,12 @@
 	mayMiss int
 	// image names the program that the tasks run.
 	image string
+	// sameRack, affinity and antiAffinity are as in work.Step.
+	sameRack     bool
+	affinity     string
+	antiAffinity int
+	// estimateFactor is the estimate relative to the work, 0 for an exact one.
+	estimateFactor float64
 }
 
 // jobBody returns the body of a submission with the given steps.
@@ -396,7 +409,8 @@
 	for _, s := range l {
 		shapes = append(shapes, s.shape)
 		steps = append(steps, map[string]any{
-			"count": s.count, "cpu": s.shape.CPU, "mem-mb": s.shape.Memory, "gpu": s.shape.Accelerators, "estimate-ms": s.shape.Work.Milliseconds(),
+			"count": s.count, "cpu": s.shape.CPU, "mem-mb": s.shape.Memory, "gpu": s.shape.Accelerators, "estimate-ms": int64(cmp.Or(s.estimateFactor, 1) * float64(s.shape.Work.Milliseconds())),
+			"same-rack": s.sameRack, "affinity": s.affinity, "anti-affinity": s.antiAffinity,
 			"after": s.after, "gang": s.shape.Gang > 0, "checkpoint": s.shape.Checkpoint,
 			"long-running": s.shape.Lasts > 0, "may-miss": s.mayMiss,
 			"target-ms": s.shape.Target.Milliseconds(), "fills": s.shape.Harm > 0, "image": s.image,
--- a/native/soak_test.go
+++ b/native/soak_test.go
@@ -149,6 +149,7 @@
 	d         *deployment
 	history   *history
 	rng       *rand.Rand
+	job       func(r *rand.Rand) string
 	submitted int
 	accepted  []string
 	rejected  map[string]bool
@@ -176,17 +177,22 @@
 	return out
 }
 
+// soakJob returns the body of a random job of one step.
+func soakJob(r *rand.Rand) string {
+	n := 1 + r.IntN(4)
+	s := step{shape: model.TaskProfile{Work: time.Duration(50+r.IntN(1500)) * time.Millisecond, Checkpoint: r.IntN(2) == 0, CPU: 1000, Memory: 1000, Accelerators: 1 + r.Int64N(3)}, count: n}
+	if n > 1 && r.IntN(2) == 0 {
+		s.shape.Gang = n
+	}
+	return jobBody(s)
+}
+
 // submit submits a job, again and again until a host accepts or rejects it, or the client
 // gives up and cancels it. A rejected job isn't submitted again: none of its tasks may start.
 func (c *soakClient) submit() {
 	c.submitted++
 	id := c.id(c.submitted)
-	n := 1 + c.rng.IntN(4)
-	s := step{shape: model.TaskProfile{Work: time.Duration(50+c.rng.IntN(1500)) * time.Millisecond, Checkpoint: c.rng.IntN(2) == 0, CPU: 1000, Memory: 1000, Accelerators: 1 + c.rng.Int64N(3)}, count: n}
-	if n > 1 && c.rng.IntN(2) == 0 {
-		s.shape.Gang = n
-	}
-	body := jobBody(s)
+	body := c.job(c.rng)
 	for {
 		switch out := c.call(http.MethodPost, id, body); out {
 		case "200":
@@ -250,21 +256,34 @@
 		seed := *soakSeed + uint64(i)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			runSoak(t, seed)
+			runSoak(t, seed, soakKind{
+				hosts: soakHosts, workers: soakWorkers, job: soakJob,
+				plan: func(links int) []fault { return planFaults(seed, soakHosts, links) },
+			})
 		})
 	}
 }
 
+// soakKind says what a soak runs.
+type soakKind struct {
+	hosts, workers int
+	// maxAttempts is how often a task may fail, 0 for the default of the deployments.
+	maxAttempts int
+	// plan returns the faults, for a number of links; job the body of a random job.
+	plan func(links int) []fault
+	job  func(r *rand.Rand) string
+}
+
 // runSoak runs the soak of one seed. Accepted jobs must succeed unless a client canceled
 // them, no task of a rejected or withdrawn job may start, no two runs of a task may overlap, and the
 // history of the calls must be linearizable under jobModel.
-func runSoak(t *testing.T, seed uint64) {
+func runSoak(t *testing.T, seed uint64, k soakKind) {
 	d := newDeployment(t, 2*time.Minute)
-	s := &soak{d: d, links: newLinks(t), hostMu: make([]sync.Mutex, soakHosts)}
-	d.proxyFor = s.links.addProxy
-	d.launch(soakHosts, soakWorkers)
+	s := &soak{d: d, links: newLinks(t), hostMu: make([]sync.Mutex, k.hosts)}
+	d.proxyFor, d.maxAttempts = s.links.addProxy, k.maxAttempts
+	d.launch(k.hosts, k.workers)
 	s.linkMu = make([]sync.Mutex, len(s.links.proxies))
-	plan := planFaults(seed, soakHosts, len(s.links.proxies))
+	plan := k.plan(len(s.links.proxies))
 	var text []string
 	for _, f := range plan {
 		text = append(text, f.String())
@@ -279,7 +298,7 @@
 	ended := make(chan struct{})
 	var wg sync.WaitGroup
 	for n := range soakClients {
-		c := &soakClient{index: n, d: d, history: h, rng: rand.New(rand.NewPCG(seed, uint64(n))), rejected: map[string]bool{}, canceled: map[string]bool{}, withdrawn: map[string]bool{}}
+		c := &soakClient{index: n, d: d, history: h, job: k.job, rng: rand.New(rand.NewPCG(seed, uint64(n))), rejected: map[string]bool{}, canceled: map[string]bool{}, withdrawn: map[string]bool{}}
 		clients = append(clients, c)
 		wg.Add(1)
 		go func() {
--- a/native/soakplan_test.go
+++ b/native/soakplan_test.go
@@ -57,10 +57,12 @@
 	start, duration time.Duration
 	kind            string
 	host, link      int
+	// share, if positive, is the share of the processor with which a host restarts.
+	share float64
 }
 
 func (f fault) String() string {
-	return fmt.Sprintf("%6.2f s, for %4.2f s: %s (host %d, link %d)", f.start.Seconds(), f.duration.Seconds(), f.kind, f.host, f.link)
+	return fmt.Sprintf("%6.2f s, for %4.2f s: %s (host %d, link %d, share %g)", f.start.Seconds(), f.duration.Seconds(), f.kind, f.host, f.link, f.share)
 }
 
 // planFaults returns the faults of a seed in the order of their starts. They may overlap,
@@ -212,6 +214,10 @@
 		up()
 	}
 	start := func() {
+		if f.share > 0 {
+			h.cpuShare = f.share
+			s.d.writeSettings(h, 5000)
+		}
 		s.d.startHost(h)
 		// A signal sent before the program listens could reach the process before it
 		// handles signals.
@@ -232,6 +238,18 @@
 		withProcess(func() { h.signal(s.d.t, syscall.SIGSTOP) }, func() { h.signal(s.d.t, syscall.SIGCONT) })
 	case faultChangeSettings:
 		withProcess(func() { s.d.writeSettings(h, 4000+int(f.duration.Milliseconds())); h.signal(s.d.t, syscall.SIGHUP) }, func() {})
+	case faultStopFrozen:
+		withProcess(func() { h.signal(s.d.t, syscall.SIGSTOP); h.signal(s.d.t, syscall.SIGTERM) }, func() { h.signal(s.d.t, syscall.SIGCONT); <-h.exited; start() })
+	case faultStopAndKill:
+		withProcess(func() { h.signal(s.d.t, syscall.SIGTERM) }, func() { h.kill(); start() })
+	case faultSettingsSeries:
+		withProcess(func() {
+			for n := range soakSeries {
+				s.d.writeSettings(h, 4000+n)
+				h.signal(s.d.t, syscall.SIGHUP)
+				time.Sleep(seriesPause)
+			}
+		}, func() {})
 	case faultRejectHost:
 		withTrouble(plat.StoreFaults{Status: http.StatusServiceUnavailable})
 	case faultUnresponsiveStore:
@@ -256,5 +274,12 @@
 		s.hostMu[0].Lock()
 		defer s.hostMu[0].Unlock()
 		s.d.configureDefault()
+	case faultConfigurationsSeries:
+		s.hostMu[0].Lock()
+		defer s.hostMu[0].Unlock()
+		for range soakSeries {
+			s.d.configureDefault()
+			time.Sleep(seriesPause)
+		}
 	}
 }
--- a/native/standstill_test.go
+++ b/native/standstill_test.go
@@ -138,7 +138,7 @@
 			d := now.Sub(s.since[id])
 			s.longest = max(s.longest, d)
 			if d > maxStandstill && s.found[id] == "" {
-				s.found[id] = fmt.Sprintf("nothing running from %s to %s although there is room for step %s", s.since[id].UTC().Format(time.RFC3339Nano), now.UTC().Format(time.RFC3339Nano), step)
+				s.found[id] = fmt.Sprintf("nothing running from %s to %s although there is room for step %s; job %s; record %s", s.since[id].UTC().Format(time.RFC3339Nano), now.UTC().Format(time.RFC3339Nano), step, b, records[id])
 			}
 		}
 	})
@@ -149,7 +149,7 @@
 	t.Helper()
 	s.d.platform.Lock(func(*model.Cluster) {
 		for id, text := range s.found {
-			t.Errorf("LOST: job %s: %s; job %s; record %s", id, text, s.d.platform.Store.Values(repo.TableJobs)[id], s.d.platform.Store.Values(repo.TableRecords)[id])
+			t.Errorf("LOST: job %s: %s", id, text)
 		}
 		if len(s.watched) == 0 {
 			t.Error("no open job was watched in calm")
