--- a/stall/stall_test.go
+++ b/stall/stall_test.go
@@ -99,3 +99,24 @@
 		}
 	})
 }
+
+// TestLongTimeoutWithoutTicks is TestTimeoutWithoutTicks for calls as long as those of the feeds.
+func TestLongTimeoutWithoutTicks(t *testing.T) {
+	for _, timeout := range []time.Duration{1500 * time.Millisecond, 3 * time.Second, 6 * time.Second} {
+		t.Run(timeout.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				m := New(func() time.Duration { return time.Since(began) })
+				ctx, cancel := m.WithTimeout(t.Context(), timeout)
+				defer cancel()
+				select {
+				case <-ctx.Done():
+				case <-time.After(5 * time.Minute):
+				}
+				if took := time.Since(began); took > timeout*5/2 {
+					t.Errorf("a call of %v timed out after %v", timeout, took)
+				}
+			})
+		})
+	}
+}
