sched: Failing test of room that flickers for the decider only

A worker that leaves calls without an answer for a moment counts as closed, and the wait of a job beside its room begins anew when it answers again, though the room was there for all others.

--- a/sched/review_test.go
+++ b/sched/review_test.go
@@ -83,3 +83,28 @@
 		t.Errorf("starts %+v, want both on w0", b.starts)
 	}
 }
+
+// TestRoomThatFlickers: each 2.8 s the only worker with room leaves the decider's calls
+// without an answer for 0.8 s, and stays up with its room for all others to see. The job whose
+// preferred rack is full must not begin to wait anew each time.
+func TestRoomThatFlickers(t *testing.T) {
+	demand := work.Amounts{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 4}
+	half := work.Amounts{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 1}
+	b := newBenchOf(t, 1)
+	for i, rack := range []string{"r0", "r1"} {
+		b.step(event.WorkerListed{Worker: event.Worker{ID: fmt.Sprint("w", i), Address: "a", StartedMS: 1, Rack: rack, Capacity: work.Amounts{MilliCPU: 16000, MemoryMiB: 64000, Accelerators: 4}}})
+	}
+	b.pass(100 * time.Millisecond)
+	b.submit("00000000000000a0", "batch", work.Step{Count: 1, Demand: demand, Affinity: "r0", Estimate: time.Hour})
+	b.submit("00000000000000a1", "batch", work.Step{Count: 1, Demand: half, Affinity: "r0", Estimate: time.Minute})
+	began := b.now
+	for b.now < began+30*time.Second && !b.startedJob("00000000000000a1") {
+		b.unresponsive = ""
+		b.pass(2000 * time.Millisecond)
+		b.unresponsive = "w1"
+		b.pass(800 * time.Millisecond)
+	}
+	if d := b.starts[len(b.starts)-1].Call.Sent - began; len(b.starts) < 2 || d > 3*time.Second {
+		t.Errorf("the job waited for %v beside an idle worker", d)
+	}
+}
