demand, assign: Keep a job's wait over moments without room, and other reviewed cases

- A moment in which the decider took a worker for closed (a call without an answer, a refused start, a proof that is due) began the wait anew, though the room was there for all others.
Such workers count for the wait now; tasks still go only to open ones.
- Room that was missing for longer than a moment counted as there all the time if no placement fell into the gap (TestRoomThatWasGone).
- A preferred rack whose workers took no tasks for a moment counted as too small (TestRackThatIsClosedForAMoment, new with this work).

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -19,6 +19,8 @@
 	// Free is the capacity that no run uses, Freeing what the runs that are
 	// being stopped will release.
 	Free, Freeing work.Amounts
+	// StopsOverdue reports whether a run is being stopped for longer than that should take.
+	StopsOverdue bool
 	// Closed workers take no new tasks: they are draining, failing or unreachable.
 	Closed bool
 	// Paused workers take tasks only of units that have waited for too long, as runs have just
@@ -36,8 +38,8 @@
 
 	// reserved is the capacity kept for blocked units that come first in order.
 	reserved work.Amounts
-	// claimed is the part of reserved that is kept while runs are stopped for a unit, which
-	// is short.
+	// claimed is the part of reserved that is kept while runs are stopped for a unit, and
+	// these stops aren't overdue.
 	claimed work.Amounts
 	// reservedUntil is when the last of these units is expected to start.
 	reservedUntil time.Duration
@@ -251,6 +253,11 @@
 	if w.Closed || u.Step.Fills && w.NoBestEffort || !u.Step.CapacityDemand().Fits(w.Total) {
 		return false
 	}
+	return u.hasLabel(w)
+}
+
+// hasLabel reports whether w has the label that the unit requires.
+func (u *Unit) hasLabel(w *Worker) bool {
 	return u.Step.Requires == "" || slices.Contains(w.Labels, u.Step.Requires)
 }
 
@@ -348,16 +355,16 @@
 	return l
 }
 
-// holdable reports whether a group of workers could hold the unit if they were empty: all of a
-// gang, or one task of another step.
+// holdable reports whether a group of workers could hold the unit if they were empty and took
+// tasks: all of a gang, or one task of another step.
 func (u *Unit) holdable(group []*Worker) bool {
 	need := 1
 	if u.Step.Gang {
 		need = len(u.Indexes)
 	}
 	for _, w := range group {
-		if u.eligible(w) {
-			need -= u.countFitting(w, w.Total)
+		if u.hasLabel(w) {
+			need -= u.Fitting(w.ID, w.Total, len(u.Indexes))
 		}
 	}
 	return need <= 0
--- a/assign/cause.go
+++ b/assign/cause.go
@@ -4,6 +4,7 @@
 
 // Causes for which a unit waits although workers have room for it.
 const (
+	CauseClosed   = "the workers with room take no tasks for now"
 	CauseAdvice   = "no worker with room has a ticket"
 	CauseWorkers  = "runs have failed or were slow on the workers with room"
 	CauseReserved = "the room is reserved for other work"
@@ -32,6 +33,8 @@
 	switch {
 	case u.AllowedWorkers != nil && len(u.AllowedWorkers) == 0:
 		return CauseAdvice
+	case openRoom(u, workers) < need:
+		return CauseClosed
 	case count(func(w *Worker) int { return u.countFitting(w, w.Free) }) < need:
 		return CauseWorkers
 	case count(func(w *Worker) int { return u.countFitting(w, p.available(u, w)) }) < need:
@@ -43,3 +46,14 @@
 	}
 	return CauseOrder
 }
+
+// openRoom returns for how many tasks of the unit there is room on workers that aren't closed.
+func openRoom(u *Unit, workers []*Worker) int {
+	n := 0
+	for _, w := range workers {
+		if u.Fits(w) {
+			n += u.Fitting(w.ID, w.Free, len(u.Indexes))
+		}
+	}
+	return n
+}
--- a/assign/wait.go
+++ b/assign/wait.go
@@ -41,9 +41,13 @@
 		return false
 	}
 	d := u.Step.CapacityDemand()
+	overdue := slices.ContainsFunc(best.workers, func(w *Worker) bool { return w.StopsOverdue })
 	for i, w := range best.workers {
 		for range best.counts[i] {
-			w.reserved, w.claimed = w.reserved.Plus(d), w.claimed.Plus(d)
+			w.reserved = w.reserved.Plus(d)
+			if !overdue {
+				w.claimed = w.claimed.Plus(d)
+			}
 		}
 	}
 	for _, r := range best.stops {
--- a/demand/waits.go
+++ b/demand/waits.go
@@ -16,7 +16,7 @@
 	standsStillAfter         = 2200 * time.Millisecond
 	standsStillAfterTakeover = 200 * time.Millisecond
 	// roomGap is how long the room may be missing in between and still count as there.
-	roomGap = 250 * time.Millisecond
+	roomGap = 400 * time.Millisecond
 )
 
 // Reports of jobs that wait although there is room.
@@ -42,7 +42,7 @@
 // standsStill reports whether nothing of a step's job has run for too long although there is
 // room for the step twice.
 func standsStill(p *track.Pool, st *track.Step) bool {
-	return st.RoomSince > 0 && p.Now.Steady-st.RoomSince >= patience(st)
+	return st.RoomSince > 0 && roomLasts(p.Now.Steady, st) && p.Now.Steady-st.RoomSince >= patience(st)
 }
 
 // TrackWaits keeps RoomSince of the waiting steps up to date, requests a placement for when
@@ -85,6 +85,9 @@
 // hasRoom records whether there is room for a step twice now, and reports whether there has been
 // since RoomSince.
 func hasRoom(now time.Duration, st *track.Step, room bool) bool {
+	if !roomLasts(now, st) {
+		st.RoomSince, st.FullSince = 0, 0
+	}
 	switch {
 	case room && st.RoomSince == 0:
 		st.RoomSince, st.FullSince = max(now, 1), 0
@@ -95,6 +98,11 @@
 	case st.FullSince == 0:
 		st.FullSince = max(now, 1)
 	}
+	return true
+}
+
+// roomLasts reports whether a moment without room, if there is one, isn't longer than roomGap.
+func roomLasts(now time.Duration, st *track.Step) bool {
 	return st.FullSince == 0 || now-st.FullSince < roomGap
 }
 
@@ -105,10 +113,11 @@
 }
 
 // roomCounter counts for how many tasks of a step the workers have room. Reservations and
-// preferences don't matter to it, nor whether a worker is paused.
+// preferences don't matter to it, nor whether a worker takes no tasks for a moment: the wait
+// goes on meanwhile.
 type roomCounter struct {
 	p *track.Pool
-	// workers are those that may get tasks and have an idle accelerator or processor.
+	// workers are those that have an idle accelerator or processor.
 	workers []*assign.Worker
 	// counts holds the results for steps that may use any worker with the label, counted up to
 	// maxRoom.
@@ -131,7 +140,8 @@
 		if free.Accelerators <= 0 && free.MilliCPU <= 0 {
 			continue
 		}
-		if s := p.ClosedBy(w); s != "" && s != track.Paused || !w.Recorded {
+		switch p.ClosedBy(w) {
+		case track.Unlisted, track.Replaced, track.Draining, track.Maintenance:
 			continue
 		}
 		c.workers = append(c.workers, &assign.Worker{ID: w.ID, Labels: w.Labels, Total: w.Capacity, Free: free, NoBestEffort: !w.PaceLevel.AdmitsBestEffort()})
--- a/demand/workers.go
+++ b/demand/workers.go
@@ -30,12 +30,17 @@
 			a.Runs = append(a.Runs, b)
 			if r.Phase == track.Stopping {
 				a.Freeing = a.Freeing.Plus(r.Demand)
+				a.StopsOverdue = a.StopsOverdue || p.Now.Steady-r.StoppedAt > p.Config.StopTime+stopSlack
 			}
 		}
 	}
 	return l, byKey
 }
 
+// stopSlack is how long a stop may take in addition to the platform's time for it, until its
+// end is reported.
+const stopSlack = 500 * time.Millisecond
+
 // farFuture is later than any time that placement considers.
 const farFuture = 1000 * time.Hour
 
--- a/launch/order.go
+++ b/launch/order.go
@@ -23,7 +23,7 @@
 		s.Release(r, event.Stopped, "")
 		return
 	}
-	r.Phase, r.AwaitingAnswer, r.SentAt = track.Stopping, true, s.Now.Steady
+	r.Phase, r.AwaitingAnswer, r.SentAt, r.StoppedAt = track.Stopping, true, s.Now.Steady, s.Now.Steady
 	s.enqueue(r)
 }
 
--- a/sched/review_test.go
+++ b/sched/room_test.go
@@ -19,8 +19,8 @@
 	return false
 }
 
-// TestStandstillBesideClaimedRoom: a run that is stopped for an urgent gang takes its time to end.
-// Five of six workers are idle all the while, and a small job must not stand still beside them.
+// TestStandstillBesideClaimedRoom guards against a small job that stands still beside five idle
+// workers of six, as a run that is stopped for an urgent gang takes its time to end.
 func TestStandstillBesideClaimedRoom(t *testing.T) {
 	demand := work.Amounts{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 4}
 	small := work.Amounts{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 1}
@@ -42,8 +42,8 @@
 	}
 }
 
-// TestRoomThatWasGone: room that has been missing for longer than roomGap must not count as there
-// since RoomSince: the single worker that becomes free is reserved for a gang.
+// TestRoomThatWasGone guards against room that counts as there all the time although it was missing
+// for longer than a moment: the single worker that becomes free is reserved for a gang.
 func TestRoomThatWasGone(t *testing.T) {
 	demand := work.Amounts{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 4}
 	b := newBench(t, 4)
@@ -66,8 +66,8 @@
 	}
 }
 
-// TestRackThatIsClosedForAMoment: the preferred rack's workers take no tasks for a moment, as one
-// call to each got no answer, and have runs. A task that is to run near its data doesn't go elsewhere for that.
+// TestRackThatIsClosedForAMoment guards against a task that doesn't run near its data as the
+// preferred rack's workers, which have runs, take no tasks for a moment.
 func TestRackThatIsClosedForAMoment(t *testing.T) {
 	demand := work.Amounts{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 2}
 	b := newBenchOf(t, 1)
@@ -84,9 +84,8 @@
 	}
 }
 
-// TestRoomThatFlickers: each 2.8 s the only worker with room leaves the decider's calls
-// without an answer for 0.8 s, and stays up with its room for all others to see. The job whose
-// preferred rack is full must not begin to wait anew each time.
+// TestRoomThatFlickers guards against a job whose wait begins anew each time that the only worker
+// with room leaves calls without an answer for 0.8 s. Its preferred rack is full.
 func TestRoomThatFlickers(t *testing.T) {
 	demand := work.Amounts{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 4}
 	half := work.Amounts{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 1}
--- a/track/pool.go
+++ b/track/pool.go
@@ -178,29 +178,41 @@
 // and learns what runs there.
 func (p *Pool) Closed(w *Worker) bool { return p.ClosedBy(w) != "" }
 
-// Paused is the cause for which a worker gets no tasks but those of jobs that would stand
-// still: runs failed or were slow there.
-const Paused = "paused"
+// Causes for which a worker gets no tasks.
+const (
+	Unlisted    = "unlisted"
+	Replaced    = "replaced"
+	Draining    = "draining"
+	Maintenance = "maintenance"
+	// The causes below may be over at any moment.
+	Unresponsive = "unresponsive"
+	NotSynced    = "not synced"
+	NotProved    = "ownership not proved"
+	Refused      = "refused a start"
+	// Paused workers still get tasks of jobs that would stand still. Runs failed or were slow
+	// there.
+	Paused = "paused"
+)
 
 // ClosedBy returns why the worker gets no new tasks now, or "" if it does.
 func (p *Pool) ClosedBy(w *Worker) string {
 	switch {
 	case !w.Listed:
-		return "unlisted"
+		return Unlisted
 	case w.Terminated, w.ReplacedAt > 0:
-		return "replaced"
+		return Replaced
 	case w.Draining:
-		return "draining"
+		return Draining
 	case w.Cordoned:
-		return "maintenance"
+		return Maintenance
 	case w.UnansweredCalls > 0:
-		return "unresponsive"
+		return Unresponsive
 	case !w.Synced, w.EntryOutdated():
-		return "not synced"
+		return NotSynced
 	case p.OwnedAt <= w.SyncedAt:
-		return "ownership not proved"
+		return NotProved
 	case p.Now.Steady < w.ClosedUntil:
-		return "refused a start"
+		return Refused
 	case p.Now.Steady < w.PausedUntil:
 		return Paused
 	}
--- a/track/run.go
+++ b/track/run.go
@@ -40,6 +40,8 @@
 	// DecidedAt is when the run was placed or adopted, SentAt when an order about it was
 	// last requested or sent, AnsweredAt when the last order about it was answered.
 	DecidedAt, SentAt, AnsweredAt time.Duration
+	// StoppedAt is when the run's stop was ordered first.
+	StoppedAt time.Duration
 	// Ticket is the advice service's permission for the start, empty where none is needed.
 	Ticket string
 	// TailLatency is the tail of a serving task's response times. It has no meaning for
