demand, track: Count room for best-effort steps beside full workers

A worker without an idle processor or accelerator was left out of the count of room, but a best-effort step needs neither, and its job's wait beside it went unseen. Pool.Closed, which had no caller left, goes.

--- a/demand/waits.go
+++ b/demand/waits.go
@@ -116,8 +116,7 @@
 // preferences don't matter to it, nor whether a worker takes no tasks for a moment: the wait
 // goes on meanwhile.
 type roomCounter struct {
-	p *track.Pool
-	// workers are those that have an idle accelerator or processor.
+	p       *track.Pool
 	workers []*assign.Worker
 	// counts holds the results for steps that may use any worker with the label, counted up to
 	// maxRoom.
@@ -136,15 +135,11 @@
 func newRoomCounter(p *track.Pool) *roomCounter {
 	c := &roomCounter{p: p, counts: map[roomKey]int{}}
 	for _, w := range p.WorkersByID {
-		free := w.Capacity.Minus(w.Used)
-		if free.Accelerators <= 0 && free.MilliCPU <= 0 {
-			continue
-		}
 		switch p.ClosedBy(w) {
 		case track.Unlisted, track.Replaced, track.Draining, track.Maintenance:
 			continue
 		}
-		c.workers = append(c.workers, &assign.Worker{ID: w.ID, Labels: w.Labels, Total: w.Capacity, Free: free, NoBestEffort: !w.PaceLevel.AdmitsBestEffort()})
+		c.workers = append(c.workers, &assign.Worker{ID: w.ID, Labels: w.Labels, Total: w.Capacity, Free: w.Capacity.Minus(w.Used), NoBestEffort: !w.PaceLevel.AdmitsBestEffort()})
 	}
 	return c
 }
--- a/demand/waits_test.go
+++ b/demand/waits_test.go
@@ -53,6 +53,10 @@
 		want    bool
 	}{
 		{"room twice", 1, standsStillAfter, nil, true},
+		{"best effort beside full processors and accelerators", 1, standsStillAfter, func(p *track.Pool, st *track.Step) {
+			st.Spec.Fills, st.Spec.Demand = true, work.Amounts{MilliCPU: 1000, MemoryMiB: 1}
+			p.Workers["w0"].Capacity.MemoryMiB, p.Workers["w0"].Used.Accelerators = 2, 2
+		}, true},
 		{"not for long", 1, standsStillAfter - 1, nil, false},
 		{"no room", 0, time.Hour, nil, false},
 		{"taken over from another decider", 1, standsStillAfterTakeover, func(_ *track.Pool, st *track.Step) { st.Job.TakenOver = true }, true},
--- a/track/pool.go
+++ b/track/pool.go
@@ -173,11 +173,6 @@
 	return false
 }
 
-// Closed reports whether the worker gets no new tasks now. A synced worker gets none before
-// a proof that the pool was still owned after the sync: any successor takes over after that,
-// and learns what runs there.
-func (p *Pool) Closed(w *Worker) bool { return p.ClosedBy(w) != "" }
-
 // Causes for which a worker gets no tasks.
 const (
 	Unlisted    = "unlisted"
@@ -194,7 +189,9 @@
 	Paused = "paused"
 )
 
-// ClosedBy returns why the worker gets no new tasks now, or "" if it does.
+// ClosedBy returns why the worker gets no new tasks now, or "" if it does. A synced worker gets
+// none before a proof that the pool was still owned after the sync: any successor takes over
+// after that, and learns what runs there.
 func (p *Pool) ClosedBy(w *Worker) string {
 	switch {
 	case !w.Listed:
