sched: Look at records only of jobs that may stand still

The check of standing jobs decoded the record of each job at every look, ended or running. It counts the active runs of each job now and remembers which have ended; what it checks is the same. TestSchedules takes 71 instead of 79 s of processor time.

--- a/sched/standstill_test.go
+++ b/sched/standstill_test.go
@@ -48,7 +48,7 @@
 // it runs.
 func (w *world) runnable(id string) (string, bool) {
 	j := w.jobs[id]
-	if _, ok := w.cancelAcked[id]; ok {
+	if _, ok := w.cancelAcked[id]; ok || w.ended[id] || w.activeRuns[id] > 0 {
 		return "", false
 	}
 	r, err := work.DecodeRecord(w.records[id])
@@ -56,18 +56,9 @@
 		w.fail("record of %s: %v", id, err)
 		return "", false
 	}
-	if r.State.Final() {
+	if w.ended[id] = r.State.Final(); w.ended[id] {
 		return "", false
 	}
-	for k := range j.Occurrences() {
-		for i, s := range j.Steps {
-			for n := range s.Count {
-				if len(w.active[(work.TaskID{Job: id, Occurrence: k, Step: i, Index: n}).String()]) > 0 {
-					return "", false
-				}
-			}
-		}
-	}
 	for k := range j.Occurrences() {
 		if j.Due(k) > w.wall() {
 			break
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -80,6 +80,10 @@
 	doneRuns map[string][]*doneRun
 	failed   map[string]int
 	serving  map[string]*longRunningTask
+	// activeRuns counts the active runs by job. ended are the jobs whose records were seen to be
+	// final.
+	activeRuns map[string]int
+	ended      map[string]bool
 	// standstills are the jobs that have had nothing running in vain.
 	standstills map[string]*standstill
 	// waitCauses are the last reported causes for which jobs wait beside room.
@@ -221,7 +225,7 @@
 		rng: rand.New(rand.NewPCG(seed, 7)), faults: f, faultsUntil: 30 * time.Second,
 		jobs: map[string]*work.Job{}, records: map[string][]byte{}, canceled: map[string]time.Duration{}, cancelAcked: map[string]time.Duration{},
 		workerRows: map[string]workerRow{}, storeUp: true, listed: map[string]bool{}, fences: map[string]int64{}, changed: map[string]bool{}, drainsSince: map[string]time.Duration{}, leavesAtMS: map[string]int64{},
-		active: map[string][]*activeRun{}, doneRuns: map[string][]*doneRun{}, failed: map[string]int{}, serving: map[string]*longRunningTask{}, standstills: map[string]*standstill{}, waitCauses: map[string]string{},
+		active: map[string][]*activeRun{}, doneRuns: map[string][]*doneRun{}, failed: map[string]int{}, serving: map[string]*longRunningTask{}, standstills: map[string]*standstill{}, activeRuns: map[string]int{}, ended: map[string]bool{}, waitCauses: map[string]string{},
 	}
 	w.rules = &work.Rules{Version: 1, Queues: map[string]*work.Queue{
 		"urgent":  {Name: "urgent", Pool: "p", Priority: 0, MaxAttempts: 2, Stretch: 2, Slack: time.Second},
@@ -292,6 +296,7 @@
 		w.fail("TWICE: %s run %d starts on %s while run %d is on %s", p.Task, p.Run, x.ID, l[0].run, l[0].worker)
 	}
 	w.active[p.Task] = append(w.active[p.Task], &activeRun{x.ID, p.Run})
+	w.activeRuns[jobOf(p.Task)]++
 	for _, f := range w.doneRuns[p.Task] {
 		f.restarted = true
 		if f.acked {
@@ -337,6 +342,12 @@
 	}
 }
 
+// jobOf returns the job of a task.
+func jobOf(task string) string {
+	id, _, _ := strings.Cut(task, ".")
+	return id
+}
+
 // sameStepOn returns how many other tasks of a task's step and occurrence run on a worker.
 func (w *world) sameStepOn(id work.TaskID, worker string) int {
 	n := 0
@@ -362,7 +373,9 @@
 // stopped records the end of a run.
 func (w *world) stopped(x *model.Worker, e model.End) {
 	w.tracef("END %s run %d on %s: %s", e.Task, e.Run, x.ID, e.How)
+	before := len(w.active[e.Task])
 	w.active[e.Task] = slices.DeleteFunc(w.active[e.Task], func(a *activeRun) bool { return a.worker == x.ID && a.run == e.Run })
+	w.activeRuns[jobOf(e.Task)] -= before - len(w.active[e.Task])
 	id, err := work.ParseTaskID(e.Task)
 	if err != nil {
 		w.fail("invalid task ID %q", e.Task)
