demand, track, repo, node: What a newcomer stumbles over in the change

Causes for which workers are closed have a type. A function that changes a step is no longer named like a question, the ownership of a lost acquisition is a plain function, units that stand still are split off instead of sorted, and two node tests share their step. Comments say which load the bound on waits answers and why a start resets it for some steps only.

--- a/demand/advice.go
+++ b/demand/advice.go
@@ -35,17 +35,15 @@
 		}
 	}
 	p.Advice.Retain(steps)
-	l := slices.Clone(units)
-	slices.SortStableFunc(l, func(a, b *assign.Unit) int {
-		if a.StandsStill == b.StandsStill {
-			return 0
-		}
-		if a.StandsStill {
-			return -1
+	var standing, others []*assign.Unit
+	for _, u := range units {
+		if u.StandsStill {
+			standing = append(standing, u)
+		} else {
+			others = append(others, u)
 		}
-		return 1
-	})
-	for _, u := range l {
+	}
+	for _, u := range slices.Concat(standing, others) {
 		if u.AllowedWorkers == nil || len(u.Indexes) == 0 || allPlaced(p, u) {
 			continue
 		}
--- a/demand/report.go
+++ b/demand/report.go
@@ -54,7 +54,7 @@
 		r.Total += w.Capacity.Accelerators
 		r.Free += max(w.Capacity.Accelerators-w.Used.Accelerators, 0)
 		if c := p.ClosedBy(w); c != "" {
-			r.Closed[c]++
+			r.Closed[string(c)]++
 		}
 	}
 	p.Emit(r)
--- a/demand/waits.go
+++ b/demand/waits.go
@@ -9,8 +9,9 @@
 )
 
 // Times after which a job with nothing running that has room twice isn't kept from it for the
-// sake of others or of a better place. The platform allows 3 s in all, also across a takeover,
-// with what the start itself takes.
+// sake of others or of a better place. They answer a full pool in which reservations,
+// preferred racks and failures together keep room idle, also across takeovers. The platform
+// allows 3 s in all, with what the start itself takes.
 const (
 	standsStillAfter         = 2200 * time.Millisecond
 	standsStillAfterTakeover = 200 * time.Millisecond
@@ -51,7 +52,7 @@
 			tasks = len(u.Indexes)
 		}
 		room := c.room(u, 2*tasks)
-		if !hasRoom(now, st, room >= 2*tasks) || !u.Step.LongRunning && !st.Job.Idle() {
+		if !updateRoom(now, st, room >= 2*tasks) || !u.Step.LongRunning && !st.Job.Idle() {
 			st.RoomSince, st.ReportedAt = 0, 0
 			continue
 		}
@@ -62,9 +63,9 @@
 	}
 }
 
-// hasRoom records whether there is room for a step twice now, and reports whether there has been
+// updateRoom records whether there is room for a step twice now, and reports whether there has been
 // since RoomSince.
-func hasRoom(now time.Duration, st *track.Step, room bool) bool {
+func updateRoom(now time.Duration, st *track.Step, room bool) bool {
 	if !roomLasts(now, st) {
 		st.RoomSince, st.FullSince = 0, 0
 	}
--- a/launch/order.go
+++ b/launch/order.go
@@ -114,6 +114,7 @@
 	}
 	j := st.Job
 	j.TakenOver = false
+	// The job has something running, but each task of a long-running step waits for itself.
 	for _, o := range j.Steps {
 		if !o.Spec.LongRunning || o == st && !st.Waits() {
 			o.RoomSince = 0
--- a/node/election.go
+++ b/node/election.go
@@ -266,7 +266,7 @@
 	if a := h.swapUnconfirmed(c, attempt{}); a != (attempt{}) && o == a.owner {
 		// Until its decider runs, all hosts take the heartbeat that it wrote for one of an owner.
 		h.log.Info().Str("pool", pool).Int64("epoch", o.Epoch).Msg("pool taken by an attempt whose answer was lost")
-		return h.startDecider(ctx, pool, a, h.owners.Confirm(pool, version)), true
+		return h.startDecider(ctx, pool, a, repo.ConfirmedOwnership(pool, version)), true
 	}
 	if o.Host != h.current().Host && (v == takeoverReason{} || o.Epoch > epoch) {
 		// There is no reason for a takeover, or another host has just acquired
--- a/node/election_test.go
+++ b/node/election_test.go
@@ -100,6 +100,19 @@
 	return s.Store.List(ctx, table, part, from, limit)
 }
 
+// electAfterHeartbeat makes a host see the heartbeat of the pool's first epoch, and elects.
+func electAfterHeartbeat(t *testing.T, h *Host, p *plat.Platform, c *candidate) {
+	t.Helper()
+	h.heartbeats.RecordAnswer(0)
+	if err := h.heartbeats.Record([]repo.Row{{Key: "pool", Value: p.Store.Value("heartbeats", "", "pool")}}); err != nil || h.heartbeats.Epoch("pool") != 1 {
+		t.Fatal(err, h.heartbeats.Epoch("pool"))
+	}
+	c.retryAt = 0
+	var wg sync.WaitGroup
+	h.elect(t.Context(), &wg)
+	wg.Wait()
+}
+
 // TestAcquireWithoutAnswer guards against a pool that all hosts take for owned though no decider
 // runs: the store has carried an acquisition out, but its answer was lost.
 func TestAcquireWithoutAnswer(t *testing.T) {
@@ -113,14 +126,7 @@
 		t.Fatal("the pool was acquired without an answer")
 	}
 	m.mute, m.away = false, false
-	h.heartbeats.RecordAnswer(0)
-	if err := h.heartbeats.Record([]repo.Row{{Key: "pool", Value: p.Store.Value("heartbeats", "", "pool")}}); err != nil || h.heartbeats.Epoch("pool") != 1 {
-		t.Fatal(err, h.heartbeats.Epoch("pool"))
-	}
-	c.retryAt = 0
-	var wg sync.WaitGroup
-	h.elect(t.Context(), &wg)
-	wg.Wait()
+	electAfterHeartbeat(t, h, p, c)
 	if c.decider == nil {
 		t.Fatal("the host doesn't find out that its attempt has acquired the pool")
 	}
--- a/node/late_acquire_test.go
+++ b/node/late_acquire_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"testing"
 
 	"citronbridge/repo"
@@ -39,14 +38,7 @@
 	if a, err := h.store.Apply(t.Context(), *m.late); err != nil || !a.Applied {
 		t.Fatal(a, err)
 	}
-	h.heartbeats.RecordAnswer(0)
-	if err := h.heartbeats.Record([]repo.Row{{Key: "pool", Value: p.Store.Value("heartbeats", "", "pool")}}); err != nil || h.heartbeats.Epoch("pool") != 1 {
-		t.Fatal(err, h.heartbeats.Epoch("pool"))
-	}
-	c.retryAt = 0
-	var wg sync.WaitGroup
-	h.elect(t.Context(), &wg)
-	wg.Wait()
+	electAfterHeartbeat(t, h, p, c)
 	if c.decider == nil {
 		t.Fatal("the host owns the pool and runs no decider")
 	}
--- a/repo/owner.go
+++ b/repo/owner.go
@@ -101,10 +101,10 @@
 	return &Ownership{hasVersion(TableOwners, pool, a.Version), hasVersion(TableHeartbeats, pool, heartbeatVersion)}, nil
 }
 
-// Confirm returns the ownership of a pool whose owner row, of the given version, is one that an
+// ConfirmedOwnership returns the ownership of a pool whose owner row, of the given version, is one that an
 // Acquire without an answer has written. The version of the heartbeat row isn't known: the next
 // heartbeat conflicts once and gets it from the answer.
-func (s *Owners) Confirm(pool string, version int64) *Ownership {
+func ConfirmedOwnership(pool string, version int64) *Ownership {
 	return &Ownership{hasVersion(TableOwners, pool, version), hasVersion(TableHeartbeats, pool, 0)}
 }
 
--- a/track/pool.go
+++ b/track/pool.go
@@ -173,26 +173,28 @@
 	return false
 }
 
-// Causes for which a worker gets no tasks.
+// Closure is a cause for which a worker gets no tasks, empty if there is none.
+type Closure string
+
 const (
-	Unlisted    = "unlisted"
-	Replaced    = "replaced"
-	Draining    = "draining"
-	Maintenance = "maintenance"
+	Unlisted    Closure = "unlisted"
+	Replaced    Closure = "replaced"
+	Draining    Closure = "draining"
+	Maintenance Closure = "maintenance"
 	// The causes below may be over at any moment.
-	Unresponsive = "unresponsive"
-	NotSynced    = "not synced"
-	NotProved    = "ownership not proved"
-	Refused      = "refused a start"
+	Unresponsive Closure = "unresponsive"
+	NotSynced    Closure = "not synced"
+	NotProved    Closure = "ownership not proved"
+	Refused      Closure = "start refused or not answered"
 	// Paused workers still get tasks of jobs that would stand still. Runs failed or were slow
 	// there.
-	Paused = "paused"
+	Paused Closure = "paused"
 )
 
 // ClosedBy returns why the worker gets no new tasks now, or "" if it does. A synced worker gets
 // none before a proof that the pool was still owned after the sync: any successor takes over
 // after that, and learns what runs there.
-func (p *Pool) ClosedBy(w *Worker) string {
+func (p *Pool) ClosedBy(w *Worker) Closure {
 	switch {
 	case !w.Listed:
 		return Unlisted
