assign, demand, sched, native: Field terms for jobs that starve despite free capacity

Change: such a job is overdue, tests watch for starvation; flag names and behaviour stay. Ruled out: starved, which already names long waits of tasks.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -90,9 +90,9 @@
 	// Starved is set for tasks that have waited for so long that they wait for the sake of
 	// others or of a better place no longer.
 	Starved bool
-	// StandsStill is set if nothing of the unit's job has run for long although there is room
+	// Overdue is set if nothing of the unit's job has run for long although there is room
 	// for the unit twice. Its gang, or one of its tasks, is placed as if it were starved.
-	StandsStill bool
+	Overdue bool
 	// TasksPerWorker counts the step's tasks by worker, for anti-affinity.
 	TasksPerWorker map[string]int
 	// AvoidedWorkers holds the IDs of workers on which the step's tasks failed. Those in
@@ -377,7 +377,7 @@
 	for _, v := range u.waivers() {
 		n := len(u.Indexes)
 		if v > waiveNothing && !u.Starved && !u.Step.LongRunning {
-			// The job doesn't stand still once one task runs.
+			// The job isn't overdue once one task runs.
 			n = 1
 		}
 		u.waives = v
--- a/assign/waiver.go
+++ b/assign/waiver.go
@@ -13,7 +13,7 @@
 
 // waivers returns the waivers with which to try to place the unit, in order.
 func (u *Unit) waivers() []waiver {
-	if u.Starved || u.StandsStill {
+	if u.Starved || u.Overdue {
 		return []waiver{waiveNothing, waivePlace, waiveWorker}
 	}
 	return []waiver{waiveNothing}
--- a/assign/waiver_test.go
+++ b/assign/waiver_test.go
@@ -8,9 +8,9 @@
 	"citronbridge/work"
 )
 
-// TestJobThatStandsStill guards against a job with nothing running that is kept from free room:
-// each case keeps a unit waiting, and must not once its job stands still.
-func TestJobThatStandsStill(t *testing.T) {
+// TestOverdueJob guards against a job with nothing running that is kept from free room:
+// each case keeps a unit waiting, and must not once its job is overdue.
+func TestOverdueJob(t *testing.T) {
 	free := func(id, rack string) *Worker { return worker(id, rack) }
 	busy := func(id, rack string) *Worker {
 		return worker(id, rack, &Run{Key: "busy@" + id, Demand: accelerators(8), EndsAt: time.Hour, NoPreempt: true})
@@ -44,14 +44,14 @@
 		{"closed worker", work.Step{Count: 1}, Unit{}, nil, []*Worker{changed(free("a1", "a"), func(w *Worker) { w.Closed = true })}, nil, nil},
 		{"anti-affinity", work.Step{Count: 2, AntiAffinity: 1, Affinity: "a"}, Unit{LocalityWait: time.Hour, TasksPerWorker: map[string]int{"b1": 1}}, nil, []*Worker{busy("a1", "a"), free("b1", "b")}, nil, nil},
 	} {
-		for _, stands := range []bool{false, true} {
+		for _, overdue := range []bool{false, true} {
 			var l []*Worker
 			for _, w := range x.workers {
 				c := *w
 				l = append(l, &c)
 			}
 			u, s := x.unit, x.step
-			u.Key, u.Step, u.StandsStill, u.Priority = "00000000000000bb.0.0", &s, stands, 1
+			u.Key, u.Step, u.Overdue, u.Priority = "00000000000000bb.0.0", &s, overdue, 1
 			s.Demand = accelerators(8)
 			u.TasksPerWorker = maps.Clone(u.TasksPerWorker)
 			for i := range s.Count {
@@ -67,21 +67,21 @@
 				got[p.Worker]++
 			}
 			want := x.waiting
-			if stands {
+			if overdue {
 				want = x.standing
 			}
 			if !maps.Equal(got, want) {
-				t.Errorf("%s, stands still %v: started %v, want %v", x.name, stands, got, want)
+				t.Errorf("%s, overdue %v: started %v, want %v", x.name, overdue, got, want)
 			}
 		}
 	}
 }
 
-// TestClaimedRoom guards against a job that stands still and takes the room that is kept for an
+// TestClaimedRoom guards against an overdue job that takes the room that is kept for an
 // urgent one while runs are stopped for it, so that more of them must be stopped.
 func TestClaimedRoom(t *testing.T) {
 	urgent := &Unit{Key: "00000000000000aa.0.0", Step: &work.Step{Count: 2, Demand: accelerators(8), Gang: true}, Indexes: []int{0, 1}, MayPreempt: true}
-	u := &Unit{Key: "00000000000000bb.0.0", Step: &work.Step{Count: 1, Demand: accelerators(1)}, Indexes: []int{0}, Priority: 2, StandsStill: true}
+	u := &Unit{Key: "00000000000000bb.0.0", Step: &work.Step{Count: 1, Demand: accelerators(1)}, Indexes: []int{0}, Priority: 2, Overdue: true}
 	l := []*Worker{worker("a1", "a", &Run{Key: "run", Demand: accelerators(8), Priority: 2, EndsAt: time.Hour}), worker("a2", "a")}
 	if p := Decide(0, l, []*Unit{urgent, u}); len(p.Stops) != 1 || len(p.Starts) != 0 {
 		t.Errorf("%d stops and %d starts, want one stop and no start", len(p.Stops), len(p.Starts))
--- a/decide/panic_test.go
+++ b/decide/panic_test.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// TestPanicWithFullQueue guards against a host that stands still for good after a panic: it passes
+// TestPanicWithFullQueue guards against a host that is blocked for good after a panic: it passes
 // changes on under a lock that the end of the decider takes, and the queue of events is full.
 func TestPanicWithFullQueue(t *testing.T) {
 	var poolMu sync.Mutex
--- a/decide/partition_test.go
+++ b/decide/partition_test.go
@@ -12,7 +12,7 @@
 	"citronbridge/work"
 )
 
-// TestFullQueueDoesNotBlockDecider guards against a decider that stands still for good: a row of
+// TestFullQueueDoesNotBlockDecider guards against a decider that is blocked for good: a row of
 // the feed waits for room in the queue of events while the decider saves the end of a job.
 func TestFullQueueDoesNotBlockDecider(t *testing.T) {
 	const id = "00000000000000aa"
--- a/demand/advice.go
+++ b/demand/advice.go
@@ -26,7 +26,7 @@
 }
 
 // AskAdvice requests advice on the first unit that still waits for lack of tickets. Units whose
-// jobs stand still come first, as the tickets of the others may be renewed all the time.
+// jobs are overdue come first, as the tickets of the others may be renewed all the time.
 func AskAdvice(p *track.Pool, units []*assign.Unit, workers []*assign.Worker) {
 	var steps []string
 	for _, u := range units {
@@ -37,7 +37,7 @@
 	p.Advice.Retain(steps)
 	var standing, others []*assign.Unit
 	for _, u := range units {
-		if u.StandsStill {
+		if u.Overdue {
 			standing = append(standing, u)
 		} else {
 			others = append(others, u)
--- a/demand/report.go
+++ b/demand/report.go
@@ -15,7 +15,7 @@
 	reportPause = 5 * time.Second
 )
 
-// reportWait reports a step that waits beside room, once it has done so for reportAfter and if
+// reportWait reports a step that waits despite free capacity, once it has done so for reportAfter and if
 // the last report is old enough. It completes the report.
 func reportWait(p *track.Pool, st *track.Step, r event.JobWaits, cause func() string) {
 	now := p.Now.Steady
--- a/demand/units.go
+++ b/demand/units.go
@@ -73,7 +73,7 @@
 		return nil
 	}
 	u.Waited = p.Now.Steady - waitingSince
-	u.StandsStill = standsStill(p, st)
+	u.Overdue = overdue(p, st)
 	if st.Job.Queue.Advice {
 		u.AllowedWorkers = workersWithTicket(p, st)
 	}
--- a/demand/waits.go
+++ b/demand/waits.go
@@ -13,8 +13,8 @@
 // preferred racks and failures together keep room idle, also across takeovers. The platform
 // allows 3 s in all, with what the start itself takes.
 const (
-	standsStillAfter         = 2200 * time.Millisecond
-	standsStillAfterTakeover = 200 * time.Millisecond
+	overdueAfter         = 2200 * time.Millisecond
+	overdueAfterTakeover = 200 * time.Millisecond
 	// roomGap is how long the room may be missing in between and still count as there.
 	roomGap = 400 * time.Millisecond
 )
@@ -23,22 +23,22 @@
 // if no event brings about a placement.
 const replanPause = time.Second
 
-// patience returns how long a step is kept waiting beside room for it twice.
-func patience(st *track.Step) time.Duration {
+// overdueWait returns how long a step is kept waiting despite free capacity for it twice.
+func overdueWait(st *track.Step) time.Duration {
 	if st.Job.TakenOver && st.ReadyAt <= st.Job.AddedAt {
-		return standsStillAfterTakeover
+		return overdueAfterTakeover
 	}
-	return standsStillAfter
+	return overdueAfter
 }
 
-// standsStill reports whether nothing of a step's job has run for too long although there is
+// overdue reports whether nothing of a step's job has run for too long although there is
 // room for the step twice.
-func standsStill(p *track.Pool, st *track.Step) bool {
-	return st.RoomSince > 0 && roomLasts(p.Now.Steady, st) && p.Now.Steady-st.RoomSince >= patience(st)
+func overdue(p *track.Pool, st *track.Step) bool {
+	return st.RoomSince > 0 && roomLasts(p.Now.Steady, st) && p.Now.Steady-st.RoomSince >= overdueWait(st)
 }
 
 // TrackWaits keeps RoomSince of the waiting steps up to date, requests a placement for when
-// they stand still, and reports those that do. The units and workers are those of the last plan.
+// they are overdue, and reports those that do. The units and workers are those of the last plan.
 func TrackWaits(p *track.Pool, units []*assign.Unit, workers []*assign.Worker) {
 	now := p.Now.Steady
 	c := newRoomCounter(p)
@@ -56,7 +56,7 @@
 			st.RoomSince, st.ReportedAt = 0, 0
 			continue
 		}
-		if at := st.RoomSince + patience(st); now < at {
+		if at := st.RoomSince + overdueWait(st); now < at {
 			p.PlaceBy(at)
 		}
 		reportWait(p, st, event.JobWaits{Waited: u.Waited, Tasks: tasks, Room: room}, func() string { return assign.CauseOf(now, u, workers) })
--- a/demand/waits_test.go
+++ b/demand/waits_test.go
@@ -41,9 +41,9 @@
 	return units
 }
 
-// TestPatience checks how long a step waits beside room for it twice before it stands still,
+// TestOverdueAfter checks how long a step waits despite free capacity for it twice before it is overdue,
 // and what ends that.
-func TestPatience(t *testing.T) {
+func TestOverdueAfter(t *testing.T) {
 	const id = "00000000000000aa"
 	for _, x := range []struct {
 		name    string
@@ -52,21 +52,21 @@
 		change  func(*track.Pool, *track.Step)
 		want    bool
 	}{
-		{"room twice", 1, standsStillAfter, nil, true},
-		{"best effort beside full processors and accelerators", 1, standsStillAfter, func(p *track.Pool, st *track.Step) {
+		{"room twice", 1, overdueAfter, nil, true},
+		{"best effort beside full processors and accelerators", 1, overdueAfter, func(p *track.Pool, st *track.Step) {
 			st.Spec.Fills, st.Spec.Demand = true, work.Amounts{MilliCPU: 1000, MemoryMiB: 1}
 			p.Workers["w0"].Capacity.MemoryMiB, p.Workers["w0"].Used.Accelerators = 2, 2
 		}, true},
-		{"not for long", 1, standsStillAfter - 1, nil, false},
+		{"not for long", 1, overdueAfter - 1, nil, false},
 		{"no room", 0, time.Hour, nil, false},
-		{"taken over from another decider", 1, standsStillAfterTakeover, func(_ *track.Pool, st *track.Step) { st.Job.TakenOver = true }, true},
-		{"taken over, and ready since then", 1, standsStillAfterTakeover, func(p *track.Pool, st *track.Step) { st.Job.TakenOver, st.ReadyAt = true, p.Now.Steady+1 }, false},
-		{"room twice, but for a moment", 1, standsStillAfter, func(p *track.Pool, _ *track.Step) {
+		{"taken over from another decider", 1, overdueAfterTakeover, func(_ *track.Pool, st *track.Step) { st.Job.TakenOver = true }, true},
+		{"taken over, and ready since then", 1, overdueAfterTakeover, func(p *track.Pool, st *track.Step) { st.Job.TakenOver, st.ReadyAt = true, p.Now.Steady+1 }, false},
+		{"room twice, but for a moment", 1, overdueAfter, func(p *track.Pool, _ *track.Step) {
 			p.Workers["w0"].Used.Accelerators = 1
 			plan(p)
 			p.Workers["w0"].Used.Accelerators = 0
 		}, true},
-		{"room once for longer", 1, standsStillAfter, func(p *track.Pool, _ *track.Step) {
+		{"room once for longer", 1, overdueAfter, func(p *track.Pool, _ *track.Step) {
 			p.Workers["w0"].Used.Accelerators = 1
 			plan(p)
 			p.Now.Steady += roomGap
@@ -75,9 +75,9 @@
 			plan(p)
 			p.Now.Steady -= roomGap
 		}, false},
-		{"paused worker", 1, standsStillAfter, func(p *track.Pool, _ *track.Step) { p.Workers["w0"].PausedUntil = time.Hour }, true},
+		{"paused worker", 1, overdueAfter, func(p *track.Pool, _ *track.Step) { p.Workers["w0"].PausedUntil = time.Hour }, true},
 		{"worker that refused a start", 1, time.Hour, func(p *track.Pool, _ *track.Step) { p.Workers["w0"].ClosedUntil = 2 * time.Hour }, true},
-		{"worker without an answer", 1, standsStillAfter, func(p *track.Pool, _ *track.Step) { p.Workers["w0"].UnansweredCalls = 1 }, true},
+		{"worker without an answer", 1, overdueAfter, func(p *track.Pool, _ *track.Step) { p.Workers["w0"].UnansweredCalls = 1 }, true},
 		{"draining worker", 1, time.Hour, func(p *track.Pool, _ *track.Step) { p.Workers["w0"].Draining = true }, false},
 		{"unlisted worker", 1, time.Hour, func(p *track.Pool, _ *track.Step) { p.Workers["w0"].Listed = false }, false},
 		{"worker whose advice is to use another", 1, time.Hour, func(p *track.Pool, st *track.Step) {
@@ -97,19 +97,19 @@
 			p.Now.Steady -= roomGap
 		}
 		p.Now.Steady += x.after
-		if l := Units(p); len(l) != 1 || l[0].StandsStill != x.want {
-			t.Errorf("%s: %+v, want one that stands still: %v", x.name, l, x.want)
+		if l := Units(p); len(l) != 1 || l[0].Overdue != x.want {
+			t.Errorf("%s: %+v, want one that is overdue: %v", x.name, l, x.want)
 		}
 	}
 }
 
-// TestAdviceForJobThatStandsStill guards against a job that is never asked about, as the
+// TestAdviceForOverdueJob guards against a job that is never asked about, as the
 // tickets of another one that waits before it are renewed all the time.
-func TestAdviceForJobThatStandsStill(t *testing.T) {
+func TestAdviceForOverdueJob(t *testing.T) {
 	p := waitingPool(2, "00000000000000aa", "00000000000000bb")
 	units := Units(p)
 	workers, _ := Workers(p)
-	units[1].StandsStill = true
+	units[1].Overdue = true
 	p.PendingEffects = nil
 	AskAdvice(p, units, workers)
 	if len(p.PendingEffects) != 1 || p.PendingEffects[0].(event.Advise).Step != units[1].Key {
--- a/meter/host.go
+++ b/meter/host.go
@@ -72,7 +72,7 @@
 		OrderWait:      s.histograms("worker_order_wait_seconds", "Time from a decision to the call of the worker.", "order"),
 		OrderTime:      s.histograms("worker_order_seconds", "Time that calls of workers took.", "order"),
 		GangStart:      s.histogram("gang_start_seconds", "Time from the first order of a gang until all its members are confirmed.", waitBuckets),
-		Stalled:        s.counter("stalled_seconds_total", "Time for which the process stood still, as its processor was late."),
+		Stalled:        s.counter("stalled_seconds_total", "Time for which the process was stalled, as its processor was late."),
 		StoreCalls:     s.counters("store_calls_total", "Calls of the platform's store, by outcome.", "call", "outcome"),
 		StoreTime:      s.histograms("store_call_seconds", "Time that calls of the platform's store took.", "call"),
 		Malformed:      s.counters("malformed_total", "Rows of other writers that can't be used, by source.", "source"),
--- a/native/handovers_test.go
+++ b/native/handovers_test.go
@@ -33,12 +33,12 @@
 }
 
 // Numbers, window and distance of the rounds of faults in the soak of handovers. The calm
-// between two rounds is long enough for a job to stand still.
+// between two rounds is long enough for a job to starve.
 const (
 	handoverRounds      = 2
 	handoverRoundFaults = 6
 	handoverRoundWindow = 3 * time.Second
-	handoverRoundEvery  = handoverRoundWindow + longestSoakFault + calmTime + 2*maxStandstill
+	handoverRoundEvery  = handoverRoundWindow + longestSoakFault + calmTime + 2*maxStarvation
 	handoverFirstRound  = 2 * time.Second
 	// soakSeries is how many changes a series has.
 	soakSeries = 5
@@ -112,7 +112,7 @@
 
 // TestSoakHandovers kills, pauses, stops and reconfigures hosts in rounds, most often the
 // decider, so that the pool changes hands several times, to hosts that may be too small for
-// it. No job may stand still in the calm after each round. Half of the seeds run beside busy
+// it. No job may starve in the calm after each round. Half of the seeds run beside busy
 // processes. The pool is mostly full, or mostly free, by the seed.
 func TestSoakHandovers(t *testing.T) {
 	for i := range *handoverSeeds {
--- a/native/soak_test.go
+++ b/native/soak_test.go
@@ -29,8 +29,8 @@
 )
 
 // soakCalm is for how long clients go on after the last fault of a soak: until jobs that they
-// submitted once it was calm could stand still.
-const soakCalm = calmTime + 2*maxStandstill
+// submitted once it was calm could starve.
+const soakCalm = calmTime + 2*maxStarvation
 
 var toxicCount atomic.Int64
 
@@ -291,7 +291,7 @@
 	t.Logf("seed %d:\n%s", seed, strings.Join(text, "\n"))
 
 	w := d.monitorRunsAllowingLapses()
-	still := newStandstills(d, w, &s.disruptions)
+	still := newStarvations(d, w, &s.disruptions)
 	stopWatch := still.watch()
 	h := &history{began: time.Now()}
 	var clients []*soakClient
--- a/native/standstill_test.go
+++ b/native/starvation_test.go
@@ -12,12 +12,12 @@
 	"citronbridge/work"
 )
 
-// Bounds of LOST: a job whose turn has come may have nothing running beside room for it
-// twice for maxStandstill, once there has been no disruption for calmTime.
+// Bounds of LOST: a job whose turn has come may have nothing running despite free capacity for it
+// twice for maxStarvation, once there has been no disruption for calmTime.
 const (
-	maxStandstill   = 3 * time.Second
+	maxStarvation   = 3 * time.Second
 	calmTime        = 4 * time.Second
-	standstillPause = 250 * time.Millisecond
+	starvationPause = 250 * time.Millisecond
 )
 
 // disruptions tells how long there has been no disruption.
@@ -47,10 +47,10 @@
 	return u.active == 0 && now.Sub(u.ended) >= calmTime
 }
 
-// standstills checks, from the rows of the store and the runs at the workers, that no job
-// has nothing running for longer than maxStandstill while a task or a whole gang of it is
+// starvations checks, from the rows of the store and the runs at the workers, that no job
+// has nothing running for longer than maxStarvation while a task or a whole gang of it is
 // due and the workers have room for it twice. It knows of one pool.
-type standstills struct {
+type starvations struct {
 	d           *deployment
 	runs        *runMonitor
 	disruptions *disruptions
@@ -58,7 +58,7 @@
 	// still. A start ends the waits of its job, and of those to which it leaves too little
 	// room, as the run may end before the next look.
 	waits map[string]*jobWait
-	// flickers are the jobs that stood still at every look for longer than maxStandstill,
+	// flickers are the jobs that starved at every look for longer than maxStarvation,
 	// but not in between.
 	flickers map[string]bool
 	// watched are the open jobs seen in calm, waited those that had nothing running then.
@@ -67,7 +67,7 @@
 	longest         time.Duration
 }
 
-// jobWait is the wait of a job that stands still: since when at every moment, since when at
+// jobWait is the wait of a job that starves: since when at every moment, since when at
 // every look, and its rows at the last look.
 type jobWait struct {
 	since, looks time.Time
@@ -75,9 +75,9 @@
 	record       *work.Record
 }
 
-// newStandstills returns a check of d's jobs. Its runs must come from a monitor of d.
-func newStandstills(d *deployment, w *runMonitor, u *disruptions) *standstills {
-	s := &standstills{d: d, runs: w, disruptions: u, waits: map[string]*jobWait{}, flickers: map[string]bool{}, watched: map[string]bool{}, waited: map[string]bool{}, found: map[string]string{}}
+// newStarvations returns a check of d's jobs. Its runs must come from a monitor of d.
+func newStarvations(d *deployment, w *runMonitor, u *disruptions) *starvations {
+	s := &starvations{d: d, runs: w, disruptions: u, waits: map[string]*jobWait{}, flickers: map[string]bool{}, watched: map[string]bool{}, waited: map[string]bool{}, found: map[string]string{}}
 	d.platform.Lock(func(c *model.Cluster) {
 		previous := c.OnStart
 		c.OnStart = func(x *model.Worker, p *model.ActiveRun) {
@@ -96,11 +96,11 @@
 }
 
 // watch looks regularly until the returned function is called.
-func (s *standstills) watch() (stop func()) {
+func (s *starvations) watch() (stop func()) {
 	done, ended := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(ended)
-		t := time.NewTicker(standstillPause)
+		t := time.NewTicker(starvationPause)
 		defer t.Stop()
 		for {
 			select {
@@ -115,7 +115,7 @@
 }
 
 // look takes one look at all jobs.
-func (s *standstills) look(now time.Time) {
+func (s *starvations) look(now time.Time) {
 	jobs, records, cancels := s.d.platform.Store.Values(repo.TableJobs), s.d.platform.Store.Values(repo.TableRecords), s.d.platform.Store.Values(repo.TableCancels)
 	s.d.platform.Lock(func(c *model.Cluster) {
 		if !s.disruptions.calm(now) {
@@ -161,16 +161,16 @@
 			q.job, q.record = j, r
 			d := now.Sub(q.since)
 			s.longest = max(s.longest, d)
-			s.flickers[id] = s.flickers[id] || now.Sub(q.looks) > maxStandstill
-			if d > maxStandstill && s.found[id] == "" {
+			s.flickers[id] = s.flickers[id] || now.Sub(q.looks) > maxStarvation
+			if d > maxStarvation && s.found[id] == "" {
 				s.found[id] = fmt.Sprintf("nothing running from %s to %s although there is room for step %s; job %s; record %s", q.since.UTC().Format(time.RFC3339Nano), now.UTC().Format(time.RFC3339Nano), step, b, records[id])
 			}
 		}
 	})
 }
 
-// check fails the test for each job that stood still, and if no job was watched.
-func (s *standstills) check(t *testing.T) {
+// check fails the test for each job that starved, and if no job was watched.
+func (s *starvations) check(t *testing.T) {
 	t.Helper()
 	s.d.platform.Lock(func(*model.Cluster) {
 		for id, text := range s.found {
@@ -185,7 +185,7 @@
 				flickers++
 			}
 		}
-		t.Logf("%d open jobs watched in calm, %d of them seen without runs beside room, for %v at most, %d more at every look for over %v", len(s.watched), len(s.waited), s.longest, flickers, maxStandstill)
+		t.Logf("%d open jobs watched in calm, %d of them seen without runs despite free capacity, for %v at most, %d more at every look for over %v", len(s.watched), len(s.waited), s.longest, flickers, maxStarvation)
 	})
 }
 
@@ -245,12 +245,12 @@
 	return n
 }
 
-// TestStandstillsAreFound checks that a job that the workers refuse is reported, and that
+// TestStarvationIsFound checks that a job that the workers refuse is reported, and that
 // others of the same deployment aren't.
-func TestStandstillsAreFound(t *testing.T) {
+func TestStarvationIsFound(t *testing.T) {
 	t.Parallel()
 	d := deploy(t, 2, 3)
-	s := newStandstills(d, d.monitorRuns(), &disruptions{})
+	s := newStarvations(d, d.monitorRuns(), &disruptions{})
 	stop := s.watch()
 	d.submit(jobID(1), "/batch/", jobBody(singleTasks(2, 5*time.Second)))
 	d.submit(jobID(2), "/batch/", jobBody(singleTasks(1, 100*time.Millisecond)))
@@ -268,8 +268,8 @@
 	}
 }
 
-// TestStandstillRules checks which jobs the check takes for standing still.
-func TestStandstillRules(t *testing.T) {
+// TestStarvationRules checks which jobs the check counts as starved.
+func TestStarvationRules(t *testing.T) {
 	t.Parallel()
 	second := work.Step{Count: 1, Demand: work.Amounts{MilliCPU: 1000}, After: []int{0}}
 	first := work.Step{Count: 1, Demand: work.Amounts{MilliCPU: 16000}}
@@ -311,7 +311,7 @@
 				d.addWorker(fmt.Sprint("w", i), 1)
 			}
 			u := &disruptions{}
-			s := newStandstills(d, d.monitorRuns(), u)
+			s := newStarvations(d, d.monitorRuns(), u)
 			now := time.Now()
 			j := &work.Job{ID: jobID(1), Queue: "batch", Steps: x.steps}
 			if x.due > 0 {
@@ -333,7 +333,7 @@
 			if x.canceled {
 				d.platform.Store.Put(repo.TableCancels, j.ID, []byte("{}"))
 			}
-			for at := time.Duration(0); at <= maxStandstill+standstillPause; at += standstillPause {
+			for at := time.Duration(0); at <= maxStarvation+starvationPause; at += starvationPause {
 				if at == x.disruptedAt && at > 0 {
 					u.ended = now.Add(at)
 				}
--- a/sched/room_test.go
+++ b/sched/room_test.go
@@ -19,9 +19,9 @@
 	return false
 }
 
-// TestStandstillBesideClaimedRoom guards against a small job that stands still beside five idle
+// TestStarvationDespiteClaimedRoom guards against a small job that starves beside five idle
 // workers of six, as a run that is stopped for an urgent gang takes its time to end.
-func TestStandstillBesideClaimedRoom(t *testing.T) {
+func TestStarvationDespiteClaimedRoom(t *testing.T) {
 	demand := work.Amounts{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 4}
 	small := work.Amounts{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 1}
 	b := newBench(t, 6)
--- a/sched/schedule_test.go
+++ b/sched/schedule_test.go
@@ -61,7 +61,7 @@
 	}
 	w.endFaults()
 	w.after(10*time.Second, func() { w.watchLongRunning(w.faultsUntil + watchTime) })
-	w.after(settleTime, func() { w.watchStandstills(w.faultsUntil + watchTime + finishTime) })
+	w.after(settleTime, func() { w.watchStarvation(w.faultsUntil + watchTime + finishTime) })
 	w.run(w.faultsUntil + watchTime)
 	w.cancelLongRunning()
 	w.run(w.faultsUntil + watchTime + finishTime)
@@ -553,7 +553,7 @@
 		{"leases renewed that successors count as lapsing", faults{staleLapse: true}, 1, false},
 		{"progress of waves that isn't durable", faults{volatileProgress: true}, waveEvery, false},
 		{"machines without fencing and without the pause around a takeover", faults{unfenced: true, noTakeoverPause: true}, waveEvery, false},
-		{"waits beside room without a bound", faults{noWaitBound: true}, 1, true},
+		{"waits despite free capacity without a bound", faults{noWaitBound: true}, 1, true},
 		{"workers that stay closed after a failure", faults{closedForGood: true}, 1, true},
 		{"lost wake-ups of placement", faults{lostWakeUps: true}, 1, true},
 	} {
--- a/sched/standstill_test.go
+++ b/sched/starvation_test.go
@@ -16,31 +16,31 @@
 // every worker is listed again and each inherited lease has ended.
 const settleTime = 12 * time.Second
 
-// standstill says since when a job has had no running task although one is due and has room.
-type standstill struct {
+// starvation says since when a job has had no running task although one is due and has room.
+type starvation struct {
 	since time.Duration
 	// step is the key of a step whose tasks could run.
 	step string
 }
 
-// watchStandstills regularly checks that no job stands still: that none has nothing running
+// watchStarvation regularly checks that no job starves: that none has nothing running
 // for longer than maxWaitWithRoom while a task, or a whole gang, is due and there is room
 // for it twice. It applies however full the pool is.
-func (w *world) watchStandstills(until time.Duration) {
+func (w *world) watchStarvation(until time.Duration) {
 	for _, id := range sorted(w.jobs) {
 		step, ok := w.runnable(id)
-		s := w.standstills[id]
+		s := w.starvations[id]
 		switch {
 		case !ok:
-			delete(w.standstills, id)
+			delete(w.starvations, id)
 		case s == nil:
-			w.standstills[id] = &standstill{w.now, step}
+			w.starvations[id] = &starvation{w.now, step}
 		case w.now-s.since > maxWaitWithRoom:
 			w.fail("LOST: job %s has had nothing running since %v although there is room for step %s: %s", id, s.since, step, w.describe(id))
 		}
 	}
 	if w.now+watchPause < until {
-		w.after(watchPause, func() { w.watchStandstills(until) })
+		w.after(watchPause, func() { w.watchStarvation(until) })
 	}
 }
 
@@ -168,14 +168,14 @@
 }
 
 var (
-	calmSeeds = flag.Uint64("calm-seeds", 100, "how many seeds of each kind TestNoJobStandsStill plays")
-	calmSeed  = flag.Uint64("calm-seed", 1, "the first seed that TestNoJobStandsStill plays")
+	calmSeeds = flag.Uint64("calm-seeds", 100, "how many seeds of each kind TestNoJobStarves plays")
+	calmSeed  = flag.Uint64("calm-seed", 1, "the first seed that TestNoJobStarves plays")
 )
 
-// TestNoJobStandsStill guards against jobs that have nothing running although their turn has
+// TestNoJobStarves guards against jobs that have nothing running although their turn has
 // come and there is room: jobs are submitted after the faults have ended, to pools that are
 // mostly free or full, with selective steps, gangs and planned handovers.
-func TestNoJobStandsStill(t *testing.T) {
+func TestNoJobStarves(t *testing.T) {
 	for _, x := range []struct {
 		name                 string
 		selective, handovers bool
--- a/sched/waits_test.go
+++ b/sched/waits_test.go
@@ -10,7 +10,7 @@
 	"citronbridge/work"
 )
 
-// TestWaitsAreReported checks that a job which waits beside room for it twice is reported with
+// TestWaitsAreReported checks that a job which waits despite free capacity for it twice is reported with
 // the cause, and the state of the pool while any job waits. There are four workers on two racks.
 func TestWaitsAreReported(t *testing.T) {
 	demand := work.Amounts{MilliCPU: 1000, MemoryMiB: 1000, Accelerators: 4}
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -84,9 +84,9 @@
 	// final.
 	activeRuns map[string]int
 	ended      map[string]bool
-	// standstills are the jobs that have had nothing running in vain.
-	standstills map[string]*standstill
-	// waitCauses are the last reported causes for which jobs wait beside room.
+	// starvations are the jobs that have had nothing running in vain.
+	starvations map[string]*starvation
+	// waitCauses are the last reported causes for which jobs wait despite free capacity.
 	waitCauses map[string]string
 	violations []string
 	starts     int
@@ -112,7 +112,7 @@
 	// successor order maintenance at once, and a former decider order it without a recent
 	// proof of ownership.
 	unfenced, noTakeoverPause bool
-	// noWaitBound forgets since when steps wait beside room. closedForGood closes each worker
+	// noWaitBound forgets since when steps wait despite free capacity. closedForGood closes each worker
 	// on which a run has failed for an hour. lostWakeUps drops the requests for placement at
 	// later times, and at once by events without other effects.
 	noWaitBound, closedForGood, lostWakeUps bool
@@ -225,7 +225,7 @@
 		rng: rand.New(rand.NewPCG(seed, 7)), faults: f, faultsUntil: 30 * time.Second,
 		jobs: map[string]*work.Job{}, records: map[string][]byte{}, canceled: map[string]time.Duration{}, cancelAcked: map[string]time.Duration{},
 		workerRows: map[string]workerRow{}, storeUp: true, listed: map[string]bool{}, fences: map[string]int64{}, changed: map[string]bool{}, drainsSince: map[string]time.Duration{}, leavesAtMS: map[string]int64{},
-		active: map[string][]*activeRun{}, doneRuns: map[string][]*doneRun{}, failed: map[string]int{}, serving: map[string]*longRunningTask{}, standstills: map[string]*standstill{}, activeRuns: map[string]int{}, ended: map[string]bool{}, waitCauses: map[string]string{},
+		active: map[string][]*activeRun{}, doneRuns: map[string][]*doneRun{}, failed: map[string]int{}, serving: map[string]*longRunningTask{}, starvations: map[string]*starvation{}, activeRuns: map[string]int{}, ended: map[string]bool{}, waitCauses: map[string]string{},
 	}
 	w.rules = &work.Rules{Version: 1, Queues: map[string]*work.Queue{
 		"urgent":  {Name: "urgent", Pool: "p", Priority: 0, MaxAttempts: 2, Stretch: 2, Slack: time.Second},
--- a/track/job.go
+++ b/track/job.go
@@ -82,7 +82,7 @@
 	// AddedAt is when the decider received the job.
 	AddedAt time.Duration
 	// TakenOver reports whether the job was open when the decider acquired the pool and nothing
-	// of it has run since. It may have stood still for long then.
+	// of it has run since. It may have been overdue for long then.
 	TakenOver bool
 	// Started reports whether any task of the job has started, or may have under a former
 	// decider.
--- a/track/pool.go
+++ b/track/pool.go
@@ -186,7 +186,7 @@
 	NotSynced    Closure = "not synced"
 	NotProved    Closure = "ownership not proved"
 	Refused      Closure = "start refused or not answered"
-	// Paused workers still get tasks of jobs that would stand still. Runs failed or were slow
+	// Paused workers still get tasks of overdue jobs. Runs failed or were slow
 	// there.
 	Paused Closure = "paused"
 )
--- a/track/worker.go
+++ b/track/worker.go
@@ -82,7 +82,7 @@
 	Cordoned bool
 	// ClosedUntil is the time before which the worker gets no new tasks, as it refused or
 	// didn't answer a start. PausedUntil is the time before which it gets none but of jobs
-	// that would stand still, as runs failed or were slow there.
+	// that are overdue, as runs failed or were slow there.
 	ClosedUntil, PausedUntil time.Duration
 	// FailureStreak is the number of jobs whose first failed run was here, since a task was
 	// last done here. LastFailedJob is the job of the last failed run here.
