config, host, memory: Settings Limits of citronbridge serve

citronbridge serve had no setting of the memory and descriptors it may use, so no limit against clients can be derived from one, and the Go runtime had no soft limit. The section Limits has Memory (512 MiB) and Descriptors (4096); host sets 70% of Memory as the runtime's soft limit, as node does, through the new package memory. Descriptors is only checked so far.

--- a/config/config.go
+++ b/config/config.go
@@ -42,6 +42,7 @@
 	LogLevel string      `yaml:"LogLevel"`
 	Bounds   Bounds      `yaml:"Bounds"`
 	Store    Store       `yaml:"Store"`
+	Limits   Limits      `yaml:"Limits"`
 	// Policy turns off single rules of placement, to compare results with and
 	// without them.
 	Policy state.Policy `yaml:"Policy"`
@@ -60,6 +61,15 @@
 	CallsPerSecond int `yaml:"CallsPerSecond"`
 }
 
+// Limits are the resources that the process may use.
+type Limits struct {
+	// Memory is the memory that the process may use. A share of it is the Go runtime's soft
+	// limit, see package memory.
+	Memory units.Bytes `yaml:"Memory"`
+	// Descriptors is the maximum number of open files and connections of the process.
+	Descriptors int `yaml:"Descriptors"`
+}
+
 // Bounds are the leases, timeouts and poll intervals of a host. The fields from
 // Lease to Probe are described at setup.Bounds.
 type Bounds struct {
@@ -91,6 +101,7 @@
 	return Settings{
 		LogLevel: "info",
 		Store:    Store{CallsPerSecond: 200},
+		Limits:   Limits{Memory: 512 << 20, Descriptors: 4096},
 		Bounds: Bounds{
 			Lease: d(setup.DefaultLease), Start: d(setup.DefaultStart), Arm: d(setup.DefaultArm), Checkpoint: d(setup.DefaultCheckpoint),
 			Stop: d(setup.DefaultStop), Confirm: d(setup.DefaultConfirm), Offer: d(setup.DefaultOffer), Probe: d(setup.DefaultProbe),
@@ -138,6 +149,8 @@
 	_, err := zerolog.ParseLevel(s.LogLevel)
 	l.Check(err == nil && s.LogLevel != "", "LogLevel", s.LogLevel, "trace, debug, info, warn, error or disabled")
 	l.CheckRange("Store.CallsPerSecond", int64(s.Store.CallsPerSecond), 1, 100000)
+	l.Check(s.Limits.Memory >= minMemory && s.Limits.Memory <= maxMemory, "Limits.Memory", s.Limits.Memory, fmt.Sprintf("an amount of memory from %s to %s", minMemory, maxMemory))
+	l.CheckRange("Limits.Descriptors", int64(s.Limits.Descriptors), minDescriptors, maxDescriptors)
 	return append(l, s.Bounds.check().WithPrefix("Bounds.")...)
 }
 
@@ -175,6 +188,15 @@
 	l.Check(ok, field, v, "a URL of scheme http or https, an IP number and a port")
 }
 
+// The ranges of Limits. The lower ends leave room for clients and other hosts beside what an idle
+// host uses itself.
+const (
+	minMemory      = units.Bytes(64 << 20)
+	maxMemory      = units.Bytes(1 << 40)
+	minDescriptors = 256
+	maxDescriptors = 1 << 20
+)
+
 // The range that each duration of Bounds must lie in.
 const (
 	minBound = 10 * time.Millisecond
--- a/host/host.go
+++ b/host/host.go
@@ -22,6 +22,7 @@
 	"citronbridge/entry"
 	"citronbridge/fleet"
 	"citronbridge/ledger"
+	"citronbridge/memory"
 	"citronbridge/meter"
 	"citronbridge/peers"
 	"citronbridge/retry"
@@ -83,6 +84,7 @@
 		settings: s, log: log.With().Str("host", s.Host).Logger(), timer: timer.New(), meter: meter.New(), revisions: rules.NewRevisionCache(),
 		draining: make(chan struct{}), stopped: make(chan struct{}),
 	}
+	memory.SetLimit(int64(s.Limits.Memory))
 	var err error
 	if h.httpListener, err = net.Listen("tcp", s.HTTPAddress); err != nil {
 		return nil, fmt.Errorf("listen for callers over HTTP: %w", err)
--- a/node/reload.go
+++ b/node/reload.go
@@ -2,18 +2,15 @@
 
 import (
 	"os"
-	"runtime/debug"
 	"time"
 
+	"citronbridge/memory"
 	"citronbridge/platform"
 )
 
 // settingsPollInterval is how often the settings file is checked for changes made without a signal.
 const settingsPollInterval = time.Second
 
-// memoryShare is the share of the memory limit that is set as the Go runtime's soft limit.
-const memoryShare = 0.7
-
 // fileVersion identifies a version of a file by its modification time and size.
 type fileVersion struct {
 	modTime time.Time
@@ -67,7 +64,7 @@
 	h.gate.SetMaxAges(maxAge, min(maxReadyAge, maxAge))
 	h.directStore.SetAddress(s.Store.Address)
 	if s.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB<<20)))
+		memory.SetLimit(s.Limits.MemoryMB << 20)
 	}
 	h.settings.Store(s)
 }
