native: Soak with connections whose bodies don't end

The soak had only well-behaved clients, so it could not show that requests that never end disturb the others or are carried out. 40 connections per seed now send submissions without the end of their bodies, whole or in chunks, and open again when they are closed; no task of theirs may start. The soak of handovers stays without them.

--- a/native/soak_test.go
+++ b/native/soak_test.go
@@ -257,7 +257,7 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			runSoak(t, seed, soakKind{
-				hosts: soakHosts, workers: soakWorkers, job: soakJob,
+				hosts: soakHosts, workers: soakWorkers, job: soakJob, crowd: soakCrowd,
 				plan: func(links int) []fault { return planFaults(seed, soakHosts, links) },
 			})
 		})
@@ -269,14 +269,16 @@
 	hosts, workers int
 	// maxAttempts is how often a task may fail, 0 for the default of the deployments.
 	maxAttempts int
+	// crowd is the number of connections with unfinished bodies.
+	crowd int
 	// plan returns the faults, for a number of links; job the body of a random job.
 	plan func(links int) []fault
 	job  func(r *rand.Rand) string
 }
 
 // runSoak runs the soak of one seed. Accepted jobs must succeed unless a client canceled
-// them, no task of a rejected or withdrawn job may start, no two runs of a task may overlap, and the
-// history of the calls must be linearizable under jobModel.
+// them, no task of a rejected, withdrawn or incomplete submission may start, no two runs of a
+// task may overlap, and the history of the calls must be linearizable under jobModel.
 func runSoak(t *testing.T, seed uint64, k soakKind) {
 	d := newDeployment(t, 2*time.Minute)
 	s := &soak{d: d, links: newLinks(t), hostMu: make([]sync.Mutex, k.hosts)}
@@ -306,8 +308,10 @@
 			c.run(ended)
 		}()
 	}
+	stopCrowd := d.startCrowd(seed, k.crowd)
 	s.run(plan)
 	time.Sleep(soakCalm)
+	stopCrowd()
 	close(ended)
 	wg.Wait()
 	for _, x := range d.hosts {
@@ -325,6 +329,11 @@
 	still.check(t)
 	n, withdrawn := d.checkRuns(w), 0
 	d.platform.Lock(func(*model.Cluster) {
+		for task := range w.started {
+			if strings.HasPrefix(task, soakCrowdPrefix) {
+				t.Errorf("task %s has started, but the body of its submission never ended", task)
+			}
+		}
 		for _, c := range clients {
 			for task := range w.started {
 				id, _, _ := strings.Cut(task, ".")
