repo, platform, node: A job is reached by its own account only

GET and DELETE named any job whose ID a caller knew, a submission under a foreign ID was answered as its repetition, and a cancel of an unknown ID stopped every account's submission under it and wrote rows without a bound.

The record holds the job's account.

--- a/decide/partition.go
+++ b/decide/partition.go
@@ -18,7 +18,8 @@
 type partition struct {
 	d    *Decider
 	name string
-	// writer is set before the first job of the partition is handled.
+	// writer is set before the first job of the partition is handled. Until then it is read
+	// under mu only.
 	writer *repo.Writer
 
 	// mu guards loaded, listVersion and buffered. It is held while events are enqueued, so the
@@ -52,7 +53,7 @@
 			return
 		default:
 			if s.writer == nil {
-				s.writer = s.d.newWriter(c)
+				s.setWriter(s.d.newWriter(c))
 			}
 			var jobs int
 			jobs, err = s.readJobs(s.d.ctx)
@@ -67,6 +68,13 @@
 	}
 }
 
+// setWriter sets the writer, which the feed of cancellations uses too.
+func (s *partition) setWriter(w *repo.Writer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writer = w
+}
+
 // readJobs reads the partition's jobs. It is called once the partition is fenced,
 // as no other decider can change a record from then on. It returns the number of jobs, those of
 // other pools included.
@@ -125,6 +133,13 @@
 	s.endedAt[id] = at
 }
 
+// clearEnded forgets that a job ended: one of another account is stored under its ID now.
+func (s *partition) clearEnded(id string) {
+	s.endedMu.Lock()
+	defer s.endedMu.Unlock()
+	delete(s.endedAt, id)
+}
+
 // trackEnded remembers when the job of a final record ended, so that sweep
 // deletes the record in time. Records that aren't final are ignored.
 func (s *partition) trackEnded(r repo.Row) {
@@ -141,7 +156,7 @@
 }
 
 // jobCanceled handles a job's cancellation. A job that was never stored is only remembered for
-// sweep.
+// sweep, unless another account has submitted a job under its ID since.
 func (s *partition) jobCanceled(r repo.Row) {
 	c, err := repo.DecodeCancelRow(r.Value)
 	if err != nil {
@@ -151,12 +166,15 @@
 		s.d.enqueue(event.JobCanceled{ID: r.Key})
 		return
 	}
-	s.setEnded(r.Key, c.Ended)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.loaded {
+	if s.writer != nil {
+		if s.writer.Version(repo.TableRecords, r.Key) > r.Version {
+			return
+		}
 		s.writer.RecordVersion(repo.TableRecords, r.Key, r.Version)
 	}
+	s.setEnded(r.Key, c.Ended)
 }
 
 // sweep deletes the records and cancels of jobs that ended before a time, in Unix milliseconds.
@@ -170,12 +188,21 @@
 	defer s.endedMu.Unlock()
 	for id, at := range s.endedAt {
 		if at < endedBefore {
-			delete(s.endedAt, id)
-			s.writer.Put(repo.TableRecords, id, nil, nil, repo.TableCancels)
+			keep := func(value []byte) bool { return !endedRecord(value, endedBefore) }
+			if s.writer.DeleteUnless(repo.TableRecords, id, keep, repo.TableCancels) {
+				delete(s.endedAt, id)
+			}
 		}
 	}
 }
 
+// endedRecord reports whether a record is that of a job that ended before a time, in Unix
+// milliseconds.
+func endedRecord(value []byte, before int64) bool {
+	rec, err := work.DecodeRecord(value)
+	return err == nil && rec.State.Final() && rec.Ended < before
+}
+
 // jobChanged handles a job's row from the feed.
 func (s *partition) jobChanged(r repo.Row) {
 	if r.Deleted {
@@ -207,15 +234,22 @@
 	}
 	rec := &work.Record{State: work.Pending, Queue: j.Queue}
 	version := r.Version
-	if record.Value != nil {
+	// A record that is older than the job's row is that of a cancellation by another account
+	// before the job was stored. It was read before, and the job's own record has replaced it.
+	if record.Value != nil && record.Version >= r.Version {
 		if rec, err = work.DecodeRecord(record.Value); err != nil {
 			s.d.log.Error().Err(err).Str("job", r.Key).Msg("job record can't be decoded; skipping this job")
 			return
 		}
 		version = record.Version
 	}
+	// Records of earlier versions lack the account.
+	rec.HasAccount, rec.Account = true, j.Tenant
 	// Where the record wasn't read, its version is that of the job's row, as one
 	// transaction writes both.
+	if s.writer.Version(repo.TableRecords, r.Key) <= r.Version {
+		s.clearEnded(r.Key)
+	}
 	s.writer.RecordVersion(repo.TableRecords, r.Key, version)
 	pool := rec.Pool
 	if pool == "" {
--- a/decide/sweep_test.go
+++ b/decide/sweep_test.go
@@ -24,7 +24,7 @@
 	const id = "00000000000000aa"
 	for _, loaded := range []bool{false, true} {
 		m := rows.New()
-		if v, err := repo.New(m, available{}).Cancel(t.Context(), id); v != repo.Absent {
+		if v, err := repo.New(m, available{}).Cancel(t.Context(), repo.Caller{PublicQueue: "q"}, id); v != repo.Absent {
 			t.Fatal(v, err)
 		}
 		before := m.CallCount()
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 	"citronbridge/follow"
 	"citronbridge/gate"
 	"citronbridge/guard"
+	"citronbridge/limit"
 	"citronbridge/meter"
 	"citronbridge/platform"
 	"citronbridge/pulse"
@@ -121,6 +122,8 @@
 	}
 	h.store = watch.Observe(h.relay, h.clock, h.health)
 	h.repo = repo.New(h.store, h.health)
+	cancels := limit.NewCancels()
+	h.repo.AllowUnknownCancel = func(c repo.Caller) bool { return cancels.Take(c.Account, time.Now()) }
 	h.owners = repo.NewOwners(h.store)
 	h.heartbeats = pulse.New(timer.SinceBoot, h.heartbeatPause)
 	h.heartbeats.OnOwnerChange = h.logOwnerChange
@@ -310,17 +313,17 @@
 }
 
 // Submit implements platform.Jobs.
-func (s *service) Submit(ctx context.Context, j *work.Job) repo.Verdict {
+func (s *service) Submit(ctx context.Context, c repo.Caller, j *work.Job) repo.Verdict {
 	j.Accepted = time.Now().UnixMilli()
-	v, err := s.h.repo.Submit(ctx, j)
+	v, err := s.h.repo.Submit(ctx, c, j)
 	s.h.meter.Submitted.WithLabelValues(j.Tenant, string(v)).Inc()
 	s.recordCall("submit", j.ID, v, err)
 	return v
 }
 
 // State implements platform.Jobs.
-func (s *service) State(ctx context.Context, id string) (work.State, repo.Verdict) {
-	r, v, err := s.h.repo.Record(ctx, id)
+func (s *service) State(ctx context.Context, c repo.Caller, id string) (work.State, repo.Verdict) {
+	r, v, err := s.h.repo.Record(ctx, c, id)
 	if v != repo.Done {
 		s.recordCall("state", id, v, err)
 		return "", v
@@ -329,8 +332,11 @@
 }
 
 // Cancel implements platform.Jobs.
-func (s *service) Cancel(ctx context.Context, id string) repo.Verdict {
-	v, err := s.h.repo.Cancel(ctx, id)
+func (s *service) Cancel(ctx context.Context, c repo.Caller, id string) repo.Verdict {
+	v, err := s.h.repo.Cancel(ctx, c, id)
+	if v == repo.Limited {
+		s.h.meter.Refused.WithLabelValues("CancelRate").Inc()
+	}
 	s.recordCall("cancel", id, v, err)
 	return v
 }
--- a/repo/cancel.go
+++ b/repo/cancel.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"citronbridge/work"
@@ -25,52 +26,78 @@
 	return c, nil
 }
 
+// maxCancelers limits the submitters in an Unsubmitted record, which bounds its size. It is far
+// above the number of accounts that cancel the same unknown ID by mistake.
+const maxCancelers = 64
+
+// errCancelers is returned if more accounts than maxCancelers cancel the same unknown job.
+var errCancelers = fmt.Errorf("too many accounts have cancelled this unknown job: %w", ErrNotDone)
+
+// errLimited is the cause of the verdict Limited.
+var errLimited = fmt.Errorf("too many cancellations of unknown jobs: %w", ErrNotDone)
+
 // Cancel stores a request to cancel a job. A job that has already ended is left alone,
-// and the verdict is Done. The verdict is Absent if the store holds no such job and none
-// under this ID will run: a submission without an answer may still be stored later.
-func (r *Repo) Cancel(ctx context.Context, id string) (Verdict, error) {
+// and the verdict is Done. The verdict is Absent if the store holds no such job that the caller
+// may reach, and none that it could reach will run under this ID: a submission without an answer
+// may still be stored later. Jobs and submissions of others are left alone.
+func (r *Repo) Cancel(ctx context.Context, c Caller, id string) (Verdict, error) {
+	allowed := r.AllowUnknownCancel == nil
 	for {
-		rec, v, err := r.readRecord(ctx, id)
-		switch {
-		case v == Absent:
-			a, v, err := r.apply(ctx, canceledJob(id, 0, &work.Record{Unsubmitted: true}))
-			if v != Done {
+		rec, version, v, err := r.readRecord(ctx, id)
+		if v != Done && v != Absent {
+			return v, err
+		}
+		foreign := false
+		if v == Done && !rec.Unsubmitted {
+			reached, v, err := r.reaches(ctx, c, id, rec)
+			switch {
+			case v != Done:
+				return v, err
+			case reached && rec.State.Final():
+				return Done, nil
+			case reached:
+				_, v, err = r.apply(ctx, Change{If: []Condition{hasVersion(TableCancels, id, 0)}, Put: []Row{newRow(TableCancels, id, encodeCancelRow(CancelRow{}))}})
 				return v, err
 			}
-			if a.Applied {
-				return Absent, nil
-			}
-			// The record exists by now: that of the job, or of another cancellation.
-			continue
-		case v != Done:
+			// The write below fails then. It is sent all the same, so that the time until the
+			// answer doesn't tell a job of another account from one that doesn't exist.
+			foreign, rec, version = true, nil, 0
+		}
+		if !allowed && !r.AllowUnknownCancel(c) {
+			return Limited, errLimited
+		}
+		allowed = true
+		all, changed := addCancelers(rec, c.submitters())
+		switch {
+		case !changed:
+			return Absent, nil
+		case len(all) > maxCancelers:
+			return NotRun, errCancelers
+		}
+		a, v, err := r.apply(ctx, canceledJob(id, version, &work.Record{Unsubmitted: true, CanceledFor: all}))
+		if v != Done {
 			return v, err
-		case rec.Unsubmitted:
+		}
+		if a.Applied || foreign {
 			return Absent, nil
-		case rec.State.Final():
-			return Done, nil
 		}
-		_, v, err = r.apply(ctx, Change{If: []Condition{hasVersion(TableCancels, id, 0)}, Put: []Row{newRow(TableCancels, id, encodeCancelRow(CancelRow{}))}})
-		return v, err
+		// The record has changed meanwhile: the job, or another cancellation, was stored.
 	}
 }
 
-// storeCanceled completes a submission whose job has a record already. If that only says
-// that the job was cancelled before it was stored, the job is shown as cancelled from now on.
-func (r *Repo) storeCanceled(ctx context.Context, j *work.Job, current []Row) (Verdict, error) {
-	for _, row := range current {
-		if row.Table != TableRecords || row.Key != j.ID {
-			continue
-		}
-		rec, err := work.DecodeRecord(row.Value)
-		if err != nil {
-			return Ambiguous, fmt.Errorf("record of job %s: %w", j.ID, err)
-		}
-		if rec.Unsubmitted {
-			_, v, err := r.apply(ctx, canceledJob(j.ID, row.Version, &work.Record{Queue: j.Queue}))
-			return v, err
+// addCancelers returns whose submissions are to be stopped under an ID: those that the Unsubmitted
+// record, if there is one, stops already, and l. It reports whether the record has to be written.
+func addCancelers(rec *work.Record, l []work.Submitter) ([]work.Submitter, bool) {
+	if rec == nil {
+		return l, len(l) > 0
+	}
+	all := slices.Clone(rec.CanceledFor)
+	for _, s := range l {
+		if !rec.Stops(s) {
+			all = append(all, s)
 		}
 	}
-	return Done, nil
+	return all, len(all) > len(rec.CanceledFor)
 }
 
 // canceledJob returns the change that records a job without a row of its own as cancelled.
--- a/repo/cancel_test.go
+++ b/repo/cancel_test.go
@@ -19,7 +19,7 @@
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), retryInterval/2)
 	defer cancel()
-	if v, _ := New(m, fixedHealth(false)).Submit(ctx, testJob()); v != Ambiguous {
+	if v, _ := New(m, fixedHealth(false)).Submit(ctx, anyone, testJob()); v != Ambiguous {
 		t.Fatalf("submission without an answer: %s", v)
 	}
 	m.intercept = nil
@@ -54,14 +54,14 @@
 	lost := lostSubmission(t, m)
 	r := New(m, fixedHealth(false))
 	for range 2 {
-		if v, err := r.Cancel(t.Context(), jobID); v != Absent {
+		if v, err := r.Cancel(t.Context(), anyone, jobID); v != Absent {
 			t.Fatalf("cancelling a job that isn't stored: %s, %v", v, err)
 		}
 	}
 	if a := m.apply(lost); a.Applied || m.hasJob() {
 		t.Error("the submission is stored after the cancellation was answered")
 	}
-	if _, v, err := r.Record(t.Context(), jobID); v != Absent {
+	if _, v, err := r.Record(t.Context(), anyone, jobID); v != Absent {
 		t.Errorf("the state of a job that was never stored: %s, %v", v, err)
 	}
 }
@@ -71,19 +71,19 @@
 func TestSubmissionAfterCancel(t *testing.T) {
 	m := newMemoryStore()
 	r := New(m, fixedHealth(false))
-	if v, err := r.Cancel(t.Context(), jobID); v != Absent {
+	if v, err := r.Cancel(t.Context(), anyone, jobID); v != Absent {
 		t.Fatal(v, err)
 	}
 	for range 2 {
-		if v, err := r.Submit(t.Context(), testJob()); v != Done {
+		if v, err := r.Submit(t.Context(), anyone, testJob()); v != Done {
 			t.Fatal(v, err)
 		}
-		rec, v, err := r.Record(t.Context(), jobID)
+		rec, v, err := r.Record(t.Context(), anyone, jobID)
 		if v != Done || rec.State != work.Canceled || rec.Queue != "q" || m.hasJob() {
 			t.Errorf("%+v, %s, %v; job stored: %v", rec, v, err, m.hasJob())
 		}
 	}
-	if v, err := r.Cancel(t.Context(), jobID); v != Done {
+	if v, err := r.Cancel(t.Context(), anyone, jobID); v != Done {
 		t.Error(v, err)
 	}
 }
@@ -124,7 +124,7 @@
 		m.calls = 0
 		m.intercept = func(n int, _ Change) (bool, error) { return x.intercept(m, lost, n) }
 		ctx, cancel := context.WithTimeout(t.Context(), 4*retryInterval)
-		v, err := New(m, fixedHealth(false)).Cancel(ctx, jobID)
+		v, err := New(m, fixedHealth(false)).Cancel(ctx, anyone, jobID)
 		cancel()
 		if v != x.want || (m.record(t) != nil) != x.record {
 			t.Errorf("%s: %s with record %+v, want %s; error %v", x.name, v, m.record(t), x.want, err)
@@ -147,7 +147,7 @@
 func TestUndecodableRecordIsNoRefusal(t *testing.T) {
 	m := newMemoryStore()
 	m.apply(Change{Put: []Row{newRow(TableRecords, jobID, []byte("?"))}})
-	if v, err := New(m, fixedHealth(false)).Submit(t.Context(), testJob()); v != Ambiguous || err == nil {
+	if v, err := New(m, fixedHealth(false)).Submit(t.Context(), anyone, testJob()); v != Ambiguous || err == nil {
 		t.Errorf("submission: %s, error %v", v, err)
 	}
 }
--- a/repo/jobs.go
+++ b/repo/jobs.go
@@ -45,6 +45,10 @@
 	Absent Verdict = "Absent"
 	// NotRun means that the call had no effect and will have none.
 	NotRun Verdict = "NotRun"
+	// Taken means NotRun as the ID is that of a job that the caller may not reach.
+	Taken Verdict = "Taken"
+	// Limited means NotRun as the account has cancelled too many unknown jobs.
+	Limited Verdict = "Limited"
 	// Ambiguous means that the outcome is unknown: the call may have taken effect or
 	// may still do so.
 	Ambiguous Verdict = "Open"
@@ -63,38 +67,84 @@
 type Repo struct {
 	store  Store
 	health Health
+	// AllowUnknownCancel decides whether a cancellation that finds no job of its caller is
+	// carried out. It may be nil, for all.
+	AllowUnknownCancel func(Caller) bool
 }
 
 // New returns a Repo that uses s, and refuses calls at once while h reports s as
 // unavailable.
-func New(s Store, h Health) *Repo { return &Repo{s, h} }
+func New(s Store, h Health) *Repo { return &Repo{store: s, health: h} }
 
 // errUnavailable is returned, without a store call, while the store is unavailable.
 var errUnavailable = fmt.Errorf("table service is unavailable: %w", ErrNotDone)
 
-// Submit stores a new job. If the ID already exists the submission counts as a
-// repetition and changes nothing. Submit retries until ctx ends, because after a lost
-// answer only another try can show whether the job is stored. It returns NotRun only if
-// no try can still take effect, and at once while the store is unavailable. A job that was
+// Submit stores a new job. If the ID is that of a job that the caller may reach, the
+// submission counts as a repetition and changes nothing; if it is that of another job, the
+// verdict is Taken. Submit retries until ctx ends, because after a lost answer only another
+// try can show whether the job is stored. It returns NotRun or Taken only if no try can still
+// take effect, and NotRun at once while the store is unavailable. A job that its submitter
 // cancelled before it was stored is stored as cancelled.
-func (r *Repo) Submit(ctx context.Context, j *work.Job) (Verdict, error) {
+func (r *Repo) Submit(ctx context.Context, c Caller, j *work.Job) (Verdict, error) {
 	job, err := work.EncodeJob(j)
 	if err != nil {
 		return NotRun, fmt.Errorf("encode job: %w", err)
 	}
-	rec, err := (&work.Record{State: work.Pending, Queue: j.Queue}).Encode()
+	rec, err := (&work.Record{State: work.Pending, Queue: j.Queue, HasAccount: true, Account: j.Tenant}).Encode()
 	if err != nil {
 		return NotRun, fmt.Errorf("encode record: %w", err)
 	}
-	c := Change{
+	store := Change{
 		If:  []Condition{hasVersion(TableRecords, j.ID, 0)},
 		Put: []Row{newRow(TableJobs, j.ID, job), newRow(TableRecords, j.ID, rec)},
 	}
-	a, v, err := r.apply(ctx, c)
-	if v == Done && !a.Applied {
-		return r.storeCanceled(ctx, j, a.Current)
+	for change := store; ; {
+		a, v, err := r.apply(ctx, change)
+		if v != Done || a.Applied {
+			return v, err
+		}
+		// As the condition didn't hold, no earlier try of the change can still be carried out.
+		row, v, err := r.currentRecord(ctx, j.ID, a.Current)
+		switch {
+		case v == Absent:
+			change = store
+			continue
+		case v != Done:
+			return Ambiguous, err
+		}
+		rec, err := work.DecodeRecord(row.Value)
+		switch {
+		case err != nil:
+			return Ambiguous, fmt.Errorf("record of job %s: %w", j.ID, err)
+		case rec.Stops(j.Submitter()):
+			change = canceledJob(j.ID, row.Version, &work.Record{Queue: j.Queue, HasAccount: true, Account: j.Tenant})
+		case rec.Unsubmitted:
+			// Only others cancelled a job under this ID.
+			change = store
+			change.If = []Condition{hasVersion(TableRecords, j.ID, row.Version)}
+			change.Delete = []Row{newRow(TableCancels, j.ID, nil)}
+		default:
+			reached, v, err := r.reaches(ctx, c, j.ID, rec)
+			switch {
+			case v != Done:
+				return Ambiguous, err
+			case !reached:
+				return Taken, errTaken
+			}
+			return Done, nil
+		}
+	}
+}
+
+// currentRecord returns the row of a job's record among the rows of a refused change. If the
+// answer lacks it, it is read.
+func (r *Repo) currentRecord(ctx context.Context, id string, current []Row) (Row, Verdict, error) {
+	for _, row := range current {
+		if row.Table == TableRecords && row.Key == id && row.Version > 0 {
+			return row, Done, nil
+		}
 	}
-	return v, err
+	return r.readRow(ctx, TableRecords, id)
 }
 
 // apply tries a change until the store answers or ctx ends. A change whose conditions
@@ -124,35 +174,55 @@
 	}
 }
 
-// Record reads a job's progress. The record is nil unless the verdict is Done.
-func (r *Repo) Record(ctx context.Context, id string) (*work.Record, Verdict, error) {
-	rec, v, err := r.readRecord(ctx, id)
-	if rec != nil && rec.Unsubmitted {
+// Record reads a job's progress. The record is nil unless the verdict is Done, and the verdict
+// is Absent for a job that the caller may not reach.
+func (r *Repo) Record(ctx context.Context, c Caller, id string) (*work.Record, Verdict, error) {
+	rec, _, v, err := r.readRecord(ctx, id)
+	switch {
+	case v != Done:
+		return nil, v, err
+	case rec.Unsubmitted:
+		return nil, Absent, nil
+	}
+	reached, v, err := r.reaches(ctx, c, id, rec)
+	switch {
+	case v != Done:
+		return nil, v, err
+	case !reached:
 		return nil, Absent, nil
 	}
-	return rec, v, err
+	return rec, Done, nil
 }
 
-// readRecord is Record, but also returns records of jobs that were never stored.
-func (r *Repo) readRecord(ctx context.Context, id string) (*work.Record, Verdict, error) {
+// readRecord reads a job's record and its version, also if the job was never stored.
+func (r *Repo) readRecord(ctx context.Context, id string) (*work.Record, int64, Verdict, error) {
+	row, v, err := r.readRow(ctx, TableRecords, id)
+	if v != Done {
+		return nil, 0, v, err
+	}
+	rec, err := work.DecodeRecord(row.Value)
+	if err != nil {
+		return nil, 0, NotRun, fmt.Errorf("record of job %s: %w", id, err)
+	}
+	return rec, row.Version, Done, nil
+}
+
+// readRow reads a row of a job. The verdict is Done, Absent or NotRun.
+func (r *Repo) readRow(ctx context.Context, table, id string) (Row, Verdict, error) {
 	for {
 		if r.health.Unavailable() {
-			return nil, NotRun, errUnavailable
+			return Row{}, NotRun, errUnavailable
 		}
-		p, err := r.store.List(ctx, TableRecords, PartitionOf(TableRecords, id), id, 1)
+		p, err := r.store.List(ctx, table, PartitionOf(table, id), id, 1)
 		switch {
 		case err == nil && (len(p.Rows) == 0 || p.Rows[0].Key != id):
-			return nil, Absent, nil
+			return Row{}, Absent, nil
 		case err == nil:
-			rec, err := work.DecodeRecord(p.Rows[0].Value)
-			if err != nil {
-				return nil, NotRun, fmt.Errorf("record of job %s: %w", id, err)
-			}
-			return rec, Done, nil
+			return p.Rows[0], Done, nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, NotRun, err
+			return Row{}, NotRun, err
 		case <-time.After(retryInterval):
 		}
 	}
--- a/repo/store_test.go
+++ b/repo/store_test.go
@@ -112,6 +112,9 @@
 
 const jobID = "00000000000000aa"
 
+// anyone is a caller without a key on the public queue of testJob.
+var anyone = Caller{PublicQueue: "q"}
+
 func testJob() *work.Job {
 	return &work.Job{ID: jobID, Queue: "q", Steps: []work.Step{{Count: 1}}}
 }
@@ -150,7 +153,7 @@
 		m := newMemoryStore()
 		m.intercept = c.intercept
 		ctx, cancel := context.WithTimeout(context.Background(), 4*retryInterval)
-		v, _ := New(m, fixedHealth(false)).Submit(ctx, testJob())
+		v, _ := New(m, fixedHealth(false)).Submit(ctx, anyone, testJob())
 		cancel()
 		if v != c.want || len(m.rows) != c.rows {
 			t.Errorf("%s: verdict %s with %d rows, want %s with %d", c.name, v, len(m.rows), c.want, c.rows)
@@ -164,13 +167,13 @@
 	m := newMemoryStore()
 	r := New(m, fixedHealth(false))
 	ctx := context.Background()
-	if v, err := r.Submit(ctx, testJob()); v != Done {
+	if v, err := r.Submit(ctx, anyone, testJob()); v != Done {
 		t.Fatal(v, err)
 	}
 	before := maps.Clone(m.rows)
 	other := testJob()
 	other.Spec = "other"
-	if v, err := r.Submit(ctx, other); v != Done {
+	if v, err := r.Submit(ctx, anyone, other); v != Done {
 		t.Fatal(v, err)
 	}
 	if !maps.EqualFunc(before, m.rows, func(a, b Row) bool { return a.Version == b.Version }) {
@@ -182,12 +185,12 @@
 	m := newMemoryStore()
 	r := New(m, fixedHealth(false))
 	ctx := context.Background()
-	if v, _ := r.Cancel(ctx, "00000000000000bb"); v != Absent {
+	if v, _ := r.Cancel(ctx, anyone, "00000000000000bb"); v != Absent {
 		t.Errorf("cancelling an unknown job: %s", v)
 	}
-	r.Submit(ctx, testJob())
+	r.Submit(ctx, anyone, testJob())
 	for range 2 {
-		if v, err := r.Cancel(ctx, jobID); v != Done {
+		if v, err := r.Cancel(ctx, anyone, jobID); v != Done {
 			t.Errorf("cancelling the job: %s %v", v, err)
 		}
 	}
--- a/repo/unavailable_test.go
+++ b/repo/unavailable_test.go
@@ -11,13 +11,13 @@
 func TestRefusedWhileStoreUnavailable(t *testing.T) {
 	m := newMemoryStore()
 	r := New(m, fixedHealth(true))
-	if v, err := r.Submit(context.Background(), testJob()); v != NotRun || !errors.Is(err, ErrNotDone) {
+	if v, err := r.Submit(context.Background(), anyone, testJob()); v != NotRun || !errors.Is(err, ErrNotDone) {
 		t.Errorf("submitting a job: %s %v", v, err)
 	}
-	if _, v, _ := r.Record(context.Background(), jobID); v != NotRun {
+	if _, v, _ := r.Record(context.Background(), anyone, jobID); v != NotRun {
 		t.Errorf("reading the record: %s", v)
 	}
-	if v, _ := r.Cancel(context.Background(), jobID); v != NotRun {
+	if v, _ := r.Cancel(context.Background(), anyone, jobID); v != NotRun {
 		t.Errorf("cancelling the job: %s", v)
 	}
 	if m.calls != 0 {
--- a/repo/writer.go
+++ b/repo/writer.go
@@ -41,6 +41,10 @@
 	done       []func()
 	// rejected is set if the store has rejected the row. It is written by itself then.
 	rejected bool
+	// unless and version are set for a deletion by DeleteUnless: it requires the row to have this
+	// version, whatever other version becomes known meanwhile.
+	unless  func(value []byte) bool
+	version int64
 }
 
 // WriterConfig configures a Writer. All fields are required.
@@ -93,6 +97,9 @@
 		delete(w.rejected, k)
 		w.enqueue(k, q)
 	}
+	if q.unless != nil {
+		*q = write{}
+	}
 	q.value = value
 	if value == nil {
 		// The value that earlier callers wait for will not be written.
@@ -108,6 +115,34 @@
 	w.signal()
 }
 
+// DeleteUnless queues the deletion of a row and of the rows of the same key in the tables of
+// alsoDelete. If the row turns out to have changed, unless decides by its present value whether it
+// is kept: others than the decider may have replaced it. DeleteUnless returns false, and queues
+// nothing, if another write of the row is queued.
+func (w *Writer) DeleteUnless(table, key string, unless func(value []byte) bool, alsoDelete ...string) bool {
+	w.mu.Lock()
+	k := rowKey{table, key}
+	if w.queue[k] != nil || w.rejected[k] != nil {
+		w.mu.Unlock()
+		return false
+	}
+	q := &write{unless: unless, version: w.versions[k]}
+	for _, t := range alsoDelete {
+		q.alsoDelete = append(q.alsoDelete, rowKey{t, key})
+	}
+	w.enqueue(k, q)
+	w.mu.Unlock()
+	w.signal()
+	return true
+}
+
+// Version returns the newest known version of a row, 0 if none is known.
+func (w *Writer) Version(table, key string) int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.versions[rowKey{table, key}]
+}
+
 // maxBatchRows limits the rows of one transaction. The platform allows 100 entries, and a
 // row takes up to three: its condition, the write, and the deletion of a related row.
 const maxBatchRows = 32
@@ -198,16 +233,35 @@
 				w.complete(keys, batch, func(k rowKey) int64 { return current[k].Version })
 				return true
 			}
-			w.mu.Lock()
-			for _, k := range keys {
-				w.versions[k] = current[k].Version
+			if keys, batch = w.adoptVersions(keys, batch, current); len(keys) == 0 {
+				return true
 			}
-			w.mu.Unlock()
 		}
 	}
 	return false
 }
 
+// adoptVersions takes over the versions of the current rows for the next try, and returns the
+// batch without the deletions that their rows don't allow any more.
+func (w *Writer) adoptVersions(keys []rowKey, batch []*write, current map[rowKey]Row) ([]rowKey, []*write) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var restKeys []rowKey
+	var rest []*write
+	for i, k := range keys {
+		r := current[k]
+		w.versions[k] = r.Version
+		if b := batch[i]; b.unless != nil && r.Version != b.version {
+			if r.Version > 0 && !r.Deleted && b.unless(r.Value) {
+				continue
+			}
+			b.version = r.Version
+		}
+		restKeys, rest = append(restKeys, k), append(rest, batch[i])
+	}
+	return restKeys, rest
+}
+
 // commitSingly writes each row of a batch that the store rejects in a transaction of its own.
 // A row that is rejected by itself is queued again later.
 func (w *Writer) commitSingly(ctx context.Context, keys []rowKey, batch []*write) bool {
@@ -282,7 +336,11 @@
 	defer w.mu.Unlock()
 	c := Change{If: []Condition{w.owner}}
 	for i, k := range keys {
-		c.If = append(c.If, hasVersion(k.table, k.key, w.versions[k]))
+		version := w.versions[k]
+		if batch[i].unless != nil {
+			version = batch[i].version
+		}
+		c.If = append(c.If, hasVersion(k.table, k.key, version))
 		if batch[i].value == nil {
 			c.Delete = append(c.Delete, newRow(k.table, k.key, nil))
 		} else {
--- a/work/job.go
+++ b/work/job.go
@@ -130,6 +130,26 @@
 	Terms Terms
 }
 
+// Submitter identifies who may read and cancel a job: a client account, or, for a job that was
+// submitted without one, all callers of its public queue.
+type Submitter struct {
+	Account string `json:",omitempty"`
+	// Queue is empty if Account is set.
+	Queue string `json:",omitempty"`
+}
+
+// SubmitterOf returns the submitter of a job of a queue. The account is empty if the job was
+// submitted without one.
+func SubmitterOf(account, queue string) Submitter {
+	if account != "" {
+		return Submitter{Account: account}
+	}
+	return Submitter{Queue: queue}
+}
+
+// Submitter returns who submitted the job.
+func (j *Job) Submitter() Submitter { return SubmitterOf(j.Tenant, j.Queue) }
+
 // Occurrences returns how often the steps run, 1 for a job that isn't periodic.
 func (j *Job) Occurrences() int { return max(j.Times, 1) }
 
--- a/work/record.go
+++ b/work/record.go
@@ -33,9 +33,16 @@
 	Queue string
 	// Ended is when the job ended, in Unix milliseconds.
 	Ended int64 `json:",omitempty"`
-	// Unsubmitted is set if the job was cancelled before it was stored. The record keeps a
-	// late submission from being stored, and isn't shown to clients.
+	// HasAccount is set if Account is the account of the job, which is empty for a job that was
+	// submitted without one. Records written by earlier versions lack both.
+	HasAccount bool   `json:",omitempty"`
+	Account    string `json:",omitempty"`
+	// Unsubmitted is set if the job was cancelled before it was stored. The record keeps
+	// submissions sent before from being stored late, and isn't shown to clients.
 	Unsubmitted bool `json:",omitempty"`
+	// CanceledFor lists whose submissions an Unsubmitted record stops. Empty, as written by
+	// earlier versions, it stops everyone's.
+	CanceledFor []Submitter `json:",omitempty"`
 	// Pool is the pool in which the job's tasks were first started, empty before
 	// that.
 	Pool string `json:",omitempty"`
@@ -58,6 +65,17 @@
 	Saved map[string]string `json:",omitempty"`
 }
 
+// Submitter returns who submitted the job, and whether the record says so.
+func (r *Record) Submitter() (Submitter, bool) {
+	return SubmitterOf(r.Account, r.Queue), r.HasAccount
+}
+
+// Stops reports whether the record keeps s from submitting a job, as s cancelled it before it
+// was stored.
+func (r *Record) Stops(s Submitter) bool {
+	return r.Unsubmitted && (len(r.CanceledFor) == 0 || slices.Contains(r.CanceledFor, s))
+}
+
 // StepKey returns the key of a step of an occurrence in a Record.
 func StepKey(occurrence, step int) string {
 	return strconv.Itoa(occurrence) + "." + strconv.Itoa(step)
@@ -157,11 +175,13 @@
 const maxRecordBytes = 48 << 10
 
 // Encode returns the value of the record's row. A final record keeps only State,
-// Queue, Ended and Unsubmitted. One that exceeds maxRecordBytes loses Placed and Saved, which
+// Queue, Ended, the account, Unsubmitted and CanceledFor. One that exceeds maxRecordBytes loses Placed and Saved, which
 // the job can do without, and is marked as Unsure.
 func (r *Record) Encode() ([]byte, error) {
 	if r.State.Final() {
-		return json.Marshal(&Record{State: r.State, Queue: r.Queue, Ended: r.Ended, Unsubmitted: r.Unsubmitted})
+		return json.Marshal(&Record{
+			State: r.State, Queue: r.Queue, Ended: r.Ended, HasAccount: r.HasAccount, Account: r.Account, Unsubmitted: r.Unsubmitted, CanceledFor: r.CanceledFor,
+		})
 	}
 	b, err := json.Marshal(r)
 	if err != nil || len(b) <= maxRecordBytes {
