repo, work, decide, platform: Tests of access by account, in every order

A submission with a key of no known account is answered with 504 instead of 503 under a foreign ID: an earlier try may have been accepted while the key was known.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -108,8 +108,11 @@
 type Admission struct {
 	Verdict Verdict
 	Queue   *work.Queue
-	// Account is empty on a public queue without a key.
+	// Account is empty on a public queue without a key, or with one that isn't known.
 	Account string
+	// UnknownKey is set if the call has a key that the configuration doesn't know. It may be that
+	// of an account in an older or newer configuration.
+	UnknownKey bool
 	// Version is that of the configuration by which the call was judged, Age that
 	// of its newest confirmation.
 	Version int64
@@ -136,6 +139,7 @@
 		a.Verdict = NoQueue
 		return a
 	}
+	a.UnknownKey = key != "" && r.AccountOf(key) == nil
 	if o := r.AccountOf(key); o != nil {
 		a.Account = o.Name
 	} else if !a.Queue.Public {
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -43,6 +43,11 @@
 			t.Errorf("%s with key %q: verdict %s, want %s", c.path, c.key, v, c.want)
 		}
 	}
+	for key, unknown := range map[string]bool{"k": false, "": false, "other": true} {
+		if a := g.Admit("h", "/a/b/1", key); a.UnknownKey != unknown || (a.Account == "x") != (key == "k") {
+			t.Errorf("key %q on a public queue: %+v", key, a)
+		}
+	}
 	if v := g.Admit("other", "/a/1", "k").Verdict; v != NoQueue {
 		t.Error("call for an unknown host, want NoQueue:", v)
 	}
--- a/repo/access.go
+++ b/repo/access.go
@@ -15,6 +15,9 @@
 	Account string
 	// PublicQueue is the queue that the call names, if it is public.
 	PublicQueue string
+	// UnknownKey is set if the call has a key of no known account. Under another configuration,
+	// an earlier try of the call may have had an account.
+	UnknownKey bool
 }
 
 // submitters returns the submitters whose jobs the caller may reach.
--- a/repo/jobs.go
+++ b/repo/jobs.go
@@ -128,6 +128,9 @@
 			switch {
 			case v != Done:
 				return Ambiguous, err
+			case !reached && c.UnknownKey:
+				// The job may be that of an earlier try, while the key was known.
+				return Ambiguous, errTaken
 			case !reached:
 				return Taken, errTaken
 			}
--- a/repo/writer_test.go
+++ b/repo/writer_test.go
@@ -79,3 +79,83 @@
 		t.Errorf("the stored row is %q, want the newer value", r.Value)
 	}
 }
+
+// TestDeleteUnless guards against a deletion of a row that others have replaced since: before the
+// deletion is sent, while it is sent, or known to the writer before.
+func TestDeleteUnless(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		// unknown is set if the writer doesn't know the row's version.
+		unknown bool
+		// replaced is when the row is replaced: "before" the deletion is queued, "queued" with
+		// the new version reported to the writer, or "sent", with the deletion's answer lost.
+		replaced string
+		kept     bool
+	}{
+		{"as known", false, "", false}, {"unknown version", true, "", false}, {"replaced before", false, "before", true}, {"replaced, unknown version", true, "before", true},
+		{"replaced when queued", false, "queued", true}, {"replaced when sent", false, "sent", true},
+	} {
+		m := newMemoryStore()
+		w, _ := newTestWriter(t, m)
+		put := func(value string) int64 {
+			return m.apply(Change{Put: []Row{newRow(TableRecords, jobID, []byte(value)), newRow(TableCancels, jobID, []byte("{}"))}}).Version
+		}
+		v := put("old")
+		if !x.unknown {
+			w.RecordVersion(TableRecords, jobID, v)
+		}
+		if x.replaced == "before" {
+			put("new")
+		}
+		if !w.DeleteUnless(TableRecords, jobID, func(b []byte) bool { return string(b) == "new" }, TableCancels) {
+			t.Fatal("the deletion isn't queued")
+		}
+		if w.DeleteUnless(TableRecords, jobID, nil) {
+			t.Error("a second deletion is queued")
+		}
+		if x.replaced == "queued" {
+			w.RecordVersion(TableRecords, jobID, put("new"))
+		}
+		m.calls = 0
+		m.intercept = func(n int, _ Change) (bool, error) {
+			if x.replaced == "sent" && n == 1 {
+				put("new")
+				return false, errAnswerLost
+			}
+			return true, nil
+		}
+		// The row of another job is written in the same or in a later transaction.
+		other := "00000000000000a0"
+		for i := 0; PartitionOf(TableRecords, other) != PartitionOf(TableRecords, jobID); i++ {
+			other = fmt.Sprintf("%016x", 0xa0+i)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		w.Put(TableRecords, other, []byte("other"), cancel)
+		w.Run(ctx)
+		cancel()
+		row, stored := m.rows[rowID(TableRecords, PartitionOf(TableRecords, jobID), jobID)]
+		if _, canceled := m.rows[rowID(TableCancels, PartitionOf(TableCancels, jobID), jobID)]; stored != x.kept || canceled != x.kept || x.kept && string(row.Value) != "new" {
+			t.Errorf("%s: row stored %v with %q, cancellation %v, want %v", x.name, stored, row.Value, canceled, x.kept)
+		}
+		if len(m.rows) < 2 {
+			t.Errorf("%s: the other row isn't stored", x.name)
+		}
+	}
+}
+
+// TestPutReplacesDeletion checks that a row that is written while its deletion is queued is
+// written, and its cancellation kept.
+func TestPutReplacesDeletion(t *testing.T) {
+	m := newMemoryStore()
+	w, _ := newTestWriter(t, m)
+	v := m.apply(Change{Put: []Row{newRow(TableRecords, jobID, []byte("old")), newRow(TableCancels, jobID, []byte("{}"))}}).Version
+	w.RecordVersion(TableRecords, jobID, v)
+	w.DeleteUnless(TableRecords, jobID, func([]byte) bool { return false }, TableCancels)
+	if !putAndRun(w, "new") {
+		t.Fatal("the value isn't durable")
+	}
+	row := m.rows[rowID(TableRecords, PartitionOf(TableRecords, jobID), jobID)]
+	if _, ok := m.rows[rowID(TableCancels, PartitionOf(TableCancels, jobID), jobID)]; string(row.Value) != "new" || !ok {
+		t.Errorf("the row is %q; cancellation kept: %v", row.Value, ok)
+	}
+}
--- a/work/record_test.go
+++ b/work/record_test.go
@@ -1,7 +1,10 @@
 package work
 
 import (
+	"encoding/json"
 	"fmt"
+	"reflect"
+	"strings"
 	"testing"
 )
 
@@ -94,3 +97,120 @@
 		t.Errorf("%d steps are left, want %d: %s", len(r.Done), maxDoneSteps, fmt.Sprint(r.Done))
 	}
 }
+
+// TestRecordKeepsAccount guards against a record that loses who may reach its job when it is read
+// and written again: while the job runs, with too many placements, at its end, and if it was
+// cancelled before it was stored.
+func TestRecordKeepsAccount(t *testing.T) {
+	large := &Record{State: Running, Queue: "q", HasAccount: true, Account: "a"}
+	for i := range 5000 {
+		large.SetPlaced(0, 0, i, strings.Repeat("w", 20))
+	}
+	for _, x := range []struct {
+		name   string
+		record *Record
+		unsure bool
+	}{
+		{"running", &Record{State: Running, Queue: "q", HasAccount: true, Account: "a"}, false},
+		{"without an account", &Record{State: Pending, Queue: "q", HasAccount: true}, false},
+		{"too large", large, true},
+		{"ended", &Record{State: Failed, Queue: "q", Ended: 7, HasAccount: true, Account: "a"}, false},
+		{"ended, without an account", &Record{State: Canceled, Queue: "q", Ended: 7, HasAccount: true}, false},
+		{"cancelled in advance", &Record{State: Canceled, Ended: 7, Unsubmitted: true, CanceledFor: []Submitter{{Account: "a"}, {Queue: "q"}}}, false},
+	} {
+		c, _ := roundTrip(t, x.record)
+		c, _ = roundTrip(t, c)
+		want, wantKnown := x.record.Submitter()
+		if s, known := c.Submitter(); s != want || known != wantKnown || c.Unsure != x.unsure || !reflect.DeepEqual(c.CanceledFor, x.record.CanceledFor) {
+			t.Errorf("%s: submitter %+v, known %v, unsure %v, cancelled for %+v", x.name, s, known, c.Unsure, c.CanceledFor)
+		}
+	}
+}
+
+// TestRecordsOfOtherVersions decodes records without the account, as earlier versions write them,
+// and lets an earlier version read and write new ones: it loses the account, and nothing else.
+func TestRecordsOfOtherVersions(t *testing.T) {
+	r, err := DecodeRecord([]byte(`{"State":"Running","Queue":"q","Pool":"p","Placed":{"0.0.0":"w"}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s, known := r.Submitter(); known {
+		t.Errorf("a record without an account has the submitter %+v", s)
+	}
+	r, err = DecodeRecord([]byte(`{"State":"Canceled","Queue":"","Ended":7,"Unsubmitted":true}`))
+	if err != nil || !r.Stops(Submitter{Account: "a"}) || !r.Stops(Submitter{Queue: "q"}) {
+		t.Errorf("record of a cancelled unknown job: %+v, %v; want one that stops everyone's", r, err)
+	}
+	r, err = DecodeRecord([]byte(`{"State":"Canceled","Queue":"","Ended":7,"Unsubmitted":true,"CanceledFor":[{"Account":"a"}],"Later":1}`))
+	if err != nil || !r.Stops(Submitter{Account: "a"}) || r.Stops(Submitter{Account: "b"}) || r.Stops(Submitter{Queue: "a"}) {
+		t.Errorf("record of an unknown job cancelled by one account: %+v, %v", r, err)
+	}
+	// earlier has the fields of Record before it had the account.
+	type earlier struct {
+		State           State
+		Queue           string
+		Ended           int64             `json:",omitempty"`
+		Unsubmitted     bool              `json:",omitempty"`
+		Pool            string            `json:",omitempty"`
+		Placed          map[string]string `json:",omitempty"`
+		Unsure          bool              `json:",omitempty"`
+		Done            map[string][]byte `json:",omitempty"`
+		DoneOccurrences []byte            `json:",omitempty"`
+		FailedRuns      map[string][]int  `json:",omitempty"`
+		Saved           map[string]string `json:",omitempty"`
+	}
+	written := &Record{State: Running, Queue: "q", HasAccount: true, Account: "a", Pool: "p", Placed: map[string]string{"0.0.1": "w"}, Done: map[string][]byte{"0.0": {1}}}
+	b, err := written.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var e earlier
+	if err := json.Unmarshal(b, &e); err != nil {
+		t.Fatal(err)
+	}
+	if b, err = json.Marshal(e); err != nil {
+		t.Fatal(err)
+	}
+	r, err = DecodeRecord(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	written.HasAccount, written.Account = false, ""
+	if !reflect.DeepEqual(r, written) {
+		t.Errorf("an earlier version has written %+v, want %+v", r, written)
+	}
+}
+
+// FuzzRecord decodes records. One that is accepted must keep who may reach its job, and whose
+// submissions it stops, when it is written and read again.
+func FuzzRecord(f *testing.F) {
+	for _, s := range []string{
+		`{"State":"Running","Queue":"q","HasAccount":true,"Account":"a","Placed":{"0.0.0":"w"}}`, `{"State":"Canceled","Queue":"","Unsubmitted":true,"CanceledFor":[{"Account":"a"},{"Queue":"q"},{}]}`,
+		`{"State":"Failed","Queue":"q","Account":"a"}`, `{"State":"Pending","Queue":"q","CanceledFor":null,"HasAccount":null}`, "null", "{", "\xff",
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r, err := DecodeRecord(b)
+		if err != nil {
+			return
+		}
+		b, err = r.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := DecodeRecord(b)
+		if err != nil {
+			t.Fatalf("%s: %v", b, err)
+		}
+		want, wantKnown := r.Submitter()
+		if s, known := c.Submitter(); s != want || known != wantKnown {
+			t.Errorf("submitter %+v, known %v, want %+v, %v", s, known, want, wantKnown)
+		}
+		for _, s := range append(r.CanceledFor, Submitter{}, Submitter{Account: "a"}, Submitter{Queue: "q"}) {
+			if c.Stops(s) != r.Stops(s) {
+				t.Errorf("the record stops %+v: %v, want %v", s, c.Stops(s), r.Stops(s))
+			}
+		}
+	})
+}
