native: A replaced cancel's rows are swept without the running job's record

TestForeignCancelsAreSwept cancels 40 unknown IDs by one account, submits jobs under them by another while the cancels' rows become due (retention 1 s, two pools' deciders), kills the decider, and expects all jobs to run once and all rows to be deleted in the end.

--- a/native/access_test.go
+++ b/native/access_test.go
@@ -220,3 +220,51 @@
 		t.Errorf("cancel of a known job: status %d, want 200: %s", status, b)
 	}
 }
+
+// TestForeignCancelsAreSwept guards against the deletion of a running job's record in place of that
+// of an earlier cancel by another account, which it has replaced: when the cancel's rows are due to
+// be deleted, by the deciders of both pools, and after a takeover.
+func TestForeignCancelsAreSwept(t *testing.T) {
+	t.Parallel()
+	const jobs = 40
+	// Records are deleted 1 s after the end, and looked for each 0.25 s.
+	const retention = 200 * time.Millisecond
+	d := newDeployment(t, retention)
+	d.poolByQueue = map[string]string{"urgent": "second"}
+	d.launch(3, 3)
+	d.configureTwoAccounts(apiKey)
+	w := d.monitorRuns()
+	body := jobBody(step{shape: model.TaskProfile{Work: time.Hour, CPU: 100, Memory: 100}, count: 1})
+	for n := range jobs {
+		if status, b := d.hosts[n%3].call(http.MethodDelete, "/batch/"+jobID(n), apiKey, ""); status != http.StatusGone {
+			t.Fatalf("cancel of an unknown job: status %d, want 410: %s", status, b)
+		}
+	}
+	// The submissions are spread over the time at which the cancels' rows are deleted.
+	for n := range jobs {
+		d.submitAs(otherKey, jobID(n), "/batch/", body)
+		time.Sleep(40 * time.Millisecond)
+	}
+	d.awaitStarts(w, jobs)
+	former := d.decider()
+	former.kill()
+	d.await("another decider", func() bool { return d.decider() != former })
+	d.startHost(former)
+	d.awaitReady(former)
+	d.submitAs(otherKey, jobID(jobs), "/batch/", body)
+	d.awaitStarts(w, jobs+1)
+	for n := range jobs {
+		if status, b := d.hosts[n%3].call(http.MethodGet, "/batch/"+jobID(n), otherKey, ""); status != http.StatusOK || !strings.Contains(b, `"running"`) {
+			t.Errorf("state of job %d: %d %s, want running", n, status, b)
+		}
+	}
+	d.platform.Lock(func(c *model.Cluster) {
+		for n := range jobs + 1 {
+			c.CompleteJob(jobID(n))
+		}
+	})
+	d.await("all rows are deleted", func() bool { return d.platform.Store.RowCount("records")+d.platform.Store.RowCount("cancels") == 0 })
+	if n := d.checkRuns(w); n != jobs+1 {
+		t.Errorf("%d tasks are done, want %d", n, jobs+1)
+	}
+}
