--- a/itest/access_test.go
+++ b/itest/access_test.go
@@ -82,6 +82,9 @@
 					}
 				}
 			}
+			if status, _ := h.send(t, operatorToken, http.MethodGet, "/v1/jobs", nil); status != http.StatusBadRequest {
+				t.Errorf("%s: list by an operator without an account: status %d, want 400", when, status)
+			}
 			for _, f := range []struct {
 				token, path string
 				listed      bool
--- a/repo/access_test.go
+++ b/repo/access_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -347,26 +348,96 @@
 	return s.memoryStore.List(ctx, table, partition, from, limit)
 }
 
-// TestAccessInterleavings lets clients of two accounts submit, cancel and read under one ID at the
-// same time, while the store loses answers and carries out writes late. It guards against jobs
-// that run after a cancel of their account was answered with Absent, or after a submission was
-// answered as one that never runs, and against accounts that affect each other's jobs.
+// play is what is known of the calls of TestAccessInterleavings.
+type play struct {
+	mu sync.Mutex
+	// submitters holds who submitted, by the spec of the submission. refused holds the specs that
+	// must never be stored from now on.
+	submitters map[string]work.Submitter
+	refused    map[string]bool
+	// stopped holds the submitters with a cancel answered with Absent, canceled those with any
+	// cancel that was sent.
+	stopped, canceled map[work.Submitter]bool
+	// accepted are the callers of accepted submissions.
+	accepted []Caller
+}
+
+func (p *play) submit(ctx context.Context, r *Repo, c Caller) Verdict {
+	j := jobOf(c.Account)
+	p.mu.Lock()
+	j.Spec = fmt.Sprint(len(p.submitters))
+	p.submitters[j.Spec] = j.Submitter()
+	p.refused[j.Spec] = p.stopped[j.Submitter()]
+	p.mu.Unlock()
+	v, _ := r.Submit(ctx, c, j)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch v {
+	case NotRun, Taken:
+		p.refused[j.Spec] = true
+	case Done:
+		p.accepted = append(p.accepted, c)
+	}
+	return v
+}
+
+func (p *play) cancel(ctx context.Context, r *Repo, c Caller, s *slowStore) Verdict {
+	p.mu.Lock()
+	for _, x := range c.submitters() {
+		p.canceled[x] = true
+	}
+	p.mu.Unlock()
+	v, _ := r.Cancel(ctx, c, jobID)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if v != Absent {
+		return v
+	}
+	for _, x := range c.submitters() {
+		p.stopped[x] = true
+		for spec, submitter := range p.submitters {
+			p.refused[spec] = p.refused[spec] || submitter == x && !s.hasSpec(spec)
+		}
+	}
+	return v
+}
+
+// check returns what is wrong once all calls and late writes are over.
+func (p *play) check(s *slowStore, rec *work.Record) []string {
+	var l []string
+	for spec := range s.submitted {
+		if p.refused[spec] {
+			l = append(l, fmt.Sprintf("submission %s of %+v is stored, though it was refused or cancelled", spec, p.submitters[spec]))
+		}
+	}
+	for _, c := range p.accepted {
+		if rec == nil || !slices.Contains(c.submitters(), work.SubmitterOf(rec.Account, rec.Queue)) {
+			l = append(l, fmt.Sprintf("a job of %+v was accepted, the record is %+v", c, rec))
+		}
+	}
+	if rec != nil && !rec.Unsubmitted && rec.State == work.Canceled && !p.canceled[work.SubmitterOf(rec.Account, rec.Queue)] {
+		l = append(l, fmt.Sprintf("the job was cancelled only by others: %+v", rec))
+	}
+	return l
+}
+
+// TestAccessInterleavings lets clients of two accounts and of a public queue submit, cancel and
+// read under one ID at the same time, while the store loses answers and carries out writes late.
+// It guards against jobs that run after a cancel of their account was answered with Absent, or
+// after a submission was answered as one that never runs, and against callers that affect jobs
+// that they may not reach.
 func TestAccessInterleavings(t *testing.T) {
-	const seeds, clients, calls = 400, 4, 3
+	const seeds, calls = 1000, 4
+	callers := []Caller{accountA, accountA, accountB, accountB, {Account: "a", PublicQueue: "q"}, anyone}
 	seen := map[string]int{}
 	for seed := range uint64(seeds) {
 		synctest.Test(t, func(t *testing.T) {
 			s := &slowStore{memoryStore: newMemoryStore(), rand: rand.New(rand.NewPCG(seed, 1)), submitted: map[string]bool{}}
 			r := New(s, fixedHealth(false))
-			var mu sync.Mutex
-			// refused holds the specs that must never be stored, canceled the accounts of which no
-			// job may be stored any more, and accepted the accounts of accepted submissions.
-			refused, canceled, accepted, everCanceled := map[string]bool{}, map[string]bool{}, map[string]bool{}, map[string]bool{}
-			var sent int
+			p := &play{submitters: map[string]work.Submitter{}, refused: map[string]bool{}, stopped: map[work.Submitter]bool{}, canceled: map[work.Submitter]bool{}}
 			var wg sync.WaitGroup
-			for i := range clients {
-				account := string(rune('a' + i%2))
-				c := Caller{Account: account}
+			// A third of the plays have the accounts alone.
+			for _, c := range callers[:4+2*min(seed%3, 1)] {
 				wg.Go(func() {
 					for range calls {
 						s.pause()
@@ -375,63 +446,27 @@
 						var v Verdict
 						switch s.intN(3) {
 						case 0:
-							call = "submit"
-							j := jobOf(account)
-							mu.Lock()
-							sent++
-							j.Spec = fmt.Sprint(account, sent)
-							stopped := canceled[account]
-							mu.Unlock()
-							v, _ = r.Submit(ctx, c, j)
-							mu.Lock()
-							if v == NotRun || v == Taken || stopped {
-								refused[j.Spec] = true
-							}
-							accepted[account] = accepted[account] || v == Done
-							mu.Unlock()
+							call, v = "submit", p.submit(ctx, r, c)
 						case 1:
-							call = "cancel"
-							mu.Lock()
-							everCanceled[account] = true
-							mu.Unlock()
-							v, _ = r.Cancel(ctx, c, jobID)
-							mu.Lock()
-							if v == Absent {
-								canceled[account] = true
-								for n := range sent {
-									refused[fmt.Sprint(account, n+1)] = refused[fmt.Sprint(account, n+1)] || !s.hasSpec(fmt.Sprint(account, n+1))
-								}
-							}
-							mu.Unlock()
+							call, v = "cancel", p.cancel(ctx, r, c, s)
 						default:
-							call = "state"
 							var rec *work.Record
-							if rec, v, _ = r.Record(ctx, c, jobID); rec != nil && rec.Account != account {
-								t.Errorf("seed %d: account %s is shown %+v", seed, account, rec)
+							call = "state"
+							if rec, v, _ = r.Record(ctx, c, jobID); rec != nil && !slices.Contains(c.submitters(), work.SubmitterOf(rec.Account, rec.Queue)) {
+								t.Errorf("seed %d: %+v is shown %+v", seed, c, rec)
 							}
 						}
 						cancel()
-						mu.Lock()
+						p.mu.Lock()
 						seen[call+" "+string(v)]++
-						mu.Unlock()
+						p.mu.Unlock()
 					}
 				})
 			}
 			wg.Wait()
 			s.late.Wait()
-			for spec := range s.submitted {
-				if refused[spec] {
-					t.Errorf("seed %d: the job of submission %s is stored, though it was refused or cancelled", seed, spec)
-				}
-			}
-			if accepted["a"] && accepted["b"] {
-				t.Errorf("seed %d: the submissions of both accounts were accepted", seed)
-			}
-			rec := s.record(t)
-			for account := range accepted {
-				if accepted[account] && (rec == nil || rec.Account != account || rec.State == work.Canceled && !everCanceled[account]) {
-					t.Errorf("seed %d: an accepted job of account %s has the record %+v", seed, account, rec)
-				}
+			for _, fault := range p.check(s, s.record(t)) {
+				t.Errorf("seed %d: %s", seed, fault)
 			}
 		})
 	}
@@ -440,7 +475,6 @@
 			t.Errorf("no call ended as %q: %v", k, seen)
 		}
 	}
-	t.Log(seen)
 }
 
 // hasSpec reports whether the row of the job with the given spec was ever stored.
