repo: Simplify the second read of a record without an account

The branch for a record that was never stored can't be reached, as callers handle such records before.

--- a/repo/access.go
+++ b/repo/access.go
@@ -67,12 +67,12 @@
 			return true, Done, nil
 		}
 		// The job has ended since the record was read. The final record may have the account.
-		former := rec
-		if rec, _, v, err = r.readRecord(ctx, id); v == NotRun {
+		rec, _, v, err = r.readRecord(ctx, id)
+		switch {
+		case v == NotRun:
 			return false, v, err
-		}
-		if v == Absent || !rec.State.Final() {
-			return !former.Unsubmitted, Done, nil
+		case v == Absent || !rec.State.Final():
+			return true, Done, nil
 		}
 	}
 }
