native: Records of an earlier version keep their account by the job's row

TestRecordsOfEarlierVersion strips the account from stored records, as an earlier version writes them, and checks that the job's row decides while it is there, that a successor records the account at the end, and that a record that ended without it is shown to all.

--- a/native/access_test.go
+++ b/native/access_test.go
@@ -9,6 +9,9 @@
 
 	"citronbridge/fakes/model"
 	"citronbridge/fakes/plat"
+	"citronbridge/platform"
+	"citronbridge/repo"
+	"citronbridge/work"
 )
 
 // Keys of the second account, tenant-b, and of a key that tenant-a gets later.
@@ -268,3 +271,58 @@
 		t.Errorf("%d tasks are done, want %d", n, jobs+1)
 	}
 }
+
+// TestRecordsOfEarlierVersion guards against jobs that were stored by an earlier version, whose
+// records lack the account: while a job's row is stored it decides, and a decider of this version
+// records the account at the end. A record that ended without it is shown to everyone.
+func TestRecordsOfEarlierVersion(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 3, 1)
+	d.configureTwoAccounts(apiKey)
+	w := d.monitorRuns()
+	store := platform.NewStore(d.hosts[0].storeAddress, nil)
+	strip := func(n int) {
+		t.Helper()
+		id := jobID(n)
+		part := repo.PartitionOf(repo.TableRecords, id)
+		r, err := work.DecodeRecord(d.platform.Store.Value(repo.TableRecords, part, id))
+		must(t, err)
+		r.HasAccount, r.Account = false, ""
+		b, err := r.Encode()
+		must(t, err)
+		_, err = store.Apply(t.Context(), repo.Change{Put: []repo.Row{{Table: repo.TableRecords, Partition: part, Key: id, Value: b}}})
+		must(t, err)
+	}
+	check := func(n int, own, other string) {
+		t.Helper()
+		for _, h := range d.hosts {
+			for key, want := range map[string]string{apiKey: own, otherKey: other} {
+				if status, b := h.call(http.MethodGet, "/batch/"+jobID(n), key, ""); !strings.Contains(fmt.Sprint(status, b), want) {
+					t.Errorf("state of job %d with %s: %d %s, want %s", n, key, status, b, want)
+				}
+			}
+		}
+	}
+	for n := 1; n <= 2; n++ {
+		d.submit(jobID(n), "/batch/", jobBody(singleTasks(1, time.Hour)))
+	}
+	d.awaitStarts(w, 2)
+	d.platform.Lock(func(c *model.Cluster) { c.CompleteJob(jobID(2)) })
+	d.awaitState("/batch/", jobID(2), "succeeded")
+	strip(1)
+	strip(2)
+	check(1, "running", "410")
+	check(2, "succeeded", "succeeded")
+	if status, b := d.hosts[0].call(http.MethodDelete, "/batch/"+jobID(1), otherKey, ""); status != http.StatusGone {
+		t.Errorf("cancel by another account: status %d, want 410: %s", status, b)
+	}
+	former := d.decider()
+	former.kill()
+	d.await("another decider", func() bool { return d.decider() != former })
+	d.startHost(former)
+	d.awaitReady(former)
+	d.platform.Lock(func(c *model.Cluster) { c.CompleteJob(jobID(1)) })
+	d.awaitState("/batch/", jobID(1), "succeeded")
+	check(1, "succeeded", "410")
+	d.checkRuns(w)
+}
