node, decide, launch, sched: Evacuation of a data centre

Cause: an operator can request that no task starts in a data centre, by a row evacuate/ZONE in the operator's table; nothing obeyed such rows.

Change: every host keeps the set of evacuated data centres from the rows it already follows, before the configuration of the same batch, and passes it to its deciders at their start and with each change. Workers there are closed (track.Evacuated) and count as no room. Starts that are decided and not sent are cancelled, unanswered ones are stopped instead of repeated, gangs as a whole unless all of them was sent. Runs that have started continue. A start is checked against the set again right before it is sent. Cold workers follow warm ones, and runs measured while their worker was cold aren't judged slow.

Not in this commit: the bound on the age of the confirmation.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -23,6 +23,10 @@
 	StopsOverdue bool
 	// Closed workers take no new tasks: they are draining, failing or unreachable.
 	Closed bool
+	// Evacuated workers are closed, and stay so for longer than a unit may wait for a rack.
+	Evacuated bool
+	// Cold workers are slow, as they have just started.
+	Cold bool
 	// Paused workers take tasks only of units that have waited for too long, as runs have just
 	// failed or were slow there.
 	Paused bool
@@ -363,7 +367,7 @@
 		need = len(u.Indexes)
 	}
 	for _, w := range group {
-		if u.hasLabel(w) {
+		if u.hasLabel(w) && !w.Evacuated {
 			need -= u.Fitting(w.ID, w.Total, len(u.Indexes))
 		}
 	}
@@ -428,7 +432,8 @@
 
 // workersWithRoom returns the eligible workers of a group that have room for a task
 // of the unit now, those with the least free capacity first. Workers on which its tasks
-// failed come last, and before them those on which others failed or were slow.
+// failed come last, and before them those on which others failed or were slow. Among workers
+// that are equal in that, cold ones follow warm ones.
 func (p *planner) workersWithRoom(u *Unit, group []*Worker) []*Worker {
 	d := u.Step.CapacityDemand()
 	if p.unplaceable[d] {
@@ -449,6 +454,12 @@
 		if x, y := u.doubt(a), u.doubt(b); x != y {
 			return x - y
 		}
+		if a.Cold != b.Cold {
+			if b.Cold {
+				return -1
+			}
+			return 1
+		}
 		if a.Free.Accelerators != b.Free.Accelerators {
 			return int(a.Free.Accelerators - b.Free.Accelerators)
 		}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -89,7 +90,12 @@
 	// Machines is the service that puts the workers' machines under maintenance.
 	Machines waves.Machines
 	Rules    func() *work.Rules
-	Bounds   platform.Bounds
+	// Evacuations returns the sorted data centres in which no task may start.
+	Evacuations func() []string
+	// ConfirmationAge returns the age of the latest confirmation that the operator's requests are
+	// known.
+	ConfirmationAge func() time.Duration
+	Bounds          platform.Bounds
 	// Stalls records when the process was stalled.
 	Stalls *stall.Monitor
 	// Cores is how many processor cores this host may use, Capacity how many of
@@ -247,6 +253,7 @@
 		Lease: platform.Milliseconds(b.MaxHoldMS) - leaseMargin, StopTime: platform.Milliseconds(b.StopMS), GangTimeout: platform.Milliseconds(b.GangMS),
 		ReclaimTime: platform.Milliseconds(b.ReclaimMS), FarFactor: b.FarFactor,
 		MaintenanceTime: platform.Seconds(b.MaintenanceS), TakeoverPause: platform.Milliseconds(b.TurnMS),
+		EvacuateTime: platform.Milliseconds(b.EvacuateMS),
 	}
 }
 
@@ -256,6 +263,11 @@
 // WaveWithdrawn tells the state machine that the operator withdrew the maintenance wave n.
 func (d *Decider) WaveWithdrawn(n int64) { d.enqueue(event.WaveWithdrawn{Wave: n}) }
 
+// EvacuationsChanged passes the set of evacuated data centres to the state machine.
+func (d *Decider) EvacuationsChanged() {
+	d.enqueue(event.EvacuationsChanged{DataCentres: d.c.Evacuations()})
+}
+
 // enqueue adds an event to the queue. It blocks while the queue is full.
 func (d *Decider) enqueue(e event.Event) {
 	select {
@@ -287,7 +299,7 @@
 		Pool: d.c.Pool, Epoch: d.c.Owner.Epoch, Bounds: b, InheritTime: inheritFor, Window: launch.WindowForCores(d.c.Cores),
 		PartitionOf: func(id string) string { return repo.PartitionOf(repo.TableJobs, id) },
 	}, d.clock(), d.c.Rules())
-	var pending []event.Effect
+	pending := d.state.Handle(d.clock(), event.EvacuationsChanged{DataCentres: d.c.Evacuations()})
 	for _, e := range l.events {
 		pending = append(pending, d.state.Handle(d.clock(), e)...)
 	}
@@ -395,6 +407,8 @@
 			}
 		case event.RunEnded:
 			d.c.Meter.RunEnds.WithLabelValues(string(e.Reason)).Inc()
+		case event.StartWithdrawn:
+			d.c.Meter.StartsWithdrawn.WithLabelValues(string(e.Reason)).Inc()
 		case event.JobStarted:
 			d.c.Meter.FirstStart.WithLabelValues(d.queueLabel(e.Queue)).Observe(e.Wait.Seconds())
 		case event.GangStarted:
@@ -435,9 +449,10 @@
 	})
 }
 
-// sendStart orders a worker to start a task, unless the decision is older than maxDecisionAge.
+// sendStart orders a worker to start a task, unless the decision is older than maxDecisionAge or
+// the worker's data centre is evacuated by now.
 func (d *Decider) sendStart(e event.Start, decided time.Duration) (event.Event, event.Outcome) {
-	if timer.SinceBoot()-decided > maxDecisionAge {
+	if timer.SinceBoot()-decided > maxDecisionAge || slices.Contains(d.c.Evacuations(), e.DataCentre) {
 		return event.OrderAnswered{Call: e.Call, Outcome: event.NotSent}, event.NotSent
 	}
 	a := d.c.Workers.Start(d.ctx, e)
--- a/demand/room.go
+++ b/demand/room.go
@@ -30,7 +30,7 @@
 	c := &roomCounter{p: p, counts: map[roomKey]int{}}
 	for _, w := range p.WorkersByID {
 		switch p.ClosedBy(w) {
-		case track.Unlisted, track.Replaced, track.Draining, track.Maintenance:
+		case track.Unlisted, track.Replaced, track.Draining, track.Maintenance, track.Evacuated:
 			continue
 		}
 		c.workers = append(c.workers, &assign.Worker{ID: w.ID, Labels: w.Labels, Total: w.Capacity, Free: w.Capacity.Minus(w.Used), NoBestEffort: !w.PaceLevel.AdmitsBestEffort()})
--- a/demand/starved.go
+++ b/demand/starved.go
@@ -28,11 +28,12 @@
 	return true
 }
 
-// mostlyIdle reports whether less than half of the pool's capacity is in use.
+// mostlyIdle reports whether less than half of the pool's capacity is in use. Evacuated data
+// centres offer none.
 func mostlyIdle(p *track.Pool) bool {
 	used, total := 0.0, 0.0
 	for _, w := range p.WorkersByID {
-		if w.Listed {
+		if w.Listed && !p.InEvacuation(w) {
 			used += w.Used.Cores()
 			total += w.Capacity.Cores()
 		}
--- a/demand/workers.go
+++ b/demand/workers.go
@@ -17,6 +17,7 @@
 		a := &assign.Worker{
 			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Total: w.Capacity, Free: w.Capacity.Minus(w.Used), Closed: closed != "" && closed != track.Paused || !w.Recorded, Paused: closed == track.Paused,
 			NoBestEffort: !w.PaceLevel.AdmitsBestEffort(), Probation: w.Suspect(p.Now.Steady), Failing: w.Failing(p.Now.Steady),
+			Evacuated: closed == track.Evacuated, Cold: w.Cold(p.Now.Steady),
 		}
 		if a.Failing {
 			p.PlaceBy(w.SuspectUntil())
--- a/event/event.go
+++ b/event/event.go
@@ -31,6 +31,10 @@
 	// LeavesMS is when a draining worker may leave, in milliseconds of its own clock,
 	// 0 if unknown.
 	LeavesMS int64
+	// DataCentre is where the worker is, empty if unknown.
+	DataCentre string
+	// ColdFor is how much longer the worker stays slow after its start, as of the entry.
+	ColdFor time.Duration
 }
 
 // Event is an input of the state machine: one of the types below.
@@ -95,6 +99,9 @@
 	MaintenanceTime, TakeoverPause time.Duration
 	// FarFactor is the factor by which work takes longer outside of its data's rack.
 	FarFactor float64
+	// EvacuateTime is the time after an operator's request to evacuate a data centre from
+	// which no task may start there, 0 if the platform sets none.
+	EvacuateTime time.Duration
 }
 
 // BoundsChanged replaces the bounds. The new ones apply to orders from now on.
@@ -179,6 +186,10 @@
 	Outcome maint.Outcome
 }
 
+// EvacuationsChanged replaces the set of data centres that are evacuated: no task starts
+// there. The set is sorted and complete, so handling it twice changes nothing.
+type EvacuationsChanged struct{ DataCentres []string }
+
 // Tick reports only that time has passed.
 type Tick struct{}
 
@@ -202,6 +213,7 @@
 func (MachinesListed) event()      {}
 func (ProgressRead) event()        {}
 func (MaintenanceAnswered) event() {}
+func (EvacuationsChanged) event()  {}
 func (Tick) event()                {}
 
 // Running is a run that a worker lists as running.
@@ -300,6 +312,8 @@
 	// Ticket is the advice service's permission for the start, empty where none is
 	// needed.
 	Ticket string
+	// DataCentre is where the worker is, for a last check before the order is sent.
+	DataCentre string
 }
 
 // Stop orders a worker to stop a run.
@@ -357,6 +371,20 @@
 // RunEnded reports the end of a run to the metrics.
 type RunEnded struct{ Reason EndReason }
 
+// StartWithdrawn reports to the metrics that a decided start is given up, and why.
+type StartWithdrawn struct{ Reason WithdrawReason }
+
+// WithdrawReason is why a start is given up.
+type WithdrawReason string
+
+// Reasons why a start is given up.
+const (
+	// Evacuated: the worker's data centre is evacuated.
+	Evacuated WithdrawReason = "Evacuated"
+	// Draining: the worker is draining.
+	Draining WithdrawReason = "Draining"
+)
+
 // JobStarted reports to the metrics how long a job waited for its first start.
 type JobStarted struct {
 	Queue string
@@ -441,6 +469,7 @@
 func (ForgetWorker) effect()   {}
 func (ProveOwnership) effect() {}
 func (RunEnded) effect()       {}
+func (StartWithdrawn) effect() {}
 func (JobStarted) effect()     {}
 func (GangStarted) effect()    {}
 func (JobEnded) effect()       {}
--- a/launch/dispatch.go
+++ b/launch/dispatch.go
@@ -36,6 +36,8 @@
 	// inFlight counts the orders that were sent and are neither answered nor timed
 	// out.
 	inFlight int
+	// announced are the evacuated data centres whose evacuation was logged as being in effect.
+	announced map[string]bool
 }
 
 // New returns a Launcher for a pool.
@@ -135,6 +137,7 @@
 func (s *Launcher) cancelStart(r *track.Run) {
 	r.Queued = false
 	s.Log(r.Task.Step.Job, r.Worker, r, "start cancelled: worker is draining; placing the task again")
+	s.Emit(event.StartWithdrawn{Reason: event.Draining})
 	s.Stop(r)
 }
 
@@ -175,7 +178,7 @@
 	r.StartsSent++
 	c := s.Call(w)
 	c.Task, c.Run = r.ID, r.N
-	s.Emit(event.Start{Call: c, Spec: r.Task.Step.Job.Spec.Spec, Checkpoint: r.Checkpoint, DeadlineMS: s.ExtendLease(w), Ticket: r.Ticket})
+	s.Emit(event.Start{Call: c, Spec: r.Task.Step.Job.Spec.Spec, Checkpoint: r.Checkpoint, DeadlineMS: s.ExtendLease(w), Ticket: r.Ticket, DataCentre: w.DataCentre})
 	return true
 }
 
--- a/launch/order.go
+++ b/launch/order.go
@@ -23,6 +23,7 @@
 		s.Release(r, event.Stopped, "")
 		return
 	}
+	r.StartUnconfirmed = r.Phase == track.Starting
 	r.Phase, r.AwaitingAnswer, r.SentAt, r.StoppedAt = track.Stopping, true, s.Now.Steady, s.Now.Steady
 	s.enqueue(r)
 }
--- a/meter/host.go
+++ b/meter/host.go
@@ -43,6 +43,10 @@
 	Waits *prometheus.CounterVec
 	// RunEnds counts runs of tasks by how they ended.
 	RunEnds *prometheus.CounterVec
+	// EvacuatedDataCentres is the number of data centres that the operator evacuates.
+	// StartsWithdrawn counts decided starts that were given up, by reason.
+	EvacuatedDataCentres prometheus.Gauge
+	StartsWithdrawn      *prometheus.CounterVec
 	// FirstStart is the time from a job's acceptance to its first start, JobTime that to
 	// its end, both in seconds. JobsEnded counts ended jobs by queue and final state.
 	FirstStart, JobTime *prometheus.HistogramVec
@@ -63,29 +67,31 @@
 		Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines left out as nobody read them in time.",
 	}, func() float64 { return float64(dropped()) }))
 	return &Host{
-		metrics:        s,
-		Calls:          s.counters("calls_total", "Calls of clients, by what came of them.", "call", "verdict"),
-		Submitted:      s.counters("submissions_total", "Submissions by account and what came of them.", "account", "verdict"),
-		Refused:        s.counters("refused_total", "Calls of clients rejected, by reason.", "reason"),
-		Orders:         s.counters("worker_orders_total", "Calls of workers, by outcome.", "order", "outcome"),
-		OrdersInFlight: s.gauges("worker_orders_under_way", "Calls of workers without an answer yet.", "order"),
-		OrderWait:      s.histograms("worker_order_wait_seconds", "Time from a decision to the call of the worker.", "order"),
-		OrderTime:      s.histograms("worker_order_seconds", "Time that calls of workers took.", "order"),
-		GangStart:      s.histogram("gang_start_seconds", "Time from the first order of a gang until all its members are confirmed.", waitBuckets),
-		Stalled:        s.counter("stalled_seconds_total", "Time for which the process was stalled, as its processor was late."),
-		StoreCalls:     s.counters("store_calls_total", "Calls of the platform's store, by outcome.", "call", "outcome"),
-		StoreTime:      s.histograms("store_call_seconds", "Time that calls of the platform's store took.", "call"),
-		Malformed:      s.counters("malformed_total", "Rows of other writers that can't be used, by source.", "source"),
-		Panics:         s.counters("panics_total", "Units of work that a panic ended.", "unit"),
-		Relayed:        s.counters("store_calls_relayed_total", "Calls of the platform's store through other hosts, by outcome.", "outcome"),
-		Waits:          s.counters("waits_with_room_total", "Reports of jobs with nothing running although there is room, by cause.", "cause"),
-		RunEnds:        s.counters("run_ends_total", "Runs of tasks by how they ended.", "how"),
-		FirstStart:     s.histograms("first_start_seconds", "Time from a job's acceptance to its first start.", "queue"),
-		JobTime:        s.histograms("job_seconds", "Time from a job's acceptance to its end.", "queue"),
-		JobsEnded:      s.counters("jobs_ended_total", "Jobs by how they ended.", "queue", "state"),
-		PoolEpoch:      s.gauges("pool_epoch", "Epoch under which this host decides for a pool, 0 if it doesn't.", "pool"),
-		ConfigVersion:  s.gauge("configuration_version", "Version of the configuration in force."),
-		Takeover:       s.histogram("takeover_seconds", "Time from taking a pool to its first decision.", waitBuckets),
+		metrics:              s,
+		Calls:                s.counters("calls_total", "Calls of clients, by what came of them.", "call", "verdict"),
+		Submitted:            s.counters("submissions_total", "Submissions by account and what came of them.", "account", "verdict"),
+		Refused:              s.counters("refused_total", "Calls of clients rejected, by reason.", "reason"),
+		Orders:               s.counters("worker_orders_total", "Calls of workers, by outcome.", "order", "outcome"),
+		OrdersInFlight:       s.gauges("worker_orders_under_way", "Calls of workers without an answer yet.", "order"),
+		OrderWait:            s.histograms("worker_order_wait_seconds", "Time from a decision to the call of the worker.", "order"),
+		OrderTime:            s.histograms("worker_order_seconds", "Time that calls of workers took.", "order"),
+		GangStart:            s.histogram("gang_start_seconds", "Time from the first order of a gang until all its members are confirmed.", waitBuckets),
+		Stalled:              s.counter("stalled_seconds_total", "Time for which the process was stalled, as its processor was late."),
+		StoreCalls:           s.counters("store_calls_total", "Calls of the platform's store, by outcome.", "call", "outcome"),
+		StoreTime:            s.histograms("store_call_seconds", "Time that calls of the platform's store took.", "call"),
+		Malformed:            s.counters("malformed_total", "Rows of other writers that can't be used, by source.", "source"),
+		Panics:               s.counters("panics_total", "Units of work that a panic ended.", "unit"),
+		Relayed:              s.counters("store_calls_relayed_total", "Calls of the platform's store through other hosts, by outcome.", "outcome"),
+		Waits:                s.counters("waits_with_room_total", "Reports of jobs with nothing running although there is room, by cause.", "cause"),
+		RunEnds:              s.counters("run_ends_total", "Runs of tasks by how they ended.", "how"),
+		EvacuatedDataCentres: s.gauge("evacuated_data_centres", "Data centres in which no task may start, as the operator evacuates them."),
+		StartsWithdrawn:      s.counters("starts_withdrawn_total", "Decided starts that were given up, by reason.", "reason"),
+		FirstStart:           s.histograms("first_start_seconds", "Time from a job's acceptance to its first start.", "queue"),
+		JobTime:              s.histograms("job_seconds", "Time from a job's acceptance to its end.", "queue"),
+		JobsEnded:            s.counters("jobs_ended_total", "Jobs by how they ended.", "queue", "state"),
+		PoolEpoch:            s.gauges("pool_epoch", "Epoch under which this host decides for a pool, 0 if it doesn't.", "pool"),
+		ConfigVersion:        s.gauge("configuration_version", "Version of the configuration in force."),
+		Takeover:             s.histogram("takeover_seconds", "Time from taking a pool to its first decision.", waitBuckets),
 	}
 }
 
--- a/node/election.go
+++ b/node/election.go
@@ -244,6 +244,7 @@
 	}
 	c.decider = d
 	// Changes that came while the pool was being acquired reached no decider.
+	d.EvacuationsChanged()
 	d.RulesChanged(h.gate.Rules())
 	d.BoundsChanged(h.current().Bounds)
 	for _, w := range h.waves.sorted() {
@@ -295,7 +296,7 @@
 func (h *Host) startDecider(ctx context.Context, pool string, a attempt, o *repo.Ownership) *decide.Decider {
 	return decide.Start(ctx, decide.Config{
 		Machines: cloud.New(func() string { return h.current().Cloud.Address }),
-		Pool:     pool, Owner: a.owner, Ownership: o, PredecessorStopped: a.predecessorStopped, Store: h.store, Clock: h.clock, Owners: h.owners, Workers: h.workers, Advisor: advise.New(func() string { return h.current().Advice }), Rules: h.gate.Rules, Bounds: h.current().Bounds, Cores: h.current().UsableCores(), Capacity: h.current().Capacity(), Stalls: h.stalls,
+		Pool:     pool, Owner: a.owner, Ownership: o, PredecessorStopped: a.predecessorStopped, Store: h.store, Clock: h.clock, Owners: h.owners, Workers: h.workers, Advisor: advise.New(func() string { return h.current().Advice }), Rules: h.gate.Rules, Evacuations: h.evacuations.sorted, ConfirmationAge: h.gate.Age, Bounds: h.current().Bounds, Cores: h.current().UsableCores(), Capacity: h.current().Capacity(), Stalls: h.stalls,
 		Meter: h.meter, Log: h.log, Guard: h.guard, Ended: h.deciderEnded,
 	})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -79,8 +79,10 @@
 
 	heartbeats *pulse.Tracker
 	waves      waveSet
-	pools      map[string]*candidate
-	poolMu     sync.Mutex
+	// evacuations are the data centres in which no task may start.
+	evacuations evacuationSet
+	pools       map[string]*candidate
+	poolMu      sync.Mutex
 
 	front, ready net.Listener
 	metrics      net.Listener // nil if the settings name no port for it
@@ -255,9 +257,11 @@
 	return m
 }
 
-// followOperator follows the operator's table (configuration and maintenance waves) until ctx ends.
+// followOperator follows the operator's table (configuration, evacuations and maintenance waves) until ctx ends.
 func (h *Host) followOperator(ctx context.Context) {
 	handle := func(rows []repo.Row) {
+		// The first configuration may start an election, so evacuations come before it.
+		h.handleEvacuations(rows)
 		for _, r := range rows {
 			if r.Key == platform.KeyConfig && !r.Deleted {
 				h.applyRules(r.Value)
@@ -266,7 +270,7 @@
 		}
 	}
 	f := &follow.Follower{
-		Store: h.store, Table: platform.TableOperator, Wait: feedWait, Now: timer.SinceBoot, OnList: func(rows []repo.Row) { h.pruneWaves(rows); handle(rows) }, OnChange: handle,
+		Store: h.store, Table: platform.TableOperator, Wait: feedWait, Now: timer.SinceBoot, OnList: func(rows []repo.Row) { h.pruneEvacuations(rows); h.pruneWaves(rows); handle(rows) }, OnChange: handle,
 		OnConfirmed: h.gate.Confirm,
 		OnFailure:   func(err error) { h.log.Warn().Err(err).Msg("table service is unavailable; retrying") },
 		OnRecovery:  func() { h.log.Info().Msg("table service is available again") },
--- a/orders/workers.go
+++ b/orders/workers.go
@@ -124,6 +124,10 @@
 	if w.Terminated && w.Address != e.Address {
 		w.Terminated = false
 	}
+	if e.ColdFor != w.ColdFor || e.StartedMS != w.EntryStartedMS {
+		// The same entry may be listed again long after it was written.
+		w.ColdUntil = s.Now.Steady + e.ColdFor
+	}
 	w.Worker, w.Listed, w.EntryStartedMS = e, true, e.StartedMS
 	w.StartedMS = startedMS
 	s.NeedsPlacement = true
--- a/sched/state.go
+++ b/sched/state.go
@@ -102,6 +102,8 @@
 		s.HandlePaceAnswered(e)
 	case event.AdviceAnswered:
 		s.adviceAnswered(e)
+	case event.EvacuationsChanged:
+		s.SetEvacuations(e.DataCentres)
 	case event.WaveRequested:
 		s.waveRequested(e.Wave)
 	case event.WaveWithdrawn:
@@ -129,6 +131,7 @@
 	for _, w := range s.WorkersByID {
 		next = min(next, s.CheckWorker(w))
 	}
+	s.WithdrawStarts()
 	next = min(next, s.RetryUnanswered(), s.openDue(), s.advanceWaves())
 	s.AdvanceDurableEnds()
 	s.prune()
--- a/sched/waves.go
+++ b/sched/waves.go
@@ -116,7 +116,7 @@
 // a while fits on the worker.
 func (s *State) Needed(worker string) bool {
 	w := s.Workers[worker]
-	if w == nil {
+	if w == nil || s.InEvacuation(w) {
 		return false
 	}
 	free := w.Capacity.Minus(w.Used)
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -34,9 +34,9 @@
 }
 
 // relativeSpeed returns a run's speed as a share of the expected one. It returns false if
-// the speed is unknown or the run has no work left.
+// the speed is unknown, was measured while the worker was cold, or the run has no work left.
 func relativeSpeed(p *track.Pool, r *track.Run) (float64, bool) {
-	if r.Task == nil || r.Phase != track.Running || r.Rate == 0 || r.Progress >= 100 {
+	if r.Task == nil || r.Phase != track.Running || r.Rate == 0 || r.Progress >= 100 || r.PreviousSampleAt < r.Worker.ColdUntil {
 		return 0, false
 	}
 	st := r.Task.Step
--- a/track/pool.go
+++ b/track/pool.go
@@ -52,6 +52,8 @@
 	// ForgottenIncarnations is the incarnation count of workers that were forgotten, by ID.
 	// It is kept so that a worker's fence never falls.
 	ForgottenIncarnations map[string]int64
+	// Evacuated are the data centres in which no task may start.
+	Evacuated map[string]bool
 	// Advice holds the answers of the advice service.
 	Advice *advice.Cache
 	// PendingEffects are the effects requested and not yet handed out.
@@ -181,6 +183,8 @@
 	Replaced    Closure = "replaced"
 	Draining    Closure = "draining"
 	Maintenance Closure = "maintenance"
+	// Evacuated: the operator evacuates the worker's data centre.
+	Evacuated Closure = "evacuated"
 	// The causes below may be over at any moment.
 	Unresponsive Closure = "unresponsive"
 	NotSynced    Closure = "not synced"
@@ -204,6 +208,8 @@
 		return Draining
 	case w.Cordoned:
 		return Maintenance
+	case p.InEvacuation(w):
+		return Evacuated
 	case w.UnansweredCalls > 0:
 		return Unresponsive
 	case !w.Synced, w.EntryOutdated():
@@ -218,6 +224,10 @@
 	return ""
 }
 
+// InEvacuation reports whether the worker's data centre is evacuated, so that no task may
+// start on the worker.
+func (p *Pool) InEvacuation(w *Worker) bool { return p.Evacuated[w.DataCentre] }
+
 // Fence returns the fence for the worker's current incarnation.
 func (p *Pool) Fence(w *Worker) int64 { return p.Config.Epoch*fencesPerEpoch + w.Incarnation }
 
--- a/track/run.go
+++ b/track/run.go
@@ -51,6 +51,9 @@
 	Pace int
 	// Borrowed reports whether the run is urgent and exceeds its account's guarantee.
 	Borrowed bool
+	// StartUnconfirmed reports whether the run is being stopped although its start has no
+	// answer, so that it may not have begun yet.
+	StartUnconfirmed bool
 	// AwaitingAnswer reports whether an order about the run has no conclusive answer yet.
 	AwaitingAnswer bool
 	// Queued reports whether an order about the run is due but not sent. InFlight reports
--- a/track/worker.go
+++ b/track/worker.go
@@ -73,6 +73,10 @@
 	// PaceLevel is the pace of best-effort tasks on the worker.
 	PaceLevel pacing.Level
 
+	// ColdUntil is the time until which the worker is slow after its start, 0 if its entry
+	// never said so.
+	ColdUntil time.Duration
+
 	// ReplacedAt is when a list of machines showed another worker on this one's machine, 0
 	// if none did. As the list may be outdated, the worker gets no tasks but is still asked
 	// whether it is alive.
@@ -145,6 +149,9 @@
 // written. Its labels and capacity may differ by now.
 func (w *Worker) EntryOutdated() bool { return 0 < w.EntryStartedMS && w.EntryStartedMS < w.StartedMS }
 
+// Cold reports whether the worker is still slow after its start.
+func (w *Worker) Cold(now time.Duration) bool { return now < w.ColdUntil }
+
 // IncarnationID identifies the worker's current incarnation.
 func (w *Worker) IncarnationID() advice.Incarnation {
 	return advice.Incarnation{Worker: w.ID, Number: w.Incarnation}
