decide, event, node: No starts while the operator's requests may be unknown

Cause: a host whose poll of the operator's table hangs while its heartbeats are answered would start tasks long after an evacuation was requested.

Change: where bounds.evac-ms is above 0, a decider starts nothing while the latest confirmation of the operator's table is older than evac-ms less 1 s (or half of evac-ms, if that is more, as otherwise nothing would start with bounds of 1 s or less), and checks that again right before each start is sent. A line tells when that begins and ends.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -122,6 +122,9 @@
 	partitions map[string]*partition
 	// takeover logs how far the takeover of the pool has come.
 	takeover takeover
+	// stale reports whether starts are held back as the operator's requests may have changed
+	// unnoticed. Only the loop uses it.
+	stale bool
 	// waves carries out the actions of maintenance waves.
 	waves *waves.Runner
 
@@ -357,7 +360,8 @@
 		d.mu.Lock()
 		age := timer.SinceBoot() - d.provedAt
 		d.mu.Unlock()
-		d.state.SetLimits(track.Limits{NoStarts: age > maxStartProofAge, NoOrders: age > maxOrderProofAge})
+		stale := d.checkRequestAge()
+		d.state.SetLimits(track.Limits{NoStarts: age > maxStartProofAge || stale, NoOrders: age > maxOrderProofAge})
 		n := d.clock()
 		effects, next := d.state.Flush(n)
 		t.Reset(max(next-n.Steady, time.Millisecond))
@@ -367,6 +371,27 @@
 	}
 }
 
+// requestsStale reports whether the operator may have requested an evacuation so long ago that no
+// task may start there any more, and this host may not know of it yet.
+func (d *Decider) requestsStale() bool {
+	limit := boundsOf(d.bounds()).MaxRequestAge()
+	return limit > 0 && d.c.ConfirmationAge() > limit
+}
+
+// checkRequestAge is requestsStale for the loop, and logs each change.
+func (d *Decider) checkRequestAge() bool {
+	stale := d.requestsStale()
+	if stale != d.stale {
+		d.stale = stale
+		text := "operator's requests are confirmed again; starts go on"
+		if stale {
+			text = "operator's requests are unconfirmed for too long; starts are held back"
+		}
+		d.log.Warn().Dur("age", d.c.ConfirmationAge()).Msg(text)
+	}
+	return stale
+}
+
 // countWaiting counts the waiting jobs for the next heartbeat. There is no count before all
 // partitions are loaded.
 func (d *Decider) countWaiting() {
@@ -449,10 +474,10 @@
 	})
 }
 
-// sendStart orders a worker to start a task, unless the decision is older than maxDecisionAge or
-// the worker's data centre is evacuated by now.
+// sendStart orders a worker to start a task, unless the decision is older than maxDecisionAge, or
+// the worker's data centre is evacuated or may be by now.
 func (d *Decider) sendStart(e event.Start, decided time.Duration) (event.Event, event.Outcome) {
-	if timer.SinceBoot()-decided > maxDecisionAge || slices.Contains(d.c.Evacuations(), e.DataCentre) {
+	if timer.SinceBoot()-decided > maxDecisionAge || d.requestsStale() || slices.Contains(d.c.Evacuations(), e.DataCentre) {
 		return event.OrderAnswered{Call: e.Call, Outcome: event.NotSent}, event.NotSent
 	}
 	a := d.c.Workers.Start(d.ctx, e)
--- a/node/node.go
+++ b/node/node.go
@@ -259,18 +259,8 @@
 
 // followOperator follows the operator's table (configuration, evacuations and maintenance waves) until ctx ends.
 func (h *Host) followOperator(ctx context.Context) {
-	handle := func(rows []repo.Row) {
-		// The first configuration may start an election, so evacuations come before it.
-		h.handleEvacuations(rows)
-		for _, r := range rows {
-			if r.Key == platform.KeyConfig && !r.Deleted {
-				h.applyRules(r.Value)
-			}
-			h.handleWave(r)
-		}
-	}
 	f := &follow.Follower{
-		Store: h.store, Table: platform.TableOperator, Wait: feedWait, Now: timer.SinceBoot, OnList: func(rows []repo.Row) { h.pruneEvacuations(rows); h.pruneWaves(rows); handle(rows) }, OnChange: handle,
+		Store: h.store, Table: platform.TableOperator, Wait: feedWait, Now: timer.SinceBoot, OnList: h.handleOperatorListing, OnChange: h.handleOperatorRows,
 		OnConfirmed: h.gate.Confirm,
 		OnFailure:   func(err error) { h.log.Warn().Err(err).Msg("table service is unavailable; retrying") },
 		OnRecovery:  func() { h.log.Info().Msg("table service is available again") },
@@ -278,6 +268,25 @@
 	f.Run(ctx, 0)
 }
 
+// handleOperatorListing handles a complete listing of the operator's table.
+func (h *Host) handleOperatorListing(rows []repo.Row) {
+	h.pruneEvacuations(rows)
+	h.pruneWaves(rows)
+	h.handleOperatorRows(rows)
+}
+
+// handleOperatorRows handles changed rows of the operator's table. The first configuration may
+// start an election, whose decider needs the evacuations, so they come before it.
+func (h *Host) handleOperatorRows(rows []repo.Row) {
+	h.handleEvacuations(rows)
+	for _, r := range rows {
+		if r.Key == platform.KeyConfig && !r.Deleted {
+			h.applyRules(r.Value)
+		}
+		h.handleWave(r)
+	}
+}
+
 // applyRules decodes a configuration, makes it the one in force unless a newer one
 // is, and passes it to the deciders on this host.
 func (h *Host) applyRules(b []byte) {
