sched, launch, orders: Evacuations in the seeded schedules

Cause: only table tests covered evacuations. One schedule in four now gets requests and withdrawals at random times, hanging and slow polls of the operator's requests, and a check that no start is sent to a data centre that its decider knows to be evacuated, or later than 5 s after the request.

--- a/launch/dispatch.go
+++ b/launch/dispatch.go
@@ -120,6 +120,10 @@
 			s.cancelStart(r)
 			return true
 		}
+		if s.InEvacuation(r.Worker) {
+			// WithdrawStarts has left the run until its worker is asked.
+			return false
+		}
 		if at := r.Worker.NextStart; at > s.Now.Steady {
 			next = min(next, at)
 		}
@@ -254,7 +258,7 @@
 	case r.Phase != track.Stopping && w.Draining:
 		s.cancelStart(r)
 		return now, true
-	case r.Phase == track.Stopping && exceedsMayMiss(r):
+	case r.Phase != track.Stopping && s.InEvacuation(w), r.Phase == track.Stopping && exceedsMayMiss(r):
 		return now + RetryPause, false
 	}
 	s.enqueue(r)
--- a/launch/order.go
+++ b/launch/order.go
@@ -73,6 +73,7 @@
 		// This order or an earlier copy may have been carried out. The start is sent
 		// again, unless the answer to the next Hold shows that the task is running.
 		w.ClosedUntil = max(w.ClosedUntil, s.Now.Steady+2*RetryPause)
+		r.UnansweredAt = s.Now.Steady
 	case event.DeadlinePassed:
 		s.handleRefusedStart(w, r, "deadline had passed")
 	case event.StaleRun:
--- a/launch/withdraw.go
+++ b/launch/withdraw.go
@@ -51,7 +51,9 @@
 	case unsent(r):
 		return true
 	case r.Phase == track.Starting && r.AwaitingAnswer && !r.InFlight:
-		return true
+		// A long-running task may be serving already. If its step lacks too many others, the
+		// worker is asked first.
+		return !exceedsMayMiss(r) || r.Worker.ReportedAt > r.UnansweredAt
 	}
 	st := r.Task.Step
 	return st.Spec.Gang && slices.ContainsFunc(st.Tasks, func(t *track.Task) bool {
--- a/launch/withdraw_test.go
+++ b/launch/withdraw_test.go
@@ -130,3 +130,48 @@
 		t.Errorf("announced %v with %d runs once the stop is confirmed", l.announced, len(w.Runs))
 	}
 }
+
+// TestUnansweredLongRunningStart guards against a long-running task that is stopped although it
+// may be serving while its step lacks too many others, and against its start being sent again:
+// the worker is asked first. Once the request is withdrawn, the start is repeated.
+func TestUnansweredLongRunningStart(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		asked, withdrawn  bool
+		wantStop, wantNew int
+	}{
+		{"not asked yet", false, false, 0, 0},
+		{"not there when asked", true, false, 1, 0},
+		{"request withdrawn", false, true, 0, 1},
+	} {
+		// The second start, which isn't sent, is withdrawn at once.
+		l := newLauncher(1, 1)
+		w := l.Worker("w000")
+		w.DataCentre = "a"
+		w.SortedRuns()[0].Task.Step.Spec.LongRunning = true
+		l.Dispatch()
+		starts, _ := takeCalls(l)
+		l.HandleAnswer(event.OrderAnswered{Call: starts[0], Outcome: event.NoAnswer})
+		l.Now.Steady += time.Second
+		l.RetryUnanswered()
+		l.SetEvacuations([]string{"a"})
+		news, stops := 0, 0
+		for range 4 {
+			l.WithdrawStarts()
+			l.RetryUnanswered()
+			l.Dispatch()
+			a, o := takeCalls(l)
+			news, stops = news+len(a), stops+len(o)
+			l.Now.Steady += time.Second
+			if c.asked {
+				w.ReportedAt = l.Now.Steady
+			}
+			if c.withdrawn {
+				l.SetEvacuations(nil)
+			}
+		}
+		if news != c.wantNew || stops != c.wantStop {
+			t.Errorf("%s: %d starts and %d stops sent, want %d and %d", c.name, news, stops, c.wantNew, c.wantStop)
+		}
+	}
+}
--- a/orders/hold.go
+++ b/orders/hold.go
@@ -113,7 +113,7 @@
 		s.Log(nil, w, nil, "Holds succeed again; the worker may get new tasks")
 		s.NeedsPlacement = true
 	}
-	w.UnansweredCalls = 0
+	w.UnansweredCalls, w.ReportedAt = 0, max(w.ReportedAt, e.Call.Sent)
 	if e.Call.Sent > w.ReplacedAt && w.ReplacedAt > 0 {
 		w.ReplacedAt, s.NeedsPlacement = 0, true
 	}
--- a/sched/schedule_test.go
+++ b/sched/schedule_test.go
@@ -43,6 +43,9 @@
 
 func (w *world) play(seed uint64) *world {
 	w.addWorkers()
+	if seed%evacuateEvery == 1 {
+		w.planEvacuations(seed)
+	}
 	w.startDecider(w.randomCuts())
 	w.planSubmissions()
 	w.planFaults()
@@ -387,6 +390,7 @@
 // endFaults ends all faults and makes sure that there is a decider.
 func (w *world) endFaults() {
 	w.tracef("CALM")
+	w.endEvacuations()
 	w.storeUp = true
 	for _, id := range sorted(w.cluster.Workers) {
 		x := w.cluster.Workers[id]
@@ -555,6 +559,9 @@
 		{"machines without fencing and without the pause around a takeover", faults{unfenced: true, noTakeoverPause: true}, waveEvery, false},
 		{"waits despite free capacity without a bound", faults{noWaitBound: true}, 1, true},
 		{"workers that stay closed after a failure", faults{closedForGood: true}, 1, true},
+		{"starts while requests may be unknown", faults{noRequestBound: true}, 1, false},
+		{"successors without the evacuations in force", faults{noEvacuationsAtStart: true}, 1, false},
+		{"starts that were decided before an evacuation", faults{keepDecidedStarts: true}, 1, false},
 		{"lost wake-ups of placement", faults{lostWakeUps: true}, 1, true},
 	} {
 		t.Run(m.name, func(t *testing.T) {
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -75,6 +75,8 @@
 	// wave is the requested maintenance wave, nil if there is none.
 	wave         *maint.Wave
 	waveFinished bool
+	// evacuations are the operator's, nil if the schedule has none.
+	evacuations *evacuations
 	// What has happened.
 	active   map[string][]*activeRun
 	doneRuns map[string][]*doneRun
@@ -116,6 +118,10 @@
 	// on which a run has failed for an hour. lostWakeUps drops the requests for placement at
 	// later times, and at once by events without other effects.
 	noWaitBound, closedForGood, lostWakeUps bool
+	// noRequestBound starts tasks however old the confirmation of the operator's requests is.
+	// noEvacuationsAtStart starts deciders without the evacuations in force. keepDecidedStarts
+	// goes on with starts that were decided before an evacuation.
+	noRequestBound, noEvacuationsAtStart, keepDecidedStarts bool
 }
 
 // mutate breaks what the decider believes, before it does what is due.
@@ -134,6 +140,9 @@
 			}
 		}
 	}
+	if f.keepDecidedStarts {
+		keepDecidedStarts(s)
+	}
 	if f.lostWakeUps {
 		s.NeedsPlacement, s.PlaceAt = s.NeedsPlacement && len(s.PendingEffects) > 0, 0
 	}
@@ -190,6 +199,7 @@
 	missedEvents []func()
 	// rowWrites are the writes of workers' rows, which are made one after the other.
 	rowWrites []func()
+	requests  operatorFeed
 	// busyUntil is the time until which the host's processor has work.
 	busyUntil time.Duration
 }
@@ -295,8 +305,13 @@
 	if l := w.active[p.Task]; len(l) > 0 {
 		w.fail("TWICE: %s run %d starts on %s while run %d is on %s", p.Task, p.Run, x.ID, l[0].run, l[0].worker)
 	}
+	if !w.lateOrder {
+		w.checkEvacuateTime(x.ID)
+	}
 	w.active[p.Task] = append(w.active[p.Task], &activeRun{x.ID, p.Run})
 	w.activeRuns[jobOf(p.Task)]++
+	// The run may end before watchStarvation looks again.
+	delete(w.starvations, jobOf(p.Task))
 	for _, f := range w.doneRuns[p.Task] {
 		f.restarted = true
 		if f.acked {
@@ -505,12 +520,16 @@
 	if w.faults.noTakeoverPause {
 		c.TakeoverPause = 0
 	}
+	if w.evacuations != nil {
+		c.EvacuateTime = evacuateTime
+	}
 	p.s = New(c, p.clock(), w.rules)
 	if w.faults.volatileProgress {
 		w.progress = maint.Progress{}
 	}
 	w.deciders = append(w.deciders, p)
 	w.tracef("DECIDER %d", w.epoch)
+	p.startRequests()
 	var l []event.Event
 	for _, id := range sorted(w.workerRows) {
 		r := w.workerRows[id]
@@ -598,7 +617,7 @@
 	return event.Worker{
 		ID: id, Address: "a/" + id, Rack: "r" + id[1:2], Labels: []string{w.kind(id), "r" + id[1:2]}, StartedMS: x.Born,
 		Capacity: work.Amounts{MilliCPU: x.CPU, MemoryMiB: x.Memory, Accelerators: x.Accelerators},
-		Draining: w.leavesAtMS[id] > 0, LeavesMS: w.leavesAtMS[id],
+		Draining: w.leavesAtMS[id] > 0, LeavesMS: w.leavesAtMS[id], DataCentre: dataCentreOf(id),
 	}
 }
 
@@ -676,7 +695,7 @@
 		if p.w.faults.noTakeoverPause {
 			age = 0
 		}
-		p.s.SetLimits(track.Limits{NoStarts: age > startsFor, NoOrders: age > ownedFor})
+		p.s.SetLimits(track.Limits{NoStarts: age > startsFor || p.requestsStale(), NoOrders: age > ownedFor})
 		p.w.faults.mutate(p.s)
 		l, next := p.s.Flush(p.clock())
 		p.perform(l)
@@ -716,6 +735,7 @@
 	for _, e := range l {
 		switch e := e.(type) {
 		case event.Start:
+			p.checkEvacuation(e)
 			if w.faults.noFence {
 				e.Fence = 1
 			}
--- a/track/run.go
+++ b/track/run.go
@@ -59,6 +59,8 @@
 	// Queued reports whether an order about the run is due but not sent. InFlight reports
 	// whether one is sent and neither answered nor timed out.
 	Queued, InFlight bool
+	// UnansweredAt is when the last order about the run was found to have no answer.
+	UnansweredAt time.Duration
 	// StartsSent is the number of starts that were sent.
 	StartsSent int
 	// Progress is in percent.
--- a/track/worker.go
+++ b/track/worker.go
@@ -45,6 +45,8 @@
 	// after that.
 	LeaseEnd time.Duration
 
+	// ReportedAt is when the Hold with the last report was sent.
+	ReportedAt time.Duration
 	// HoldInFlight reports whether a Hold has no answer yet. NextHold is the earliest time
 	// of the next.
 	HoldInFlight bool
