native, fakes/plat: Evacuations with whole processes, and in the soak

Cause: evacuations were only tested in the state machine.

Change: the stand-in's workers have a data centre in their registry entries, its store can let the feed of one table hang.

--- a/fakes/plat/cloud.go
+++ b/fakes/plat/cloud.go
@@ -52,7 +52,7 @@
 	l := []map[string]any{}
 	to := min(from+pageSize, len(p.Cluster.Machines))
 	for _, m := range p.Cluster.Machines[from:to] {
-		e := map[string]any{"machine": m.ID, "pool": m.Pool, "state": p.Cluster.State(m), "zone": "z"}
+		e := map[string]any{"machine": m.ID, "pool": m.Pool, "state": p.Cluster.State(m), "zone": p.DataCentreOf(m.Worker)}
 		if e["state"] == "up" {
 			e["id"] = m.Worker
 		}
@@ -110,7 +110,7 @@
 		return
 	}
 	rack := p.racks[old.ID]
-	p.racks[x.ID], p.pools[x.ID] = rack, p.pools[old.ID]
+	p.racks[x.ID], p.pools[x.ID], p.dataCentres[x.ID] = rack, p.pools[old.ID], p.dataCentres[old.ID]
 	p.wg.Add(1)
 	go func() {
 		defer p.wg.Done()
--- a/fakes/plat/platform.go
+++ b/fakes/plat/platform.go
@@ -35,6 +35,8 @@
 	racks     map[string]string
 	// pools has the workers that serve another pool than pool.
 	pools map[string]string
+	// dataCentres has the workers that are elsewhere than in DefaultDataCentre.
+	dataCentres map[string]string
 	// CloudFaults are the faults of the machine service. Tests set them within Lock.
 	CloudFaults CloudFaults
 	// maintenanceOrders is the number of orders so far.
@@ -49,7 +51,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Platform{
 		Store: NewStore(), Cluster: model.NewCluster(b), pool: pool, startTime: time.Now(), advanced: make(chan struct{}), ctx: ctx, cancel: cancel,
-		entrySeq: map[string]int64{}, addresses: map[string]string{}, racks: map[string]string{}, pools: map[string]string{},
+		entrySeq: map[string]int64{}, addresses: map[string]string{}, racks: map[string]string{}, pools: map[string]string{}, dataCentres: map[string]string{},
 	}
 	p.wg.Add(1)
 	go p.advanceLoop()
@@ -146,6 +148,35 @@
 	p.pools[id] = pool
 }
 
+// DefaultDataCentre is where workers are that AssignDataCentre puts nowhere else.
+const DefaultDataCentre = "z"
+
+// AssignDataCentre puts a worker into a data centre. It must precede AddWorker.
+func (p *Platform) AssignDataCentre(id, dataCentre string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dataCentres[id] = dataCentre
+}
+
+// DataCentreOf returns the data centre of a worker. The caller holds the lock, as within Lock.
+func (p *Platform) DataCentreOf(id string) string {
+	if d := p.dataCentres[id]; d != "" {
+		return d
+	}
+	return DefaultDataCentre
+}
+
+// Evacuate requests that no task starts in a data centre, as the operator does. The request is
+// acknowledged when it returns.
+func (p *Platform) Evacuate(dataCentre string) {
+	p.Store.Put("op", "evacuate/"+dataCentre, []byte("{}"))
+}
+
+// WithdrawEvacuation withdraws such a request.
+func (p *Platform) WithdrawEvacuation(dataCentre string) {
+	p.Store.Remove("op", "evacuate/"+dataCentre)
+}
+
 // poolOf returns the pool that a worker serves. The caller holds p.mu.
 func (p *Platform) poolOf(id string) string {
 	if pool := p.pools[id]; pool != "" {
@@ -210,7 +241,7 @@
 	w := p.Cluster.Workers[id]
 	p.entrySeq[id]++
 	b, err := json.Marshal(map[string]any{
-		"service": p.poolOf(id), "address": p.addresses[id], "zone": "z", "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0, "seq": p.entrySeq[id],
+		"service": p.poolOf(id), "address": p.addresses[id], "zone": p.DataCentreOf(id), "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0, "seq": p.entrySeq[id],
 		"capacity": map[string]int64{"cpu": w.CPU, "mem-mb": w.Memory, "gpu": w.Accelerators}, "labels": []string{"k", rack},
 		"clock-ms": w.ClockMS(), "born": w.Born,
 	})
--- a/fakes/plat/store.go
+++ b/fakes/plat/store.go
@@ -62,6 +62,8 @@
 	LoseOneIn int
 	LateBy    time.Duration
 	HoldBack  bool
+	// HungFeed, if set, is a table whose feed gets no answer while all other calls do.
+	HungFeed string
 }
 
 // Store is the platform's metadata store, in memory.
@@ -365,7 +367,7 @@
 	case t.Status != 0:
 		w.WriteHeader(t.Status)
 		return
-	case t.Unresponsive:
+	case t.Unresponsive, t.HungFeed != "" && r.URL.Path == "/-/rows-feed" && r.URL.Query().Get("table") == t.HungFeed:
 		select {
 		case <-faultsChanged:
 		case <-r.Context().Done():
--- a/native/harness_test.go
+++ b/native/harness_test.go
@@ -80,6 +80,9 @@
 	adviceAddress string
 	// cloudAddress is the address of the machine service.
 	cloudAddress string
+	// evacuateMS is the bound from a request to evacuate a data centre to the last start there,
+	// in milliseconds, 0 for none.
+	evacuateMS int64
 	// dir holds the hosts' settings and logs.
 	dir string
 	// statusRetention is the minimum time for which hosts report ended jobs.
@@ -273,11 +276,11 @@
 listen: {front: %q, ready: %q, control: %q}
 seeds: [%s]
 limits: {memory-mb: 300, cpu-share: %g}
-bounds: {config-apply-ms: 2000, strict-revoke: true, revoke-ms: %d, drain-ms: 2000, grace-s: 6, max-hold-ms: 10000, stop-ms: 200, reclaim-ms: 2700, far-factor: 3, status_s: %g, maintenance-s: 0.5, lease-ms: 1000}
+bounds: {config-apply-ms: 2000, strict-revoke: true, revoke-ms: %d, drain-ms: 2000, grace-s: 6, max-hold-ms: 10000, stop-ms: 200, reclaim-ms: 2700, far-factor: 3, status_s: %g, maintenance-s: 0.5, lease-ms: 1000, evac-ms: %d}
 platform: {address: %q, form: "table"}
 advice: %q
 cloud: {address: %q}
-`, h.name, h.frontAddress, h.readyAddress, control, strings.Join(seeds, ", "), h.cpuShare, revokeMS, d.statusRetention.Seconds(), h.storeAddress, d.adviceAddress, d.cloudAddress)
+`, h.name, h.frontAddress, h.readyAddress, control, strings.Join(seeds, ", "), h.cpuShare, revokeMS, d.statusRetention.Seconds(), d.evacuateMS, h.storeAddress, d.adviceAddress, d.cloudAddress)
 	must(d.t, os.WriteFile(h.settingsFile, []byte(s), 0o600))
 }
 
--- a/native/soak_test.go
+++ b/native/soak_test.go
@@ -280,7 +280,10 @@
 func runSoak(t *testing.T, seed uint64, k soakKind) {
 	d := newDeployment(t, 2*time.Minute)
 	s := &soak{d: d, links: newLinks(t), hostMu: make([]sync.Mutex, k.hosts)}
-	d.proxyFor, d.maxAttempts = s.links.addProxy, k.maxAttempts
+	d.proxyFor, d.maxAttempts, d.evacuateMS = s.links.addProxy, k.maxAttempts, evacuateTime.Milliseconds()
+	for i := 0; i < k.workers; i += 2 {
+		d.platform.AssignDataCentre(fmt.Sprint("w", i), soakEvacuated)
+	}
 	d.launch(k.hosts, k.workers)
 	s.linkMu = make([]sync.Mutex, len(s.links.proxies))
 	plan := k.plan(len(s.links.proxies))
@@ -291,6 +294,7 @@
 	t.Logf("seed %d:\n%s", seed, strings.Join(text, "\n"))
 
 	w := d.monitorRunsAllowingLapses()
+	s.evacuations = d.monitorEvacuations()
 	still := newStarvations(d, w, &s.disruptions)
 	stopWatch := still.watch()
 	h := &history{began: time.Now()}
@@ -323,6 +327,7 @@
 	}
 	stopWatch()
 	still.check(t)
+	s.evacuations.check()
 	n, withdrawn := d.checkRuns(w), 0
 	d.platform.Lock(func(*model.Cluster) {
 		for _, c := range clients {
--- a/native/soakplan_test.go
+++ b/native/soakplan_test.go
@@ -35,6 +35,7 @@
 	faultDropRequests        = "link drops requests"
 	faultDropResponses       = "link drops responses"
 	faultChangeConfiguration = "configuration changes"
+	faultEvacuation          = "operator evacuates a data centre"
 	soakFaultCount           = 14
 	soakFaultWindow          = 18 * time.Second
 	longestSoakFault         = 3500 * time.Millisecond
@@ -42,6 +43,12 @@
 	// longLinkFactor multiplies the duration of one link fault in three that drops data
 	// or cuts the link. The longest such faults exceed a lease.
 	longLinkFactor = 4
+	// Evacuations come beside the other faults. The longest go on for longer than evacuateTime,
+	// after which no task may start there.
+	soakEvacuationCount = 2
+	longestEvacuation   = 9 * time.Second
+	// soakEvacuated is the data centre that is evacuated, that of every other worker.
+	soakEvacuated = "a"
 	// deciderHost stands for the decider at the time when the fault is injected.
 	deciderHost = -1
 )
@@ -66,7 +73,7 @@
 }
 
 // planFaults returns the faults of a seed in the order of their starts. They may overlap,
-// and one in four is repeated 50 ms after its end.
+// and one in four is repeated 50 ms after its end. Evacuations are among them.
 func planFaults(seed uint64, hosts, links int) []fault {
 	r := rand.New(rand.NewPCG(seed, 11))
 	var l []fault
@@ -84,6 +91,11 @@
 			l = append(l, f)
 		}
 	}
+	// They have a source of their own, so that the other faults of a seed stay the same.
+	r = rand.New(rand.NewPCG(seed, 13))
+	for range soakEvacuationCount {
+		l = append(l, fault{start: time.Duration(r.Int64N(int64(soakFaultWindow))), duration: shortestSoakFault + time.Duration(r.Int64N(int64(longestEvacuation))), kind: faultEvacuation})
+	}
 	slices.SortFunc(l, func(a, b fault) int { return int(min(max(a.start-b.start, -1), 1)) })
 	return l
 }
@@ -158,10 +170,13 @@
 	links *links
 	// hostMu and linkMu serialize the faults of each host's process and the cuts of each
 	// link, as faults overlap.
-	hostMu      []sync.Mutex
-	linkMu      []sync.Mutex
-	wg          sync.WaitGroup
-	disruptions disruptions
+	hostMu []sync.Mutex
+	linkMu []sync.Mutex
+	// evacuationMu serializes the evacuations of soakEvacuated.
+	evacuationMu sync.Mutex
+	evacuations  *evacuationMonitor
+	wg           sync.WaitGroup
+	disruptions  disruptions
 }
 
 // run injects the faults of a plan and returns when all have ended.
@@ -274,6 +289,12 @@
 		s.hostMu[0].Lock()
 		defer s.hostMu[0].Unlock()
 		s.d.configureDefault()
+	case faultEvacuation:
+		s.evacuationMu.Lock()
+		defer s.evacuationMu.Unlock()
+		s.evacuations.evacuate(soakEvacuated)
+		time.Sleep(f.duration)
+		s.evacuations.withdraw(soakEvacuated)
 	case faultConfigurationsSeries:
 		s.hostMu[0].Lock()
 		defer s.hostMu[0].Unlock()
