--- a/assign/gang.go
+++ b/assign/gang.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"cmp"
 	"slices"
 
 	"citronbridge/work"
@@ -89,26 +90,33 @@
 }
 
 // racksWithRoom returns the racks with room for a whole gang, those with the least room
-// first unless the unit prefers a rack.
+// first unless the unit prefers a rack. Of racks with equal room, those whose room is on
+// fewer cold workers come first.
 func (p *planner) racksWithRoom(u *Unit, racks [][]*Worker) [][]*Worker {
 	type scored struct {
 		group []*Worker
 		free  int
+		cold  int
 	}
 	var l []scored
 	for _, r := range racks {
-		free := 0
+		free, cold := 0, 0
 		for _, w := range r {
-			if u.eligible(w) {
-				free += u.countFitting(w, p.available(u, w))
+			if !u.eligible(w) {
+				continue
+			}
+			n := u.countFitting(w, p.available(u, w))
+			free += n
+			if w.Cold && n > 0 {
+				cold++
 			}
 		}
 		if free >= len(u.Indexes) {
-			l = append(l, scored{r, free})
+			l = append(l, scored{r, free, cold})
 		}
 	}
 	if u.Step.Affinity == "" && u.Rack == "" {
-		slices.SortStableFunc(l, func(a, b scored) int { return a.free - b.free })
+		slices.SortStableFunc(l, func(a, b scored) int { return cmp.Or(a.free-b.free, a.cold-b.cold) })
 	}
 	g := make([][]*Worker, 0, len(l))
 	for _, s := range l {
--- a/event/event.go
+++ b/event/event.go
@@ -104,9 +104,9 @@
 	EvacuateTime time.Duration
 }
 
-// evacuationSlack is subtracted from EvacuateTime. It covers what lies between the last check
+// requestSlack is subtracted from EvacuateTime. It covers what lies between the last check
 // of a start and its arrival: an order to a worker times out after 0.4 s.
-const evacuationSlack = time.Second
+const requestSlack = time.Second
 
 // MaxRequestAge returns how old the latest confirmation that all of the operator's requests are
 // known may be for a task to start, 0 for no limit. A bound of less than twice the slack leaves
@@ -115,7 +115,7 @@
 	if b.EvacuateTime <= 0 {
 		return 0
 	}
-	return max(b.EvacuateTime-evacuationSlack, b.EvacuateTime/2)
+	return max(b.EvacuateTime-requestSlack, b.EvacuateTime/2)
 }
 
 // BoundsChanged replaces the bounds. The new ones apply to orders from now on.
