sched: Tests of unanswered starts under an evacuation, and of held sets

Cause: that a task whose start had no answer runs elsewhere only once its stop is confirmed or its worker's lease has ended was tested in launch alone, and preferred racks only with idle workers there, which placement doesn't look at.

Change: table tests on the whole state machine; workers in the evacuated data centre have runs in TestNoStartInEvacuatedDataCentre.

--- a/sched/evacuation_test.go
+++ b/sched/evacuation_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"citronbridge/event"
+	"citronbridge/track"
 	"citronbridge/work"
 )
 
@@ -67,6 +68,12 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := newBenchOfTwo(t, 1)
+			// Workers with runs are among those that placement looks at.
+			b.submit("00000000000000bb", "urgent", work.Step{Count: 2, AntiAffinity: 1, Affinity: "r-a", Demand: work.Amounts{MilliCPU: 1000}, Estimate: time.Hour})
+			if n := b.startsIn("a"); n != 2 {
+				t.Fatalf("%d of 2 tasks run in a", n)
+			}
+			b.starts = nil
 			b.evacuate("a")
 			b.submit("00000000000000aa", c.queue, c.step)
 			b.pass(2 * time.Second)
@@ -216,3 +223,70 @@
 		t.Errorf("workers %v, want the warm one first", got)
 	}
 }
+
+// TestTaskOfUnansweredStart guards against a task that runs twice, or never, because its start in
+// a data centre had no answer when that was evacuated: it must run elsewhere once the stop is
+// confirmed or the lease has ended, and not before, unless a report shows that it runs.
+func TestTaskOfUnansweredStart(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// carriedOut: the worker runs the task. stopLost: stops have no answer. gone: the worker
+		// doesn't answer Holds either.
+		carriedOut, stopLost, gone bool
+		// notBefore and by bound the start elsewhere, after the request. Both are 0 for none.
+		notBefore, by time.Duration
+	}{
+		{"not carried out", false, false, false, 0, 500 * time.Millisecond},
+		{"carried out, and stopped", true, false, false, 0, time.Second},
+		{"stop has no answer", false, true, true, lease, lease + 2*time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBenchOfTwo(t, 1)
+			b.losesStarts = true
+			s := full(1)
+			s.Affinity, s.Estimate = "r-a", time.Hour
+			b.step(event.JobAdded{Job: &work.Job{ID: "00000000000000aa", Queue: "batch", Steps: []work.Step{s}}, Record: &work.Record{State: work.Pending, Queue: "batch"}})
+			b.pass(40 * time.Millisecond)
+			if b.startsIn("a") != 1 || len(b.starts) != 1 {
+				t.Fatalf("starts %v, want one in a", b.starts)
+			}
+			first := b.starts[0]
+			if c.carriedOut {
+				b.running[first.Worker] = []event.Running{{Task: first.Task, Run: first.Run}}
+			}
+			b.losesStarts, b.loseStops = false, c.stopLost
+			if c.gone {
+				b.unresponsive = first.Worker
+			}
+			at := b.now
+			b.evacuate("a")
+			for b.now < at+c.by && len(b.starts) == 1 {
+				b.pass(20 * time.Millisecond)
+			}
+			if n := b.startsIn("a"); n != 1 || len(b.starts) != 2 {
+				t.Fatalf("%d starts, %d of them in a, want another one in b by %v", len(b.starts), n, c.by)
+			}
+			if d := b.now - at; d < c.notBefore {
+				t.Errorf("started elsewhere after %v, want not before %v", d, c.notBefore)
+			}
+			if len(b.stops) == 0 || len(b.running[first.Worker]) != 0 {
+				t.Errorf("%d stops, still running there: %v", len(b.stops), b.running[first.Worker])
+			}
+		})
+	}
+}
+
+// TestSetStaysWithoutStore guards against a set of evacuations that ends while the decider can't
+// prove its ownership, as when the store is unavailable.
+func TestSetStaysWithoutStore(t *testing.T) {
+	b := newBenchOfTwo(t, 1)
+	b.evacuate("a")
+	for _, l := range []track.Limits{{NoStarts: true}, {NoStarts: true, NoOrders: true}, {}} {
+		b.s.SetLimits(l)
+		b.pass(2 * time.Second)
+	}
+	b.submit("00000000000000aa", "batch", full(4))
+	if n := b.startsIn("a"); n != 0 || len(b.starts) != 2 {
+		t.Errorf("%d starts, %d of them in a", len(b.starts), n)
+	}
+}
--- a/sched/state_test.go
+++ b/sched/state_test.go
@@ -23,6 +23,8 @@
 	paces   []event.Pace
 	// losePaces leaves orders to change the pace without an answer.
 	losePaces bool
+	// losesStarts neither carries out starts nor answers them.
+	losesStarts bool
 	// unresponsive names a worker that doesn't answer Holds.
 	unresponsive string
 	// loseStops neither carries out stops nor answers them.
@@ -85,6 +87,10 @@
 		switch e := e.(type) {
 		case event.Start:
 			b.starts = append(b.starts, e)
+			if b.losesStarts {
+				b.step(event.OrderAnswered{Call: e.Call, Outcome: event.NoAnswer})
+				continue
+			}
 			b.running[e.Worker] = append(b.running[e.Worker], event.Running{Task: e.Task, Run: e.Run})
 			b.step(event.OrderAnswered{Call: e.Call, Outcome: event.Accepted, ClockMS: b.clockMS()})
 		case event.Stop:
