launch: No announcement of an evacuation while a worker's place is unknown

Cause: after a takeover a worker may be known only by its former decider's row, without its data centre; a start there may be unanswered, and the log said that the evacuation is in effect.

Change: the line waits until such workers have answered or their inherited leases have ended. It is a line of the log only; no decision changes.

Measured: go test ./launch passes, with a table test of takeovers.

--- a/launch/withdraw.go
+++ b/launch/withdraw.go
@@ -100,6 +100,10 @@
 	}
 	unsettled := map[string]bool{}
 	for _, w := range s.WorkersByID {
+		if w.DataCentre == "" && w.MayHaveUnknownRuns() {
+			// A former decider used it, and it may be in any data centre.
+			return
+		}
 		if !s.InEvacuation(w) {
 			continue
 		}
--- a/launch/withdraw_test.go
+++ b/launch/withdraw_test.go
@@ -175,3 +175,29 @@
 		}
 	}
 }
+
+// TestAnnouncementAfterTakeover guards against a log that says that an evacuation is in effect
+// while a start of a former decider may be unanswered: on a worker there, or on one of which only
+// that decider's row is known.
+func TestAnnouncementAfterTakeover(t *testing.T) {
+	for _, c := range []struct {
+		dataCentre       string
+		inherited, known bool
+		want             bool
+	}{
+		{"a", false, false, true},
+		{"a", true, false, false},
+		{"a", true, true, true},
+		{"b", true, false, true},
+		{"", true, false, false},
+		{"", true, true, true},
+	} {
+		l := newLauncher(0, 1)
+		w := l.Worker("w000")
+		w.DataCentre, w.Inherited, w.Synced = c.dataCentre, c.inherited, c.known
+		l.SetEvacuations([]string{"a"})
+		if l.WithdrawStarts(); l.announced["a"] != c.want {
+			t.Errorf("%+v: announced %v", c, l.announced["a"])
+		}
+	}
+}
