--- a/decide/decide.go
+++ b/decide/decide.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -89,7 +90,12 @@
 	// Machines is the service that puts the workers' machines under maintenance.
 	Machines waves.Machines
 	Rules    func() *work.Rules
-	Bounds   platform.Bounds
+	// Evacuations returns the sorted data centres in which no task may start.
+	Evacuations func() []string
+	// ConfirmationAge returns the age of the latest confirmation that the operator's requests are
+	// known.
+	ConfirmationAge func() time.Duration
+	Bounds          platform.Bounds
 	// Stalls records when the process was stalled.
 	Stalls *stall.Monitor
 	// Cores is how many processor cores this host may use, Capacity how many of
@@ -116,6 +122,9 @@
 	partitions map[string]*partition
 	// takeover logs how far the takeover of the pool has come.
 	takeover takeover
+	// stale reports whether starts are held back as the operator's requests may have changed
+	// unnoticed. Only the loop uses it.
+	stale bool
 	// waves carries out the actions of maintenance waves.
 	waves *waves.Runner
 
@@ -247,6 +256,7 @@
 		Lease: platform.Milliseconds(b.MaxHoldMS) - leaseMargin, StopTime: platform.Milliseconds(b.StopMS), GangTimeout: platform.Milliseconds(b.GangMS),
 		ReclaimTime: platform.Milliseconds(b.ReclaimMS), FarFactor: b.FarFactor,
 		MaintenanceTime: platform.Seconds(b.MaintenanceS), TakeoverPause: platform.Milliseconds(b.TurnMS),
+		EvacuateTime: platform.Milliseconds(b.EvacuateMS),
 	}
 }
 
@@ -256,6 +266,11 @@
 // WaveWithdrawn tells the state machine that the operator withdrew the maintenance wave n.
 func (d *Decider) WaveWithdrawn(n int64) { d.enqueue(event.WaveWithdrawn{Wave: n}) }
 
+// EvacuationsChanged passes the set of evacuated data centres to the state machine.
+func (d *Decider) EvacuationsChanged() {
+	d.enqueue(event.EvacuationsChanged{DataCentres: d.c.Evacuations()})
+}
+
 // enqueue adds an event to the queue. It blocks while the queue is full.
 func (d *Decider) enqueue(e event.Event) {
 	select {
@@ -287,7 +302,7 @@
 		Pool: d.c.Pool, Epoch: d.c.Owner.Epoch, Bounds: b, InheritTime: inheritFor, Window: launch.WindowForCores(d.c.Cores),
 		PartitionOf: func(id string) string { return repo.PartitionOf(repo.TableJobs, id) },
 	}, d.clock(), d.c.Rules())
-	var pending []event.Effect
+	pending := d.state.Handle(d.clock(), event.EvacuationsChanged{DataCentres: d.c.Evacuations()})
 	for _, e := range l.events {
 		pending = append(pending, d.state.Handle(d.clock(), e)...)
 	}
@@ -345,7 +360,8 @@
 		d.mu.Lock()
 		age := timer.SinceBoot() - d.provedAt
 		d.mu.Unlock()
-		d.state.SetLimits(track.Limits{NoStarts: age > maxStartProofAge, NoOrders: age > maxOrderProofAge})
+		stale := d.checkRequestAge()
+		d.state.SetLimits(track.Limits{NoStarts: age > maxStartProofAge || stale, NoOrders: age > maxOrderProofAge})
 		n := d.clock()
 		effects, next := d.state.Flush(n)
 		t.Reset(max(next-n.Steady, time.Millisecond))
@@ -355,6 +371,27 @@
 	}
 }
 
+// requestsStale reports whether the operator may have requested an evacuation so long ago that no
+// task may start there any more, and this host may not know of it yet.
+func (d *Decider) requestsStale() bool {
+	limit := boundsOf(d.bounds()).MaxRequestAge()
+	return limit > 0 && d.c.ConfirmationAge() > limit
+}
+
+// checkRequestAge is requestsStale for the loop, and logs each change.
+func (d *Decider) checkRequestAge() bool {
+	stale := d.requestsStale()
+	if stale != d.stale {
+		d.stale = stale
+		text := "operator's requests are confirmed again; starts go on"
+		if stale {
+			text = "operator's requests are unconfirmed for too long; starts are held back"
+		}
+		d.log.Warn().Dur("age", d.c.ConfirmationAge()).Msg(text)
+	}
+	return stale
+}
+
 // countWaiting counts the waiting jobs for the next heartbeat. There is no count before all
 // partitions are loaded.
 func (d *Decider) countWaiting() {
@@ -395,6 +432,8 @@
 			}
 		case event.RunEnded:
 			d.c.Meter.RunEnds.WithLabelValues(string(e.Reason)).Inc()
+		case event.StartWithdrawn:
+			d.c.Meter.StartsWithdrawn.WithLabelValues(string(e.Reason)).Inc()
 		case event.JobStarted:
 			d.c.Meter.FirstStart.WithLabelValues(d.queueLabel(e.Queue)).Observe(e.Wait.Seconds())
 		case event.GangStarted:
@@ -435,9 +474,10 @@
 	})
 }
 
-// sendStart orders a worker to start a task, unless the decision is older than maxDecisionAge.
+// sendStart orders a worker to start a task, unless the decision is older than maxDecisionAge, or
+// the worker's data centre is evacuated or may be by now.
 func (d *Decider) sendStart(e event.Start, decided time.Duration) (event.Event, event.Outcome) {
-	if timer.SinceBoot()-decided > maxDecisionAge {
+	if timer.SinceBoot()-decided > maxDecisionAge || d.requestsStale() || slices.Contains(d.c.Evacuations(), e.DataCentre) {
 		return event.OrderAnswered{Call: e.Call, Outcome: event.NotSent}, event.NotSent
 	}
 	a := d.c.Workers.Start(d.ctx, e)
--- a/track/run.go
+++ b/track/run.go
@@ -51,11 +51,16 @@
 	Pace int
 	// Borrowed reports whether the run is urgent and exceeds its account's guarantee.
 	Borrowed bool
+	// StartUnconfirmed reports whether the run is being stopped although its start has no
+	// answer, so that it may not have begun yet.
+	StartUnconfirmed bool
 	// AwaitingAnswer reports whether an order about the run has no conclusive answer yet.
 	AwaitingAnswer bool
 	// Queued reports whether an order about the run is due but not sent. InFlight reports
 	// whether one is sent and neither answered nor timed out.
 	Queued, InFlight bool
+	// UnansweredAt is when the last order about the run was found to have no answer.
+	UnansweredAt time.Duration
 	// StartsSent is the number of starts that were sent.
 	StartsSent int
 	// Progress is in percent.
