--- /dev/null
+++ b/conns/conn.go
@@ -0,0 +1,142 @@
+package conns
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+)
+
+// state is what a connection is doing, in the order in which connections are closed.
+type state int32
+
+const (
+	// header is the state of a new connection, and of one that has begun another request.
+	// It is the zero value but comes after idle.
+	header state = 0
+	// idle is the state between two requests.
+	idle state = -1
+	// body is the state while a request's body is read.
+	body state = 1
+	// busy is the state while a request is carried out. Such connections aren't closed.
+	busy state = 2
+	// closed is the state of a connection that was closed for the limit.
+	closed state = 3
+)
+
+// Conn is a connection of a Listener.
+type Conn struct {
+	net.Conn
+	listener *Listener
+	// state holds a state. since is when it was entered, in state body when the last bytes
+	// arrived, in Unix nanoseconds.
+	state atomic.Int32
+	since atomic.Int64
+	// writing is set once the response has begun and its deadline is set.
+	writing atomic.Bool
+}
+
+var _ net.Conn = (*Conn)(nil)
+
+// enter changes the state, unless the connection was closed.
+func (c *Conn) enter(s state) {
+	for {
+		o := state(c.state.Load())
+		if o == closed {
+			return
+		}
+		// Before the state, so that a new state isn't ranked by an old time.
+		c.since.Store(c.listener.c.Now().UnixNano())
+		if c.state.CompareAndSwap(int32(o), int32(s)) {
+			break
+		}
+	}
+	if s == busy || s == idle {
+		c.writing.Store(false)
+	}
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		switch state(c.state.Load()) {
+		case idle:
+			c.enter(header)
+		case body:
+			c.since.Store(c.listener.c.Now().UnixNano())
+		}
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
+	if t := c.listener.c.WriteTimeout; t > 0 && !c.writing.Swap(true) {
+		if err := c.Conn.SetWriteDeadline(c.listener.c.Now().Add(t)); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.listener.remove(c)
+	return c.Conn.Close()
+}
+
+// CloseWrite closes the writing side. net/http uses it, so that a client still gets the response
+// to a request that it hasn't sent in full.
+func (c *Conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// connKey is the key of a Conn in a context.
+type connKey struct{}
+
+// ConnContext is for http.Server.ConnContext. It makes FromContext work.
+func (l *Listener) ConnContext(ctx context.Context, n net.Conn) context.Context {
+	if c := unwrap(n); c != nil {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	return ctx
+}
+
+// FromContext returns the connection of a request by its context, or nil if there is none.
+func FromContext(ctx context.Context) *Conn {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	return c
+}
+
+// Handler returns a handler for h that tracks which connections are in a request's body. Others
+// that have sent their header aren't closed for the limit. It needs ConnContext.
+func Handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c := FromContext(r.Context()); c != nil && r.Body != nil && r.Body != http.NoBody {
+			c.enter(body)
+			defer c.enter(busy)
+			r.Body = &trackedBody{r.Body, c}
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// trackedBody ends the state body when the body has been read.
+type trackedBody struct {
+	io.ReadCloser
+	conn *Conn
+}
+
+// Read implements io.Reader.
+func (t *trackedBody) Read(b []byte) (int, error) {
+	n, err := t.ReadCloser.Read(b)
+	if err != nil {
+		t.conn.enter(busy)
+	}
+	return n, err
+}
