--- a/budget/budget.go
+++ b/budget/budget.go
@@ -54,7 +54,7 @@
 // Pool divides a number of bytes among leases.
 type Pool struct {
 	c Config
-	// used mirrors the bytes of all leases for Used.
+	// used is the number of bytes of all leases. It is changed under the lock.
 	used atomic.Int64
 
 	mu    sync.Mutex
@@ -63,19 +63,43 @@
 	// waiting that of the requests in waiters.
 	leaving, waiting int64
 	leases           map[*Lease]struct{}
-	addresses        map[string]int64
-	keys             map[account]int64
+	addresses        map[string]*group
+	keys             map[account]*group
 	waiters          []*waiter
 }
 
 // account identifies the holders that share an address and a key.
 type account struct{ address, key string }
 
+// group counts the leases of an address or an account, and the bytes of those that aren't evicted.
+type group struct {
+	leases int
+	bytes  int64
+}
+
+// join returns the group of a key with one more lease.
+func join[K comparable](m map[K]*group, k K) *group {
+	g := m[k]
+	if g == nil {
+		g = &group{}
+		m[k] = g
+	}
+	g.leases++
+	return g
+}
+
+// leave takes a lease from the group of a key.
+func leave[K comparable](m map[K]*group, k K) {
+	if m[k].leases--; m[k].leases == 0 {
+		delete(m, k)
+	}
+}
+
 // waiter is a Grow that waits for the bytes of evicted leases.
 type waiter struct {
 	lease *Lease
 	bytes int64
-	// result receives exactly one value, unless the waiter removes itself.
+	// result receives exactly one value.
 	result chan error
 }
 
@@ -87,7 +111,7 @@
 	if c.OnEvict == nil {
 		c.OnEvict = func(string) {}
 	}
-	return &Pool{c: c, limit: c.Limit, leases: map[*Lease]struct{}{}, addresses: map[string]int64{}, keys: map[account]int64{}}
+	return &Pool{c: c, limit: c.Limit, leases: map[*Lease]struct{}{}, addresses: map[string]*group{}, keys: map[account]*group{}}
 }
 
 // SetLimit changes the limit. If it is below the bytes in use, nothing is evicted at once, and
@@ -116,6 +140,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.leases[l] = struct{}{}
+	l.address, l.account = join(p.addresses, h.Address), join(p.keys, account{h.Address, h.Key})
 	return l
 }
 
@@ -125,14 +150,10 @@
 	p.used.Add(n)
 	if l.evicted {
 		p.leaving += n
+		return
 	}
-	a := account{l.holder.Address, l.holder.Key}
-	if p.addresses[a.address] += n; p.addresses[a.address] == 0 {
-		delete(p.addresses, a.address)
-	}
-	if p.keys[a] += n; p.keys[a] == 0 {
-		delete(p.keys, a)
-	}
+	l.address.bytes += n
+	l.account.bytes += n
 }
 
 // grant gives waiters their bytes, in the order of their requests, while they fit. The caller
@@ -154,6 +175,7 @@
 		if o == w {
 			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
 			p.waiting -= w.bytes
+			w.lease.waiter = nil
 			w.result <- err
 			return
 		}
@@ -161,33 +183,49 @@
 }
 
 // makeRoom evicts leases until n bytes will fit once the evicted ones are closed. It returns the
-// evicted leases, for which the caller calls Evict after it has released the lock, and
-// ErrExhausted if l itself or nobody is to give way. The caller holds the lock.
-func (p *Pool) makeRoom(l *Lease, n int64) (evicted []*Lease, err error) {
+// evicted leases, for which the caller calls Evict after it has released the lock, or
+// ErrExhausted if l itself or nobody is to give way; then none is evicted. The caller holds
+// the lock.
+func (p *Pool) makeRoom(l *Lease, n int64) ([]*Lease, error) {
 	if n > p.limit {
 		return nil, ErrExhausted
 	}
+	var evicted []*Lease
 	for p.used.Load()-p.leaving+p.waiting+n > p.limit {
 		v := p.selectVictim(l, n)
 		if v == nil || v == l {
-			return evicted, ErrExhausted
+			for _, e := range evicted {
+				p.setEvicted(e, false)
+			}
+			return nil, ErrExhausted
 		}
-		p.evict(v)
+		p.setEvicted(v, true)
 		evicted = append(evicted, v)
 	}
+	for _, v := range evicted {
+		if v.waiter != nil {
+			p.waiting += v.waiter.bytes
+			p.settle(v.waiter, ErrEvicted)
+		}
+	}
 	return evicted, nil
 }
 
-// evict marks a lease as evicted and ends its wait. The caller holds the lock.
-func (p *Pool) evict(v *Lease) {
-	v.evicted = true
-	p.leaving += v.bytes
-	for _, w := range p.waiters {
-		if w.lease == v {
-			p.settle(w, ErrEvicted)
-			break
-		}
+// setEvicted marks a lease as evicted or as not evicted. The bytes that it waits for don't count
+// while it is evicted. The caller holds the lock.
+func (p *Pool) setEvicted(v *Lease, evicted bool) {
+	n, w := v.bytes, int64(0)
+	if v.waiter != nil {
+		w = v.waiter.bytes
 	}
+	if !evicted {
+		n, w = -n, -w
+	}
+	v.evicted = evicted
+	p.leaving += n
+	p.waiting -= w
+	v.address.bytes -= n
+	v.account.bytes -= n
 }
 
 // selectVictim returns the lease that is to give way to l, which may be l itself, or nil if there
@@ -197,22 +235,18 @@
 // The caller holds the lock.
 func (p *Pool) selectVictim(l *Lease, n int64) *Lease {
 	activeSince := p.c.Now().Add(-activeTime).UnixNano()
-	own := p.addresses[l.holder.Address] + n
+	own := l.address.bytes + n
 	var best rank
 	for c := range p.leases {
-		held := c.bytes
-		if c == l {
-			held += n
-		}
-		if held == 0 || c.evicted {
+		if c.evicted || c.held || c.bytes == 0 && c != l {
 			continue
 		}
-		r := rank{lease: c, address: p.addresses[c.holder.Address], key: p.keys[account{c.holder.Address, c.holder.Key}], progress: c.progress.Load()}
-		if c.holder.Address == l.holder.Address {
+		r := rank{lease: c, address: c.address.bytes, key: c.account.bytes, progress: c.progress.Load()}
+		if c.address == l.address {
 			r.address += n
-			if c.holder.Key == l.holder.Key {
-				r.key += n
-			}
+		}
+		if c.account == l.account {
+			r.key += n
 		}
 		r.stalled = c != l && r.progress < activeSince && r.address >= own
 		if best.lease == nil || r.before(&best) {
--- a/budget/lease.go
+++ b/budget/lease.go
@@ -28,9 +28,13 @@
 	// the Pool's lock, so that reading a small piece doesn't take the lock.
 	progress atomic.Int64
 
-	// The Pool's lock guards the following fields.
-	bytes           int64
-	evicted, closed bool
+	// address and account are the groups that the lease belongs to.
+	address, account *group
+
+	// The Pool's lock guards the following fields. waiter is set while Grow waits.
+	bytes                 int64
+	evicted, held, closed bool
+	waiter                *waiter
 }
 
 // Grow adds n bytes to the lease. If they don't fit, other leases are evicted, and Grow waits for
@@ -40,18 +44,20 @@
 	p := l.pool
 	l.Progress()
 	p.mu.Lock()
+	if n < 0 {
+		p.add(l, max(n, -l.bytes))
+		p.grant()
+	}
 	switch {
 	case l.evicted:
 		p.mu.Unlock()
 		return ErrEvicted
-	case l.closed:
-		p.mu.Unlock()
-		return ErrExhausted
 	case n <= 0:
-		p.add(l, max(n, -l.bytes))
-		p.grant()
 		p.mu.Unlock()
 		return nil
+	case l.closed:
+		p.mu.Unlock()
+		return ErrExhausted
 	case len(p.waiters) == 0 && p.used.Load()+n <= p.limit:
 		p.add(l, n)
 		p.mu.Unlock()
@@ -60,6 +66,7 @@
 	evicted, err := p.makeRoom(l, n)
 	w := &waiter{l, n, make(chan error, 1)}
 	if err == nil {
+		l.waiter = w
 		p.waiters = append(p.waiters, w)
 		p.waiting += n
 		p.grant()
@@ -102,6 +109,18 @@
 // Progress records that the request made progress. ReadAll does so itself.
 func (l *Lease) Progress() { l.progress.Store(l.pool.c.Now().UnixNano()) }
 
+// Hold keeps the lease from being evicted from now on, for the part of a request that must not be
+// ended halfway. It returns ErrEvicted if it was evicted before.
+func (l *Lease) Hold() error {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	if l.evicted {
+		return ErrEvicted
+	}
+	l.held = true
+	return nil
+}
+
 // Close gives all bytes back. Further calls do nothing.
 func (l *Lease) Close() {
 	p := l.pool
@@ -111,8 +130,13 @@
 		return
 	}
 	l.closed = true
+	if l.waiter != nil {
+		p.settle(l.waiter, ErrExhausted)
+	}
 	p.add(l, -l.bytes)
 	delete(p.leases, l)
+	leave(p.addresses, l.holder.Address)
+	leave(p.keys, account{l.holder.Address, l.holder.Key})
 	p.grant()
 }
 
@@ -123,8 +147,7 @@
 func (l *Lease) ReadAll(r io.Reader, limit int64) ([]byte, error) {
 	b, err := l.readAll(r, limit)
 	if err != nil {
-		l.Grow(-int64(cap(b)))
-		if e := l.Grow(0); errors.Is(e, ErrEvicted) && !errors.Is(err, ErrEvicted) {
+		if e := l.Grow(-int64(cap(b))); e != nil && !errors.Is(err, ErrEvicted) {
 			err = fmt.Errorf("%w: %w", ErrEvicted, err)
 		}
 		return nil, err
--- a/conns/conn.go
+++ b/conns/conn.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"io"
 	"net"
-	"net/http"
 	"sync/atomic"
 )
 
@@ -112,31 +110,3 @@
 	c, _ := ctx.Value(connKey{}).(*Conn)
 	return c
 }
-
-// Handler returns a handler for h that tracks which connections are in a request's body. Others
-// that have sent their header aren't closed for the limit. It needs ConnContext.
-func Handler(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := FromContext(r.Context()); c != nil && r.Body != nil && r.Body != http.NoBody {
-			c.enter(body)
-			defer c.enter(busy)
-			r.Body = &trackedBody{r.Body, c}
-		}
-		h.ServeHTTP(w, r)
-	})
-}
-
-// trackedBody ends the state body when the body has been read.
-type trackedBody struct {
-	io.ReadCloser
-	conn *Conn
-}
-
-// Read implements io.Reader.
-func (t *trackedBody) Read(b []byte) (int, error) {
-	n, err := t.ReadCloser.Read(b)
-	if err != nil {
-		t.conn.enter(busy)
-	}
-	return n, err
-}
