--- a/work/job.go
+++ b/work/job.go
@@ -203,7 +203,11 @@
 	l.Check(s.AntiAffinity >= 0, "AntiAffinity", s.AntiAffinity, "0 or more")
 	l.Check(s.MayMiss >= 0, "MayMiss", s.MayMiss, "0 or more")
 	for _, a := range s.After {
-		l.Check(0 <= a && a < i, "After", a, "the number of an earlier step, counting from 0")
+		if a < 0 || a >= i {
+			// Only the first: a list of legal length can hold very many.
+			l.Add("After", a, "the number of an earlier step, counting from 0")
+			break
+		}
 	}
 	return l
 }
