node, relay, meter: Limits for connections, bodies and calls of other hosts

Clients that sent many large bodies, headers or streams at once exhausted the memory or the descriptors of a host. Front, ready, metrics and control now have limits of connections, bodies and calls share budgets derived from the settings, and a peer's streams are charged as their frames arrive.

--- a/budget/lease.go
+++ b/budget/lease.go
@@ -19,8 +19,8 @@
 // ErrTooLarge means that a reader had more bytes than ReadAll was to read.
 var ErrTooLarge = errors.New("too many bytes")
 
-// Lease is the share of a Pool that one request holds. Its methods may be called by one goroutine
-// at a time, except for Close.
+// Lease is the share of a Pool that one request holds. Only one goroutine may make it grow, others
+// may give bytes back meanwhile or close it.
 type Lease struct {
 	pool   *Pool
 	holder Holder
--- a/conns/conn.go
+++ b/conns/conn.go
@@ -17,7 +17,8 @@
 	idle state = -1
 	// body is the state while a request's body is read.
 	body state = 1
-	// busy is the state while a request is carried out. Such connections aren't closed.
+	// busy is the state while a request is carried out. Such connections aren't closed, unless
+	// the response isn't read.
 	busy state = 2
 	// closed is the state of a connection that was closed for the limit.
 	closed state = 3
@@ -33,6 +34,8 @@
 	since atomic.Int64
 	// writing is set once the response has begun and its deadline is set.
 	writing atomic.Bool
+	// blocked is when the current Write began, in Unix nanoseconds, 0 if there is none.
+	blocked atomic.Int64
 }
 
 var _ net.Conn = (*Conn)(nil)
@@ -71,6 +74,8 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
+	c.blocked.Store(c.listener.c.Now().UnixNano())
+	defer c.blocked.Store(0)
 	if t := c.listener.c.WriteTimeout; t > 0 && !c.writing.Swap(true) {
 		if err := c.Conn.SetWriteDeadline(c.listener.c.Now().Add(t)); err != nil {
 			return 0, err
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -17,6 +17,8 @@
 	Header = "Header"
 	// Body connections were in a request's body.
 	Body = "Body"
+	// Unread connections had responses that weren't read.
+	Unread = "Unread"
 	// Refused connections were closed when they arrived, as no other could be closed.
 	Refused = "Refused"
 )
@@ -25,6 +27,10 @@
 // descriptors. It is that of net/http's first retries.
 const acceptRetryPause = 10 * time.Millisecond
 
+// unreadTime is how long a write must be blocked until its connection may be closed for the limit.
+// A client that reads takes a round trip, some 80 ms on a slow link.
+const unreadTime = 250 * time.Millisecond
+
 // Config configures a Listener.
 type Config struct {
 	// Limit is the number of connections that may be open at the same time.
@@ -41,7 +47,8 @@
 }
 
 // Listener accepts connections. When the limit is reached it closes one of them for each new one:
-// first one that is idle, then one without a complete header, then one in a body.
+// first one that is idle, then one without a complete header, then one in a body, then one whose
+// response isn't read.
 type Listener struct {
 	net.Listener
 	c Config
@@ -155,16 +162,22 @@
 }
 
 // reasons holds the reason for closing a connection in a state.
-var reasons = map[state]string{idle: Idle, header: Header, body: Body}
+var reasons = map[state]string{idle: Idle, header: Header, body: Body, busy: Unread}
 
 // selectVictim returns the connection that is to be closed next and its state, or nil if all are
 // in use. The caller holds the lock.
 func (l *Listener) selectVictim() (*Conn, state) {
+	unreadSince := l.c.Now().Add(-unreadTime).UnixNano()
 	var victim *Conn
-	first, since := busy, int64(0)
+	first, since := closed, int64(0)
 	for c := range l.conns {
 		s, t := state(c.state.Load()), c.since.Load()
-		if s < first || s == first && s != busy && t < since {
+		if s == busy {
+			if t = c.blocked.Load(); t == 0 || t > unreadSince {
+				continue
+			}
+		}
+		if s < first || s == first && s != closed && t < since {
 			victim, first, since = c, s, t
 		}
 	}
@@ -190,7 +203,19 @@
 	case http.StateIdle:
 		c.enter(idle)
 	case http.StateHijacked, http.StateClosed:
-		l.remove(c)
+		c.listener.remove(c)
+	}
+}
+
+// SetBusy says whether a connection that isn't served by net/http is in use, or idle.
+func SetBusy(n net.Conn, inUse bool) {
+	c := unwrap(n)
+	switch {
+	case c == nil:
+	case inUse:
+		c.enter(busy)
+	default:
+		c.enter(idle)
 	}
 }
 
--- a/meter/host.go
+++ b/meter/host.go
@@ -15,6 +15,8 @@
 	// before they were processed, by reason.
 	Calls   *prometheus.CounterVec
 	Refused *prometheus.CounterVec
+	// ConnsClosed counts connections that were closed for the limit, by listener and reason.
+	ConnsClosed *prometheus.CounterVec
 	// Submitted counts submissions by account and verdict.
 	Submitted *prometheus.CounterVec
 	// StoreCalls counts calls to the platform's store, by call and outcome, and
@@ -67,6 +69,7 @@
 		Calls:          s.counters("calls_total", "Calls of clients, by what came of them.", "call", "verdict"),
 		Submitted:      s.counters("submissions_total", "Submissions by account and what came of them.", "account", "verdict"),
 		Refused:        s.counters("refused_total", "Calls of clients rejected, by reason.", "reason"),
+		ConnsClosed:    s.counters("connections_closed_total", "Connections closed for the limit, by reason.", "listener", "reason"),
 		Orders:         s.counters("worker_orders_total", "Calls of workers, by outcome.", "order", "outcome"),
 		OrdersInFlight: s.gauges("worker_orders_under_way", "Calls of workers without an answer yet.", "order"),
 		OrderWait:      s.histograms("worker_order_wait_seconds", "Time from a decision to the call of the worker.", "order"),
@@ -97,5 +100,24 @@
 	}, age))
 }
 
+// RegisterRequestBytes registers gauges of the bytes that requests of a kind hold, and of their
+// limit.
+func (h *Host) RegisterRequestBytes(kind string, used, limit func() int64) {
+	l := prometheus.Labels{"kind": kind}
+	h.registerGauge("request_bytes", "Bytes that requests hold in memory.", l, func() float64 { return float64(used()) })
+	h.registerGauge("request_bytes_limit", "Limit of the bytes that requests hold in memory.", l, func() float64 { return float64(limit()) })
+}
+
+// RegisterConns registers gauges of the open connections of a listener, and of their limit.
+func (h *Host) RegisterConns(listener string, open, limit func() int) {
+	l := prometheus.Labels{"listener": listener}
+	h.registerGauge("connections", "Open connections.", l, func() float64 { return float64(open()) })
+	h.registerGauge("connections_limit", "Limit of open connections.", l, func() float64 { return float64(limit()) })
+}
+
+func (h *Host) registerGauge(name, help string, l prometheus.Labels, f func() float64) {
+	h.metrics.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help, ConstLabels: l}, f))
+}
+
 // Handler returns the handler that serves the metrics.
 func (h *Host) Handler() http.Handler { return h.metrics.Handler() }
--- a/node/node.go
+++ b/node/node.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -17,9 +16,12 @@
 	"github.com/rs/xid"
 	"github.com/rs/zerolog"
 
+	"citronbridge/budget"
+	"citronbridge/conns"
 	"citronbridge/follow"
 	"citronbridge/gate"
 	"citronbridge/guard"
+	"citronbridge/logs"
 	"citronbridge/meter"
 	"citronbridge/platform"
 	"citronbridge/pulse"
@@ -49,6 +51,8 @@
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 30 * time.Second
 	maxHeaderBytes = 32 << 10
+	// maxLoggedPath is how many bytes of the path of a refused call are logged.
+	maxLoggedPath = 80
 )
 
 // Host is one host of the scheduler.
@@ -82,8 +86,12 @@
 	pools      map[string]*candidate
 	poolMu     sync.Mutex
 
-	front, ready net.Listener
-	metrics      net.Listener // nil if the settings name no port for it
+	// bodies and calls bound the bytes that requests of clients and of other hosts hold.
+	bodies, calls *budget.Pool
+	samples       logs.Sampler
+
+	front, ready *conns.Listener
+	metrics      *conns.Listener // nil if the settings name no port for it
 	leaving      atomic.Bool
 	drain        chan struct{}
 	drainOnce    sync.Once
@@ -115,8 +123,10 @@
 	h.guard = guard.New(h.log, func(unit string) { h.meter.Panics.WithLabelValues(unit).Inc() })
 	h.applySettings(s)
 	h.settingsVersion = statVersion(c.SettingsFile)
+	h.openBudgets()
+	limits := h.overloadLimits()
 	var err error
-	if err = h.openRelay(s); err != nil {
+	if err = h.openRelay(s, limits.hostConns); err != nil {
 		return nil, err
 	}
 	h.store = watch.Observe(h.relay, h.clock, h.health)
@@ -125,15 +135,19 @@
 	h.heartbeats = pulse.New(timer.SinceBoot, h.heartbeatPause)
 	h.heartbeats.OnOwnerChange = h.logOwnerChange
 	h.meter.RegisterConfigAge(func() float64 { return h.gate.Age().Seconds() })
-	if h.front, err = net.Listen("tcp", s.Listen.Front); err != nil {
+	if h.front, err = h.listen(frontListener, s.Listen.Front, limits.clientConns); err != nil {
 		return nil, fmt.Errorf("listen for clients: %w", err)
 	}
-	if h.ready, err = net.Listen("tcp", s.Listen.Ready); err != nil {
+	readyConns := limits.platformConns
+	if s.MetricsAddress() != "" {
+		readyConns /= 2
+	}
+	if h.ready, err = h.listen(readyListener, s.Listen.Ready, readyConns); err != nil {
 		h.front.Close()
 		return nil, fmt.Errorf("listen for the platform: %w", err)
 	}
 	if a := s.MetricsAddress(); a != "" {
-		if h.metrics, err = net.Listen("tcp", a); err != nil {
+		if h.metrics, err = h.listen(metricsListener, a, readyConns); err != nil {
 			// A host without a port for metrics can still serve clients.
 			h.log.Warn().Err(err).Str("address", a).Msg("can't listen for metrics; serving them at the ready address only")
 		}
@@ -142,17 +156,19 @@
 }
 
 // openRelay creates the relay, which listens for other hosts if the settings name an address.
-func (h *Host) openRelay(s *platform.Settings) error {
+func (h *Host) openRelay(s *platform.Settings, limit int) error {
 	c := relay.Config{
 		Host: s.Host, Direct: meteredStore{h.directStore, h.meter.StoreCalls, h.meter.StoreTime}, Seeds: s.Seeds, Capacity: s.Capacity(), Log: h.log, Guard: h.guard,
-		OnRelayed: func(outcome string) { h.meter.Relayed.WithLabelValues(outcome).Inc() },
+		OnRelayed: func(outcome string) { h.meter.Relayed.WithLabelValues(outcome).Inc() }, Calls: h.calls, OnRefused: h.countRefusal,
 	}
-	var err error
 	if s.Listen.Control != "" {
-		if c.Listener, err = net.Listen("tcp", s.Listen.Control); err != nil {
+		l, err := h.listen(controlListener, s.Listen.Control, limit)
+		if err != nil {
 			return fmt.Errorf("listen for other hosts: %w", err)
 		}
+		c.Listener = l
 	}
+	var err error
 	h.relay, err = relay.New(c)
 	return err
 }
@@ -176,12 +192,10 @@
 			f()
 		}()
 	}
-	front := &http.Server{
-		Handler: h.guard.Handler("call", &platform.ClientHandler{Jobs: &service{h}}), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
-	ready := &http.Server{Handler: h.mux(), ReadHeaderTimeout: headerTimeout}
+	front := h.server(h.guard.Handler("call", &platform.ClientHandler{Jobs: &service{h}, Bodies: h.bodies, OnRefused: h.countRefusal}), h.front)
+	ready := h.server(h.mux(), h.ready)
 	failed := make(chan error, 3)
-	serve := func(s *http.Server, l net.Listener) {
+	serve := func(s *http.Server, l *conns.Listener) {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			failed <- err
 		}
@@ -251,7 +265,7 @@
 		}
 		w.WriteHeader(http.StatusOK)
 	}, http.MethodGet)
-	m.Handle("/metrics", h.meter.Handler(), http.MethodGet)
+	m.Handle("/metrics", boundResponses(h.meter.Handler(), h.bodies), http.MethodGet)
 	return m
 }
 
@@ -285,6 +299,7 @@
 	if !h.gate.Adopt(r) {
 		return
 	}
+	h.updateBudgets()
 	h.meter.ConfigVersion.Set(float64(r.Version))
 	h.log.Info().Int64("version", r.Version).Int("queues", len(r.Queues)).Int("accounts", len(r.Accounts)).Int64("guaranteed", r.Guaranteed()).Msg("configuration is in force")
 	h.poolMu.Lock()
@@ -304,7 +319,9 @@
 	a := s.h.gate.Admit(host, path, key)
 	if a.Verdict != gate.Pass {
 		s.h.meter.Refused.WithLabelValues(string(a.Verdict)).Inc()
-		s.h.log.Info().Str("path", path).Str("verdict", string(a.Verdict)).Int64("version", a.Version).Dur("age", a.Age).Msg("call refused")
+		if n, ok := s.h.samples.Sample("admit " + string(a.Verdict)); ok {
+			s.h.log.Info().Str("path", path[:min(len(path), maxLoggedPath)]).Str("verdict", string(a.Verdict)).Int64("version", a.Version).Dur("age", a.Age).Int64("count", n).Msg("calls refused; the last one was")
+		}
 	}
 	return a
 }
--- a/node/reload.go
+++ b/node/reload.go
@@ -50,6 +50,7 @@
 		s.Host, s.Listen = old.Host, old.Listen
 	}
 	h.applySettings(s)
+	h.updateBudgets()
 	h.poolMu.Lock()
 	defer h.poolMu.Unlock()
 	for _, c := range h.pools {
--- a/relay/hosts.go
+++ b/relay/hosts.go
@@ -117,11 +117,11 @@
 		}
 		if host != "" && p.name() == host {
 			p.close()
-			r.peers[i] = &peer{host: host, address: address}
+			r.peers[i] = newPeer(host, address)
 			return
 		}
 	}
-	r.peers = append(r.peers, &peer{host: host, address: address})
+	r.peers = append(r.peers, newPeer(host, address))
 }
 
 // Withdraw removes this host from the list of hosts before it stops.
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+	"golang.org/x/sync/semaphore"
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"citronbridge/fetch"
@@ -22,6 +23,9 @@
 	// keepAliveInterval is the interval of keep-alive probes on an open connection.
 	keepAliveInterval = 5 * time.Second
 	maxMessageBytes   = 16 << 20
+	// callsPerPeer limits the calls on one connection. It is below maxStreams, as the peer
+	// notices the end of a call a little later than this host.
+	callsPerPeer = 24
 )
 
 // errNotSent is wrapped by errors after which the peer can't have received the call.
@@ -30,6 +34,7 @@
 // peer is another host that can relay calls. Its connection is opened by the first call.
 type peer struct {
 	address string
+	calls   *semaphore.Weighted
 
 	mu sync.Mutex
 	// host is empty for a seed that isn't listed yet.
@@ -40,6 +45,10 @@
 	backoffUntil time.Time
 }
 
+func newPeer(host, address string) *peer {
+	return &peer{host: host, address: address, calls: semaphore.NewWeighted(callsPerPeer)}
+}
+
 // name returns the peer's host name, empty for a seed that isn't listed yet.
 func (p *peer) name() string {
 	p.mu.Lock()
@@ -118,6 +127,10 @@
 func (p *peer) call(ctx context.Context, q *wire.StoreCall, wait time.Duration) (*wire.StoreAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
+	if err := p.calls.Acquire(ctx, 1); err != nil {
+		return nil, fmt.Errorf("%w: %w", errNotSent, err)
+	}
+	defer p.calls.Release(1)
 	s, err := p.connect(ctx)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"citronbridge/budget"
 	"citronbridge/fault"
 	"citronbridge/guard"
 	"citronbridge/hosts"
@@ -65,6 +66,10 @@
 	Log   zerolog.Logger
 	// Guard contains panics in calls of other hosts.
 	Guard *guard.Guard
+	// Calls bounds the bytes of other hosts' calls; nil for no bound.
+	Calls *budget.Pool
+	// OnRefused, if set, is called for each call of another host that is refused under load.
+	OnRefused func(reason string)
 	// OnRelayed, if set, is called with the outcome of each call through a peer.
 	OnRelayed func(outcome string)
 }
@@ -117,6 +122,12 @@
 	if c.OnRelayed == nil {
 		c.OnRelayed = func(string) {}
 	}
+	if c.OnRefused == nil {
+		c.OnRefused = func(string) {}
+	}
+	if c.Calls == nil {
+		c.Calls = budget.New(budget.Config{Limit: 1 << 62})
+	}
 	if err := c.Check().Err(); err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -1,15 +1,18 @@
 package relay
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
+	"citronbridge/budget"
+	"citronbridge/conns"
 	"citronbridge/repo"
 	"citronbridge/wire"
 )
@@ -20,6 +23,19 @@
 // maxFeedWait limits how long a relayed Feed may wait for a change.
 const maxFeedWait = 30 * time.Second
 
+// Limits of the calls of other hosts.
+const (
+	// maxStreams limits the calls on one connection.
+	maxStreams = 32
+	// maxRequestBytes limits a request. The table service takes changes of up to 1 MB.
+	maxRequestBytes = 2 << 20
+	// requestTime is the time in which a request has to be complete. A caller gives up after
+	// callTimeout unless the call waits for a change.
+	requestTime = 2 * time.Second
+	// answerTime is the time in which a caller has to read its answer.
+	answerTime = 10 * time.Second
+)
+
 // accept serves connections of other hosts until ctx ends.
 func (r *Relay) accept(ctx context.Context) {
 	for {
@@ -44,7 +60,11 @@
 // serveConnection serves the calls that arrive over one connection, each in a stream of
 // its own.
 func (r *Relay) serveConnection(ctx context.Context, c net.Conn) {
-	s, err := yamux.Server(c, sessionConfig())
+	address, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+	l := r.c.Calls.Open(budget.Holder{Address: address, Evict: func() { c.Close() }})
+	defer l.Close()
+	f := newFrames(c, l)
+	s, err := yamux.Server(f, sessionConfig())
 	if err != nil {
 		r.c.Log.Warn().Err(err).Msg("session with another host failed; closing its connection")
 		return
@@ -54,28 +74,72 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { s.Close() })
 	defer stop()
+	var streams atomic.Int64
+	end := func(t *yamux.Stream) {
+		t.Close()
+		f.release(t.StreamID())
+		if streams.Add(-1) == 0 {
+			conns.SetBusy(c, false)
+		}
+	}
 	for {
 		t, err := s.AcceptStream()
 		if err != nil {
 			return
 		}
+		conns.SetBusy(c, true)
+		if streams.Add(1) > maxStreams {
+			r.refuse(t, "Streams")
+			end(t)
+			continue
+		}
 		r.wg.Add(1)
 		go func() {
 			defer r.wg.Done()
-			defer t.Close()
-			r.c.Guard.Do("relay", func() { r.serveCall(ctx, t) })
+			defer end(t)
+			r.c.Guard.Do("relay", func() { r.serveCall(ctx, t, address, func() { c.Close() }) })
 		}()
 	}
 }
 
+// refuse answers a call that wasn't made.
+func (r *Relay) refuse(t *yamux.Stream, reason string) {
+	r.c.OnRefused("Host" + reason)
+	t.SetWriteDeadline(time.Now().Add(answerTime))
+	// The caller learns from a failed write as much as from the answer's absence.
+	protodelim.MarshalTo(t, &wire.StoreAnswer{Outcome: wire.StoreAnswer_NOT_DONE, Cause: "this host has no room for the call: " + reason})
+}
+
 // serveCall makes one call on behalf of another host.
-func (r *Relay) serveCall(ctx context.Context, t *yamux.Stream) {
-	q := &wire.StoreCall{}
-	if err := (protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}).UnmarshalFrom(bufio.NewReader(t), q); err != nil {
+func (r *Relay) serveCall(ctx context.Context, t *yamux.Stream, address string, evict func()) {
+	l := r.c.Calls.Open(budget.Holder{Address: address, Evict: evict})
+	defer l.Close()
+	t.SetReadDeadline(time.Now().Add(requestTime))
+	q, err := readRequest(ctx, t, l)
+	if err == nil {
+		err = l.Hold()
+	}
+	switch {
+	case errors.Is(err, budget.ErrExhausted), errors.Is(err, budget.ErrEvicted):
+		r.refuse(t, "BytesExhausted")
+		return
+	case errors.Is(err, yamux.ErrTimeout):
+		r.c.OnRefused("HostIncomplete")
+		return
+	case err != nil:
 		r.c.Log.Warn().Err(err).Msg("call of another host can't be decoded; dropping it")
 		return
 	}
-	if _, err := protodelim.MarshalTo(t, r.callDirect(ctx, q)); err != nil {
+	a := r.callDirect(ctx, q)
+	if q.GetApply() == nil {
+		// A read has no effect that the caller would have to learn of.
+		if err := l.Grow(int64(proto.Size(a))); err != nil {
+			r.refuse(t, "BytesExhausted")
+			return
+		}
+	}
+	t.SetWriteDeadline(time.Now().Add(answerTime))
+	if _, err := protodelim.MarshalTo(t, a); err != nil {
 		r.c.Log.Info().Err(err).Msg("answer to a relayed call couldn't be sent to its caller")
 	}
 }
