--- a/relay/frames.go
+++ b/relay/frames.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"net"
 	"sync"
+	"time"
 
 	"citronbridge/budget"
 )
@@ -13,9 +14,12 @@
 	// type, two for flags, four for the stream and four for the length of a data frame's
 	// payload, as yamux's specification has it.
 	frameHeader = 12
-	// dataFrame is the type of frames with a payload, synFlag the flag of a stream's first.
+	// dataFrame is the type of frames with a payload. synFlag is the flag of a stream's first
+	// frame, finFlag and rstFlag are those of its last.
 	dataFrame = 0
 	synFlag   = 1
+	finFlag   = 4
+	rstFlag   = 8
 	// streamWindow is the most payload of a stream that yamux keeps for its reader.
 	streamWindow = 256 << 10
 	// streamBytes is the memory of a stream without its payload, and of the goroutine and the
@@ -37,13 +41,19 @@
 	left   uint32
 	id     uint32
 
-	mu sync.Mutex
-	// charged holds the bytes that the lease was charged for each stream.
-	charged map[uint32]int64
+	mu      sync.Mutex
+	streams map[uint32]*streamCharge
+}
+
+// streamCharge is what the lease was charged for a stream. yamux keeps a stream until this host has
+// served it and the caller has closed it too, or until StreamCloseTimeout after the former.
+type streamCharge struct {
+	bytes          int64
+	served, closed bool
 }
 
 func newFrames(c net.Conn, l *budget.Lease) *frames {
-	return &frames{Conn: c, lease: l, charged: map[uint32]int64{}}
+	return &frames{Conn: c, lease: l, streams: map[uint32]*streamCharge{}}
 }
 
 // Read implements net.Conn.
@@ -78,11 +88,15 @@
 		if f.header[1] == dataFrame {
 			f.left = binary.BigEndian.Uint32(f.header[8:])
 		}
-		if binary.BigEndian.Uint16(f.header[2:])&synFlag != 0 {
+		flags := binary.BigEndian.Uint16(f.header[2:])
+		if flags&synFlag != 0 {
 			if err := f.charge(f.id, streamBytes); err != nil {
 				return err
 			}
 		}
+		if flags&(finFlag|rstFlag) != 0 {
+			f.end(f.id, func(s *streamCharge) { s.closed = true })
+		}
 	}
 	return nil
 }
@@ -90,25 +104,36 @@
 // charge charges n bytes to a stream, up to the most that it can take.
 func (f *frames) charge(id uint32, n int64) error {
 	f.mu.Lock()
-	old := f.charged[id]
-	n = min(n, streamWindow+streamBytes-old)
-	if n > 0 {
-		f.charged[id] = old + n
+	s := f.streams[id]
+	if s == nil {
+		s = &streamCharge{}
+		f.streams[id] = s
 	}
+	n = min(n, streamWindow+streamBytes-s.bytes)
+	s.bytes += n
 	f.mu.Unlock()
-	if n <= 0 {
+	if n == 0 {
 		return nil
 	}
 	return f.lease.Grow(n)
 }
 
-// release gives back the bytes of a stream that is served.
-func (f *frames) release(id uint32) {
+// end changes a stream's state, and gives its bytes back if yamux no longer keeps it.
+func (f *frames) end(id uint32, change func(*streamCharge)) {
 	f.mu.Lock()
-	n := f.charged[id]
-	delete(f.charged, id)
-	f.mu.Unlock()
-	if n > 0 {
-		f.lease.Grow(-n)
+	defer f.mu.Unlock()
+	s := f.streams[id]
+	if s == nil {
+		return
 	}
+	if change(s); s.served && s.closed {
+		delete(f.streams, id)
+		f.lease.Grow(-s.bytes)
+	}
+}
+
+// release gives back the bytes of a stream that is served, once the caller has closed it too.
+func (f *frames) release(id uint32) {
+	f.end(id, func(s *streamCharge) { s.served = true })
+	time.AfterFunc(callTimeout, func() { f.end(id, func(s *streamCharge) { s.closed = true }) })
 }
--- a/relay/frames_test.go
+++ b/relay/frames_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -28,7 +29,9 @@
 }
 
 // TestFrames guards against streams and payload that aren't charged, or stay charged.
-func TestFrames(t *testing.T) {
+func TestFrames(t *testing.T) { synctest.Test(t, testFrames) }
+
+func testFrames(t *testing.T) {
 	p := budget.New(budget.Config{Limit: 1 << 20})
 	f := newFrames(nil, p.Open(budget.Holder{}))
 	for _, c := range []struct {
@@ -45,11 +48,23 @@
 			t.Errorf("%d bytes charged, want %d: %v", p.Used(), c.charged, err)
 		}
 	}
+	// A stream keeps its bytes until both sides have closed it, or for callTimeout.
+	f.count(frame(1, finFlag, 3, 0))
 	f.release(1)
+	if want := int64(2*streamBytes + streamWindow + 10); p.Used() != want {
+		t.Errorf("%d bytes charged for streams that are half closed, want %d", p.Used(), want)
+	}
 	f.release(3)
+	f.count(frame(1, rstFlag, 1, 0))
 	if p.Used() != 0 {
 		t.Errorf("%d bytes stay charged", p.Used())
 	}
+	f.count(frame(1, synFlag, 7, 0))
+	f.release(7)
+	time.Sleep(callTimeout + time.Second)
+	if p.Used() != 0 {
+		t.Errorf("%d bytes stay charged for a stream that the caller leaves open", p.Used())
+	}
 	if err := f.count(frame(dataFrame, 0, 1, streamWindow)); err != nil {
 		t.Error(err)
 	}
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"net"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -74,21 +74,27 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { s.Close() })
 	defer stop()
-	var streams atomic.Int64
+	var mu sync.Mutex
+	streams := 0
+	// add counts streams; a connection without any may be closed for another one.
+	add := func(n int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		streams += n
+		conns.SetBusy(c, streams > 0)
+		return streams
+	}
 	end := func(t *yamux.Stream) {
 		t.Close()
 		f.release(t.StreamID())
-		if streams.Add(-1) == 0 {
-			conns.SetBusy(c, false)
-		}
+		add(-1)
 	}
 	for {
 		t, err := s.AcceptStream()
 		if err != nil {
 			return
 		}
-		conns.SetBusy(c, true)
-		if streams.Add(1) > maxStreams {
+		if add(1) > maxStreams {
 			r.refuse(t, "Streams")
 			end(t)
 			continue
