--- a/conns/conn.go
+++ b/conns/conn.go
@@ -36,6 +36,10 @@
 	writing atomic.Bool
 	// blocked is when the current Write began, in Unix nanoseconds, 0 if there is none.
 	blocked atomic.Int64
+	// lines is the number of lines of the header that is being read, column the length of the
+	// last one so far. headerEnded is set after the empty line that ends the header.
+	lines, column int
+	headerEnded   bool
 }
 
 var _ net.Conn = (*Conn)(nil)
@@ -56,6 +60,9 @@
 	if s == busy || s == idle {
 		c.writing.Store(false)
 	}
+	if s == idle {
+		c.lines, c.column, c.headerEnded = 0, 0, false
+	}
 }
 
 // Read implements net.Conn.
@@ -65,6 +72,13 @@
 		switch state(c.state.Load()) {
 		case idle:
 			c.enter(header)
+			fallthrough
+		case header:
+			if !c.countLines(b[:n]) {
+				c.Close()
+				c.listener.c.OnClose(HeaderLines)
+				return 0, net.ErrClosed
+			}
 		case body:
 			c.since.Store(c.listener.c.Now().UnixNano())
 		}
@@ -72,6 +86,29 @@
 	return n, err
 }
 
+// countLines counts the lines of a header up to its end, and reports whether they are few enough.
+func (c *Conn) countLines(b []byte) bool {
+	most := c.listener.c.MaxHeaderLines
+	if most <= 0 || c.headerEnded {
+		return true
+	}
+	for _, x := range b {
+		switch x {
+		case '\r':
+		case '\n':
+			if c.column == 0 && c.lines > 0 {
+				c.headerEnded = true
+				return true
+			}
+			c.lines++
+			c.column = 0
+		default:
+			c.column++
+		}
+	}
+	return c.lines <= most
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.blocked.Store(c.listener.c.Now().UnixNano())
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -19,6 +19,8 @@
 	Body = "Body"
 	// Unread connections had responses that weren't read.
 	Unread = "Unread"
+	// HeaderLines connections sent a header with too many lines.
+	HeaderLines = "HeaderLines"
 	// Refused connections were closed when they arrived, as no other could be closed.
 	Refused = "Refused"
 )
@@ -42,6 +44,9 @@
 	// WriteTimeout, if positive, is the time within which a client has to read a response,
 	// counted from its first byte. It isn't fit for HTTP/2, where responses overlap.
 	WriteTimeout time.Duration
+	// MaxHeaderLines, if positive, limits the lines of a request's header, as short lines take
+	// net/http many times their size. It isn't fit for TLS.
+	MaxHeaderLines int
 	// ReadBuffer, if positive, is the size of the socket's receive buffer in bytes.
 	ReadBuffer int
 }
--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -286,3 +286,40 @@
 		t.Errorf("%d connections were open, %d are at the end", most.Load(), l.Open())
 	}
 }
+
+// TestHeaderLines guards against headers of legal size whose many short lines take much memory, and
+// against the lines of a body being counted.
+func TestHeaderLines(t *testing.T) {
+	const start = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 40\r\n"
+	lines := strings.Repeat("\n", 40)
+	for _, c := range []struct {
+		name, request string
+		reason        string
+	}{
+		{"few lines", start + "\r\n" + lines + start + "\r\n" + lines, ""},
+		{"many lines", start + strings.Repeat("a:\r\n", 18), HeaderLines},
+		{"many lines without CR", start + strings.Repeat("a:\n", 18), HeaderLines},
+		{"many lines in the second request", start + "\r\n" + lines + start + strings.Repeat("a:\r\n", 18), HeaderLines},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			reason := ""
+			f := newFakeListener()
+			l := Listen(f, Config{Limit: 1, MaxHeaderLines: 20, OnClose: func(r string) { reason = r }})
+			s := pipeServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { io.ReadAll(r.Body) }), l)
+			here, there := net.Pipe()
+			f.arrivals <- here
+			go io.Copy(io.Discard, there)
+			for i := range len(c.request) {
+				if _, err := io.WriteString(there, c.request[i:i+1]); err != nil {
+					break
+				}
+				synctest.Wait()
+			}
+			if reason != c.reason {
+				t.Errorf("%s: closed for %q, want %q", c.name, reason, c.reason)
+			}
+			there.Close()
+			s.Close()
+		})
+	}
+}
--- a/node/limits.go
+++ b/node/limits.go
@@ -47,6 +47,9 @@
 	// readBuffer is the receive buffer of clients' connections. It bounds what waits in the
 	// system's memory while a process is busy. A body of 256 KiB takes 8 round trips with it.
 	readBuffer = 32 << 10
+	// maxHeaderLines limits the lines of a header, of which each takes some 120 bytes besides its
+	// text. It is the limit that Apache's server has by default.
+	maxHeaderLines = 100
 	// metricsSlots limits the responses with metrics that are built at the same time.
 	metricsSlots = 2
 )
@@ -128,11 +131,11 @@
 	c := conns.Config{Limit: limit, OnClose: func(reason string) {
 		h.meter.ConnsClosed.WithLabelValues(name, reason).Inc()
 		if n, ok := h.samples.Sample("close " + name + reason); ok {
-			h.log.Warn().Str("listener", name).Str("reason", reason).Int64("count", n).Msg("connections closed, as the limit is reached")
+			h.log.Warn().Str("listener", name).Str("reason", reason).Int64("count", n).Msg("connections closed, as a limit is reached")
 		}
 	}}
 	if name != controlListener {
-		c.WriteTimeout, c.ReadBuffer = responseTime, readBuffer
+		c.WriteTimeout, c.ReadBuffer, c.MaxHeaderLines = responseTime, readBuffer, maxHeaderLines
 	}
 	l := conns.Listen(n, c)
 	h.meter.RegisterConns(name, l.Open, l.Limit)
--- a/node/node.go
+++ b/node/node.go
@@ -47,10 +47,11 @@
 	drainAcceptTime = 2300 * time.Millisecond
 	// drainSlack is subtracted from the time after which the platform kills a stopping process.
 	drainSlack = 700 * time.Millisecond
-	// headerTimeout, idleTimeout and maxHeaderBytes limit a client's connection.
+	// headerTimeout, idleTimeout and maxHeaderBytes limit a client's connection. The platform's
+	// configuration allows headers of 16 KiB.
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 30 * time.Second
-	maxHeaderBytes = 32 << 10
+	maxHeaderBytes = 16 << 10
 	// maxLoggedPath is how many bytes of the path of a refused call are logged.
 	maxLoggedPath = 80
 )
