peers: Bounds for connections, streams and bytes of other hosts

A connection to the peer address could stay without a heartbeat for ever, open any number of streams with 256 KiB of receive window each, and have 8 MiB allocated for each message by announcing it. One connection could also make up any number of hosts, each of which was dialled.

Now at most MaxConns connections are served, of which those without a valid heartbeat give way first and are closed after 5 s. A layer below yamux charges receive buffers to the budget by the headers of the frames, limits streams, and refuses pings. Messages above 4 KiB are charged as they arrive. Requests and responses have 10 s, and a handler ends when its caller leaves. A host has at most 320 calls of another under way, 256 of them long polls. Measured: go test -count=10 and -race -count=5 ./peers pass.

--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -18,6 +18,7 @@
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"citronbridge/budget"
 	"citronbridge/wire"
 )
 
@@ -33,6 +34,9 @@
 	redialWait = 200 * time.Millisecond
 	// maxMessage is the largest message, in bytes.
 	maxMessage = 8 << 20
+	// maxHeartbeat is the largest heartbeat, in bytes. One of a host that sees 1,000 others and
+	// holds 100 cells has some 70 KB with names of 64 bytes.
+	maxHeartbeat = 256 << 10
 	// removeAfter is how long an unresponsive host that is no longer listed is still dialled.
 	removeAfter = time.Minute
 )
@@ -67,8 +71,22 @@
 	OnMalformed func()
 	// OnCall is called after each call, with the kind of the request and the result Ok or Failed.
 	OnCall func(call, result string)
+	// Budget bounds the bytes of messages. nil means one of DefaultBudget bytes.
+	Budget *budget.Pool
+	// MaxConns is how many connections of other hosts are served at the same time, MaxStreams
+	// how many streams they have open together. 0 means the defaults.
+	MaxConns, MaxStreams int
+	// OnClose is called for each connection that is closed for a limit, with the reason.
+	OnClose func(reason string)
 }
 
+// Defaults of the limits.
+const (
+	DefaultBudget     = 32 << 20
+	DefaultMaxConns   = 128
+	DefaultMaxStreams = 2048
+)
+
 // Defaults of Config.Period and Config.Timeout.
 const (
 	DefaultPeriod  = 400 * time.Millisecond
@@ -83,11 +101,17 @@
 	// peers holds the other hosts by name.
 	peers  map[string]*peer
 	closed bool
-	// conns holds the open connections of both directions, which Close closes.
-	conns  map[net.Conn]bool
-	wg     sync.WaitGroup
-	ctx    context.Context
-	cancel context.CancelFunc
+	// conns holds the open connections of both directions, which Close closes, and inbound those
+	// of them that other hosts have opened.
+	conns   map[net.Conn]bool
+	inbound map[*inbound]bool
+	// streams is the number of streams that other hosts have open. large limits the requests
+	// with large responses that are served at the same time.
+	streams int
+	large   chan struct{}
+	wg      sync.WaitGroup
+	ctx     context.Context
+	cancel  context.CancelFunc
 }
 
 // peer is the state of another host.
@@ -97,8 +121,8 @@
 	// lastListed is when UpdateHosts last listed the host. It is zero for a host that is known
 	// only by its heartbeats.
 	lastListed time.Time
-	// session is the connection that this host dialled, or nil. It carries the calls to the peer.
-	session *yamux.Session
+	// outbound is the connection that this host dialled, or nil. It carries the calls to the peer.
+	outbound *outbound
 	// heartbeat is the last heartbeat, received at receivedAt. It is nil if none has arrived or
 	// the connection that it arrived on has broken.
 	heartbeat  *wire.Heartbeat
@@ -121,7 +145,16 @@
 	if c.Timeout == 0 {
 		c.Timeout = DefaultTimeout
 	}
-	m := &Mesh{config: c, peers: map[string]*peer{}, conns: map[net.Conn]bool{}}
+	if c.Budget == nil {
+		c.Budget = budget.New(budget.Config{Limit: DefaultBudget})
+	}
+	if c.MaxConns == 0 {
+		c.MaxConns = DefaultMaxConns
+	}
+	if c.MaxStreams == 0 {
+		c.MaxStreams = DefaultMaxStreams
+	}
+	m := &Mesh{config: c, peers: map[string]*peer{}, conns: map[net.Conn]bool{}, inbound: map[*inbound]bool{}, large: make(chan struct{}, maxLargeCalls)}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	m.wg.Add(1)
 	go m.accept()
@@ -135,7 +168,7 @@
 	m.mu.Lock()
 	m.closed = true
 	for c := range m.conns {
-		c.Close()
+		abort(c)
 	}
 	m.mu.Unlock()
 	m.wg.Wait()
@@ -167,6 +200,9 @@
 		return
 	}
 	p := m.peers[host]
+	if p == nil && len(m.peers) >= maxPeers {
+		return
+	}
 	if p != nil && p.address == address {
 		return
 	}
@@ -205,20 +241,23 @@
 	if !m.trackConn(c) {
 		return
 	}
-	s, err := yamux.Client(c, m.yamuxConfig())
+	k := m.meter(c, nil)
+	defer k.finish()
+	s, err := yamux.Client(k, m.yamuxConfig())
 	if err != nil {
 		return
 	}
 	defer s.Close()
-	b, err := s.Open()
+	b, err := s.OpenStream()
 	if err != nil {
 		return
 	}
 	if _, err := b.Write([]byte{heartbeatStream}); err != nil {
 		return
 	}
-	m.setSession(p, s)
-	defer m.setSession(p, nil)
+	k.add(b.StreamID())
+	m.setOutbound(p, newOutbound(s, k))
+	defer m.setOutbound(p, nil)
 	t := time.NewTicker(m.config.Period)
 	defer t.Stop()
 	for {
@@ -238,18 +277,19 @@
 	}
 }
 
-// setSession sets the connection that carries the calls to p. nil means that there is none.
-func (m *Mesh) setSession(p *peer, s *yamux.Session) {
+// setOutbound sets the connection that carries the calls to p. nil means that there is none.
+func (m *Mesh) setOutbound(p *peer, o *outbound) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	p.session = s
+	p.outbound = o
 }
 
 // yamuxConfig returns the settings of all yamux sessions. The keep-alive of yamux is off, since
-// each connection carries heartbeats.
+// each connection carries heartbeats. The backlog of streams to accept is never full.
 func (m *Mesh) yamuxConfig() *yamux.Config {
 	y := yamux.DefaultConfig()
 	y.EnableKeepAlive = false
+	y.AcceptBacklog = maxStreams
 	y.ConnectionWriteTimeout = m.config.Timeout
 	y.StreamCloseTimeout = m.config.Timeout
 	y.LogOutput = io.Discard
@@ -327,19 +367,24 @@
 // call does the work of Call without reporting the result.
 func (m *Mesh) call(ctx context.Context, host string, q *wire.Request) (*wire.Response, error) {
 	m.mu.Lock()
-	var s *yamux.Session
+	var o *outbound
 	if p := m.peers[host]; p != nil {
-		s = p.session
+		o = p.outbound
 	}
 	m.mu.Unlock()
-	if s == nil {
+	if o == nil {
 		return nil, fmt.Errorf("call %s: %w", host, ErrUnreachable)
 	}
-	t, err := s.Open()
+	release, err := o.acquire(ctx, q)
 	if err != nil {
 		return nil, fmt.Errorf("call %s: %w: %w", host, ErrUnreachable, err)
 	}
-	defer t.Close()
+	defer release()
+	t, err := o.open()
+	if err != nil {
+		return nil, fmt.Errorf("call %s: %w", host, err)
+	}
+	defer t.close()
 	stop := context.AfterFunc(ctx, func() { t.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if _, err := t.Write([]byte{callStream}); err != nil {
@@ -348,8 +393,10 @@
 	if _, err := protodelim.MarshalTo(t, q); err != nil {
 		return nil, fmt.Errorf("call %s: %w", host, err)
 	}
+	l := o.metered.openLease()
+	defer l.Close()
 	var r wire.Response
-	if err := readMessage(newReader(t), &r); err != nil {
+	if err := readMessage(newReader(t), l, maxMessage, &r); err != nil {
 		return nil, fmt.Errorf("call %s: %w", host, err)
 	}
 	return &r, nil
--- a/peers/mesh_test.go
+++ b/peers/mesh_test.go
@@ -20,6 +20,7 @@
 
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"citronbridge/budget"
 	"citronbridge/certs"
 	"citronbridge/wire"
 )
@@ -174,11 +175,14 @@
 	f.Add(good.Bytes())
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x7f, 1})
 	f.Add([]byte{3, 0x0a, 1})
+	p := budget.New(budget.Config{Limit: DefaultBudget})
 	f.Fuzz(func(t *testing.T, b []byte) {
+		l := p.Open(budget.Holder{})
+		defer l.Close()
 		var q wire.Request
-		err := readMessage(newReader(bytes.NewReader(b)), &q)
+		err := readMessage(newReader(bytes.NewReader(b)), l, maxMessage, &q)
 		var h wire.Heartbeat
-		herr := readMessage(newReader(bytes.NewReader(b)), &h)
+		herr := readMessage(newReader(bytes.NewReader(b)), l, maxHeartbeat, &h)
 		if len(b) == 0 && (err == nil || herr == nil) {
 			t.Error("empty input was decoded as a message")
 		}
