fault, httpc: Bound what decoding and reading of a body allocates

A manifest of 4 MiB could hold 1.4 million empty accounts or guarantees, which decode to 150 MiB and as many faults each. Inputs with more than 70,000 elements of arrays, more than any valid manifest has, are now refused before they are decoded. A client of the platform's services allocates the announced length of a response instead of growing a buffer to several times of it.

--- a/fault/json.go
+++ b/fault/json.go
@@ -1,6 +1,7 @@
 package fault
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -22,7 +23,24 @@
 // fields, values of a wrong type and anything after the value are faults, returned
 // as a List; a syntax error or failed read is returned as another error.
 func ReadJSON(r io.Reader, v any) error {
-	d := json.NewDecoder(r)
+	b, err := io.ReadAll(r)
+	if err != nil {
+		return fmt.Errorf("decode body: %w", err)
+	}
+	return UnmarshalJSON(b, v)
+}
+
+// maxElements is the most elements of all arrays of an input together. A manifest has at most
+// 65,032: 1,000 accounts, 64 guarantees of each, and 32 kinds.
+const maxElements = 70_000
+
+// UnmarshalJSON decodes the JSON value b into v as ReadJSON does. An input with more than
+// maxElements elements isn't decoded, since an element of 3 bytes can take 100 bytes in memory.
+func UnmarshalJSON(b []byte, v any) error {
+	if countElements(b) > maxElements {
+		return List{{Field: "body", Value: "too many elements", Allowed: fmt.Sprintf("at most %d elements of arrays", maxElements)}}
+	}
+	d := json.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
 	if err := d.Decode(v); err != nil {
 		return faultFromJSONError(err)
@@ -33,6 +51,32 @@
 	return nil
 }
 
+// countElements returns the number of elements of all arrays in b, or more if b isn't valid JSON.
+func countElements(b []byte) int {
+	n, quoted := 0, false
+	// arrays says for each open array or object whether it is an array.
+	var arrays []bool
+	for i := 0; i < len(b); i++ {
+		switch c := b[i]; {
+		case quoted && c == '\\':
+			i++
+		case c == '"':
+			quoted = !quoted
+		case quoted:
+		case c == '[' || c == '{':
+			arrays = append(arrays, c == '[')
+			if c == '[' {
+				n++
+			}
+		case (c == ']' || c == '}') && len(arrays) > 0:
+			arrays = arrays[:len(arrays)-1]
+		case c == ',' && len(arrays) > 0 && arrays[len(arrays)-1]:
+			n++
+		}
+	}
+	return n
+}
+
 // faultFromJSONError converts a decoding error that concerns a field into a List
 // that names the field, and wraps any other error.
 func faultFromJSONError(err error) error {
--- a/httpc/httpc.go
+++ b/httpc/httpc.go
@@ -97,7 +97,7 @@
 		return nil, nil, fmt.Errorf("call %s: %w", path, err)
 	}
 	defer r.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(r.Body, maxResponse))
+	b, err := readBody(r)
 	if err != nil {
 		return nil, nil, fmt.Errorf("read answer of %s: %w", path, err)
 	}
@@ -107,6 +107,17 @@
 	return r.Header, b, nil
 }
 
+// readBody reads the body of a response, cut at maxResponse bytes. If its length is known, the
+// buffer has that size, where io.ReadAll would allocate several times as much.
+func readBody(r *http.Response) ([]byte, error) {
+	if r.ContentLength < 0 || r.ContentLength > maxResponse {
+		return io.ReadAll(io.LimitReader(r.Body, maxResponse))
+	}
+	b := make([]byte, r.ContentLength)
+	n, err := io.ReadFull(r.Body, b)
+	return b[:n], err
+}
+
 // encodeBody returns the request body for in. A []byte is sent unchanged, any
 // other value as JSON.
 func encodeBody(in any) (io.Reader, error) {
