host, entry, admin, reply: Limits against overload by clients

Bodies of 512 KiB or 4 MiB were read whole for each connection with no bound on their sum, answers of 16 MiB were built several times over for each reader, unread bodies were read on after a refusal, and connections had no bound.

Bodies are now charged to a budget as they arrive, with the account as key, and two are decoded at a time. Records, the objects of an answer before they are read, and large responses are charged as well; what doesn't fit is refused with 503 and Retry-After. Connections have a bound below TLS, a response has to be read within 10 s, and long polls have a bound for each account and in all. A response that leaves a body unread closes the connection. Metrics and one log line a second for each reason say what was closed.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -25,8 +25,8 @@
 
 // Limits of a request.
 const (
-	// maxProposalBytes is the largest body of a proposal, in bytes.
-	maxProposalBytes = 4 << 20
+	// MaxProposalBytes is the largest body of a proposal, in bytes.
+	MaxProposalBytes = 4 << 20
 	// proposeTimeout bounds the calls to the table service that accept a proposal.
 	proposeTimeout = 5 * time.Second
 	// historyPageSize is the most revisions that one answer of the history lists.
@@ -105,7 +105,7 @@
 		}
 		l = append(l, v)
 	}
-	reply.JSON(w, http.StatusOK, l)
+	reply.Large(w, http.StatusOK, l)
 }
 
 // Targets lists the targets of all cells. It answers with status 503 if the decider of any cell
@@ -120,7 +120,7 @@
 		}
 		l = append(l, t...)
 	}
-	reply.JSON(w, http.StatusOK, l)
+	reply.Large(w, http.StatusOK, l)
 }
 
 // Accounts lists the use of each account in each cell, or only that of the given account if it
@@ -137,7 +137,7 @@
 			l = append(l, v)
 		}
 	}
-	reply.JSON(w, http.StatusOK, l)
+	reply.Large(w, http.StatusOK, l)
 }
 
 // AllAccounts returns the use of every account in every cell, with one element for each pair. It
@@ -161,7 +161,7 @@
 		reply.Error(w, http.StatusNotFound, "no manifest was accepted yet")
 		return
 	}
-	reply.JSON(w, http.StatusOK, v)
+	reply.Large(w, http.StatusOK, v)
 }
 
 // Proposal is a proposed manifest that replaces the one of revision Base.
@@ -180,14 +180,9 @@
 	return append(l, p.Manifest.Check().WithPrefix("Manifest.")...)
 }
 
-// Propose accepts a proposed manifest. It answers with status 422 if the listed targets can't hold
+// Propose accepts a proposed manifest that has no faults. It answers with status 422 if the listed targets can't hold
 // the guarantees, and with 409 if the proposal's base is no longer in force.
-func (s *Server) Propose(w http.ResponseWriter, r *http.Request) {
-	var p Proposal
-	if err := fault.DecodeJSON(http.MaxBytesReader(w, r.Body, maxProposalBytes), &p); err != nil {
-		reply.BadInput(w, err)
-		return
-	}
+func (s *Server) Propose(w http.ResponseWriter, r *http.Request, p *Proposal) {
 	if s.config.View.LastRead().IsZero() {
 		reply.Unavailable(w, "the list of hosts was not read yet")
 		return
@@ -273,7 +268,7 @@
 		reply.Unavailable(w, err.Error())
 		return
 	}
-	reply.JSON(w, http.StatusOK, l)
+	reply.Large(w, http.StatusOK, l)
 }
 
 // Drain begins the planned stop of this host, and answers before the host has stopped.
--- a/entry/auth.go
+++ b/entry/auth.go
@@ -67,6 +67,7 @@
 			reply.Error(w, http.StatusUnauthorized, "a bearer token of a client account or an operator is needed")
 			return
 		}
+		s.openLease(w, id.account)
 		h(w, r, id)
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"citronbridge/admin"
+	"citronbridge/budget"
 	"citronbridge/fleet"
 	"citronbridge/jobs"
 	"citronbridge/ledger"
@@ -78,8 +79,20 @@
 	// MaxWait is the longest time that a caller may ask a long poll to wait. 0 means
 	// DefaultMaxWait.
 	MaxWait time.Duration
+	// Budget bounds the bytes of requests and responses. nil means one of DefaultBudget bytes.
+	Budget *budget.Pool
+	// MaxPolls is how many long polls may wait at the same time, MaxAccountPolls how many of one
+	// account. 0 means the defaults.
+	MaxPolls, MaxAccountPolls int
 }
 
+// Defaults of Config.MaxPolls and Config.MaxAccountPolls: a half and a quarter of the default
+// connections of callers.
+const (
+	DefaultMaxPolls        = 512
+	DefaultMaxAccountPolls = 256
+)
+
 // DefaultMaxWait is the default of Config.MaxWait.
 const DefaultMaxWait = 20 * time.Second
 
@@ -93,6 +106,9 @@
 	endPollsOnce sync.Once
 	// openJobs counts the unfinished jobs of each account.
 	openJobs limit.OpenJobs
+	// decoding limits the bodies, and listing the lists of jobs, that are in memory undecoded.
+	decoding, listing chan struct{}
+	polls             polls
 	// wg, ctx and cancel belong to the goroutines that outlive their request.
 	wg     sync.WaitGroup
 	ctx    context.Context
@@ -110,7 +126,19 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
-	s := &Server{config: c, limiter: limit.New(), pollsEnded: make(chan struct{})}
+	if c.Budget == nil {
+		c.Budget = budget.New(budget.Config{Limit: DefaultBudget})
+	}
+	if c.MaxPolls == 0 {
+		c.MaxPolls = DefaultMaxPolls
+	}
+	if c.MaxAccountPolls == 0 {
+		c.MaxAccountPolls = DefaultMaxAccountPolls
+	}
+	s := &Server{
+		config: c, limiter: limit.New(), pollsEnded: make(chan struct{}), decoding: make(chan struct{}, decodersAtOnce), listing: make(chan struct{}, listsAtOnce),
+		polls: polls{accounts: map[string]int{}},
+	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s, nil
 }
@@ -145,13 +173,33 @@
 	m.HandleFunc("/v1/targets", s.operatorOnly(s.config.Admin.Targets), http.MethodGet)
 	m.HandleFunc("/v1/hosts", s.operatorOnly(s.config.Admin.Hosts), http.MethodGet)
 	m.HandleFunc("/v1/manifest", s.operatorOnly(s.config.Admin.Manifest), http.MethodGet)
-	m.HandleFunc("/v1/manifest", s.operatorOnly(s.config.Admin.Propose), http.MethodPost)
+	m.HandleFunc("/v1/manifest", s.operatorOnly(s.propose), http.MethodPost)
 	m.HandleFunc("/v1/manifest/history", s.operatorOnly(s.config.Admin.History), http.MethodGet)
 	m.HandleFunc("/v1/drain", s.operatorOnly(s.config.Admin.Drain), http.MethodPost)
-	m.Handle("/metrics", s.config.Meter.Handler(), http.MethodGet)
+	m.HandleFunc("/metrics", s.metrics, http.MethodGet)
 	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { reply.JSON(w, http.StatusOK, Health{State: "Live"}) }, http.MethodGet)
 	m.HandleFunc("/readyz", s.ready, http.MethodGet)
-	return m
+	return s.guarded(m)
+}
+
+// metrics serves /metrics. The response is charged like that of any caller.
+func (s *Server) metrics(w http.ResponseWriter, r *http.Request) {
+	s.openLease(w, "")
+	reply.Buffered(s.config.Meter.Handler()).ServeHTTP(w, r)
+}
+
+// propose reads a proposed manifest and proposes it.
+func (s *Server) propose(w http.ResponseWriter, r *http.Request) {
+	var p admin.Proposal
+	err := s.readJSON(w, r, admin.MaxProposalBytes, &p)
+	if err == nil {
+		err = p.Check().Err()
+	}
+	if err != nil {
+		s.refuseBody(w, "", err)
+		return
+	}
+	s.config.Admin.Propose(w, r, &p)
 }
 
 // Health is the body of the answers of /healthz and /readyz.
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"citronbridge/admin"
+	"citronbridge/budget"
 	"citronbridge/fleet"
 	"citronbridge/golden"
 	"citronbridge/jobs"
@@ -239,9 +240,13 @@
 func FuzzSubmission(f *testing.F) {
 	f.Add(goodJob)
 	f.Add(goodJobWith(`"1m"`, `"1m","StartBy":"2030-01-01T00:00:00Z","Input":"AA=="`))
+	v := &Server{config: Config{Budget: budget.New(budget.Config{Limit: DefaultBudget})}, decoding: make(chan struct{}, 1)}
 	f.Fuzz(func(t *testing.T, body string) {
 		r := httptest.NewRequest("POST", "/v1/jobs", strings.NewReader(body))
-		s, err := readSpec(httptest.NewRecorder(), r, identity{account: "one"})
+		w := &response{ResponseWriter: httptest.NewRecorder(), request: r}
+		v.openLease(w, "one")
+		defer w.end()
+		s, err := v.readSpec(w, r, identity{account: "one"})
 		if err == nil && (len(s.Check()) > 0 || s.Account != "one") {
 			t.Errorf("accepted a request with faults: %+v", s)
 		}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -1,8 +1,12 @@
 package entry
 
 import (
+	"bufio"
 	"context"
+	"encoding/base64"
+	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -33,7 +37,7 @@
 		reply.Unavailable(w, "the table service is not available")
 	case e.Record == nil:
 		reply.Error(w, http.StatusNotFound, "no such job: "+k.ID)
-	default:
+	case s.chargeRecord(w, e.Record):
 		return e.Record
 	}
 	return nil
@@ -91,19 +95,58 @@
 		reply.BadInput(w, l)
 		return
 	}
-	recs, more, err := s.config.Records.List(r.Context(), account, after, n)
+	p, err := s.readPage(r.Context(), account, after, n)
 	if err != nil {
 		reply.Unavailable(w, "the table service is not available")
 		return
 	}
+	reply.Large(w, http.StatusOK, p)
+}
+
+// Limits of what lists of jobs hold in memory. A list consists of whole records, which may have
+// hundreds of KiB each, and of which only the Status is kept.
+const (
+	// listsAtOnce is how many lists read records at the same time.
+	listsAtOnce = 2
+	// firstRead is how many records a list reads first, if it is to have more.
+	firstRead = 16
+	// readBytes is the size of the records that a list aims to read at a time later on, by the
+	// average size of those that it has read.
+	readBytes = 4 << 20
+)
+
+// readPage reads a page of at most n jobs of an account after the given ID.
+func (s *Server) readPage(ctx context.Context, account, after string, n int) (Page, error) {
 	p := Page{Jobs: []Status{}}
-	for _, rec := range recs {
-		p.Jobs = append(p.Jobs, statusOf(rec))
-		if more {
-			p.After = rec.Spec.ID
+	select {
+	case s.listing <- struct{}{}:
+		defer func() { <-s.listing }()
+	case <-ctx.Done():
+		return p, ctx.Err()
+	}
+	size, more := firstRead, true
+	for more && len(p.Jobs) < n {
+		size = min(size, n-len(p.Jobs))
+		recs, m, err := s.config.Records.List(ctx, account, after, size)
+		if err != nil {
+			return p, err
 		}
+		total := int64(0)
+		for _, rec := range recs {
+			p.Jobs = append(p.Jobs, statusOf(rec))
+			after = rec.Spec.ID
+			total += recordBytes(rec)
+		}
+		more = m
+		if len(recs) == 0 {
+			break
+		}
+		size = max(firstRead, int(readBytes*int64(len(recs))/(total+1)))
+	}
+	if more && len(p.Jobs) > 0 {
+		p.After = after
 	}
-	reply.JSON(w, http.StatusOK, p)
+	return p, nil
 }
 
 // cancelJob asks the decider of a job to stop it, and answers with the job's Status. The HTTP
@@ -147,11 +190,11 @@
 	if !rec.Final() {
 		e, err := s.config.Deciders.Explain(r.Context(), rec.Cell, k)
 		if err == nil {
-			reply.JSON(w, http.StatusOK, e)
+			reply.Large(w, http.StatusOK, e)
 			return
 		}
 	}
-	reply.JSON(w, http.StatusOK, views.ExplainRecord(rec))
+	reply.Large(w, http.StatusOK, views.ExplainRecord(rec))
 }
 
 // Answer is the status of a job, with a part for each member's output if the outcome is Done. If
@@ -178,7 +221,15 @@
 	if rec == nil {
 		return
 	}
-	rec = s.waitForEnd(r.Context(), rec, wait)
+	if wait > 0 && !rec.Final() {
+		if status := s.polls.begin(rec.Spec.Account, s.config.MaxPolls, s.config.MaxAccountPolls); status != 0 {
+			s.countRefusal(rec.Spec.Account, longPolls)
+			(&reply.Problem{Status: status, Title: "Too many long polls", RetryAfter: overloadRetryAfter}).Write(w)
+			return
+		}
+		rec = s.waitForEnd(r.Context(), rec, wait)
+		s.polls.end(rec.Spec.Account)
+	}
 	switch {
 	case !rec.Final():
 		reply.JSON(w, http.StatusAccepted, Answer{Status: statusOf(rec)})
@@ -247,8 +298,12 @@
 	for i := range rec.Answer {
 		total += rec.Answer[i].Length
 	}
+	inline := total <= maxInlineAnswer
+	if inline && !s.chargeObjects(w, rec, rec.Answer) {
+		return
+	}
 	for _, p := range rec.Answer {
-		if total <= maxInlineAnswer {
+		if inline {
 			b, err := s.verifiedOutput(r.Context(), &p)
 			if err != nil {
 				answerUnavailable(w, rec, err)
@@ -258,7 +313,66 @@
 		}
 		a.Parts = append(a.Parts, p)
 	}
-	reply.JSON(w, http.StatusOK, a)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusOK)
+	// An error means that the caller has gone.
+	writeAnswer(w, &a)
+}
+
+// chargeObjects charges the data of those parts that are in the object store, before it is read. If
+// it doesn't fit it answers the request and returns false.
+func (s *Server) chargeObjects(w http.ResponseWriter, rec *jobs.Record, parts []jobs.Part) bool {
+	n := int64(0)
+	for i := range parts {
+		if parts[i].Object != "" {
+			n += parts[i].Length
+		}
+	}
+	if n == 0 {
+		return true
+	}
+	if err := w.(*response).Charge(n); err != nil {
+		s.refuseOverloaded(w, rec.Spec.Account)
+		return false
+	}
+	return true
+}
+
+// answerBuffer is the size of the pieces in which an answer is written.
+const answerBuffer = 16 << 10
+
+// writeAnswer writes a in JSON. It encodes the data of the parts piece by piece, where the package
+// json would hold several times the size of the data.
+func writeAnswer(w io.Writer, a *Answer) error {
+	b := bufio.NewWriterSize(w, answerBuffer)
+	head, err := json.Marshal(Answer{Status: a.Status})
+	if err != nil {
+		return err
+	}
+	b.Write(head[:len(head)-1])
+	for i, p := range a.Parts {
+		data := p.Data
+		p.Data = nil
+		part, err := json.Marshal(p)
+		if err != nil {
+			return err
+		}
+		b.WriteString([]string{`,"Parts":[`, ","}[min(i, 1)])
+		b.Write(part[:len(part)-1])
+		if len(data) > 0 {
+			b.WriteString(`,"Data":"`)
+			e := base64.NewEncoder(base64.StdEncoding, b)
+			e.Write(data)
+			e.Close()
+			b.WriteString(`"`)
+		}
+		b.WriteString("}")
+	}
+	if len(a.Parts) > 0 {
+		b.WriteString("]")
+	}
+	b.WriteString("}\n")
+	return b.Flush()
 }
 
 // answerPart answers with the raw bytes of one member's output.
@@ -267,6 +381,9 @@
 		reply.Error(w, http.StatusNotFound, "the answer has no such part")
 		return
 	}
+	if !s.chargeObjects(w, rec, rec.Answer[member:member+1]) {
+		return
+	}
 	p := &rec.Answer[member]
 	b, err := s.verifiedOutput(r.Context(), p)
 	if err != nil {
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -53,10 +53,9 @@
 		reply.Error(w, http.StatusForbidden, "a client account's token is needed")
 		return
 	}
-	spec, err := readSpec(w, r, id)
+	spec, err := s.readSpec(w, r, id)
 	if err != nil {
-		s.countRefusal(id.account, "Invalid")
-		reply.BadInput(w, err)
+		s.refuseBody(w, id.account, err)
 		return
 	}
 	if s.config.View.LastRead().IsZero() {
@@ -93,21 +92,21 @@
 
 // readSpec decodes and validates the body of a submission. The job's ID may be in the header
 // Idempotency-Key instead of the body.
-func readSpec(w http.ResponseWriter, r *http.Request, id identity) (*jobs.Spec, error) {
-	s := &jobs.Spec{}
-	if err := fault.ReadJSON(http.MaxBytesReader(w, r.Body, maxBodyBytes), s); err != nil {
+func (s *Server) readSpec(w http.ResponseWriter, r *http.Request, id identity) (*jobs.Spec, error) {
+	v := &jobs.Spec{}
+	if err := s.readJSON(w, r, maxBodyBytes, v); err != nil {
 		return nil, err
 	}
 	h := strings.Trim(r.Header.Get("Idempotency-Key"), `"`)
 	var l fault.List
-	l.Check(h == "" || s.ID == "" || s.ID == h, "ID", s.ID, "the same as the header Idempotency-Key, or left out")
-	l.Check(s.Account == "" || s.Account == id.account, "Account", s.Account, "the token's account, or left out")
-	if s.ID == "" {
-		s.ID = h
+	l.Check(h == "" || v.ID == "" || v.ID == h, "ID", v.ID, "the same as the header Idempotency-Key, or left out")
+	l.Check(v.Account == "" || v.Account == id.account, "Account", v.Account, "the token's account, or left out")
+	if v.ID == "" {
+		v.ID = h
 	}
-	s.Account = id.account
-	l = append(l, s.Check()...)
-	return s, l.Err()
+	v.Account = id.account
+	l = append(l, v.Check()...)
+	return v, l.Err()
 }
 
 // checkKind returns an error if the manifest doesn't define the job's kind.
--- a/host/host.go
+++ b/host/host.go
@@ -19,6 +19,7 @@
 	"citronbridge/certs"
 	"citronbridge/claims"
 	"citronbridge/config"
+	"citronbridge/conns"
 	"citronbridge/entry"
 	"citronbridge/fleet"
 	"citronbridge/ledger"
@@ -60,6 +61,10 @@
 	httpServer    *http.Server
 	httpListener  net.Listener
 	peerListener  net.Listener
+	// httpConns is the listener for callers below TLS, which limits their connections.
+	httpConns *conns.Listener
+	limits    limits
+	closed    *closeLog
 
 	// manifestPolled is true once the table service has answered a read of the
 	// manifest, even if it stores none yet.
@@ -85,10 +90,15 @@
 		draining: make(chan struct{}), stopped: make(chan struct{}),
 	}
 	memory.SetLimit(int64(s.Limits.Memory))
+	h.limits = newLimits(s.Limits)
+	h.closed = &closeLog{entries: map[[2]string]*closeEntry{}, now: time.Now, log: func(listener, reason, detail string, n int) {
+		h.log.Warn().Str("listener", listener).Str("reason", reason).Str("detail", detail).Int("count", n).Msg("connections closed for a limit")
+	}}
 	var err error
 	if h.httpListener, err = net.Listen("tcp", s.HTTPAddress); err != nil {
 		return nil, fmt.Errorf("listen for callers over HTTP: %w", err)
 	}
+	h.httpListener = h.limitHTTP(h.httpListener)
 	if h.peerListener, err = net.Listen("tcp", s.PeerAddress); err != nil {
 		h.httpListener.Close()
 		return nil, fmt.Errorf("listen for other hosts: %w", err)
@@ -178,10 +188,12 @@
 		Period: h.settings.Bounds.Heartbeat.D(), Timeout: h.settings.Bounds.HeartbeatTimeout.D(),
 		OnMalformed: func() { h.meter.Malformed.WithLabelValues("Peer").Inc() },
 		OnCall:      func(call, result string) { h.meter.PeerCalls.WithLabelValues(call, result).Inc() },
+		Budget:      h.newPool(kindHost, h.limits.hostBytes), MaxConns: h.limits.hostConns, MaxStreams: h.limits.hostStreams, OnClose: h.closeReporter(listenerPeer),
 	})
 	if err != nil {
 		return err
 	}
+	h.meter.RegisterConnections(listenerPeer, h.mesh.Conns, func() int { return h.limits.hostConns })
 	h.route.Peers = h.mesh
 	a, err := admin.New(admin.Config{
 		Deciders: h.route, RevisionStore: h.revisionStore, Revisions: h.revisions, View: h.view, Log: h.log, Live: h.liveHosts, Self: h.heartbeat, OnAccepted: h.publish, Drain: h.Drain,
@@ -194,12 +206,13 @@
 		Objects: objects,
 		Now:     h.timer.Now, Live: h.liveHosts, Self: h.heartbeat, OperatorHash: h.settings.OperatorTokenHash,
 		NotReadyReason: h.notReadyReason, MaxWait: h.settings.Bounds.LongPoll.D(),
+		Budget: h.newPool(kindClient, h.limits.clientBytes), MaxPolls: h.limits.clientConns / 2, MaxAccountPolls: h.limits.clientConns / 4,
 	})
 	if err != nil {
 		return err
 	}
 	h.httpServer = &http.Server{
-		Handler: h.api.Handler(), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout,
+		Handler: conns.Handler(h.api.Handler()), ConnContext: h.httpConns.ConnContext, ConnState: h.httpConns.ConnState, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, WriteTimeout: h.settings.Bounds.LongPoll.D() + readTimeout,
 	}
 	return nil
--- /dev/null
+++ b/host/limits.go
@@ -0,0 +1,125 @@
+package host
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"citronbridge/admin"
+	"citronbridge/budget"
+	"citronbridge/config"
+	"citronbridge/conns"
+)
+
+// Limits against overload by clients and by other hosts, as shares of the settings Limits.
+const (
+	// clientMemoryShare and hostMemoryShare are the parts of the memory, as 1/n, that requests of
+	// clients and calls of other hosts may hold.
+	clientMemoryShare, hostMemoryShare = 8, 16
+	// minClientBytes lets the largest answer and the largest manifest in at the same time.
+	// minHostBytes lets in the largest message, and the message that it decodes to.
+	minClientBytes = 16<<20 + admin.MaxProposalBytes
+	minHostBytes   = 18 << 20
+	// clientDescriptorShare and hostDescriptorShare are the parts of the descriptors, as 1/n, for
+	// connections of clients and of other hosts.
+	clientDescriptorShare, hostDescriptorShare = 4, 8
+	// connBytes is what a connection of a client takes up, with TLS, and a quarter of the memory
+	// is for them. 48 KiB hold the buffers of net/http and TLS, the header and the goroutines.
+	connBytes, connMemoryShare = 48 << 10, 4
+	// streamBytes of the memory allow for one stream of another host, which takes a tenth of it.
+	streamBytes = 256 << 10
+	// maxHostConns is the most connections of other hosts. The largest deployment has 97 hosts.
+	maxHostConns = 128
+	// responseTimeout is how long a caller may take to read a response.
+	responseTimeout = 10 * time.Second
+)
+
+// limits are the limits that follow from the settings.
+type limits struct {
+	clientBytes, hostBytes int64
+	clientConns, hostConns int
+	hostStreams            int
+}
+
+// newLimits returns the limits for a process with the memory and descriptors of c.
+func newLimits(c config.Limits) limits {
+	m := int64(c.Memory)
+	return limits{
+		clientBytes: max(m/clientMemoryShare, minClientBytes),
+		hostBytes:   max(m/hostMemoryShare, minHostBytes),
+		clientConns: int(min(int64(c.Descriptors/clientDescriptorShare), m/connMemoryShare/connBytes)),
+		hostConns:   min(c.Descriptors/hostDescriptorShare, maxHostConns),
+		hostStreams: int(m / streamBytes),
+	}
+}
+
+// Kinds of senders and names of listeners, in the metrics and the log.
+const (
+	kindClient, kindHost       = "Client", "Host"
+	listenerHTTP, listenerPeer = "HTTP", "Peer"
+)
+
+// newPool returns a budget for one kind of sender.
+func (h *Host) newPool(kind string, limit int64) *budget.Pool {
+	p := budget.New(budget.Config{Limit: limit, OnEvict: func(reason string) {
+		h.meter.ConnsClosed.WithLabelValues(kind, "Memory").Inc()
+		h.closed.report(kind, "Memory", reason)
+	}})
+	h.meter.RegisterBytes(kind, p.Used, p.Limit)
+	return p
+}
+
+// limitHTTP returns l with the limit of connections of callers.
+func (h *Host) limitHTTP(l net.Listener) net.Listener {
+	h.httpConns = conns.Listen(l, conns.Config{Limit: h.limits.clientConns, WriteTimeout: responseTimeout, OnClose: h.closeReporter(listenerHTTP)})
+	h.meter.RegisterConnections(listenerHTTP, h.httpConns.Open, h.httpConns.Limit)
+	return h.httpConns
+}
+
+// closeReporter returns a function that reports a connection that a listener has closed.
+func (h *Host) closeReporter(listener string) func(reason string) {
+	return func(reason string) {
+		h.meter.ConnsClosed.WithLabelValues(listener, reason).Inc()
+		h.closed.report(listener, reason, "")
+	}
+}
+
+// closeLog logs connections that are closed for a limit: at most one line a second for each reason,
+// with the number since the last one.
+type closeLog struct {
+	log func(listener, reason, detail string, count int)
+	now func() time.Time
+
+	mu      sync.Mutex
+	entries map[[2]string]*closeEntry
+}
+
+// closeEntry is when a reason was last logged, and how often it has occurred since.
+type closeEntry struct {
+	at    time.Time
+	count int
+}
+
+// closeLogPeriod is the least time between two lines with the same reason.
+const closeLogPeriod = time.Second
+
+// report counts a closed connection, and logs it unless its reason was logged a moment ago.
+func (c *closeLog) report(listener, reason, detail string) {
+	k := [2]string{listener, reason}
+	c.mu.Lock()
+	e := c.entries[k]
+	if e == nil {
+		e = &closeEntry{}
+		c.entries[k] = e
+	}
+	e.count++
+	now, n := c.now(), e.count
+	due := now.Sub(e.at) >= closeLogPeriod
+	if due {
+		e.at, e.count = now, 0
+	}
+	c.mu.Unlock()
+	if due {
+		c.log(listener, reason, detail, n)
+	}
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -35,6 +35,8 @@
 	Peers            prometheus.Gauge
 	Decision         prometheus.Histogram
 	Takeover         prometheus.Histogram
+	// ConnsClosed counts connections that were closed for a limit, by listener and reason.
+	ConnsClosed *prometheus.CounterVec
 }
 
 // waitBuckets are in seconds, from the duration of a call to a day.
@@ -58,6 +60,7 @@
 	s.StoreCalls = s.counters("store_calls_total", "Calls of the table service, by result.", "call", "result")
 	s.PeerCalls = s.counters("peer_calls_total", "Calls of other hosts, by result.", "call", "result")
 	s.Malformed = s.counters("malformed_total", "Messages dropped as malformed, by source.", "source")
+	s.ConnsClosed = s.counters("connections_closed_total", "Connections closed for a limit, by listener and reason.", "listener", "reason")
 	s.Breaker = s.gauges("breaker_open", "1 while calls of a service are held back.", "service")
 	s.Epoch = s.gauges("cell_epoch", "Epoch under which this host decides for a cell, 0 if it doesn't.", "cell")
 	s.CellJobs = s.gauges("cell_jobs", "Jobs of a cell, by state.", "cell", "state")
--- a/peers/inbound.go
+++ b/peers/inbound.go
@@ -124,6 +124,13 @@
 	delete(m.inbound, i)
 }
 
+// Conns returns the number of connections that other hosts have opened.
+func (m *Mesh) Conns() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.inbound)
+}
+
 // reportClose calls OnClose if that is set.
 func (m *Mesh) reportClose(reason string) {
 	if m.config.OnClose != nil {
--- a/reply/reply.go
+++ b/reply/reply.go
@@ -2,6 +2,7 @@
 package reply
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"math"
@@ -73,6 +74,92 @@
 	json.NewEncoder(w).Encode(v)
 }
 
+// Charger is implemented by response writers that bound the memory of responses.
+type Charger interface {
+	// Charge reserves n bytes until the end of the request. It returns an error if there aren't
+	// that many.
+	Charge(n int64) error
+}
+
+// freeBytes is the size of responses that Large and Buffered don't charge. Such a response is
+// written to the connection's buffers at once.
+const freeBytes = 4 << 10
+
+// encoding limits the responses of Large and Buffered that are encoded and not yet charged.
+var encoding = make(chan struct{}, 2)
+
+// Large answers with v in JSON, as JSON does, for a v whose size isn't bounded to a few KiB. Only a
+// few are encoded at the same time, and each is charged to w before the next one is encoded. It
+// answers with status 503 if w has no room.
+func Large(w http.ResponseWriter, status int, v any) {
+	encoding <- struct{}{}
+	b, err := json.Marshal(v)
+	if err == nil {
+		// The value and its encoding, which json grows by doubling.
+		err = charge(w, 3*len(b))
+	}
+	<-encoding
+	if err != nil {
+		Overloaded(w)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	w.Write(append(b, '\n'))
+}
+
+// charge charges n bytes to w, unless they are few or w isn't a Charger.
+func charge(w http.ResponseWriter, n int) error {
+	c, ok := w.(Charger)
+	if !ok || n <= freeBytes {
+		return nil
+	}
+	return c.Charge(int64(n))
+}
+
+// Buffered returns a handler that collects the response of h, and charges it as Large does.
+func Buffered(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b := &buffer{header: w.Header(), status: http.StatusOK}
+		encoding <- struct{}{}
+		h.ServeHTTP(b, r)
+		err := charge(w, b.body.Cap())
+		<-encoding
+		if err != nil {
+			Overloaded(w)
+			return
+		}
+		w.WriteHeader(b.status)
+		w.Write(b.body.Bytes())
+	})
+}
+
+// buffer is a http.ResponseWriter that collects the response.
+type buffer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header implements http.ResponseWriter.
+func (b *buffer) Header() http.Header { return b.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (b *buffer) WriteHeader(status int) { b.status = status }
+
+// Write implements http.ResponseWriter.
+func (b *buffer) Write(p []byte) (int, error) { return b.body.Write(p) }
+
+// overloadedRetryAfter is the Retry-After of Overloaded. Memory that is held for requests without
+// progress is freed within a second.
+const overloadedRetryAfter = time.Second
+
+// Overloaded answers with status 503: the host holds too much for other requests.
+func Overloaded(w http.ResponseWriter) {
+	w.Header().Del("Content-Encoding")
+	(&Problem{Status: http.StatusServiceUnavailable, Title: "Overloaded", Detail: "the memory for requests is in use: nothing was changed", RetryAfter: overloadedRetryAfter}).Write(w)
+}
+
 // defaultRetryAfter is the Retry-After of answers by Unavailable.
 const defaultRetryAfter = time.Second
 
