--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -229,6 +229,9 @@
 		}
 		rec = s.waitForEnd(r.Context(), rec, wait)
 		s.polls.end(rec.Spec.Account)
+		if rec.Final() && !s.chargeRecord(w, rec) {
+			return
+		}
 	}
 	switch {
 	case !rec.Final():
--- a/host/host.go
+++ b/host/host.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -91,9 +92,7 @@
 	}
 	memory.SetLimit(int64(s.Limits.Memory))
 	h.limits = newLimits(s.Limits)
-	h.closed = &closeLog{entries: map[[2]string]*closeEntry{}, now: time.Now, log: func(listener, reason, detail string, n int) {
-		h.log.Warn().Str("listener", listener).Str("reason", reason).Str("detail", detail).Int("count", n).Msg("connections closed for a limit")
-	}}
+	h.closed = newCloseLog(h.log, "connections closed for a limit")
 	var err error
 	if h.httpListener, err = net.Listen("tcp", s.HTTPAddress); err != nil {
 		return nil, fmt.Errorf("listen for callers over HTTP: %w", err)
@@ -212,7 +211,8 @@
 		return err
 	}
 	h.httpServer = &http.Server{
-		Handler: conns.Handler(h.api.Handler()), ConnContext: h.httpConns.ConnContext, ConnState: h.httpConns.ConnState, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout,
+		Handler: conns.Handler(h.api.Handler()), ConnContext: h.httpConns.ConnContext, ConnState: h.httpConns.ConnState,
+		ErrorLog: log.New(serverLog{newCloseLog(h.log, "errors of the HTTP server")}, "", 0), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, WriteTimeout: h.settings.Bounds.LongPoll.D() + readTimeout,
 	}
 	return nil
--- a/host/limits.go
+++ b/host/limits.go
@@ -1,10 +1,15 @@
 package host
 
 import (
+	"bytes"
+	"io"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"citronbridge/admin"
 	"citronbridge/budget"
 	"citronbridge/config"
@@ -84,8 +89,30 @@
 	}
 }
 
-// closeLog logs connections that are closed for a limit: at most one line a second for each reason,
-// with the number since the last one.
+// serverLog is the error log of the HTTP server, which writes a line for each failed TLS handshake.
+type serverLog struct{ lines *closeLog }
+
+var _ io.Writer = serverLog{}
+
+// Write implements io.Writer. A panic of a handler is a reason of its own, as its stack is needed.
+func (s serverLog) Write(b []byte) (int, error) {
+	reason := "Connection"
+	if bytes.Contains(b, []byte("panic serving")) {
+		reason = "Panic"
+	}
+	s.lines.report(listenerHTTP, reason, strings.TrimSpace(string(b)))
+	return len(b), nil
+}
+
+// newCloseLog returns a closeLog that writes lines with a message to l.
+func newCloseLog(l zerolog.Logger, message string) *closeLog {
+	return &closeLog{entries: map[[2]string]*closeEntry{}, now: time.Now, log: func(listener, reason, detail string, n int) {
+		l.Warn().Str("listener", listener).Str("reason", reason).Str("detail", detail).Int("count", n).Msg(message)
+	}}
+}
+
+// closeLog logs connections that are closed for a limit or an error: at most one line a second for
+// each reason, with the number since the last one.
 type closeLog struct {
 	log func(listener, reason, detail string, count int)
 	now func() time.Time
