rules, host: Bound the faults of a manifest, and name the listener of evictions

The faults of a manifest with too many accounts or guarantees took hundreds of times its bytes: a fault of some 300 bytes for each field of each element. The elements of a list that is too long are no longer checked, and checks of accounts stop after 1000 faults. Evictions for bytes are counted under the listener of the connection, as the other closed connections are. Measured: go test ./rules ./config ./host ./entry ./cmds pass.

--- a/host/host.go
+++ b/host/host.go
@@ -187,7 +187,7 @@
 		Period: h.settings.Bounds.Heartbeat.D(), Timeout: h.settings.Bounds.HeartbeatTimeout.D(),
 		OnMalformed: func() { h.meter.Malformed.WithLabelValues("Peer").Inc() },
 		OnCall:      func(call, result string) { h.meter.PeerCalls.WithLabelValues(call, result).Inc() },
-		Budget:      h.newPool(kindHost, h.limits.hostBytes), MaxConns: h.limits.hostConns, MaxStreams: h.limits.hostStreams, OnClose: h.closeReporter(listenerPeer),
+		Budget:      h.newPool(kindHost, listenerPeer, h.limits.hostBytes), MaxConns: h.limits.hostConns, MaxStreams: h.limits.hostStreams, OnClose: h.closeReporter(listenerPeer),
 	})
 	if err != nil {
 		return err
@@ -205,7 +205,7 @@
 		Objects: objects,
 		Now:     h.timer.Now, Live: h.liveHosts, Self: h.heartbeat, OperatorHash: h.settings.OperatorTokenHash,
 		NotReadyReason: h.notReadyReason, MaxWait: h.settings.Bounds.LongPoll.D(),
-		Budget: h.newPool(kindClient, h.limits.clientBytes), MaxPolls: h.limits.clientConns / 2, MaxAccountPolls: h.limits.clientConns / 4,
+		Budget: h.newPool(kindClient, listenerHTTP, h.limits.clientBytes), MaxPolls: h.limits.clientConns / 2, MaxAccountPolls: h.limits.clientConns / 4,
 	})
 	if err != nil {
 		return err
--- a/host/limits.go
+++ b/host/limits.go
@@ -64,12 +64,12 @@
 	listenerHTTP, listenerPeer = "HTTP", "Peer"
 )
 
-// newPool returns a budget for one kind of sender.
-func (h *Host) newPool(kind string, limit int64) *budget.Pool {
-	p := budget.New(budget.Config{Limit: limit, OnEvict: func(reason string) {
-		h.meter.ConnsClosed.WithLabelValues(kind, "Memory").Inc()
-		h.closed.report(kind, "Memory", reason)
-	}})
+// memoryReason is the reason for closing a connection for the bytes that it holds.
+const memoryReason = "Memory"
+
+// newPool returns a budget for one kind of sender, whose connections are those of a listener.
+func (h *Host) newPool(kind, listener string, limit int64) *budget.Pool {
+	p := budget.New(budget.Config{Limit: limit, OnEvict: func(string) { h.closeReporter(listener)(memoryReason) }})
 	h.meter.RegisterBytes(kind, p.Used, p.Limit)
 	return p
 }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -15,8 +15,10 @@
 	MaxAccounts   = 1000
 	MaxGuarantees = 64
 	MaxKinds      = 32
-	MaxRate       = 100000
-	MaxOpenJobs   = 100000
+	// maxFaults is how many faults of a manifest are reported, and those of one more account.
+	maxFaults   = 1000
+	MaxRate     = 100000
+	MaxOpenJobs = 100000
 )
 
 // Manifest holds the rules of one deployment. It is always adopted as a whole.
@@ -102,9 +104,16 @@
 	var l fault.List
 	l.CheckRange("Kinds", int64(len(m.Kinds)), 1, MaxKinds)
 	l.CheckRange("Accounts", int64(len(m.Accounts)), 1, MaxAccounts)
+	if len(m.Kinds) > MaxKinds || len(m.Accounts) > MaxAccounts {
+		// The faults of all elements would take hundreds of times the bytes of the manifest.
+		return l
+	}
 	l = append(l, m.checkKinds()...)
 	names, hashes := map[string]bool{}, map[string]bool{}
 	for i, a := range m.Accounts {
+		if len(l) >= maxFaults {
+			return l
+		}
 		p := fmt.Sprintf("Accounts[%d].", i)
 		l.Check(!names[a.Name], p+"Name", a.Name, "a name that no other account has")
 		l.Check(!hashes[a.TokenHash], p+"TokenHash", a.TokenHash, "a hash that no other account has")
@@ -137,6 +146,9 @@
 	l.Check(jobs.ValidName(a.Name), "Name", a.Name, jobs.NameRule)
 	l.Check(ValidHash(a.TokenHash), "TokenHash", a.TokenHash, HashRule)
 	l.CheckRange("Guarantees", int64(len(a.Guarantees)), 0, MaxGuarantees)
+	if len(a.Guarantees) > MaxGuarantees {
+		return l
+	}
 	for i, g := range a.Guarantees {
 		p := fmt.Sprintf("Guarantees[%d].", i)
 		l.Check(jobs.ValidName(g.DataCentre), p+"DataCentre", g.DataCentre, jobs.NameRule)
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -68,3 +68,17 @@
 		}
 	})
 }
+
+// TestManyFaults guards against lists of faults that take hundreds of times the memory of the
+// manifest.
+func TestManyFaults(t *testing.T) {
+	for _, x := range []struct{ accounts, guarantees, max int }{{70_000, 0, 1}, {MaxAccounts, MaxGuarantees, 2 * maxFaults}, {1, 70_000, 10}} {
+		m := Manifest{Kinds: []Kind{{Name: "k"}}}
+		for range x.accounts {
+			m.Accounts = append(m.Accounts, Account{Guarantees: make([]Guarantee, x.guarantees)})
+		}
+		if n := len(m.Check()); n == 0 || n > x.max {
+			t.Errorf("%d accounts with %d guarantees: %d faults, want 1 to %d", x.accounts, x.guarantees, n, x.max)
+		}
+	}
+}
