entry, peers, fault: Bound records read, long arrays and receive buffers

Trials with loads that the flood tests lack exceeded 128 MiB: records of jobs are read and decoded before they are charged, so as many as there are connections were in memory (154 MiB with 300 jobs of 240 KB, which also stay in memory for the decider); decoding an array of 60,000 accounts allocated five times its size (157 MiB with messages of other hosts). One record for 4 MiB of Memory is read at a time, an array of an input has at most 1024 elements, receive buffers of streams are charged at twice their contents, and revisions from other hosts are checked like those of operators.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -79,6 +79,8 @@
 	// MaxWait is the longest time that a caller may ask a long poll to wait. 0 means
 	// DefaultMaxWait.
 	MaxWait time.Duration
+	// MaxLoads is how many records of jobs are read at the same time. 0 means the default.
+	MaxLoads int
 	// Budget bounds the bytes of requests and responses. nil means one of DefaultBudget bytes.
 	Budget *budget.Pool
 	// MaxPolls is how many long polls may wait at the same time, MaxAccountPolls how many of one
@@ -86,6 +88,9 @@
 	MaxPolls, MaxAccountPolls int
 }
 
+// DefaultMaxLoads is the default of Config.MaxLoads: one for 4 MiB of the default memory.
+const DefaultMaxLoads = 128
+
 // Defaults of Config.MaxPolls and Config.MaxAccountPolls: a half and a quarter of the default
 // connections of callers.
 const (
@@ -108,7 +113,9 @@
 	openJobs limit.OpenJobs
 	// decoding limits the bodies, and listing the lists of jobs, that are in memory undecoded.
 	decoding, listing chan struct{}
-	polls             polls
+	// loading limits the records of jobs that are read at the same time.
+	loading chan struct{}
+	polls   polls
 	// wg, ctx and cancel belong to the goroutines that outlive their request.
 	wg     sync.WaitGroup
 	ctx    context.Context
@@ -135,8 +142,11 @@
 	if c.MaxAccountPolls == 0 {
 		c.MaxAccountPolls = DefaultMaxAccountPolls
 	}
+	if c.MaxLoads == 0 {
+		c.MaxLoads = DefaultMaxLoads
+	}
 	s := &Server{
-		config: c, limiter: limit.New(), pollsEnded: make(chan struct{}), decoding: make(chan struct{}, decodersAtOnce), listing: make(chan struct{}, listsAtOnce),
+		config: c, loading: make(chan struct{}, c.MaxLoads), limiter: limit.New(), pollsEnded: make(chan struct{}), decoding: make(chan struct{}, decodersAtOnce), listing: make(chan struct{}, listsAtOnce),
 		polls: polls{accounts: map[string]int{}},
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -13,6 +13,7 @@
 
 	"citronbridge/fault"
 	"citronbridge/jobs"
+	"citronbridge/ledger"
 	"citronbridge/reply"
 	"citronbridge/views"
 )
@@ -31,7 +32,7 @@
 // loadJob reads the record of a job. If there is none, or the table service fails, it answers with
 // the error and returns nil.
 func (s *Server) loadJob(w http.ResponseWriter, r *http.Request, k jobs.Key) *jobs.Record {
-	e, err := s.config.Records.Load(r.Context(), k)
+	e, err := s.load(r.Context(), k)
 	switch {
 	case err != nil:
 		reply.Unavailable(w, "the table service is not available")
@@ -43,6 +44,18 @@
 	return nil
 }
 
+// load reads the record of a job. A record may have hundreds of KiB, and isn't charged while it is
+// read and decoded, so only some are read at the same time.
+func (s *Server) load(ctx context.Context, k jobs.Key) (ledger.Entry, error) {
+	select {
+	case s.loading <- struct{}{}:
+		defer func() { <-s.loading }()
+	case <-ctx.Done():
+		return ledger.Entry{}, ctx.Err()
+	}
+	return s.config.Records.Load(ctx, k)
+}
+
 // current returns the decider's copy of the record of an unfinished job, which can be newer than
 // the stored one. It returns rec if the job has finished or the decider can't be reached.
 func (s *Server) current(ctx context.Context, rec *jobs.Record) *jobs.Record {
@@ -166,7 +179,7 @@
 	}
 	if err := s.config.Deciders.Cancel(r.Context(), rec.Cell, k); err != nil {
 		// The decider drops jobs that have ended, so the job may have ended since it was read.
-		if e, loadErr := s.config.Records.Load(r.Context(), k); loadErr == nil && e.Record != nil && e.Record.Final() {
+		if e, loadErr := s.load(r.Context(), k); loadErr == nil && e.Record != nil && e.Record.Final() {
 			reply.JSON(w, http.StatusOK, statusOf(e.Record))
 			return
 		}
@@ -276,7 +289,7 @@
 		if err == nil && n.Final() {
 			return n
 		}
-		e, err := s.config.Records.Load(ctx, rec.Spec.Key())
+		e, err := s.load(ctx, rec.Spec.Key())
 		if err == nil && e.Record != nil {
 			rec = e.Record
 		}
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -140,7 +140,7 @@
 // gets the usual answer, since it adds no job. Others get p, with the outcome NotRun if it is
 // certain that the job isn't recorded.
 func (s *Server) answerOverLimit(w http.ResponseWriter, r *http.Request, spec *jobs.Spec, p *reply.Problem) {
-	e, err := s.config.Records.Load(r.Context(), spec.Key())
+	e, err := s.load(r.Context(), spec.Key())
 	if err == nil && e.Record != nil {
 		s.answerDuplicate(w, spec, e.Record)
 		return
--- a/fault/json.go
+++ b/fault/json.go
@@ -30,15 +30,19 @@
 	return UnmarshalJSON(b, v)
 }
 
-// maxElements is the most elements of all arrays of an input together. A manifest has at most
-// 65,032: 1,000 accounts, 64 guarantees of each, and 32 kinds.
-const maxElements = 70_000
+// Limits of the elements of arrays in an input. A manifest has at most 1,000 accounts, 64 guarantees
+// of each, and 32 kinds, in total 65,032 elements; a submission has 64 arguments. Decoding a long
+// array allocates five times its size while the array grows.
+const (
+	maxElements = 70_000
+	maxLength   = 1024
+)
 
-// UnmarshalJSON decodes the JSON value b into v as ReadJSON does. An input with more than
-// maxElements elements isn't decoded, since an element of 3 bytes can take 100 bytes in memory.
+// UnmarshalJSON decodes the JSON value b into v as ReadJSON does. An input that
+// CheckElements refuses isn't decoded, since an element of 3 bytes can take 100 bytes in memory.
 func UnmarshalJSON(b []byte, v any) error {
-	if countElements(b) > maxElements {
-		return List{{Field: "body", Value: "too many elements", Allowed: fmt.Sprintf("at most %d elements of arrays", maxElements)}}
+	if err := CheckElements(b); err != nil {
+		return err
 	}
 	d := json.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
@@ -51,11 +55,21 @@
 	return nil
 }
 
-// countElements returns the number of elements of all arrays in b, or more if b isn't valid JSON.
-func countElements(b []byte) int {
-	n, quoted := 0, false
-	// arrays says for each open array or object whether it is an array.
-	var arrays []bool
+// CheckElements returns an error if the JSON value b has more than maxElements elements, or an array
+// with more than maxLength.
+func CheckElements(b []byte) error {
+	if n, longest := countElements(b); n > maxElements || longest > maxLength {
+		return List{{Field: "body", Value: "too many elements", Allowed: fmt.Sprintf("at most %d elements in an array and %d in all", maxLength, maxElements)}}
+	}
+	return nil
+}
+
+// countElements returns the number of elements of all arrays in b, and the length of the longest
+// array. It may return more if an array is empty or b isn't valid JSON.
+func countElements(b []byte) (total, longest int) {
+	quoted := false
+	// open holds the length of each open array, and -1 for an object.
+	var open []int
 	for i := 0; i < len(b); i++ {
 		switch c := b[i]; {
 		case quoted && c == '\\':
@@ -63,20 +77,30 @@
 		case c == '"':
 			quoted = !quoted
 		case quoted:
-		case c == '[' || c == '{':
-			arrays = append(arrays, c == '[')
-			if c == '[' {
-				n++
-			}
-		case (c == ']' || c == '}') && len(arrays) > 0:
-			arrays = arrays[:len(arrays)-1]
-		case c == ',' && len(arrays) > 0 && arrays[len(arrays)-1]:
-			n++
+		case c == '{':
+			open = append(open, -1)
+		case c == '[':
+			open = append(open, 1)
+			total++
+			longest = max(longest, 1)
+		case (c == ']' || c == '}') && len(open) > 0:
+			open = open[:len(open)-1]
+		case c == ',' && len(open) > 0 && open[len(open)-1] > 0:
+			open[len(open)-1]++
+			total++
+			longest = max(longest, open[len(open)-1])
+		}
+		if len(open) > maxDepth {
+			// The decoder refuses it, and counting it would take more memory than b.
+			return total, longest
 		}
 	}
-	return n
+	return total, longest
 }
 
+// maxDepth is the nesting beyond which package json refuses an input.
+const maxDepth = 10_000
+
 // faultFromJSONError converts a decoding error that concerns a field into a List
 // that names the field, and wraps any other error.
 func faultFromJSONError(err error) error {
--- a/fault/json_test.go
+++ b/fault/json_test.go
@@ -8,21 +8,25 @@
 // TestElementLimit guards against inputs whose elements take many times their bytes when decoded.
 // Commas in strings and between the fields of an object don't count.
 func TestElementLimit(t *testing.T) {
+	array := func(n int, element string) string { return "[" + strings.Repeat(element+",", n-1) + element + "]" }
 	for _, x := range []struct {
-		name, body string
-		elements   int
-		refused    bool
+		name, body     string
+		total, longest int
+		refused        bool
 	}{
-		{"scalar", `1`, 0, false},
-		{"object", `[{"A":1,"B":2},{"A":1}]`, 2, false},
-		{"strings", `["a,b","\",[","c"]`, 3, false},
-		{"nested", `[[1,2],[3]]`, 5, false},
-		{"unbalanced", `]}],`, 0, true},
-		{"as many as allowed", "[" + strings.Repeat("{},", maxElements-1) + "{}]", maxElements, false},
-		{"one more", "[" + strings.Repeat("{},", maxElements) + "{}]", maxElements + 1, true},
+		{"scalar", `1`, 0, 0, false},
+		{"object", `[{"A":1,"B":2},{"A":1}]`, 2, 2, false},
+		{"strings", `["a,b","\",[","c"]`, 3, 3, false},
+		{"nested", `[[1,2,3],[3]]`, 6, 3, false},
+		{"unbalanced", `]}],`, 0, 0, true},
+		{"too deep", strings.Repeat("[", 1<<20), maxDepth + 1, 1, true},
+		{"longest", array(maxLength, "{}"), maxLength, maxLength, false},
+		{"too long", array(maxLength+1, "{}"), maxLength + 1, maxLength + 1, true},
+		{"most", array(68, array(1000, "1")), 68_068, 1000, false},
+		{"too many", array(70, array(1000, "1")), 70_070, 1000, true},
 	} {
-		if n := countElements([]byte(x.body)); n != x.elements {
-			t.Errorf("%s: %d elements, want %d", x.name, n, x.elements)
+		if n, l := countElements([]byte(x.body)); n != x.total || l != x.longest {
+			t.Errorf("%s: %d elements, longest %d; want %d and %d", x.name, n, l, x.total, x.longest)
 		}
 		var v any
 		if err := UnmarshalJSON([]byte(x.body), &v); (err != nil) != x.refused {
--- a/host/host.go
+++ b/host/host.go
@@ -205,7 +205,7 @@
 		Objects: objects,
 		Now:     h.timer.Now, Live: h.liveHosts, Self: h.heartbeat, OperatorHash: h.settings.OperatorTokenHash,
 		NotReadyReason: h.notReadyReason, MaxWait: h.settings.Bounds.LongPoll.D(),
-		Budget: h.newPool(kindClient, listenerHTTP, h.limits.clientBytes), MaxPolls: h.limits.clientConns / 2, MaxAccountPolls: h.limits.clientConns / 4,
+		Budget: h.newPool(kindClient, listenerHTTP, h.limits.clientBytes), MaxPolls: h.limits.clientConns / 2, MaxAccountPolls: h.limits.clientConns / 4, MaxLoads: h.limits.loads,
 	})
 	if err != nil {
 		return err
--- a/host/limits.go
+++ b/host/limits.go
@@ -33,6 +33,9 @@
 	connBytes, connMemoryShare = 48 << 10, 4
 	// streamBytes of the memory allow for one stream of another host, which takes a tenth of it.
 	streamBytes = 256 << 10
+	// loadBytes of the memory allow for one record of a job that is being read, which takes up to
+	// 1 MiB with what it is decoded from.
+	loadBytes = 4 << 20
 	// maxHostConns is the most connections of other hosts. The largest deployment has 97 hosts.
 	maxHostConns = 128
 	// responseTimeout is how long a caller may take to read a response.
@@ -43,7 +46,7 @@
 type limits struct {
 	clientBytes, hostBytes int64
 	clientConns, hostConns int
-	hostStreams            int
+	hostStreams, loads     int
 }
 
 // newLimits returns the limits for a process with the memory and descriptors of c.
@@ -55,6 +58,7 @@
 		clientConns: int(min(int64(c.Descriptors/clientDescriptorShare), m/connMemoryShare/connBytes)),
 		hostConns:   min(c.Descriptors/hostDescriptorShare, maxHostConns),
 		hostStreams: int(m / streamBytes),
+		loads:       int(m / loadBytes),
 	}
 }
 
--- a/host/limits_test.go
+++ b/host/limits_test.go
@@ -14,10 +14,10 @@
 		settings config.Limits
 		want     limits
 	}{
-		{config.Limits{Memory: 64 << 20, Descriptors: 256}, limits{20 << 20, 18 << 20, 64, 32, 256}},
-		{config.Limits{Memory: 128 << 20, Descriptors: 1024}, limits{20 << 20, 18 << 20, 256, 128, 512}},
-		{config.Limits{Memory: 128 << 20, Descriptors: 4096}, limits{20 << 20, 18 << 20, 682, 128, 512}},
-		{config.Defaults().Limits, limits{64 << 20, 32 << 20, 1024, 128, 2048}},
+		{config.Limits{Memory: 64 << 20, Descriptors: 256}, limits{20 << 20, 18 << 20, 64, 32, 256, 16}},
+		{config.Limits{Memory: 128 << 20, Descriptors: 1024}, limits{20 << 20, 18 << 20, 256, 128, 512, 32}},
+		{config.Limits{Memory: 128 << 20, Descriptors: 4096}, limits{20 << 20, 18 << 20, 682, 128, 512, 32}},
+		{config.Defaults().Limits, limits{64 << 20, 32 << 20, 1024, 128, 2048, 128}},
 	} {
 		if l := newLimits(x.settings); l != x.want {
 			t.Errorf("%v: %+v, want %+v", x.settings, l, x.want)
--- a/peers/inbound.go
+++ b/peers/inbound.go
@@ -16,8 +16,9 @@
 	// maxStreams is how many streams one connection may have open. A long poll that waits for a
 	// job of another host's cell holds one for up to Bounds.LongPoll. See also maxCalls.
 	maxStreams = 512
-	// maxLargeCalls is how many requests with large responses are handled at the same time.
-	maxLargeCalls = 4
+	// maxLargeCalls is how many requests with large bodies or responses are handled at the same
+	// time. The manifest of a request may take 16 MiB while it is decoded.
+	maxLargeCalls = 2
 	// identifyTimeout is how long a connection may go without a valid heartbeat. A host sends
 	// its first one at once.
 	identifyTimeout = 5 * time.Second
--- a/peers/serve.go
+++ b/peers/serve.go
@@ -302,7 +302,8 @@
 }
 
 // handle serves a request and returns the encoded response, which is charged to l. Only a few
-// requests whose responses may be large are handled at the same time, until these are charged.
+// requests that may be large, or whose responses may be, are handled at the same time, until the
+// responses are charged.
 func (m *Mesh) handle(ctx context.Context, l *budget.Lease, q *wire.Request) ([]byte, error) {
 	switch q.Body.(type) {
 	case *wire.Request_Rules, *wire.Request_Targets, *wire.Request_Accounts:
--- a/peers/window.go
+++ b/peers/window.go
@@ -29,6 +29,9 @@
 	// freeUnread is not charged to the budget, so that heartbeats and ordinary calls, of a few
 	// hundred bytes each, don't depend on it.
 	freeUnread = 16 << 10
+	// bufferGrowth is how much larger than its contents a receive buffer may be, as it grows by
+	// doubling.
+	bufferGrowth = 2
 	// maxUnread closes the connection. A stream may hold 256 KiB, its receive window, so only
 	// several messages that arrive at once and aren't read could reach this.
 	maxUnread = 2 << 20
@@ -182,7 +185,7 @@
 
 // charge charges what is held beyond freeUnread to the budget. The caller holds c.mu.
 func (c *meteredConn) charge() error {
-	change := max(c.held-freeUnread, 0) - c.charged
+	change := max(bufferGrowth*c.held-freeUnread, 0) - c.charged
 	if change == 0 || c.done {
 		return nil
 	}
--- a/peers/window_test.go
+++ b/peers/window_test.go
@@ -43,10 +43,10 @@
 		streams int
 		err     error
 	}{
-		{"small call", append(open(1), append(frameOf(frameData, 0, 1, 300), make([]byte, 300)...)...), 0, 1, nil},
-		{"announced only", append(open(1), frameOf(frameData, 0, 1, 256<<10)...), 256<<10 - freeUnread, 1, nil},
+		{"small call", slices.Concat(open(1), frameOf(frameData, 0, 1, 300), make([]byte, 300)), 0, 1, nil},
+		{"announced only", append(open(1), frameOf(frameData, 0, 1, 256<<10)...), bufferGrowth*256<<10 - freeUnread, 1, nil},
 		{"data of an unknown stream", frameOf(frameData, 0, 7, 256<<10), 0, 0, nil},
-		{"beyond the budget", slices.Concat(open(1), frameOf(frameData, 0, 1, limit+freeUnread+1)), 0, 1, budget.ErrExhausted},
+		{"beyond the budget", slices.Concat(open(1), frameOf(frameData, 0, 1, (limit+freeUnread)/bufferGrowth+1)), 0, 1, budget.ErrExhausted},
 		{"beyond the connection", slices.Concat(open(1), frameOf(frameData, 0, 1, maxUnread+1)), 0, 1, errUnread},
 		{"too many streams", open(4), 0, 3, errStreamLimit},
 		{"ping", frameOf(framePing, syn, 0, 1), 0, 0, errPing},
--- a/rules/store.go
+++ b/rules/store.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 
+	"citronbridge/fault"
 	"citronbridge/table"
 )
 
@@ -57,6 +58,9 @@
 // DecodeRevision decodes a revision and returns an error if it has faults.
 func DecodeRevision(b []byte) (*Revision, error) {
 	var r Revision
+	if err := fault.CheckElements(b); err != nil {
+		return nil, fmt.Errorf("decode revision: %w", err)
+	}
 	if err := json.Unmarshal(b, &r); err != nil {
 		return nil, fmt.Errorf("decode revision: %w", err)
 	}
