entry: Deadlines and unread bodies by conns, submissions are held once decoded

A request whose body is decoded is no longer selected to give way, since it may be recorded already when its connection is closed, and its caller would get no response.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -189,7 +189,7 @@
 	m.HandleFunc("/metrics", s.metrics, http.MethodGet)
 	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { reply.JSON(w, http.StatusOK, Health{State: "Live"}) }, http.MethodGet)
 	m.HandleFunc("/readyz", s.ready, http.MethodGet)
-	return s.guarded(m)
+	return guarded(m)
 }
 
 // metrics serves /metrics. The response is charged like that of any caller.
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -21,6 +20,9 @@
 const (
 	// DefaultBudget is the default of Config.Budget in bytes: an eighth of the default memory.
 	DefaultBudget = 64 << 20
+	// bodyTime is how long a body may take to arrive. The largest one, of 4 MiB, needs a link of
+	// 2.2 Mbit/s for it.
+	bodyTime = 15 * time.Second
 	// decodersAtOnce is how many bodies are decoded at the same time, which may take several
 	// times their bytes.
 	decodersAtOnce = 2
@@ -40,29 +42,22 @@
 )
 
 // response is the http.ResponseWriter of every handler of a Server. It charges what the request
-// holds to the budget, and closes the connection after a response that leaves a body unread, as
-// net/http would read the rest of it otherwise.
+// holds to the budget.
 type response struct {
 	http.ResponseWriter
 	request *http.Request
 	lease   *budget.Lease
-	// bodyEnded is set once the body has been read to its end.
-	bodyEnded   bool
-	wroteHeader bool
 }
 
 var _ reply.Charger = (*response)(nil)
 
 // guarded returns a handler that serves each request of h with a *response.
-func (s *Server) guarded(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		v := &response{ResponseWriter: w, request: r, bodyEnded: r.Body == nil || r.Body == http.NoBody}
-		if !v.bodyEnded {
-			r.Body = &watchedBody{r.Body, v}
-		}
+func guarded(h http.Handler) http.Handler {
+	return conns.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		v := &response{ResponseWriter: w, request: r}
 		defer v.end()
 		h.ServeHTTP(v, r)
-	})
+	}), bodyTime)
 }
 
 // openLease gives w a lease whose key is the client account, or empty if there is none.
@@ -99,51 +94,11 @@
 // Unwrap is for http.ResponseController.
 func (v *response) Unwrap() http.ResponseWriter { return v.ResponseWriter }
 
-// WriteHeader implements http.ResponseWriter.
-func (v *response) WriteHeader(status int) {
-	if !v.wroteHeader && !v.bodyEnded {
-		v.Header().Set("Connection", "close")
-	}
-	v.wroteHeader = true
-	v.ResponseWriter.WriteHeader(status)
-}
-
-// Write implements http.ResponseWriter.
-func (v *response) Write(b []byte) (int, error) {
-	if !v.wroteHeader {
-		v.WriteHeader(http.StatusOK)
-	}
-	return v.ResponseWriter.Write(b)
-}
-
-// end releases what the request holds, and keeps net/http from reading the rest of its body.
+// end releases what the request holds.
 func (v *response) end() {
 	if v.lease != nil {
 		v.lease.Close()
 	}
-	if v.bodyEnded {
-		return
-	}
-	if !v.wroteHeader {
-		v.Header().Set("Connection", "close")
-	}
-	// Without support for deadlines there is no connection either.
-	http.NewResponseController(v.ResponseWriter).SetReadDeadline(time.Unix(1, 0))
-}
-
-// watchedBody notices when the body of a request ends.
-type watchedBody struct {
-	io.ReadCloser
-	response *response
-}
-
-// Read implements io.Reader.
-func (b *watchedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		b.response.bodyEnded = true
-	}
-	return n, err
 }
 
 // readJSON reads the body of a request, of at most limit bytes, and decodes it into v. The bytes
@@ -167,7 +122,11 @@
 	case <-r.Context().Done():
 		return r.Context().Err()
 	}
-	return fault.UnmarshalJSON(b, v)
+	if err := fault.UnmarshalJSON(b, v); err != nil {
+		return err
+	}
+	// From here on the request changes something, so its caller is to get the response.
+	return l.Hold()
 }
 
 // refuseBody answers a request whose body can't be read or is invalid. Nothing was recorded.
--- a/host/host.go
+++ b/host/host.go
@@ -211,7 +211,7 @@
 		return err
 	}
 	h.httpServer = &http.Server{
-		Handler: conns.Handler(h.api.Handler()), ConnContext: h.httpConns.ConnContext, ConnState: h.httpConns.ConnState,
+		Handler: h.api.Handler(), ConnContext: h.httpConns.ConnContext, ConnState: h.httpConns.ConnState,
 		ErrorLog: log.New(serverLog{newCloseLog(h.log, "errors of the HTTP server")}, "", 0), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, WriteTimeout: h.settings.Bounds.LongPoll.D() + readTimeout,
 	}
