peers, entry: Reasons for connections closed for their streams and bytes, test of answers

Connections between hosts that were closed for pings, streams or unread bytes were neither counted nor logged. A new test checks that an answer without room isn't read from the object store and that its room is returned.

--- a/entry/guard_test.go
+++ b/entry/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -127,3 +128,40 @@
 		}
 	}
 }
+
+// countedObjects has an object of 3 MiB under each name, and counts the reads.
+type countedObjects struct{ reads int }
+
+var bigOutput = make([]byte, 3<<20)
+
+func (o *countedObjects) Get(context.Context, string) ([]byte, error) {
+	o.reads++
+	return bigOutput, nil
+}
+
+// TestAnswerBudget guards against outputs that are read from the object store without room for
+// them, and against room that is kept after the response.
+func TestAnswerBudget(t *testing.T) {
+	s, f := newServer(t)
+	o := &countedObjects{}
+	s.config.Objects = o
+	s.config.Budget = budget.New(budget.Config{Limit: 4 << 20})
+	r := &jobs.Record{Spec: jobs.Spec{ID: "a", Account: "one"}, State: jobs.Finished, Outcome: jobs.Done}
+	for i := range 2 {
+		r.Answer = append(r.Answer, jobs.Part{Member: i, Length: int64(len(bigOutput)), Checksum: jobs.Checksum(bigOutput), Object: "o"})
+	}
+	f.rows[r.Spec.Key()] = r
+	for _, x := range []struct {
+		path          string
+		status, reads int
+	}{
+		{"/v1/jobs/a/answer", http.StatusServiceUnavailable, 0},
+		{"/v1/jobs/a/answer?Member=1", http.StatusOK, 1},
+		{"/v1/jobs/a/answer?Member=0", http.StatusOK, 2},
+	} {
+		w := send(s, "one-token", "GET", x.path, "")
+		if w.Code != x.status || o.reads != x.reads || s.config.Budget.Used() != 0 {
+			t.Errorf("%s: status %d, %d reads, %d bytes stay charged; want %d, %d and 0", x.path, w.Code, o.reads, s.config.Budget.Used(), x.status, x.reads)
+		}
+	}
+}
--- a/peers/inbound.go
+++ b/peers/inbound.go
@@ -39,6 +39,12 @@
 	Silent = "Silent"
 	// Refused connections were closed when they arrived, as those of other hosts reach the limit.
 	Refused = "Refused"
+	// Streams connections opened too many streams, or had the most when all had too many.
+	Streams = "Streams"
+	// Unread connections sent more than the host reads or has memory for.
+	Unread = "Unread"
+	// Ping connections sent a ping frame.
+	Ping = "Ping"
 )
 
 // inbound is a connection that another host has opened. Its host is only known once a valid
@@ -159,6 +165,8 @@
 		// Its streams are returned when serveConn notices.
 		delete(m.inbound, v)
 		abort(v.conn)
+		// The caller holds locks.
+		go m.reportClose(Streams)
 	}
 	m.streams++
 	i.streams++
@@ -176,7 +184,7 @@
 // meter returns c with the limits of the Mesh. Only an inbound connection, i, may have streams that
 // the other host opens; i is nil for others.
 func (m *Mesh) meter(c net.Conn, i *inbound) *meteredConn {
-	x := meteredConfig{pool: m.config.Budget, evict: func() { abort(c) }, closeTimeout: m.config.Timeout}
+	x := meteredConfig{pool: m.config.Budget, evict: func() { abort(c) }, onLimit: m.reportClose, closeTimeout: m.config.Timeout}
 	if i != nil {
 		x.maxStreams = maxStreams
 		x.openStream = func() bool { return m.openStream(i) }
--- a/peers/window.go
+++ b/peers/window.go
@@ -44,6 +44,17 @@
 	errUnread      = errors.New("peers: too many unread bytes")
 )
 
+// reasonOf returns the reason that Config.OnClose gets for an error of scan.
+func reasonOf(err error) string {
+	switch {
+	case errors.Is(err, errPing):
+		return Ping
+	case errors.Is(err, errStreamLimit):
+		return Streams
+	}
+	return Unread
+}
+
 // stream is what a connection holds for one stream.
 type stream struct {
 	// remote is set if the other host has opened the stream, and closed once it has closed it.
@@ -94,6 +105,8 @@
 	maxStreams   int
 	openStream   func() bool
 	closeStreams func(n int)
+	// onLimit is called with the reason if the connection is closed for what it has received.
+	onLimit func(reason string)
 	// closeTimeout is when yamux drops a stream that only this host has closed.
 	closeTimeout time.Duration
 }
@@ -108,6 +121,7 @@
 func (c *meteredConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if e := c.scan(b[:n]); e != nil {
+		c.config.onLimit(reasonOf(e))
 		return 0, e
 	}
 	return n, err
--- a/peers/window_test.go
+++ b/peers/window_test.go
@@ -57,7 +57,7 @@
 			a, b := net.Pipe()
 			defer a.Close()
 			defer b.Close()
-			c := newMeteredConn(a, meteredConfig{pool: p, evict: func() {}, maxStreams: 3, closeTimeout: time.Minute,
+			c := newMeteredConn(a, meteredConfig{pool: p, evict: func() {}, onLimit: func(string) {}, maxStreams: 3, closeTimeout: time.Minute,
 				openStream: func() bool { streams++; return true }, closeStreams: func(n int) { streams -= n }})
 			var err error
 			for l := range slices.Chunk(x.frames, piece) {
