host: At most 100 lines in a header of a caller, with and without TLS

A header of 16 KiB may have 4,000 lines, of which each takes some 120 bytes besides its text. Without TLS the listener of package conns counts the lines, with TLS a second one above the decryption, since the bytes below it are not those of the header.

--- a/host/host.go
+++ b/host/host.go
@@ -64,8 +64,11 @@
 	peerListener  net.Listener
 	// httpConns is the listener for callers below TLS, which limits their connections.
 	httpConns *conns.Listener
-	limits    limits
-	closed    *closeLog
+	// tlsConns is the listener for callers above TLS, which limits header lines. It is nil without
+	// TLS.
+	tlsConns *conns.Listener
+	limits   limits
+	closed   *closeLog
 
 	// manifestPolled is true once the table service has answered a read of the
 	// manifest, even if it stores none yet.
@@ -125,7 +128,7 @@
 	if h.certs, err = certs.Load(h.settings.TLS); err != nil {
 		return err
 	}
-	h.httpListener = tls.NewListener(h.httpListener, h.certs.ServerConfig())
+	h.httpListener = h.limitHeaders(tls.NewListener(h.httpListener, h.certs.ServerConfig()))
 	h.peerListener = tls.NewListener(h.peerListener, h.certs.PeerServerConfig())
 	return nil
 }
@@ -211,7 +214,7 @@
 		return err
 	}
 	h.httpServer = &http.Server{
-		Handler: h.api.Handler(), ConnContext: h.httpConns.ConnContext, ConnState: h.httpConns.ConnState,
+		Handler: h.api.Handler(), ConnContext: h.connContext, ConnState: h.trackState,
 		ErrorLog: log.New(serverLog{newCloseLog(h.log, "errors of the HTTP server")}, "", 0), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, WriteTimeout: h.settings.Bounds.LongPoll.D() + readTimeout,
 	}
--- a/host/limits.go
+++ b/host/limits.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
+	"math"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -38,6 +41,9 @@
 	loadBytes = 4 << 20
 	// maxHostConns is the most connections of other hosts. The largest deployment has 97 hosts.
 	maxHostConns = 128
+	// maxHeaderLines limits the lines of a header, of which each takes some 120 bytes besides its
+	// text. It is the limit that Apache's server has by default.
+	maxHeaderLines = 100
 	// responseTimeout is how long a caller may take to read a response.
 	responseTimeout = 10 * time.Second
 )
@@ -78,13 +84,46 @@
 	return p
 }
 
-// limitHTTP returns l with the limit of connections of callers.
+// limitHTTP returns l with the limits of connections of callers.
 func (h *Host) limitHTTP(l net.Listener) net.Listener {
-	h.httpConns = conns.Listen(l, conns.Config{Limit: h.limits.clientConns, WriteTimeout: responseTimeout, OnClose: h.closeReporter(listenerHTTP)})
+	c := conns.Config{Limit: h.limits.clientConns, WriteTimeout: responseTimeout, OnClose: h.closeReporter(listenerHTTP)}
+	if !h.settings.TLSEnabled() {
+		c.MaxHeaderLines = maxHeaderLines
+	}
+	h.httpConns = conns.Listen(l, c)
 	h.meter.RegisterConnections(listenerHTTP, h.httpConns.Open, h.httpConns.Limit)
 	return h.httpConns
 }
 
+// limitHeaders returns l, whose connections are encrypted, with the limit of header lines. Below
+// TLS they can't be counted.
+func (h *Host) limitHeaders(l net.Listener) net.Listener {
+	h.tlsConns = conns.Listen(l, conns.Config{Limit: math.MaxInt, MaxHeaderLines: maxHeaderLines, OnClose: h.closeReporter(listenerHTTP)})
+	return h.tlsConns
+}
+
+// belowTLS returns the connection that httpConns tracks, or a wrapper of it, for a connection of
+// the HTTP server.
+func (h *Host) belowTLS(n net.Conn) net.Conn {
+	if c, ok := n.(*conns.Conn); ok && h.tlsConns != nil {
+		return c.Conn
+	}
+	return n
+}
+
+// trackState is the ConnState of the HTTP server.
+func (h *Host) trackState(n net.Conn, s http.ConnState) {
+	h.httpConns.ConnState(h.belowTLS(n), s)
+	if h.tlsConns != nil {
+		h.tlsConns.ConnState(n, s)
+	}
+}
+
+// connContext is the ConnContext of the HTTP server.
+func (h *Host) connContext(ctx context.Context, n net.Conn) context.Context {
+	return h.httpConns.ConnContext(ctx, h.belowTLS(n))
+}
+
 // closeReporter returns a function that reports a connection that a listener has closed.
 func (h *Host) closeReporter(listener string) func(reason string) {
 	return func(reason string) {
