--- a/assign/assign.go
+++ b/assign/assign.go
@@ -34,7 +34,9 @@
 	// run failed, take no tasks of units that have failed before, as these may be at their
 	// last attempt.
 	Probation, Failing bool
-	Runs               []*Run
+	// Speed is relative to a typical worker, 0 if it isn't known.
+	Speed float64
+	Runs  []*Run
 
 	// reserved is the capacity kept for blocked units that come first in order.
 	reserved work.Amounts
@@ -110,7 +112,12 @@
 	// SingleRackWait, if positive, limits how long a gang that is slow on several
 	// racks waits for a single rack that could hold it.
 	SingleRackWait time.Duration
+	// NeededSpeed is the speed of a worker at which a task started now ends in time for its job,
+	// 0 if that is unknown or can't be reached.
+	NeededSpeed float64
 
+	// minSpeed is the speed of the slowest worker that is tried now.
+	minSpeed float64
 	// waives is what the unit currently doesn't wait for.
 	waives waiver
 	// ignoresProbation is set if too few workers aren't on probation.
@@ -161,6 +168,8 @@
 	// isn't closed, reserved capacity included. An entry stays valid for the whole plan, as
 	// free capacity only shrinks while a plan is made.
 	unplaceable map[work.Amounts]bool
+	// unequal reports whether any worker is known to be faster or slower than others.
+	unequal bool
 	// probation reports whether any worker is on probation.
 	probation bool
 }
@@ -172,6 +181,7 @@
 	byRack := map[string]int{}
 	for _, w := range workers {
 		p.probation = p.probation || w.Probation
+		p.unequal = p.unequal || w.speedClass() != 0
 		for _, r := range w.Runs {
 			r.worker = w
 		}
@@ -236,7 +246,7 @@
 // now.
 func (u *Unit) eligible(w *Worker) bool {
 	switch {
-	case u.AllowedWorkers != nil && !u.AllowedWorkers[w.ID]:
+	case u.AllowedWorkers != nil && !u.AllowedWorkers[w.ID], w.speed() < u.minSpeed:
 		return false
 	case u.waives >= waiveWorker:
 		return u.Fits(w)
@@ -449,6 +459,9 @@
 		if x, y := u.doubt(a), u.doubt(b); x != y {
 			return x - y
 		}
+		if x, y := u.speedOrder(a), u.speedOrder(b); x != y {
+			return x - y
+		}
 		if a.Free.Accelerators != b.Free.Accelerators {
 			return int(a.Free.Accelerators - b.Free.Accelerators)
 		}
--- a/assign/gang.go
+++ b/assign/gang.go
@@ -8,6 +8,9 @@
 
 // placeGang places all tasks of a gang, or none and preempts or reserves for it.
 func (p *planner) placeGang(u *Unit) {
+	if p.tryFastGang(u) {
+		return
+	}
 	for _, v := range u.waivers() {
 		u.waives = v
 		done := p.tryGang(u)
--- a/demand/units.go
+++ b/demand/units.go
@@ -74,6 +74,7 @@
 	}
 	u.Waited = p.Now.Steady - waitingSince
 	u.Overdue = overdue(p, st)
+	u.NeededSpeed = neededSpeed(p.Now, st)
 	if st.Job.Queue.Advice {
 		u.AllowedWorkers = workersWithTicket(p, st)
 	}
@@ -97,21 +98,48 @@
 	}
 }
 
+// Parameters of neededSpeed.
+const (
+	// startOverhead is how long it takes until a task that is placed now is at work, and until its
+	// end is known.
+	startOverhead = 250 * time.Millisecond
+	// estimateMargin covers estimates that are too low and members of a gang with more work than
+	// the others.
+	estimateMargin = 1.15
+)
+
+// neededSpeed returns the speed of a worker, relative to a typical one, at which a task of the step
+// that is started now ends in time for its job. It returns 0 if the step has no estimate, or if its
+// time is over.
+func neededSpeed(now event.Clock, st *track.Step) float64 {
+	from, aim := objective(st)
+	left := from + aim - time.Duration(now.Wall)*time.Millisecond - startOverhead
+	if left <= 0 || st.Spec.LongRunning {
+		return 0
+	}
+	return estimateMargin * st.Spec.Estimate.Seconds() / left.Seconds()
+}
+
 // lateFactor is how many times as long as it should take a job may take and still be of use.
 const lateFactor = 3
 
-// rank orders the steps of one priority by the time at which their job should be done. It
-// answers bursts of several times what the pool carries: work that can't be done in time any
-// more ranks by the time up to which it is still of use, so that it doesn't make late what
-// can be in time, and behind all other work once that can't be reached either.
-func rank(now event.Clock, st *track.Step) time.Duration {
+// objective returns when the job of a step was accepted, or its occurrence due, in Unix time, and
+// how long it should take from then on.
+func objective(st *track.Step) (from, aim time.Duration) {
 	j := st.Job
 	accepted := j.Spec.Accepted
 	if j.Spec.Times > 0 {
 		accepted = j.Spec.Due(st.Occurrence)
 	}
-	from := time.Duration(accepted) * time.Millisecond
-	aim := time.Duration(j.Queue.Stretch*float64(j.Spec.CriticalPath())) + j.Queue.Slack
+	return time.Duration(accepted) * time.Millisecond, time.Duration(j.Queue.Stretch*float64(j.Spec.CriticalPath())) + j.Queue.Slack
+}
+
+// rank orders the steps of one priority by the time at which their job should be done. It
+// answers bursts of several times what the pool carries: work that can't be done in time any
+// more ranks by the time up to which it is still of use, so that it doesn't make late what
+// can be in time, and behind all other work once that can't be reached either.
+func rank(now event.Clock, st *track.Step) time.Duration {
+	from, aim := objective(st)
 	end := time.Duration(now.Wall)*time.Millisecond + st.Spec.Estimate
 	switch {
 	case end <= from+aim:
--- a/demand/workers.go
+++ b/demand/workers.go
@@ -18,6 +18,7 @@
 			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Total: w.Capacity, Free: w.Capacity.Minus(w.Used), Closed: closed != "" && closed != track.Paused || !w.Recorded, Paused: closed == track.Paused,
 			NoBestEffort: !w.PaceLevel.AdmitsBestEffort(), Probation: w.Suspect(p.Now.Steady), Failing: w.Failing(p.Now.Steady),
 		}
+		a.Speed, _ = p.Speeds.Speed(w.ID, w.StartedMS)
 		if a.Failing {
 			p.PlaceBy(w.SuspectUntil())
 		}
--- a/orders/workers.go
+++ b/orders/workers.go
@@ -156,6 +156,7 @@
 	}
 	s.ForgottenIncarnations[w.ID] = w.Incarnation
 	delete(s.Workers, w.ID)
+	s.Speeds.Forget(w.ID)
 	// A caller may be iterating over WorkersByID, so its backing array stays unchanged.
 	if i := slices.Index(s.WorkersByID, w); i >= 0 {
 		s.WorkersByID = append(s.WorkersByID[:i:i], s.WorkersByID[i+1:]...)
--- a/sched/ends.go
+++ b/sched/ends.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"citronbridge/event"
+	"citronbridge/speed"
 	"citronbridge/track"
 	"citronbridge/work"
 )
@@ -21,6 +22,7 @@
 		}
 	}
 	s.ReconcileRuns(w, e)
+	speed.Observe(s.Pool, w)
 	s.moveSlow(w)
 	s.UpdatePace(w)
 	s.ScheduleNextHold(w)
--- a/track/job.go
+++ b/track/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"citronbridge/rates"
 	"citronbridge/work"
 )
 
@@ -48,6 +49,8 @@
 	Checkpoint string
 	// ReadyAt is when the step became ready, 0 before.
 	ReadyAt time.Duration
+	// Rates are the observed rates of the step's runs, from which the speeds of workers are learnt.
+	Rates rates.Step
 	// FailedOn says when a task of the step last failed on a worker, by worker ID.
 	FailedOn map[string]time.Duration
 	// RoomSince is the time since which the step has waited with nothing of its job running
--- a/track/pool.go
+++ b/track/pool.go
@@ -10,6 +10,7 @@
 	"citronbridge/advice"
 	"citronbridge/event"
 	"citronbridge/pacing"
+	"citronbridge/rates"
 	"citronbridge/work"
 )
 
@@ -54,6 +55,8 @@
 	ForgottenIncarnations map[string]int64
 	// Advice holds the answers of the advice service.
 	Advice *advice.Cache
+	// Speeds are the speeds of the workers, as learnt from their runs.
+	Speeds *rates.Model
 	// PendingEffects are the effects requested and not yet handed out.
 	PendingEffects []event.Effect
 
@@ -79,7 +82,7 @@
 	return &Pool{
 		Config: c, Now: now, Rules: rules, AcquiredAt: now.Steady, Inheriting: true,
 		Jobs: map[string]*Job{}, EndedAt: map[string]time.Duration{}, LoadedPartitions: map[string]bool{},
-		Workers: map[string]*Worker{}, ForgottenIncarnations: map[string]int64{}, Advice: advice.NewCache(),
+		Workers: map[string]*Worker{}, ForgottenIncarnations: map[string]int64{}, Advice: advice.NewCache(), Speeds: rates.New(),
 	}
 }
 
--- a/track/run.go
+++ b/track/run.go
@@ -70,6 +70,8 @@
 	// PreviousSampleAt is the time of the earlier of these two samples. SlowSince is the
 	// time since which the run has been slow, 0 if it isn't.
 	PreviousSampleAt, SlowSince time.Duration
+	// RateObserved reports whether the run's rate was taken into account for its worker's speed.
+	RateObserved bool
 }
 
 // UnknownPace is the pace of a run whose pace isn't known: a former decider may have
