--- a/assign/assign.go
+++ b/assign/assign.go
@@ -168,7 +168,7 @@
 	// isn't closed, reserved capacity included. An entry stays valid for the whole plan, as
 	// free capacity only shrinks while a plan is made.
 	unplaceable map[work.Amounts]bool
-	// unequal reports whether any worker is known to be faster or slower than others.
+	// unequal reports whether the workers differ in speed.
 	unequal bool
 	// probation reports whether any worker is on probation.
 	probation bool
@@ -181,7 +181,6 @@
 	byRack := map[string]int{}
 	for _, w := range workers {
 		p.probation = p.probation || w.Probation
-		p.unequal = p.unequal || w.speedClass() != 0
 		for _, r := range w.Runs {
 			r.worker = w
 		}
@@ -193,6 +192,7 @@
 		}
 		p.racks[i] = append(p.racks[i], w)
 	}
+	p.unequal = unequal(workers)
 	slices.SortStableFunc(units, compareUnits)
 	for _, u := range units {
 		p.relaxAvoidance(u)
@@ -459,7 +459,7 @@
 		if x, y := u.doubt(a), u.doubt(b); x != y {
 			return x - y
 		}
-		if x, y := u.speedOrder(a), u.speedOrder(b); x != y {
+		if x, y := u.speedOrder(a), u.speedOrder(b); p.unequal && x != y {
 			return x - y
 		}
 		if a.Free.Accelerators != b.Free.Accelerators {
--- a/rates/rates.go
+++ b/rates/rates.go
@@ -131,13 +131,15 @@
 }
 
 // Speed returns the speed of a worker's incarnation relative to a typical worker. It returns 1 and
-// false if too little is known.
+// false if too little is known. What is uncertain counts towards 1, so that workers of equal speed
+// aren't told apart by chance.
 func (m *Model) Speed(worker string, incarnation int64) (float64, bool) {
 	s := m.speeds[worker]
 	if s == nil || s.Incarnation != incarnation || s.Variance > knownDeviation*knownDeviation {
 		return 1, false
 	}
-	return math.Exp(s.Log), true
+	certain := max(math.Abs(s.Log)-math.Sqrt(s.Variance), 0)
+	return math.Exp(math.Copysign(certain, s.Log)), true
 }
 
 // Forget removes what is known of a worker that is gone.
