rates, assign, speed: Placement by learnt speeds of workers

Change: package rates learns speeds from the rates of tasks of the same step, robust against wrong estimates, single long tasks and passing slow-downs; a restarted worker is unknown. Tight gangs go to workers that are fast enough, loose work to the slowest. Nothing changes in a pool of equal workers. Speeds are kept for a successor in rows of a new table, written only in unequal pools.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -34,7 +34,7 @@
 	// run failed, take no tasks of units that have failed before, as these may be at their
 	// last attempt.
 	Probation, Failing bool
-	// Speed is relative to a typical worker, 0 if it isn't known.
+	// Speed is relative to a typical worker, 0 if it isn't known or the workers don't differ.
 	Speed float64
 	Runs  []*Run
 
@@ -181,6 +181,7 @@
 	byRack := map[string]int{}
 	for _, w := range workers {
 		p.probation = p.probation || w.Probation
+		p.unequal = p.unequal || w.speedClass() != 0
 		for _, r := range w.Runs {
 			r.worker = w
 		}
@@ -192,7 +193,6 @@
 		}
 		p.racks[i] = append(p.racks[i], w)
 	}
-	p.unequal = unequal(workers)
 	slices.SortStableFunc(units, compareUnits)
 	for _, u := range units {
 		p.relaxAvoidance(u)
--- a/assign/speed.go
+++ b/assign/speed.go
@@ -6,28 +6,15 @@
 )
 
 const (
-	// speedClassWidth is the width of the classes into which speeds are divided, a factor of
-	// 1.28: smaller differences matter less than that free capacity stays in one piece.
-	speedClassWidth = 0.25
+	// speedClassWidth is the width, as a logarithm, of the classes into which speeds are divided, a
+	// factor of 1.42. In replays, smaller differences matter less than that free capacity stays in
+	// one piece.
+	speedClassWidth = 0.35
 	// tightSpeed is the NeededSpeed from which on a unit goes to the fastest workers first. Other
 	// units go to the slowest, so that the fast ones are free for those that need them.
 	tightSpeed = 0.5
-	// unequalShare is the share of workers that must be faster or slower than a typical one for the
-	// speeds to count. Single slow workers are handled by moving what runs there.
-	unequalShare = 0.1
 )
 
-// unequal reports whether the workers differ in speed.
-func unequal(workers []*Worker) bool {
-	n := 0
-	for _, w := range workers {
-		if w.speedClass() != 0 {
-			n++
-		}
-	}
-	return n > 0 && float64(n) >= unequalShare*float64(len(workers))
-}
-
 // speed returns the worker's speed relative to a typical worker, 1 if it isn't known.
 func (w *Worker) speed() float64 {
 	if w.Speed <= 0 {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -387,6 +387,12 @@
 			d.partitions[repo.PartitionOf(repo.TableRecords, e.ID)].saveRecord(e)
 		case event.RecordWorker:
 			d.writeWorker(e)
+		case event.SaveSpeeds:
+			d.writeSpeeds(e)
+		case event.SpeedsKnown:
+			d.c.Meter.KnownSpeeds.Set(float64(e.Workers))
+			d.c.Meter.WorkerSpeeds.WithLabelValues("Slowest").Set(e.Slowest)
+			d.c.Meter.WorkerSpeeds.WithLabelValues("Fastest").Set(e.Fastest)
 		case event.ForgetWorker:
 			d.writer.Put(repo.TableWorkers, repo.WorkerKey(d.c.Pool, e.ID), nil, nil)
 		case event.ProveOwnership:
--- a/decide/load.go
+++ b/decide/load.go
@@ -49,7 +49,7 @@
 // readWorkers reads the rows of workers that former deciders have used, and the
 // registry of workers.
 func (d *Decider) readWorkers(ctx context.Context) (*snapshot, error) {
-	var workers, servers repo.Page
+	var workers, servers, speeds repo.Page
 	g, ctx := errgroup.WithContext(ctx)
 	list := func(to *repo.Page, table string) {
 		g.Go(func() error {
@@ -60,6 +60,7 @@
 	}
 	list(&workers, repo.TableWorkers)
 	list(&servers, platform.TableServers)
+	list(&speeds, repo.TableSpeeds)
 	if err := g.Wait(); err != nil {
 		return nil, err
 	}
@@ -70,6 +71,12 @@
 			l.events = append(l.events, d.workerFromRow(id, r.Value))
 		}
 	}
+	for _, r := range speeds.Rows {
+		if pool, _ := repo.SplitWorkerKey(r.Key); pool == d.c.Pool {
+			d.writer.RecordVersion(r.Table, r.Key, r.Version)
+			l.events = append(l.events, d.speedsFromRow(r))
+		}
+	}
 	for _, r := range servers.Rows {
 		l.events = append(l.events, d.registryEvents(r)...)
 	}
--- a/demand/workers.go
+++ b/demand/workers.go
@@ -12,13 +12,16 @@
 func Workers(p *track.Pool) ([]*assign.Worker, map[string]*track.Run) {
 	byKey := map[string]*track.Run{}
 	l := make([]*assign.Worker, 0, len(p.WorkersByID))
+	unequal := p.Speeds.Unequal()
 	for _, w := range p.WorkersByID {
 		closed := p.ClosedBy(w)
 		a := &assign.Worker{
 			ID: w.ID, Rack: w.Rack, Labels: w.Labels, Total: w.Capacity, Free: w.Capacity.Minus(w.Used), Closed: closed != "" && closed != track.Paused || !w.Recorded, Paused: closed == track.Paused,
 			NoBestEffort: !w.PaceLevel.AdmitsBestEffort(), Probation: w.Suspect(p.Now.Steady), Failing: w.Failing(p.Now.Steady),
 		}
-		a.Speed, _ = p.Speeds.Speed(w.ID, w.StartedMS)
+		if unequal {
+			a.Speed, _ = p.Speeds.Speed(w.ID, w.StartedMS)
+		}
 		if a.Failing {
 			p.PlaceBy(w.SuspectUntil())
 		}
--- a/event/event.go
+++ b/event/event.go
@@ -8,6 +8,7 @@
 
 	"citronbridge/advice"
 	"citronbridge/maint"
+	"citronbridge/rates"
 	"citronbridge/work"
 )
 
@@ -63,6 +64,9 @@
 	LapsesIn time.Duration
 }
 
+// SpeedsInherited reports speeds of workers, by ID, that a former decider has learnt.
+type SpeedsInherited struct{ Speeds map[string]rates.Speed }
+
 // WorkerUnlisted reports that a worker's entry was removed. The worker itself may still
 // be running.
 type WorkerUnlisted struct{ ID string }
@@ -187,6 +191,7 @@
 func (JobCanceled) event()         {}
 func (WorkerListed) event()        {}
 func (WorkerInherited) event()     {}
+func (SpeedsInherited) event()     {}
 func (WorkerUnlisted) event()      {}
 func (WorkerRecorded) event()      {}
 func (RulesChanged) event()        {}
@@ -350,6 +355,19 @@
 // ForgetWorker deletes what RecordWorker has recorded of a worker.
 type ForgetWorker struct{ ID string }
 
+// SaveSpeeds writes the speeds of the workers of a shard, by ID, for a successor.
+type SaveSpeeds struct {
+	Shard  int
+	Speeds map[string]rates.Speed
+}
+
+// SpeedsKnown reports to the metrics how many workers have a known speed, and the slowest and the
+// fastest of these speeds.
+type SpeedsKnown struct {
+	Workers          int
+	Slowest, Fastest float64
+}
+
 // ProveOwnership requests a proof that this decider still owns the pool. An
 // OwnershipProved follows.
 type ProveOwnership struct{}
@@ -439,6 +457,8 @@
 func (SaveRecord) effect()     {}
 func (RecordWorker) effect()   {}
 func (ForgetWorker) effect()   {}
+func (SaveSpeeds) effect()     {}
+func (SpeedsKnown) effect()    {}
 func (ProveOwnership) effect() {}
 func (RunEnded) effect()       {}
 func (JobStarted) effect()     {}
--- a/loads/loads_test.go
+++ b/loads/loads_test.go
@@ -78,6 +78,9 @@
 	for _, name := range []string{"yard", "large"} {
 		l := readLoad(t, name)
 		ours, fifo := policy{evacuateAt: launch.EvacuateAt}, policy{evacuateAt: launch.EvacuateAt, fifo: true}
+		mixed, ignoring, mixedFIFO := ours, ours, fifo
+		mixed.speeds, ignoring.speeds, mixedFIFO.speeds = mixedSpeeds, mixedSpeeds, mixedSpeeds
+		ignoring.ignoreSpeeds, fifo.ignoreSpeeds, mixedFIFO.ignoreSpeeds = true, true, true
 		for _, c := range []struct {
 			name string
 			load *Load
@@ -85,6 +88,8 @@
 		}{
 			{"", l, ours}, {" first in, first out", l, fifo}, {" with workers replaced", withRelease(l), ours},
 			{" with a burst of 3 times", withBurst(l, 3), ours}, {" with a burst of 3 times, first in, first out", withBurst(l, 3), fifo},
+			{" on unequal workers", l, mixed}, {" on unequal workers, speeds ignored", l, ignoring}, {" on unequal workers, first in, first out", l, mixedFIFO},
+			{" on unequal workers with a burst of 3 times", withBurst(l, 3), mixed}, {" on unequal workers with a burst of 3 times, speeds ignored", withBurst(l, 3), ignoring},
 		} {
 			fmt.Fprintf(&b, "%s%s: %s\n", name, c.name, replay(c.load, 1, c.policy))
 		}
@@ -157,3 +162,43 @@
 		}
 	}
 }
+
+// TestUnequalWorkers guards against gangs that end late as one of their members is on a slow
+// worker, and tasks with time to spare that occupy the fast ones. Where workers differ little,
+// placement must not lose by what it learns.
+func TestUnequalWorkers(t *testing.T) {
+	const (
+		seeds = 2
+		// littleLoss is the change of the earned share that counts as none, as in the scores.
+		littleLoss = 0.03
+	)
+	recorded := func(l *Load) *Load { return l }
+	burst := func(l *Load) *Load { return withBurst(l, 3) }
+	for _, c := range []struct {
+		name   string
+		speeds []float64
+		change func(*Load) *Load
+		least  float64
+	}{
+		{"unequal", mixedSpeeds, recorded, 0},
+		{"unequal, burst of 3 times", mixedSpeeds, burst, 0},
+		{"unequal, workers replaced", mixedSpeeds, withRelease, 0},
+		{"nearly equal", workerSpeeds, recorded, -littleLoss},
+		{"nearly equal, workers replaced", workerSpeeds, withRelease, -littleLoss},
+	} {
+		for _, name := range []string{"yard", "large"} {
+			l := c.change(readLoad(t, name))
+			var learnt, ignored float64
+			for seed := range uint64(seeds) {
+				p := policy{evacuateAt: launch.EvacuateAt, speeds: c.speeds}
+				learnt += replay(l, seed, p).share() / seeds
+				p.ignoreSpeeds = true
+				ignored += replay(l, seed, p).share() / seeds
+			}
+			t.Logf("%s, %s: earned %.3f, %.3f with speeds ignored", name, c.name, learnt, ignored)
+			if learnt-ignored <= c.least {
+				t.Errorf("%s, %s: earned %.3f, with speeds ignored %.3f, want more than %.2f difference", name, c.name, learnt, ignored, c.least)
+			}
+		}
+	}
+}
--- a/loads/simulate_test.go
+++ b/loads/simulate_test.go
@@ -11,6 +11,8 @@
 	"citronbridge/assign"
 	"citronbridge/demand"
 	"citronbridge/event"
+	"citronbridge/pacing"
+	"citronbridge/speed"
 	"citronbridge/track"
 	"citronbridge/work"
 )
@@ -34,6 +36,9 @@
 
 var workerSpeeds = []float64{0.8, 1, 1.25}
 
+// mixedSpeeds are those of a pool with three generations of accelerators.
+var mixedSpeeds = []float64{0.6, 1, 1.6}
+
 // result is what a replay of a load has come to.
 type result struct {
 	// owed and earned are by queue. Jobs that were cancelled aren't owed.
@@ -96,10 +101,12 @@
 	tasks      map[*track.Task]*taskState
 	// starts and ends are when runs have started, and will be done.
 	starts, ends map[*track.Run]time.Duration
-	jobs         map[*track.Job]*Job
-	meanWork     map[string]float64
-	queues       map[string]Queue
-	res          *result
+	// own is how long each run takes on its worker, without the other members of its gang.
+	own      map[*track.Run]time.Duration
+	jobs     map[*track.Job]*Job
+	meanWork map[string]float64
+	queues   map[string]Queue
+	res      *result
 }
 
 // taskState is the work of a task, for a worker of speed 1, and how much of it is saved.
@@ -136,13 +143,17 @@
 	evacuateAt func(now, leavesAt, stopTime time.Duration, r *track.Run) (time.Duration, bool)
 	// fifo makes all jobs alike but for their order of arrival.
 	fifo bool
+	// speeds are the speeds of workers, workerSpeeds if empty. ignoreSpeeds keeps the decisions from
+	// learning them.
+	speeds       []float64
+	ignoreSpeeds bool
 }
 
 // replay replays a load. The seed decides how far durations are from their estimates.
 func replay(l *Load, seed uint64, p policy) *result {
 	s := &simulation{
 		l: l, policy: p, rng: rand.New(rand.NewPCG(seed, 1)), speeds: map[string]float64{}, stepFactor: map[*track.Step]float64{}, tasks: map[*track.Task]*taskState{},
-		starts: map[*track.Run]time.Duration{}, ends: map[*track.Run]time.Duration{}, jobs: map[*track.Job]*Job{}, meanWork: map[string]float64{}, queues: map[string]Queue{},
+		starts: map[*track.Run]time.Duration{}, ends: map[*track.Run]time.Duration{}, own: map[*track.Run]time.Duration{}, jobs: map[*track.Job]*Job{}, meanWork: map[string]float64{}, queues: map[string]Queue{},
 		res: &result{owed: map[string]float64{}, earned: map[string]float64{}, late: map[string]int{}, undone: map[string]int{}, firstStarts: map[string][]time.Duration{}},
 	}
 	rules := &work.Rules{Version: 1, Queues: map[string]*work.Queue{}, Pools: map[string]*work.Pool{"p": {Name: "p"}}, Accounts: map[string]*work.Account{}}
@@ -168,7 +179,11 @@
 		x := s.p.Worker(fmt.Sprintf("w%04d", i))
 		x.Listed, x.Recorded, x.Synced, x.ClockMS = true, true, true, 1
 		x.Capacity, x.Rack, x.Labels = w.Capacity, fmt.Sprintf("r%d", i/w.PerRack), labels
-		s.speeds[x.ID] = workerSpeeds[s.rng.IntN(len(workerSpeeds))]
+		l := workerSpeeds
+		if len(p.speeds) > 0 {
+			l = p.speeds
+		}
+		s.speeds[x.ID] = l[s.rng.IntN(len(l))]
 	}
 	s.planArrivals(racks)
 	for _, a := range l.Absences {
@@ -399,7 +414,7 @@
 		id := x.Unit.TaskID(x.Index)
 		t := s.p.Jobs[id.Job].Step(id.Occurrence, id.Step).Tasks[x.Index]
 		w := s.p.Workers[x.Worker]
-		r := &track.Run{ID: t.ID(), N: t.LastRun + 1, Task: t, Worker: w, Demand: t.Step.Spec.CapacityDemand(), DecidedAt: s.now}
+		r := &track.Run{ID: t.ID(), N: t.LastRun + 1, Task: t, Worker: w, Demand: t.Step.Spec.CapacityDemand(), DecidedAt: s.now, Pace: pacing.FullPercent}
 		t.Run, t.LastRun, w.Runs[r.ID] = r, r.N, r
 		w.Used = w.Used.Plus(r.Demand)
 		s.res.placed++
@@ -418,10 +433,13 @@
 func (s *simulation) report() {
 	for _, w := range s.p.WorkersByID {
 		for _, r := range w.Runs {
-			if d := s.ends[r] - s.starts[r]; r.Phase == track.Running && d > 0 {
-				r.RecordProgress(s.now, int(100*(s.now-s.starts[r])/d))
+			if d := s.own[r]; r.Phase == track.Running && d > 0 {
+				r.RecordProgress(s.now, min(int(100*(s.now-s.starts[r])/d), 100))
 			}
 		}
+		if !s.ignoreSpeeds {
+			speed.Observe(s.p, w)
+		}
 	}
 }
 
@@ -449,7 +467,8 @@
 				q := s.jobs[j].Queue
 				s.res.firstStarts[q] = append(s.res.firstStarts[q], s.now-j.AddedAt)
 			}
-			d = max(d, s.duration(r, l))
+			s.own[r] = s.duration(r, l)
+			d = max(d, s.own[r])
 		}
 		for _, r := range l {
 			end := d
@@ -487,6 +506,7 @@
 	delete(r.Worker.Runs, r.ID)
 	delete(s.starts, r)
 	delete(s.ends, r)
+	delete(s.own, r)
 	r.Worker.Used = r.Worker.Used.Minus(r.Demand)
 	if r.Task.Run == r {
 		r.Task.Run, r.Task.WaitingSince = nil, s.now
--- a/meter/host.go
+++ b/meter/host.go
@@ -39,6 +39,10 @@
 	GangStart prometheus.Histogram
 	Stalled   prometheus.Counter
 	PoolEpoch *prometheus.GaugeVec
+	// WorkerSpeeds holds, under the labels Slowest and Fastest, the extreme speeds of workers as
+	// learnt by a decider, relative to a typical worker, and KnownSpeeds how many are known.
+	WorkerSpeeds *prometheus.GaugeVec
+	KnownSpeeds  prometheus.Gauge
 	// Waits counts reports of jobs of which nothing runs although there is room, by cause.
 	Waits *prometheus.CounterVec
 	// RunEnds counts runs of tasks by how they ended.
@@ -83,6 +87,8 @@
 		FirstStart:     s.histograms("first_start_seconds", "Time from a job's acceptance to its first start.", "queue"),
 		JobTime:        s.histograms("job_seconds", "Time from a job's acceptance to its end.", "queue"),
 		JobsEnded:      s.counters("jobs_ended_total", "Jobs by how they ended.", "queue", "state"),
+		WorkerSpeeds:   s.gauges("worker_speed", "Slowest and fastest learnt speed of a worker, relative to a typical one.", "which"),
+		KnownSpeeds:    s.gauge("workers_with_known_speed", "Workers whose speed was learnt, in a pool of unequal workers."),
 		PoolEpoch:      s.gauges("pool_epoch", "Epoch under which this host decides for a pool, 0 if it doesn't.", "pool"),
 		ConfigVersion:  s.gauge("configuration_version", "Version of the configuration in force."),
 		Takeover:       s.histogram("takeover_seconds", "Time from taking a pool to its first decision.", waitBuckets),
--- a/rates/rates.go
+++ b/rates/rates.go
@@ -33,6 +33,15 @@
 	maxObservations = 64
 	// knownDeviation is the uncertainty below which a speed counts as known.
 	knownDeviation = 0.25
+	// unequalLog is the deviation from a typical worker that counts, and unequalShare the share of
+	// the workers known that must deviate for the pool to count as one of unequal workers. Single
+	// slow workers are handled by moving what runs there.
+	unequalLog   = 0.25
+	unequalShare = 0.1
+	// maxLog bounds a stored speed: no worker is twenty times as fast as another.
+	maxLog = 3
+	// saveChange is the least change of a speed that is worth a write.
+	saveChange = 0.1
 )
 
 // Speed is what is known of a worker's speed. The fields are exported to be stored.
@@ -46,6 +55,17 @@
 	At time.Duration `json:"-"`
 	// passing counts the last observations that were taken for a passing slow-down.
 	passing int
+	// saved is Log as it was last returned by Unsaved.
+	saved float64
+}
+
+// certain returns the part of the deviation that isn't within the uncertainty, and false if too
+// little is known.
+func (s *Speed) certain() (float64, bool) {
+	if s.Variance > knownDeviation*knownDeviation {
+		return 0, false
+	}
+	return math.Copysign(max(math.Abs(s.Log)-math.Sqrt(s.Variance), 0), s.Log), true
 }
 
 // Model holds the speeds of the workers of a pool.
@@ -116,12 +136,17 @@
 		s.Variance = min(s.Variance+drift*drift*(now-s.At).Seconds(), priorDeviation*priorDeviation)
 	}
 	d := v - s.Log
-	if d < -passing && s.passing < maxPassing {
+	switch {
+	case d >= -passing:
+		s.passing = 0
+	case s.passing < maxPassing:
 		s.passing++
 		m.speeds[o.worker] = &s
 		return
+	default:
+		// The slow-down lasts, so what was learnt before says little.
+		s.Variance = priorDeviation * priorDeviation
 	}
-	s.passing = 0
 	error := noise*noise + (noise*noise+priorDeviation*priorDeviation)/float64(n)
 	gain := s.Variance / (s.Variance + error)
 	s.Log += gain * min(max(d, -maxDeviation), maxDeviation)
@@ -134,12 +159,69 @@
 // false if too little is known. What is uncertain counts towards 1, so that workers of equal speed
 // aren't told apart by chance.
 func (m *Model) Speed(worker string, incarnation int64) (float64, bool) {
-	s := m.speeds[worker]
-	if s == nil || s.Incarnation != incarnation || s.Variance > knownDeviation*knownDeviation {
-		return 1, false
+	if s := m.speeds[worker]; s != nil && s.Incarnation == incarnation {
+		if l, ok := s.certain(); ok {
+			return math.Exp(l), true
+		}
+	}
+	return 1, false
+}
+
+// Unequal reports whether the workers of the pool differ in speed.
+func (m *Model) Unequal() bool {
+	known, deviating := 0, 0
+	for _, s := range m.speeds {
+		if l, ok := s.certain(); ok {
+			known++
+			if math.Abs(l) > unequalLog {
+				deviating++
+			}
+		}
+	}
+	return deviating > 0 && float64(deviating) >= unequalShare*float64(known)
+}
+
+// Known returns how many workers have a known speed, and the slowest and the fastest of these
+// speeds, 1 if there is none.
+func (m *Model) Known() (n int, slowest, fastest float64) {
+	slowest, fastest = 1, 1
+	for _, s := range m.speeds {
+		if l, ok := s.certain(); ok {
+			n++
+			slowest, fastest = min(slowest, math.Exp(l)), max(fastest, math.Exp(l))
+		}
+	}
+	return n, slowest, fastest
+}
+
+// Unsaved returns the known speeds of all shards in which one has changed by saveChange since it was
+// returned last. shardOf returns the shard of a worker.
+func (m *Model) Unsaved(shardOf func(worker string) int) map[int]map[string]Speed {
+	l := map[int]map[string]Speed{}
+	for id, s := range m.speeds {
+		if _, ok := s.certain(); ok && math.Abs(s.Log-s.saved) >= saveChange {
+			l[shardOf(id)] = map[string]Speed{}
+		}
+	}
+	for id, s := range m.speeds {
+		if shard := l[shardOf(id)]; shard != nil && s.Variance <= knownDeviation*knownDeviation {
+			s.saved = s.Log
+			shard[id] = *s
+		}
+	}
+	return l
+}
+
+// Restore takes over speeds that a former model has learnt. Those that this one knows stay.
+func (m *Model) Restore(now time.Duration, l map[string]Speed) {
+	for id, s := range l {
+		valid := s.Variance > 0 && s.Variance <= priorDeviation*priorDeviation && math.Abs(s.Log) <= maxLog
+		if !valid || m.speeds[id] != nil {
+			continue
+		}
+		s.At, s.saved = now, s.Log
+		m.speeds[id] = &s
 	}
-	certain := max(math.Abs(s.Log)-math.Sqrt(s.Variance), 0)
-	return math.Exp(math.Copysign(certain, s.Log)), true
 }
 
 // Forget removes what is known of a worker that is gone.
--- a/repo/jobs.go
+++ b/repo/jobs.go
@@ -32,6 +32,9 @@
 	// TableWorkers holds a WorkerRow for each worker that may have tasks, keyed by pool
 	// and worker ID (see WorkerKey).
 	TableWorkers = "workers"
+	// TableSpeeds holds the learnt speeds of a pool's workers in shards, keyed by pool and shard
+	// (see WorkerKey).
+	TableSpeeds = "speeds"
 )
 
 // Verdict is the outcome of a call that submits, reads or cancels a job.
--- a/sched/state.go
+++ b/sched/state.go
@@ -53,6 +53,8 @@
 	waves *maint.Planner
 	// nextReport is when the state of the pool is to be reported again if jobs wait.
 	nextReport time.Duration
+	// nextSpeeds is when the learnt speeds are to be saved again.
+	nextSpeeds time.Duration
 	// dirty are the jobs whose records must be saved.
 	dirty []*track.Job
 }
@@ -78,6 +80,8 @@
 		s.HandleListed(e.Worker)
 	case event.WorkerInherited:
 		s.AddKnownWorker(e)
+	case event.SpeedsInherited:
+		s.Speeds.Restore(now.Steady, e.Speeds)
 	case event.WorkerUnlisted:
 		if w := s.Workers[e.ID]; w != nil {
 			w.Listed = false
@@ -156,6 +160,7 @@
 		s.nextReport = demand.ReportPool(s.Pool, s.StartBudget())
 	}
 	s.saveDirty()
+	s.saveSpeeds()
 	next = min(next, s.requestProof(), s.StopIncompleteGangs(), s.Dispatch())
 	return s.PendingEffects, min(next, s.SendHolds())
 }
