--- a/demand/workers.go
+++ b/demand/workers.go
@@ -12,6 +12,7 @@
 func Workers(p *track.Pool) ([]*assign.Worker, map[string]*track.Run) {
 	byKey := map[string]*track.Run{}
 	l := make([]*assign.Worker, 0, len(p.WorkersByID))
+	unequal := p.Speeds.Unequal()
 	for _, w := range p.WorkersByID {
 		closed := p.ClosedBy(w)
 		a := &assign.Worker{
@@ -19,6 +20,9 @@
 			NoBestEffort: !w.PaceLevel.AdmitsBestEffort(), Probation: w.Suspect(p.Now.Steady), Failing: w.Failing(p.Now.Steady),
 			Evacuated: closed == track.Evacuated, Cold: w.Cold(p.Now.Steady),
 		}
+		if unequal {
+			a.Speed, _ = p.Speeds.Speed(w.ID, w.StartedMS)
+		}
 		if a.Failing {
 			p.PlaceBy(w.SuspectUntil())
 		}
