--- /dev/null
+++ b/sched/hunted_test.go
@@ -0,0 +1,25 @@
+package sched
+
+import "testing"
+
+// playHunted plays schedules that a hunt has found to break a rule.
+func playHunted(t *testing.T, seeds ...uint64) {
+	t.Helper()
+	for _, seed := range seeds {
+		if w := play(seed, faults{}, false); len(w.violations) > 0 {
+			t.Errorf("seed %d: %s", seed, w.violations[0])
+		}
+	}
+}
+
+// TestLateStartOfServingTask guards against a long-running task that is stopped beyond its step's
+// budget: its start was carried out late, and it began to serve just as the start was withdrawn.
+func TestLateStartOfServingTask(t *testing.T) { playHunted(t, 35161) }
+
+// TestLongRunningTaskAtFirstLook guards against long-running tasks that are still away when the
+// check of them begins; in one case a successor waits for a worker that is gone.
+func TestLongRunningTaskAtFirstLook(t *testing.T) { playHunted(t, 5361, 9157, 17485) }
+
+// TestWorkBesideMaintenance guards against work that waits at the end although there is room, some of
+// it on a worker that is drained for maintenance.
+func TestWorkBesideMaintenance(t *testing.T) { playHunted(t, 3045, 16497) }
