--- a/conns/conns.go
+++ b/conns/conns.go
@@ -44,9 +44,10 @@
 	// WriteTimeout, if positive, is the time within which a client has to read a response,
 	// counted from its first byte. It isn't fit for HTTP/2, where responses overlap.
 	WriteTimeout time.Duration
-	// MaxHeaderLines, if positive, limits the lines of a request's header, as short lines take
-	// net/http many times their size. It isn't fit for TLS.
-	MaxHeaderLines int
+	// MaxHeaderLines, if positive, limits the lines of a request's header while more than
+	// HeaderLinesFrom connections are open, as short lines take net/http many times their size. It
+	// isn't fit for TLS.
+	MaxHeaderLines, HeaderLinesFrom int
 	// ReadBuffer, if positive, is the size of the socket's receive buffer in bytes.
 	ReadBuffer int
 }
@@ -100,6 +101,13 @@
 	return len(l.conns)
 }
 
+// crowded reports whether so many connections are open that the lines of headers are limited.
+func (l *Listener) crowded() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns) > l.c.HeaderLinesFrom
+}
+
 // Accept implements net.Listener. It fails only after Close; other errors are retried.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -323,3 +323,27 @@
 		})
 	}
 }
+
+// TestHeaderLinesInCalm guards against a client that is cut off for a legal header of many lines
+// although few connections are open.
+func TestHeaderLinesInCalm(t *testing.T) {
+	for _, c := range []struct {
+		open    int
+		allowed bool
+	}{{1, true}, {2, true}, {3, false}} {
+		l := &Listener{c: Config{MaxHeaderLines: 2, HeaderLinesFrom: 2, Now: time.Now, OnClose: func(string) {}}, conns: map[*Conn]struct{}{}}
+		for range c.open - 1 {
+			l.conns[&Conn{listener: l}] = struct{}{}
+		}
+		ours, theirs := net.Pipe()
+		k := &Conn{Conn: ours, listener: l}
+		l.conns[k] = struct{}{}
+		go theirs.Write([]byte("GET / HTTP/1.1\r\nA: 1\r\nB: 2\r\nC: 3\r\n"))
+		_, err := k.Read(make([]byte, 1024))
+		if (err == nil) != c.allowed {
+			t.Errorf("%d connections open: error %v, want the header allowed: %v", c.open, err, c.allowed)
+		}
+		ours.Close()
+		theirs.Close()
+	}
+}
--- a/node/limits.go
+++ b/node/limits.go
@@ -49,7 +49,11 @@
 	readBuffer = 32 << 10
 	// maxHeaderLines limits the lines of a header, of which each takes some 120 bytes besides its
 	// text. It is the limit that Apache's server has by default.
-	maxHeaderLines = 100
+	// A header of 16 KiB may have 4,000, so it holds only while more than one in
+	// headerLinesDivisor of the connections is open: fewer of the longest headers take no more
+	// memory than all the connections with short ones.
+	maxHeaderLines     = 100
+	headerLinesDivisor = 8
 	// metricsSlots limits the responses with metrics that are built at the same time.
 	metricsSlots = 2
 )
@@ -136,6 +140,7 @@
 	}}
 	if name != controlListener {
 		c.WriteTimeout, c.ReadBuffer, c.MaxHeaderLines = responseTime, readBuffer, maxHeaderLines
+		c.HeaderLinesFrom = limit / headerLinesDivisor
 	}
 	l := conns.Listen(n, c)
 	h.meter.RegisterConns(name, l.Open, l.Limit)
