launch, loads: Drain, not evacuation, for workers that leave

Cause: stopping what runs on a draining worker was named evacuation, which now is the operator's request for a data centre. Change: names only. Measured: the tests of launch and loads that concern it pass.

--- a/launch/evac_test.go
+++ b/launch/drain_test.go
@@ -9,12 +9,12 @@
 	"citronbridge/work"
 )
 
-// TestEvacuateAt checks when runs on a draining worker that leaves at 10 s are stopped. The
+// TestDrainStopAt checks when runs on a draining worker that leaves at 10 s are stopped. The
 // time is 7 s, stops take 0.2 s, and the runs began at 1 s.
-func TestEvacuateAt(t *testing.T) {
+func TestDrainStopAt(t *testing.T) {
 	const (
 		now, leavesAt, stopTime = 7 * time.Second, 10 * time.Second, 200 * time.Millisecond
-		last                    = leavesAt - stopTime - evacuationSlack
+		last                    = leavesAt - stopTime - drainSlack
 	)
 	for _, c := range []struct {
 		name string
@@ -54,7 +54,7 @@
 			o.UnansweredCalls = 1
 		}
 		l[0].Run, l[1].Run = r, &track.Run{Task: l[1], Worker: o, Phase: track.Running, DecidedAt: time.Second}
-		if at, stop := EvacuateAt(now, leavesAt, stopTime, r); at != c.want || stop != c.stop {
+		if at, stop := DrainStopAt(now, leavesAt, stopTime, r); at != c.want || stop != c.stop {
 			t.Errorf("%s: stopped at %v (%v), want %v (%v)", c.name, at, stop, c.want, c.stop)
 		}
 	}
--- a/loads/loads_test.go
+++ b/loads/loads_test.go
@@ -77,7 +77,7 @@
 	var b strings.Builder
 	for _, name := range []string{"yard", "large"} {
 		l := readLoad(t, name)
-		ours, fifo := policy{evacuateAt: launch.EvacuateAt}, policy{evacuateAt: launch.EvacuateAt, fifo: true}
+		ours, fifo := policy{drainStopAt: launch.DrainStopAt}, policy{drainStopAt: launch.DrainStopAt, fifo: true}
 		mixed, ignoring, mixedFIFO := ours, ours, fifo
 		mixed.speeds, ignoring.speeds, mixedFIFO.speeds = mixedSpeeds, mixedSpeeds, mixedSpeeds
 		ignoring.ignoreSpeeds, fifo.ignoreSpeeds, mixedFIFO.ignoreSpeeds = true, true, true
@@ -97,22 +97,22 @@
 	golden.Check(t, "testdata/replays.golden", b.String())
 }
 
-// TestEvacuationSavesWork guards against runs that work on at a draining worker although they
+// TestDrainSavesWork guards against runs that work on at a draining worker although they
 // can't be done before it leaves: that throws away more work, and makes more jobs late.
-func TestEvacuationSavesWork(t *testing.T) {
+func TestDrainSavesWork(t *testing.T) {
 	atLast := func(_, leavesAt, stopTime time.Duration, _ *track.Run) (time.Duration, bool) {
 		return leavesAt - stopTime - 500*time.Millisecond, true
 	}
 	l := withRelease(readLoad(t, "yard"))
 	var wasted, wastedAtLast, earned, earnedAtLast float64
 	for seed := range uint64(8) {
-		a, b := replay(l, seed, policy{evacuateAt: launch.EvacuateAt}), replay(l, seed, policy{evacuateAt: atLast})
+		a, b := replay(l, seed, policy{drainStopAt: launch.DrainStopAt}), replay(l, seed, policy{drainStopAt: atLast})
 		wasted, wastedAtLast = wasted+a.wasted, wastedAtLast+b.wasted
 		earned, earnedAtLast = earned+a.share(), earnedAtLast+b.share()
 	}
 	t.Logf("thrown away %.0f core-seconds, at the last moment %.0f; earned %.3f, at the last moment %.3f", wasted/8, wastedAtLast/8, earned/8, earnedAtLast/8)
 	if wasted >= wastedAtLast || earned <= earnedAtLast {
-		t.Error("evacuation saves no work")
+		t.Error("stops before a worker leaves save no work")
 	}
 }
 
@@ -190,7 +190,7 @@
 			l := c.change(readLoad(t, name))
 			var learnt, ignored float64
 			for seed := range uint64(seeds) {
-				p := policy{evacuateAt: launch.EvacuateAt, speeds: c.speeds}
+				p := policy{drainStopAt: launch.DrainStopAt, speeds: c.speeds}
 				learnt += replay(l, seed, p).share() / seeds
 				p.ignoreSpeeds = true
 				ignored += replay(l, seed, p).share() / seeds
--- a/loads/simulate_test.go
+++ b/loads/simulate_test.go
@@ -139,8 +139,8 @@
 
 // policy is what decides in a replay.
 type policy struct {
-	// evacuateAt says when a run on a draining worker is stopped, like launch.EvacuateAt.
-	evacuateAt func(now, leavesAt, stopTime time.Duration, r *track.Run) (time.Duration, bool)
+	// drainStopAt says when a run on a draining worker is stopped, like launch.DrainStopAt.
+	drainStopAt func(now, leavesAt, stopTime time.Duration, r *track.Run) (time.Duration, bool)
 	// fifo makes all jobs alike but for their order of arrival.
 	fifo bool
 	// speeds are the speeds of workers, workerSpeeds if empty. ignoreSpeeds keeps the decisions from
@@ -293,7 +293,7 @@
 		s.p.NeedsPlacement = true
 	})
 	if a.Notice > 0 {
-		s.after(a.From.D()-a.Notice.D(), func() { s.evacuate(w, a.From.D()) })
+		s.after(a.From.D()-a.Notice.D(), func() { s.drain(w, a.From.D()) })
 	}
 	s.after(a.From.D(), func() {
 		w.Listed = false
@@ -311,12 +311,12 @@
 	}
 }
 
-// evacuate stops what runs on a draining worker when launch.EvacuateAt says so.
-func (s *simulation) evacuate(w *track.Worker, leavesAt time.Duration) {
+// drain stops what runs on a draining worker when launch.DrainStopAt says so.
+func (s *simulation) drain(w *track.Worker, leavesAt time.Duration) {
 	s.report()
 	next := s.now + 500*time.Millisecond
 	for _, r := range w.SortedRuns() {
-		at, stop := s.evacuateAt(s.now, leavesAt, s.l.Workers.StopTime.D(), r)
+		at, stop := s.drainStopAt(s.now, leavesAt, s.l.Workers.StopTime.D(), r)
 		switch {
 		case !stop || r.Phase == track.Stopping:
 		case s.now < at:
@@ -334,7 +334,7 @@
 		}
 	}
 	if next < leavesAt {
-		s.after(next-s.now, func() { s.evacuate(w, leavesAt) })
+		s.after(next-s.now, func() { s.drain(w, leavesAt) })
 	}
 }
 
--- a/orders/workers.go
+++ b/orders/workers.go
@@ -184,7 +184,7 @@
 	if w.LeaseEnd > now {
 		next = min(next, w.LeaseEnd)
 	}
-	next = min(next, s.Evacuate(w))
+	next = min(next, s.Drain(w))
 	for _, until := range []*time.Duration{&w.ClosedUntil, &w.PausedUntil} {
 		switch {
 		case *until > now:
