--- a/demand/advice.go
+++ b/demand/advice.go
@@ -35,15 +35,15 @@
 		}
 	}
 	p.Advice.Retain(steps)
-	var standing, others []*assign.Unit
+	var overdue, others []*assign.Unit
 	for _, u := range units {
 		if u.Overdue {
-			standing = append(standing, u)
+			overdue = append(overdue, u)
 		} else {
 			others = append(others, u)
 		}
 	}
-	for _, u := range slices.Concat(standing, others) {
+	for _, u := range slices.Concat(overdue, others) {
 		if u.AllowedWorkers == nil || len(u.Indexes) == 0 || allPlaced(p, u) {
 			continue
 		}
