frames, peers, relay: Share the parser of yamux frames

peers/window.go and relay/frames.go each followed the frames of yamux below its session with a parser of their own, and their tests each encoded headers. Package frames holds the parser, the names of types and flags, and the encoding of headers. What is charged for a frame stays in the two packages as functions of frames.Config: peers charges a receive buffer when a header announces it, relay charges payload as it arrives. The tests of both stay, with renamed calls only, and frames gets tests of its own, with a fuzz test. Behaviour is meant to be unchanged.

--- a/peers/window.go
+++ b/peers/window.go
@@ -1,7 +1,6 @@
 package peers
 
 import (
-	"encoding/binary"
 	"errors"
 	"net"
 	"sync"
@@ -10,18 +9,7 @@
 	"github.com/hashicorp/yamux"
 
 	"citronbridge/budget"
-)
-
-// Fields of a yamux frame header: the type at byte 1, flags, stream ID and length in network byte
-// order from bytes 2, 4 and 8. Only frames of the type data are followed by as many bytes as their
-// length says. See spec.md of github.com/hashicorp/yamux.
-const (
-	frameHeaderSize = 12
-	frameData       = 0
-	framePing       = 2
-	frameFlagSYN    = 1
-	frameFlagFIN    = 4
-	frameFlagRST    = 8
+	"citronbridge/frames"
 )
 
 // Bounds of the bytes that a connection has received and not yet processed.
@@ -44,7 +32,7 @@
 	errUnread      = errors.New("peers: too many unread bytes")
 )
 
-// reasonOf returns the reason that Config.OnClose gets for an error of scan.
+// reasonOf returns the reason that Config.OnClose gets for an error of frame.
 func reasonOf(err error) string {
 	switch {
 	case errors.Is(err, errPing):
@@ -75,15 +63,9 @@
 // announces its length, and its receive windows can't be made smaller than 256 KiB, so the frames
 // are charged by their headers as these arrive.
 type meteredConn struct {
-	net.Conn
+	*frames.Conn
 	config meteredConfig
 
-	// header collects a frame's header, filled up to headerLen. body is how much of the frame's
-	// data follows. Only Read uses them.
-	header    [frameHeaderSize]byte
-	headerLen int
-	body      uint32
-
 	mu sync.Mutex
 	// streams holds the streams by ID. yamux discards the data of others. remote is the number of
 	// those that the other host has opened.
@@ -111,69 +93,33 @@
 	closeTimeout time.Duration
 }
 
-// newMeteredConn returns c with the limits of x.
+// newMeteredConn returns c with the limits of x. A read fails, which ends the session, if a frame
+// exceeds a limit.
 func newMeteredConn(c net.Conn, x meteredConfig) *meteredConn {
-	return &meteredConn{Conn: c, config: x, streams: map[uint32]*stream{}}
+	m := &meteredConn{config: x, streams: map[uint32]*stream{}}
+	m.Conn = frames.New(frames.Config{Conn: c, OnHeader: m.frame, OnError: func(err error) { x.onLimit(reasonOf(err)) }})
+	return m
 }
 
-// Read reads from the connection. It returns an error, which ends the session, if a frame exceeds
-// a limit.
-func (c *meteredConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if e := c.scan(b[:n]); e != nil {
-		c.config.onLimit(reasonOf(e))
-		return 0, e
-	}
-	return n, err
-}
-
-// scan follows the frames in b, which may begin and end anywhere in a frame.
-func (c *meteredConn) scan(b []byte) error {
-	for len(b) > 0 {
-		if c.body > 0 {
-			n := min(uint32(len(b)), c.body)
-			c.body -= n
-			b = b[n:]
-			continue
-		}
-		n := copy(c.header[c.headerLen:], b)
-		c.headerLen += n
-		b = b[n:]
-		if c.headerLen < frameHeaderSize {
-			return nil
-		}
-		c.headerLen = 0
-		if err := c.frame(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// frame accounts for the frame whose header is complete.
-func (c *meteredConn) frame() error {
-	h := c.header[:]
-	flags, id, length := binary.BigEndian.Uint16(h[2:]), binary.BigEndian.Uint32(h[4:]), binary.BigEndian.Uint32(h[8:])
-	if h[1] == framePing {
+// frame accounts for the frame with the header h.
+func (c *meteredConn) frame(h frames.Header) error {
+	if h.Type == frames.Ping {
 		// yamux answers each ping in a goroutine of its own, without a limit.
 		return errPing
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	t := c.streams[id]
-	if flags&frameFlagSYN != 0 && t == nil {
+	t := c.streams[h.Stream]
+	if h.Opens() && t == nil {
 		if c.remote >= c.config.maxStreams || !c.config.openStream() {
 			return errStreamLimit
 		}
 		t = &stream{remote: true}
-		c.streams[id] = t
+		c.streams[h.Stream] = t
 		c.remote++
 	}
-	if h[1] == frameData {
-		c.body = length
-	}
-	if h[1] == frameData && t != nil {
-		t.unread += int64(length)
+	if h.Type == frames.Data && t != nil {
+		t.unread += int64(h.Length)
 		if grown := t.unread - t.held; grown > 0 {
 			if c.held+grown > maxUnread {
 				return errUnread
@@ -185,13 +131,13 @@
 			}
 		}
 	}
-	if flags&(frameFlagFIN|frameFlagRST) != 0 && t != nil {
+	if h.Closes() && t != nil {
 		t.closed = true
 		if t.onClose != nil {
 			t.onClose()
 		}
 		if t.ended {
-			c.forget(id, t)
+			c.forget(h.Stream, t)
 		}
 	}
 	return nil
--- a/peers/window_test.go
+++ b/peers/window_test.go
@@ -13,23 +13,19 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"citronbridge/budget"
+	"citronbridge/frames"
 	"citronbridge/wire"
 )
 
 // frameOf returns the header of a yamux frame.
 func frameOf(kind byte, flags uint16, id, length uint32) []byte {
-	b := make([]byte, frameHeaderSize)
-	b[1] = kind
-	binary.BigEndian.PutUint16(b[2:], flags)
-	binary.BigEndian.PutUint32(b[4:], id)
-	binary.BigEndian.PutUint32(b[8:], length)
-	return b
+	return frames.Header{Type: kind, Flags: flags, Stream: id, Length: length}.Append(nil)
 }
 
 // TestFrames guards against streams that hold more receive buffers than the budget has, and against
 // more streams and pings than a host sends. The frames arrive whole and byte by byte.
 func TestFrames(t *testing.T) {
-	const syn, window, limit = frameFlagSYN, 1, 1 << 20
+	const syn, window, limit = frames.SYN, frames.WindowUpdate, 1 << 20
 	open := func(n uint32) (b []byte) {
 		for i := range n {
 			b = append(b, frameOf(window, syn, 2*i+1, 0)...)
@@ -38,20 +34,20 @@
 	}
 	for _, x := range []struct {
 		name    string
-		frames  []byte
+		bytes   []byte
 		used    int64
 		streams int
 		err     error
 	}{
-		{"small call", slices.Concat(open(1), frameOf(frameData, 0, 1, 300), make([]byte, 300)), 0, 1, nil},
-		{"announced only", append(open(1), frameOf(frameData, 0, 1, 256<<10)...), bufferGrowth*256<<10 - freeUnread, 1, nil},
-		{"data of an unknown stream", frameOf(frameData, 0, 7, 256<<10), 0, 0, nil},
-		{"beyond the budget", slices.Concat(open(1), frameOf(frameData, 0, 1, (limit+freeUnread)/bufferGrowth+1)), 0, 1, budget.ErrExhausted},
-		{"beyond the connection", slices.Concat(open(1), frameOf(frameData, 0, 1, maxUnread+1)), 0, 1, errUnread},
+		{"small call", slices.Concat(open(1), frameOf(frames.Data, 0, 1, 300), make([]byte, 300)), 0, 1, nil},
+		{"announced only", append(open(1), frameOf(frames.Data, 0, 1, 256<<10)...), bufferGrowth*256<<10 - freeUnread, 1, nil},
+		{"data of an unknown stream", frameOf(frames.Data, 0, 7, 256<<10), 0, 0, nil},
+		{"beyond the budget", slices.Concat(open(1), frameOf(frames.Data, 0, 1, (limit+freeUnread)/bufferGrowth+1)), 0, 1, budget.ErrExhausted},
+		{"beyond the connection", slices.Concat(open(1), frameOf(frames.Data, 0, 1, maxUnread+1)), 0, 1, errUnread},
 		{"too many streams", open(4), 0, 3, errStreamLimit},
-		{"ping", frameOf(framePing, syn, 0, 1), 0, 0, errPing},
+		{"ping", frameOf(frames.Ping, syn, 0, 1), 0, 0, errPing},
 	} {
-		for _, piece := range []int{1, len(x.frames)} {
+		for _, piece := range []int{1, len(x.bytes)} {
 			p := budget.New(budget.Config{Limit: limit})
 			streams := 0
 			a, b := net.Pipe()
@@ -60,8 +56,8 @@
 			c := newMeteredConn(a, meteredConfig{pool: p, evict: func() {}, onLimit: func(string) {}, maxStreams: 3, closeTimeout: time.Minute,
 				openStream: func() bool { streams++; return true }, closeStreams: func(n int) { streams -= n }})
 			var err error
-			for l := range slices.Chunk(x.frames, piece) {
-				if err = c.scan(l); err != nil {
+			for l := range slices.Chunk(x.bytes, piece) {
+				if err = c.Follow(l); err != nil {
 					break
 				}
 			}
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -63,7 +63,7 @@
 	address, _, _ := net.SplitHostPort(c.RemoteAddr().String())
 	l := r.c.Calls.Open(budget.Holder{Address: address, Evict: func() { c.Close() }})
 	defer l.Close()
-	f := newFrames(c, l)
+	f := newCharges(c, l)
 	s, err := yamux.Server(f, sessionConfig())
 	if err != nil {
 		r.c.Log.Warn().Err(err).Msg("session with another host failed; closing its connection")
