relay: No charge for payload of streams that aren't open

Cause: payload for a stream that was served and closed, or never opened, stayed charged until the connection ended, and its ID was remembered: 1 byte each for any number of IDs. yamux discards such payload. Change: only open streams are charged.

--- a/relay/charges.go
+++ b/relay/charges.go
@@ -44,6 +44,7 @@
 // frame accounts for the frame with the header h. Its payload is charged as it arrives.
 func (f *charges) frame(h frames.Header) error {
 	if h.Opens() {
+		f.open(h.Stream)
 		if err := f.charge(h.Stream, streamBytes); err != nil {
 			return err
 		}
@@ -54,13 +55,23 @@
 	return nil
 }
 
-// charge charges bytes to a stream, up to the most that it can take.
+// open adds a stream.
+func (f *charges) open(id uint32) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.streams[id] == nil {
+		f.streams[id] = &streamCharge{}
+	}
+}
+
+// charge charges bytes to a stream, up to the most that it can take. Payload of a stream that isn't
+// open is not charged, as yamux discards it.
 func (f *charges) charge(id uint32, size int) error {
 	f.mu.Lock()
 	s := f.streams[id]
 	if s == nil {
-		s = &streamCharge{}
-		f.streams[id] = s
+		f.mu.Unlock()
+		return nil
 	}
 	n := min(int64(size), streamWindow+streamBytes-s.bytes)
 	s.bytes += n
--- a/relay/charges_test.go
+++ b/relay/charges_test.go
@@ -66,6 +66,11 @@
 	if err := f.Follow(frame(frames.Data, 0, 1, streamWindow)); err != nil {
 		t.Error(err)
 	}
+	// Each of them would stay charged, and be remembered, until the connection ends.
+	f.Follow(frame(frames.Data, 0, 9, 1))
+	if p.Used() != 0 || len(f.streams) != 0 {
+		t.Errorf("%d bytes and %d streams stay for payload of streams that aren't open", p.Used(), len(f.streams))
+	}
 	p.SetLimit(0)
 	if err := f.Follow(frame(1, frames.SYN, 5, 0)); !errors.Is(err, budget.ErrExhausted) {
 		t.Errorf("a stream above the limit: %v", err)
