host, node, platform, meter, assign, flood: One mechanism where the change had two

Change: logs.Sampler, meter.Set, conns.LimitFor, placeGangOnRack and package binary hold each once; names. No check, bound, client load or seed changes: the values of newLimits and limitsFor are tested as before.

--- a/assign/gang.go
+++ b/assign/gang.go
@@ -27,10 +27,8 @@
 // whether it did.
 func (p *planner) tryGang(u *Unit) bool {
 	racks := p.byLocality(u, p.racks)
-	for _, rack := range p.racksWithRoom(u, racks) {
-		if p.placeGangOn(u, rack) {
-			return true
-		}
+	if p.placeGangOnRack(u, racks) {
+		return true
 	}
 	span := spanRacks
 	if u.Step.SameRack {
@@ -42,6 +40,17 @@
 	return span != singleRack && p.placeGangOn(u, slices.Concat(racks...))
 }
 
+// placeGangOnRack places a gang on the first of the racks that has room for all of it, and reports
+// whether one has.
+func (p *planner) placeGangOnRack(u *Unit, racks [][]*Worker) bool {
+	for _, rack := range p.racksWithRoom(u, racks) {
+		if p.placeGangOn(u, rack) {
+			return true
+		}
+	}
+	return false
+}
+
 // rackSpan says whether a gang that is slow on several racks may be placed on them.
 type rackSpan int
 
--- a/assign/speed.go
+++ b/assign/speed.go
@@ -44,10 +44,5 @@
 	u.minSpeed = u.NeededSpeed
 	defer func() { u.minSpeed = 0 }()
 	racks := p.byLocality(u, p.racks)
-	for _, rack := range p.racksWithRoom(u, racks) {
-		if p.placeGangOn(u, rack) {
-			return true
-		}
-	}
-	return !u.Step.SameRack && p.placeGangOn(u, slices.Concat(racks...))
+	return p.placeGangOnRack(u, racks) || !u.Step.SameRack && p.placeGangOn(u, slices.Concat(racks...))
 }
--- a/conns/conn.go
+++ b/conns/conn.go
@@ -74,7 +74,7 @@
 			c.enter(header)
 			fallthrough
 		case header:
-			if !c.countLines(b[:n]) && c.listener.crowded() {
+			if !c.countLines(b[:n]) && c.listener.limitsHeaders() {
 				c.Close()
 				c.listener.c.OnClose(HeaderLines)
 				return 0, net.ErrClosed
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -101,8 +101,8 @@
 	return len(l.conns)
 }
 
-// crowded reports whether so many connections are open that the lines of headers are limited.
-func (l *Listener) crowded() bool {
+// limitsHeaders reports whether so many connections are open that the lines of headers are limited.
+func (l *Listener) limitsHeaders() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return len(l.conns) > l.c.HeaderLinesFrom
--- a/flood/crowd_test.go
+++ b/flood/clients_test.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// sendTime bounds how long each connection of a crowd is dialled and written to.
+	// sendTime bounds how long each connection of the clients is dialled and written to.
 	sendTime = 20 * time.Second
 	// receiveBuffer is the receive buffer of connections whose responses aren't read. A small
 	// one makes the server wait sooner.
@@ -30,17 +30,17 @@
 	completeEvery = 10
 )
 
-// crowd is a set of connections to a process under test. They stay open until the test ends,
+// clients is a set of connections to a process under test. They stay open until the test ends,
 // unless the process closes them.
-type crowd struct {
+type clients struct {
 	t     *testing.T
 	mu    sync.Mutex
 	conns []net.Conn
 	wg    sync.WaitGroup
 }
 
-func newCrowd(t *testing.T) *crowd {
-	c := &crowd{t: t}
+func newClients(t *testing.T) *clients {
+	c := &clients{t: t}
 	t.Cleanup(func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -53,7 +53,7 @@
 
 // add opens n connections at once and passes each to send with its number. Errors are expected,
 // as the process may refuse or close connections.
-func (c *crowd) add(n int, dial dialer, send func(i int, x net.Conn)) {
+func (c *clients) add(n int, dial dialer, send func(i int, x net.Conn)) {
 	for i := range n {
 		c.wg.Go(func() {
 			x, err := dial()
@@ -70,7 +70,7 @@
 }
 
 // sent waits until all connections have sent what they send.
-func (c *crowd) sent() { c.wg.Wait() }
+func (c *clients) sent() { c.wg.Wait() }
 
 type dialer func() (net.Conn, error)
 
--- a/flood/node_test.go
+++ b/flood/node_test.go
@@ -17,7 +17,7 @@
 	"citronbridge/fakes/plat"
 )
 
-// The crowds that citronbridge node is flooded with.
+// The clients that citronbridge node is flooded with.
 const (
 	nodeBodies      = 600
 	nodeBodyBytes   = 256 << 10
@@ -104,7 +104,7 @@
 
 // floodNodeBodies sends many submissions, of which most lack their end.
 func floodNodeBodies(t *testing.T, send sendBody) {
-	n, c := startNode(t), newCrowd(t)
+	n, c := startNode(t), newClients(t)
 	c.add(nodeBodies, dialTCP(n.front), func(i int, x net.Conn) {
 		send(x, fmt.Sprintf("POST /batch/f%015x HTTP/1.1\r\n%s", i, nodeHeader), nodeBody, i%completeEvery == 0)
 	})
@@ -126,7 +126,7 @@
 
 // TestNodeUnreadResponses guards against connections that nobody reads from.
 func TestNodeUnreadResponses(t *testing.T) {
-	n, c := startNode(t), newCrowd(t)
+	n, c := startNode(t), newClients(t)
 	c.add(nodeReaders, dialTCP(n.front), sendWithoutReading("GET /batch/ HTTP/1.1\r\n"+nodeHeader+"\r\n"))
 	c.sent()
 	n.check(n.submit)
@@ -134,7 +134,7 @@
 
 // TestNodeUnreadMetrics guards against the same at the ready address, whose responses are larger.
 func TestNodeUnreadMetrics(t *testing.T) {
-	n, c := startNode(t), newCrowd(t)
+	n, c := startNode(t), newClients(t)
 	c.add(nodeReaders, dialTCP(n.ready), sendWithoutReading("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"))
 	c.sent()
 	n.check(n.checkReady)
@@ -142,7 +142,7 @@
 
 // TestNodeEndlessHeaders guards against connections whose header doesn't end.
 func TestNodeEndlessHeaders(t *testing.T) {
-	n, c := startNode(t), newCrowd(t)
+	n, c := startNode(t), newClients(t)
 	c.add(nodeHeaders, dialTCP(n.front), sendEndlessHeader("POST /batch/ HTTP/1.1\r\n", nodeHeaderSize))
 	c.sent()
 	n.check(n.submit)
@@ -150,7 +150,7 @@
 
 // TestNodeReadyEndlessHeaders guards against the same at the ready address.
 func TestNodeReadyEndlessHeaders(t *testing.T) {
-	n, c := startNode(t), newCrowd(t)
+	n, c := startNode(t), newClients(t)
 	c.add(nodeHeaders, dialTCP(n.ready), sendEndlessHeader("GET /metrics HTTP/1.1\r\n", nodeHeaderSize))
 	c.sent()
 	n.check(n.checkReady)
@@ -158,7 +158,7 @@
 
 // TestNodeHostConns guards against connections to the address for other hosts that send nothing.
 func TestNodeHostConns(t *testing.T) {
-	n, c := startNode(t), newCrowd(t)
+	n, c := startNode(t), newClients(t)
 	c.add(silentHostConns, dialTCP(n.control), func(int, net.Conn) {})
 	c.sent()
 	n.check(n.submit)
@@ -166,7 +166,7 @@
 
 // TestNodeHostStreams guards against streams of other hosts that send no whole message.
 func TestNodeHostStreams(t *testing.T) {
-	n, c := startNode(t), newCrowd(t)
+	n, c := startNode(t), newClients(t)
 	c.add(hostConns, dialTCP(n.control), openStreams(streamsPerConn, unfinishedMessage("", 64)))
 	c.sent()
 	n.check(n.submit)
@@ -174,7 +174,7 @@
 
 // TestNodeHostMessages guards against messages of other hosts that exceed the memory together.
 func TestNodeHostMessages(t *testing.T) {
-	n, c := startNode(t), newCrowd(t)
+	n, c := startNode(t), newClients(t)
 	c.add(hostConns, dialTCP(n.control), openStreams(messagesPerConn, unfinishedMessage("", messageBytes)))
 	c.sent()
 	n.check(n.submit)
@@ -183,7 +183,7 @@
 // TestNodeRefusedBodies guards against bodies that are still read after their request was refused
 // for its path, key or method.
 func TestNodeRefusedBodies(t *testing.T) {
-	n, c := startNode(t), newCrowd(t)
+	n, c := startNode(t), newClients(t)
 	heads := []string{
 		"POST /nowhere/f000000000000000 HTTP/1.1\r\n" + nodeHeader,
 		"POST /batch/f000000000000000 HTTP/1.1\r\nHost: jobs.example\r\nX-Credential: unknown\r\n",
--- a/flood/process_test.go
+++ b/flood/process_test.go
@@ -16,6 +16,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"citronbridge/binary"
 )
 
 // The limits in the settings of each process under test.
@@ -34,30 +36,16 @@
 	requestTimeout = 5 * time.Second
 	retryPause     = 200 * time.Millisecond
 	// settleTime is how long the process goes on after the ordinary request before its memory is
-	// read. The crowd's writes end in the kernel's buffers, so the process may not have read them.
+	// read. The writes of the clients end in the kernel's buffers, so the process may not have read them.
 	settleTime = 2 * time.Second
 	// sampleInterval is how often the open descriptors are counted.
 	sampleInterval = 20 * time.Millisecond
 )
 
-// program is the path of the program under test, which TestMain builds.
-var program string
+// binaryDir holds the program under test, which TestMain builds.
+var binaryDir string
 
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "citronbridge")
-	if err != nil {
-		panic(err)
-	}
-	program = filepath.Join(dir, "citronbridge")
-	b := exec.Command("go", "build", "-o", program, "citronbridge")
-	b.Stderr = os.Stderr
-	if err := b.Run(); err != nil {
-		panic(err)
-	}
-	status := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(status)
-}
+func TestMain(m *testing.M) { os.Exit(binary.Run(m, &binaryDir, false, "citronbridge")) }
 
 func must(t testing.TB, err error) {
 	t.Helper()
@@ -79,7 +67,7 @@
 // startProcess starts the program, and kills it when the test ends.
 func startProcess(t *testing.T, args ...string) *process {
 	t.Helper()
-	p := &process{t: t, cmd: exec.Command(program, args...), exited: make(chan struct{}), logFile: filepath.Join(t.TempDir(), "log")}
+	p := &process{t: t, cmd: exec.Command(filepath.Join(binaryDir, "citronbridge"), args...), exited: make(chan struct{}), logFile: filepath.Join(t.TempDir(), "log")}
 	f, err := os.Create(p.logFile)
 	must(t, err)
 	p.cmd.Stdout, p.cmd.Stderr = f, f
--- a/flood/serveflood_test.go
+++ b/flood/serveflood_test.go
@@ -11,7 +11,7 @@
 	"citronbridge/jobs"
 )
 
-// The crowds that citronbridge serve is flooded with.
+// The clients that citronbridge serve is flooded with.
 const (
 	serveBodies        = 400
 	serveBodyBytes     = 512 << 10
@@ -45,7 +45,7 @@
 // floodServeBodies sends many submissions, of which most lack their end, and some proposals that
 // all lack it.
 func floodServeBodies(t *testing.T, encrypted bool, send sendBody) {
-	p, c := startServe(t, encrypted), newCrowd(t)
+	p, c := startServe(t, encrypted), newClients(t)
 	c.add(serveBodies, p.dialHTTP(), func(i int, x net.Conn) {
 		send(x, "POST /v1/jobs HTTP/1.1\r\n"+accountHeader, serveBody, i%completeEvery == 0)
 	})
@@ -81,7 +81,7 @@
 func TestServeSmallChunksTLS(t *testing.T) { floodServeBodies(t, true, sendSmallChunks) }
 
 func floodServeReaders(t *testing.T, encrypted bool) {
-	p, c := startServe(t, encrypted), newCrowd(t)
+	p, c := startServe(t, encrypted), newClients(t)
 	s := p.newSpec(answerMembers, fmt.Sprintf("OutputBytes=%d", answerPartBytes))
 	_, err := p.account.Submit(context.Background(), s)
 	must(t, err)
@@ -103,7 +103,7 @@
 func TestServeUnreadResponsesTLS(t *testing.T) { floodServeReaders(t, true) }
 
 func floodServeHeaders(t *testing.T, encrypted bool) {
-	p, c := startServe(t, encrypted), newCrowd(t)
+	p, c := startServe(t, encrypted), newClients(t)
 	c.add(serveHeaders, p.dialHTTP(), sendEndlessHeader("POST /v1/jobs HTTP/1.1\r\n", serveHeaderSize))
 	c.sent()
 	p.check(p.submit)
@@ -117,7 +117,7 @@
 
 // TestServeStalledHandshakes guards against callers whose TLS handshake doesn't end.
 func TestServeStalledHandshakes(t *testing.T) {
-	p, c := startServe(t, true), newCrowd(t)
+	p, c := startServe(t, true), newClients(t)
 	c.add(serveHandshakes, dialTCP(p.http), sendStalledHello)
 	c.sent()
 	p.check(p.submit)
@@ -125,7 +125,7 @@
 
 // TestServePeerStalledHandshakes guards against the same at the address for other hosts.
 func TestServePeerStalledHandshakes(t *testing.T) {
-	p, c := startServe(t, true), newCrowd(t)
+	p, c := startServe(t, true), newClients(t)
 	c.add(serveHandshakes, dialTCP(p.peer), sendStalledHello)
 	c.sent()
 	p.check(p.submit)
@@ -133,7 +133,7 @@
 
 // floodServePeer opens n connections to the address for other hosts.
 func floodServePeer(t *testing.T, encrypted bool, n int, send func(int, net.Conn)) {
-	p, c := startServe(t, encrypted), newCrowd(t)
+	p, c := startServe(t, encrypted), newClients(t)
 	c.add(n, p.dialPeer(), send)
 	c.sent()
 	p.check(p.submit)
@@ -176,7 +176,7 @@
 }
 
 func floodServeRefused(t *testing.T, encrypted bool) {
-	p, c := startServe(t, encrypted), newCrowd(t)
+	p, c := startServe(t, encrypted), newClients(t)
 	heads := []string{
 		"POST /v1/nowhere HTTP/1.1\r\n" + accountHeader,
 		"POST /v1/jobs HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer unknown\r\n",
--- a/flood/streams_test.go
+++ b/flood/streams_test.go
@@ -11,7 +11,7 @@
 	"github.com/hashicorp/yamux"
 )
 
-// The crowds of connections between hosts.
+// The connections between hosts.
 const (
 	// silentHostConns is the number of connections that send nothing, hostConns of those that
 	// send streams.
--- a/host/limits.go
+++ b/host/limits.go
@@ -8,8 +8,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -17,6 +15,7 @@
 	"citronbridge/budget"
 	"citronbridge/config"
 	"citronbridge/conns"
+	"citronbridge/logs"
 )
 
 // Limits against overload by clients and by other hosts, as shares of the settings Limits.
@@ -28,12 +27,8 @@
 	// minHostBytes lets in the largest message, and the message that it decodes to.
 	minClientBytes = 16<<20 + admin.MaxProposalBytes
 	minHostBytes   = 18 << 20
-	// clientDescriptorShare and hostDescriptorShare are the parts of the descriptors, as 1/n, for
-	// connections of clients and of other hosts.
-	clientDescriptorShare, hostDescriptorShare = 4, 8
-	// connBytes is what a connection of a client takes up, with TLS, and a quarter of the memory
-	// is for them. 48 KiB hold the buffers of net/http and TLS, the header and the goroutines.
-	connBytes, connMemoryShare = 48 << 10, 4
+	// hostDescriptorShare is the part of the descriptors, as 1/n, for connections of other hosts.
+	hostDescriptorShare = 8
 	// streamBytes of the memory allow for one stream of another host, which takes a tenth of it.
 	streamBytes = 256 << 10
 	// loadBytes of the memory allow for one record of a job that is being read, which takes up to
@@ -41,11 +36,6 @@
 	loadBytes = 4 << 20
 	// maxHostConns is the most connections of other hosts. The largest deployment has 97 hosts.
 	maxHostConns = 128
-	// maxHeaderLines limits the lines of a header, of which each takes some 120 bytes besides its
-	// text. It is the limit that Apache's server has by default.
-	maxHeaderLines = 100
-	// responseTimeout is how long a caller may take to read a response.
-	responseTimeout = 10 * time.Second
 )
 
 // limits are the limits that follow from the settings.
@@ -61,7 +51,7 @@
 	return limits{
 		clientBytes: max(m/clientMemoryShare, minClientBytes),
 		hostBytes:   max(m/hostMemoryShare, minHostBytes),
-		clientConns: int(min(int64(c.Descriptors/clientDescriptorShare), m/connMemoryShare/connBytes)),
+		clientConns: conns.LimitFor(c.Descriptors, m),
 		hostConns:   min(c.Descriptors/hostDescriptorShare, maxHostConns),
 		hostStreams: int(m / streamBytes),
 		loads:       int(m / loadBytes),
@@ -86,9 +76,9 @@
 
 // limitHTTP returns l with the limits of connections of callers.
 func (h *Host) limitHTTP(l net.Listener) net.Listener {
-	c := conns.Config{Limit: h.limits.clientConns, WriteTimeout: responseTimeout, OnClose: h.closeReporter(listenerHTTP)}
+	c := conns.Config{Limit: h.limits.clientConns, WriteTimeout: conns.ResponseTimeout, OnClose: h.closeReporter(listenerHTTP)}
 	if !h.settings.TLSEnabled() {
-		c.MaxHeaderLines = maxHeaderLines
+		c.MaxHeaderLines = conns.DefaultHeaderLines
 	}
 	h.httpConns = conns.Listen(l, c)
 	h.meter.RegisterConnections(listenerHTTP, h.httpConns.Open, h.httpConns.Limit)
@@ -98,7 +88,7 @@
 // limitHeaders returns l, whose connections are encrypted, with the limit of header lines. Below
 // TLS they can't be counted.
 func (h *Host) limitHeaders(l net.Listener) net.Listener {
-	h.tlsConns = conns.Listen(l, conns.Config{Limit: math.MaxInt, MaxHeaderLines: maxHeaderLines, OnClose: h.closeReporter(listenerHTTP)})
+	h.tlsConns = conns.Listen(l, conns.Config{Limit: math.MaxInt, MaxHeaderLines: conns.DefaultHeaderLines, OnClose: h.closeReporter(listenerHTTP)})
 	return h.tlsConns
 }
 
@@ -147,49 +137,22 @@
 	return len(b), nil
 }
 
-// newCloseLog returns a closeLog that writes lines with a message to l.
-func newCloseLog(l zerolog.Logger, message string) *closeLog {
-	return &closeLog{entries: map[[2]string]*closeEntry{}, now: time.Now, log: func(listener, reason, detail string, n int) {
-		l.Warn().Str("listener", listener).Str("reason", reason).Str("detail", detail).Int("count", n).Msg(message)
-	}}
-}
-
-// closeLog logs connections that are closed for a limit or an error: at most one line a second for
-// each reason, with the number since the last one.
+// closeLog logs connections that are closed for a limit or an error, a line a second for each
+// listener and reason.
 type closeLog struct {
-	log func(listener, reason, detail string, count int)
-	now func() time.Time
-
-	mu      sync.Mutex
-	entries map[[2]string]*closeEntry
+	log     zerolog.Logger
+	message string
+	logs.Sampler
 }
 
-// closeEntry is when a reason was last logged, and how often it has occurred since.
-type closeEntry struct {
-	at    time.Time
-	count int
+// newCloseLog returns a closeLog that writes lines with a message to l.
+func newCloseLog(l zerolog.Logger, message string) *closeLog {
+	return &closeLog{log: l, message: message}
 }
 
-// closeLogPeriod is the least time between two lines with the same reason.
-const closeLogPeriod = time.Second
-
-// report counts a closed connection, and logs it unless its reason was logged a moment ago.
+// report counts a closed connection, and logs it if a line is due.
 func (c *closeLog) report(listener, reason, detail string) {
-	k := [2]string{listener, reason}
-	c.mu.Lock()
-	e := c.entries[k]
-	if e == nil {
-		e = &closeEntry{}
-		c.entries[k] = e
-	}
-	e.count++
-	now, n := c.now(), e.count
-	due := now.Sub(e.at) >= closeLogPeriod
-	if due {
-		e.at, e.count = now, 0
-	}
-	c.mu.Unlock()
-	if due {
-		c.log(listener, reason, detail, n)
+	if n, ok := c.Sample(listener + " " + reason); ok {
+		c.log.Warn().Str("listener", listener).Str("reason", reason).Str("detail", detail).Int64("count", n).Msg(c.message)
 	}
 }
--- a/host/limits_test.go
+++ b/host/limits_test.go
@@ -1,10 +1,12 @@
 package host
 
 import (
-	"fmt"
+	"bytes"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"citronbridge/config"
 )
 
@@ -25,19 +27,22 @@
 	}
 }
 
-// TestCloseLog guards against a log line for each connection of a crowd.
+// TestCloseLog guards against a log line for each connection of a flood.
 func TestCloseLog(t *testing.T) {
-	now, got := time.Unix(100, 0), ""
-	c := &closeLog{entries: map[[2]string]*closeEntry{}, now: func() time.Time { return now }, log: func(listener, reason, _ string, n int) {
-		got += fmt.Sprint(listener, " ", reason, " ", n, "; ")
-	}}
+	now, b := time.Unix(100, 0), &bytes.Buffer{}
+	c := newCloseLog(zerolog.New(b), "closed")
+	c.Now = func() time.Time { return now }
 	for range 5 {
 		c.report("HTTP", "Idle", "")
 		c.report("HTTP", "Body", "")
 	}
-	now = now.Add(closeLogPeriod)
+	now = now.Add(time.Second)
 	c.report("HTTP", "Idle", "")
-	if want := "HTTP Idle 1; HTTP Body 1; HTTP Idle 5; "; got != want {
-		t.Errorf("got %s, want %s", got, want)
+	want := `{"level":"warn","listener":"HTTP","reason":"Idle","detail":"","count":1,"message":"closed"}
+{"level":"warn","listener":"HTTP","reason":"Body","detail":"","count":1,"message":"closed"}
+{"level":"warn","listener":"HTTP","reason":"Idle","detail":"","count":5,"message":"closed"}
+`
+	if b.String() != want {
+		t.Errorf("got %s, want %s", b, want)
 	}
 }
--- a/itest/harness_test.go
+++ b/itest/harness_test.go
@@ -23,6 +23,7 @@
 	"gopkg.in/yaml.v3"
 
 	"citronbridge/admin"
+	"citronbridge/binary"
 	"citronbridge/client"
 	"citronbridge/config"
 	"citronbridge/entry"
@@ -46,23 +47,7 @@
 var binaryDir string
 
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "citronbridge")
-	if err != nil {
-		panic(err)
-	}
-	binaryDir = dir
-	args := []string{"build", "-o", dir + string(filepath.Separator)}
-	if raceEnabled {
-		args = append(args, "-race")
-	}
-	b := exec.Command("go", append(args, "citronbridge", "citronbridge/fakesd")...)
-	b.Stderr = os.Stderr
-	if err := b.Run(); err != nil {
-		panic(err)
-	}
-	status := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(status)
+	os.Exit(binary.Run(m, &binaryDir, raceEnabled, "citronbridge", "citronbridge/fakesd"))
 }
 
 // process is a program under test that was started.
--- a/meter/host.go
+++ b/meter/host.go
@@ -112,23 +112,14 @@
 	}, age))
 }
 
-// RegisterRequestBytes registers gauges of the bytes that requests of a kind hold, and of their
-// limit.
-func (h *Host) RegisterRequestBytes(kind string, used, limit func() int64) {
-	l := prometheus.Labels{"kind": kind}
-	h.registerGauge("request_bytes", "Bytes that requests hold in memory.", l, func() float64 { return float64(used()) })
-	h.registerGauge("request_bytes_limit", "Limit of the bytes that requests hold in memory.", l, func() float64 { return float64(limit()) })
+// RegisterBytes registers gauges of the bytes that requests of a kind hold, and of their limit.
+func (h *Host) RegisterBytes(kind string, used, limit func() int64) {
+	h.metrics.RegisterBytes(kind, used, limit)
 }
 
-// RegisterConns registers gauges of the open connections of a listener, and of their limit.
-func (h *Host) RegisterConns(listener string, open, limit func() int) {
-	l := prometheus.Labels{"listener": listener}
-	h.registerGauge("connections", "Open connections.", l, func() float64 { return float64(open()) })
-	h.registerGauge("connections_limit", "Limit of open connections.", l, func() float64 { return float64(limit()) })
-}
-
-func (h *Host) registerGauge(name, help string, l prometheus.Labels, f func() float64) {
-	h.metrics.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help, ConstLabels: l}, f))
+// RegisterConnections registers gauges of the open connections of a listener, and of their limit.
+func (h *Host) RegisterConnections(listener string, open, limit func() int) {
+	h.metrics.RegisterConnections(listener, open, limit)
 }
 
 // Handler returns the handler that serves the metrics.
--- a/native/harness_test.go
+++ b/native/harness_test.go
@@ -20,6 +20,7 @@
 	"testing"
 	"time"
 
+	"citronbridge/binary"
 	"citronbridge/fakes/model"
 	"citronbridge/fakes/plat"
 )
@@ -31,27 +32,10 @@
 // apiKey is the API key of the default account, tenant-a.
 const apiKey = "key-of-a"
 
-var binary string
+// binaryDir holds the program under test, which TestMain builds.
+var binaryDir string
 
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "citronbridge")
-	if err != nil {
-		panic(err)
-	}
-	binary = filepath.Join(dir, "citronbridge")
-	args := []string{"build", "-o", binary}
-	if raceEnabled {
-		args = append(args, "-race")
-	}
-	b := exec.Command("go", append(args, "citronbridge")...)
-	b.Stderr = os.Stderr
-	if err := b.Run(); err != nil {
-		panic(err)
-	}
-	status := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(status)
-}
+func TestMain(m *testing.M) { os.Exit(binary.Run(m, &binaryDir, raceEnabled, "citronbridge")) }
 
 func must(t testing.TB, err error) {
 	t.Helper()
@@ -288,7 +272,7 @@
 func (d *deployment) startHost(h *hostProcess) {
 	log, err := os.OpenFile(h.settingsFile+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	must(d.t, err)
-	h.cmd = exec.Command(binary, "node", "--settings", h.settingsFile)
+	h.cmd = exec.Command(filepath.Join(binaryDir, "citronbridge"), "node", "--settings", h.settingsFile)
 	h.cmd.Stdout, h.cmd.Stderr = log, log
 	must(d.t, h.cmd.Start())
 	h.exited = make(chan struct{})
--- a/native/soak_test.go
+++ b/native/soak_test.go
@@ -257,7 +257,7 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			runSoak(t, seed, soakKind{
-				hosts: soakHosts, workers: soakWorkers, job: soakJob, crowd: soakCrowd,
+				hosts: soakHosts, workers: soakWorkers, job: soakJob, flood: soakFlood,
 				plan: func(links int) []fault { return planFaults(seed, soakHosts, links) },
 			})
 		})
@@ -269,8 +269,8 @@
 	hosts, workers int
 	// maxAttempts is how often a task may fail, 0 for the default of the deployments.
 	maxAttempts int
-	// crowd is the number of connections with unfinished bodies.
-	crowd int
+	// flood is the number of connections with unfinished bodies.
+	flood int
 	// plan returns the faults, for a number of links; job the body of a random job.
 	plan func(links int) []fault
 	job  func(r *rand.Rand) string
@@ -312,10 +312,10 @@
 			c.run(ended)
 		}()
 	}
-	stopCrowd := d.startCrowd(seed, k.crowd)
+	stopFlood := d.startFlood(seed, k.flood)
 	s.run(plan)
 	time.Sleep(soakCalm)
-	stopCrowd()
+	stopFlood()
 	close(ended)
 	wg.Wait()
 	for _, x := range d.hosts {
@@ -335,7 +335,7 @@
 	n, withdrawn := d.checkRuns(w), 0
 	d.platform.Lock(func(*model.Cluster) {
 		for task := range w.started {
-			if strings.HasPrefix(task, soakCrowdPrefix) {
+			if strings.HasPrefix(task, soakFloodPrefix) {
 				t.Errorf("task %s has started, but the body of its submission never ended", task)
 			}
 		}
--- a/native/soakcrowd_test.go
+++ b/native/soakflood_test.go
@@ -12,28 +12,28 @@
 
 // The connections with unfinished bodies that a soak has in addition to its faults.
 const (
-	soakCrowd = 40
-	// soakCrowdBody is the length of their bodies, the largest that the configuration allows.
-	soakCrowdBody = 64 << 10
-	// soakCrowdHold is how long a connection is held open, longer than the timeout of a queue.
-	soakCrowdHold = 5 * time.Second
-	// soakCrowdPause is the time before a connection is opened again.
-	soakCrowdPause = 100 * time.Millisecond
-	// soakCrowdPrefix is the beginning of the IDs of their jobs. No job of another client has it.
-	soakCrowdPrefix = "cc"
+	soakFlood = 40
+	// soakFloodBody is the length of their bodies, the largest that the configuration allows.
+	soakFloodBody = 64 << 10
+	// soakFloodHold is how long a connection is held open, longer than the timeout of a queue.
+	soakFloodHold = 5 * time.Second
+	// soakFloodPause is the time before a connection is opened again.
+	soakFloodPause = 100 * time.Millisecond
+	// soakFloodPrefix is the beginning of the IDs of their jobs. No job of another client has it.
+	soakFloodPrefix = "cc"
 )
 
-// startCrowd opens n connections to random hosts and keeps opening them again. Each sends a
+// startFlood opens n connections to random hosts and keeps opening them again. Each sends a
 // submission without the end of its body. The returned function closes them.
-func (d *deployment) startCrowd(seed uint64, n int) (stop func()) {
+func (d *deployment) startFlood(seed uint64, n int) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	for i := range n {
 		r := rand.New(rand.NewPCG(seed, uint64(1000+i)))
 		wg.Go(func() {
 			for k := 0; ctx.Err() == nil; k++ {
-				holdUnfinished(ctx, r, d.hosts[r.IntN(len(d.hosts))].frontAddress, fmt.Sprintf("%s%06x%08x", soakCrowdPrefix, i, k))
-				time.Sleep(soakCrowdPause)
+				holdUnfinished(ctx, r, d.hosts[r.IntN(len(d.hosts))].frontAddress, fmt.Sprintf("%s%06x%08x", soakFloodPrefix, i, k))
+				time.Sleep(soakFloodPause)
 			}
 		})
 	}
@@ -44,18 +44,18 @@
 }
 
 // holdUnfinished sends a submission without the end of its body, whole or in chunks, and holds the
-// connection until the host closes it, soakCrowdHold is over or ctx ends.
+// connection until the host closes it, soakFloodHold is over or ctx ends.
 func holdUnfinished(ctx context.Context, r *rand.Rand, address, id string) {
-	c, err := (&net.Dialer{Timeout: soakCrowdHold}).DialContext(ctx, "tcp", address)
+	c, err := (&net.Dialer{Timeout: soakFloodHold}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return
 	}
 	defer c.Close()
 	defer context.AfterFunc(ctx, func() { c.Close() })()
-	c.SetDeadline(time.Now().Add(soakCrowdHold))
+	c.SetDeadline(time.Now().Add(soakFloodHold))
 	head := fmt.Sprintf("POST /batch/%s HTTP/1.1\r\nHost: jobs.example\r\nX-Credential: %s\r\n", id, apiKey)
 	body := jobBody(singleTasks(1, time.Second))
-	body += strings.Repeat(" ", soakCrowdBody-len(body))
+	body += strings.Repeat(" ", soakFloodBody-len(body))
 	if r.IntN(2) == 0 {
 		fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body[:len(body)-1])
 	} else {
--- a/node/limits.go
+++ b/node/limits.go
@@ -28,12 +28,6 @@
 	minBodies           = 4
 	hostMemoryDivisor   = 16
 	minHostBytes        = 2 << 20
-	// A quarter of the descriptors is for clients' connections. Together they may take a
-	// quarter of the memory; each takes up to connBytes: a header of maxHeaderBytes, buffers
-	// and a stack.
-	clientDescriptorDivisor = 4
-	connMemoryDivisor       = 4
-	connBytes               = 48 << 10
 	// platformConns limits the connections at the ready and the metrics address together; the
 	// platform and the monitoring open one each. hostConns limits those of other hosts, of
 	// which the largest deployment has 97. Both take at most a sixteenth of the descriptors.
@@ -42,17 +36,12 @@
 	smallDescriptorsDivisor = 16
 	// maxBodyTime limits the time in which a body is complete where no queue's limit applies.
 	maxBodyTime = 5 * time.Second
-	// responseTime is the time in which a client has to read a response.
-	responseTime = 10 * time.Second
 	// readBuffer is the receive buffer of clients' connections. It bounds what waits in the
 	// system's memory while a process is busy. A body of 256 KiB takes 8 round trips with it.
 	readBuffer = 32 << 10
-	// maxHeaderLines limits the lines of a header, of which each takes some 120 bytes besides its
-	// text. It is the limit that Apache's server has by default.
-	// A header of 16 KiB may have 4,000, so it holds only while more than one in
-	// headerLinesDivisor of the connections is open: fewer of the longest headers take no more
+	// A header of 16 KiB may have 4,000 lines, so conns.DefaultHeaderLines holds only while more than one
+	// in headerLinesDivisor of the connections is open: fewer of the longest headers take no more
 	// memory than all the connections with short ones.
-	maxHeaderLines     = 100
 	headerLinesDivisor = 8
 	// metricsSlots limits the responses with metrics that are built at the same time.
 	metricsSlots = 2
@@ -81,7 +70,7 @@
 	return overloadLimits{
 		clientBytes:   max(memory/clientMemoryDivisor, minBodies*body),
 		hostBytes:     max(memory/hostMemoryDivisor, minHostBytes),
-		clientConns:   max(min(descriptors/clientDescriptorDivisor, int(memory/connMemoryDivisor/connBytes)), 1),
+		clientConns:   conns.LimitFor(descriptors, memory),
 		platformConns: min(platformConns, small),
 		hostConns:     min(hostConns, small),
 	}
@@ -100,7 +89,7 @@
 		p := budget.New(budget.Config{Limit: limit, OnEvict: func(reason string) {
 			h.countRefusal(kind + "Evicted" + reason)
 		}})
-		h.meter.RegisterRequestBytes(kind, p.Used, p.Limit)
+		h.meter.RegisterBytes(kind, p.Used, p.Limit)
 		return p
 	}
 	h.bodies, h.calls = open(clientKind, l.clientBytes), open(hostKind, l.hostBytes)
@@ -139,11 +128,11 @@
 		}
 	}}
 	if name != controlListener {
-		c.WriteTimeout, c.ReadBuffer, c.MaxHeaderLines = responseTime, readBuffer, maxHeaderLines
+		c.WriteTimeout, c.ReadBuffer, c.MaxHeaderLines = conns.ResponseTimeout, readBuffer, conns.DefaultHeaderLines
 		c.HeaderLinesFrom = limit / headerLinesDivisor
 	}
 	l := conns.Listen(n, c)
-	h.meter.RegisterConns(name, l.Open, l.Limit)
+	h.meter.RegisterConnections(name, l.Open, l.Limit)
 	return l, nil
 }
 
