--- a/review/bed2/bed.go
+++ b/review/bed2/bed.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -537,11 +538,15 @@
 		}
 		defer t.Close()
 	}
+	var dead atomic.Bool
 	pass := func(from, to net.Conn, forward bool) {
 		buf := make([]byte, 64<<10)
 		for {
 			n, err := from.Read(buf)
-			if n > 0 && to != nil && !p.isCut(forward) {
+			if n > 0 && p.isCut(forward) {
+				dead.Store(true)
+			}
+			if n > 0 && to != nil && !dead.Load() {
 				to.Write(buf[:n])
 			}
 			if err != nil {
@@ -598,7 +603,7 @@
 	defer b.mu.Unlock()
 	b.cuts = f
 	for _, p := range b.paths {
-		p.setCut(f(p.from, p.to))
+		p.setCut(f != nil && f(p.from, p.to))
 	}
 }
 
--- a/review/bed2/main.go
+++ b/review/bed2/main.go
@@ -23,6 +23,7 @@
 // cases are by name. A case returns whether the rule was broken.
 var cases = map[string]func(b *bed, trouble bool) (bool, error){
 	"both": both,
+	"slow": slow,
 }
 
 func main() { os.Exit(play()) }
