--- a/review/bed2/main.go
+++ b/review/bed2/main.go
@@ -22,8 +22,9 @@
 
 // cases are by name. A case returns whether the rule was broken.
 var cases = map[string]func(b *bed, trouble bool) (bool, error){
-	"both": both,
-	"slow": slow,
+	"both":  both,
+	"slow":  slow,
+	"chain": chain,
 }
 
 func main() { os.Exit(play()) }
