review: Case 9, waiting jobs of a queue that is sent to another service

Cause: a job of which nothing has started stays in the pool of its terms, with workers or without, and no decider looks at its pool again when rules change.

Done: a script with two services. A configuration sends the queue to the other one, and the only worker of the old one is emptied and leaves.

--- a/review/bed2/main.go
+++ b/review/bed2/main.go
@@ -22,9 +22,10 @@
 
 // cases are by name. A case returns whether the rule was broken.
 var cases = map[string]func(b *bed, trouble bool) (bool, error){
-	"both":  both,
-	"slow":  slow,
-	"chain": chain,
+	"both":    both,
+	"slow":    slow,
+	"chain":   chain,
+	"retired": retired,
 }
 
 func main() { os.Exit(play()) }
