--- a/review/bed2/main.go
+++ b/review/bed2/main.go
@@ -22,9 +22,10 @@
 
 // cases are by name. A case returns whether the rule was broken.
 var cases = map[string]func(b *bed, trouble bool) (bool, error){
-	"both":    both,
-	"slow":    slow,
 	"chain":   chain,
+	"slow":    slow,
+	"both":    both,
+	"lost":    lost,
 	"retired": retired,
 }
 
