review: Let the runs of case 6 end before the script does

Cause: the record ended before the doubled runs did, so it didn't show that both go on to their ends.

Done: the script goes on for 5 s.

--- a/review/bed2/both.go
+++ b/review/bed2/both.go
@@ -91,7 +91,7 @@
 	for end := time.Now().Add(12 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if task, on := b.doubled(); task != "" {
 			b.log("TWICE: %s runs on %s at the same time", task, strings.Join(on, " and "))
-			time.Sleep(3 * time.Second)
+			time.Sleep(5 * time.Second)
 			return true, nil
 		}
 	}
