review: Start no host after the end of a case

Cause: a host that was to be started again in the background could be started after the script had ended all processes.

Done: a start after that is refused.

--- a/review/bed2/bed.go
+++ b/review/bed2/bed.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -310,6 +311,9 @@
 	return nil
 }
 
+// errClosed is returned for a start after the end of the case.
+var errClosed = errors.New("the case is over")
+
 // start starts a host's process as the deploy file says.
 func (h *host) start() error {
 	var seeds []string
@@ -330,6 +334,12 @@
 	c := exec.Command(h.b.program, "node")
 	c.Env = []string{"CITRONBRIDGE_NODE_FILE=" + h.file, "PATH=" + os.Getenv("PATH"), "HOME=" + h.b.dir, "LANG=C"}
 	c.Stdout, c.Stderr = log, log
+	h.b.mu.Lock()
+	defer h.b.mu.Unlock()
+	if h.b.closed {
+		log.Close()
+		return errClosed
+	}
 	if err := c.Start(); err != nil {
 		return err
 	}
