track, orders: End leases in time however old the reading of the clock

Cause: a lease's end on the worker's clock was computed from the last reading as if that clock had run at the full rate since. Nothing asks an idle worker, so the reading grew old without limit, and 0.3 s of slack covers 14.5 s of a clock that is 2% slow. Ruled out: late orders (their deadline doesn't move) and the next lease (it never shortens the first).

Changed: a lease is shortened to end, on the slowest clock, 0.1 s before the decider takes it to have ended; the clock of an idle worker is read again each minute; a worker whose clock was never read gets no lease.

Cost: a Hold a minute for each idle worker.

--- a/orders/hold.go
+++ b/orders/hold.go
@@ -44,7 +44,8 @@
 	if w.HoldInFlight || w.Terminated || w.Address == "" || s.Limits.NoOrders {
 		return nextCheck
 	}
-	needed := len(w.Runs) > 0 || !w.Synced || w.UnansweredCalls > 0 || w.DurableEnd > w.ConfirmedAck || len(w.PendingEnds) > 0 || w.ReplacedAt > 0
+	needed := len(w.Runs) > 0 || !w.Synced || w.UnansweredCalls > 0 || w.DurableEnd > w.ConfirmedAck || len(w.PendingEnds) > 0 || w.ReplacedAt > 0 ||
+		w.Listed && now-w.ClockAt > track.MaxClockAge
 	if !needed {
 		return nextCheck
 	}
@@ -62,7 +63,7 @@
 		// decider has seen.
 		h.AckedEnd = w.DurableEnd
 	}
-	if w.Synced && w.UnansweredCalls == 0 && w.Recorded && len(w.Runs) > 0 {
+	if w.Synced && w.UnansweredCalls == 0 && w.Recorded && w.ClockMS != 0 && len(w.Runs) > 0 {
 		h.DeadlineMS = s.ExtendLease(w)
 		h.Wait = holdWait
 		if w.Shared() {
--- a/sched/state_test.go
+++ b/sched/state_test.go
@@ -15,6 +15,8 @@
 	t   *testing.T
 	s   *State
 	now time.Duration
+	// clockRate is the rate of the workers' clocks, 0 for 1.
+	clockRate float64
 	// running is what each worker runs, with its progress and metric.
 	running map[string][]event.Running
 	ended   map[string][]event.Ended
@@ -70,7 +72,15 @@
 }
 
 // clockMS returns the clock of all workers, in milliseconds.
-func (b *bench) clockMS() int64 { return 1 + b.now.Milliseconds() }
+func (b *bench) clockMS() int64 { return b.clockAt(b.now) }
+
+// clockAt returns the clock of all workers at a time, in milliseconds.
+func (b *bench) clockAt(at time.Duration) int64 {
+	if b.clockRate != 0 {
+		at = time.Duration(b.clockRate * float64(at))
+	}
+	return 1 + at.Milliseconds()
+}
 
 func (b *bench) step(e event.Event) { b.perform(b.s.Handle(b.clock(), e)) }
 
--- a/track/pool.go
+++ b/track/pool.go
@@ -107,10 +107,18 @@
 	// clockDrift is the fraction by which a worker's clock may run slow or fast. It is the
 	// platform's bound.
 	clockDrift = 0.02
-	// LeaseSlack covers the age of the last reading of a worker's clock.
+	// LeaseSlack is how much longer than a lease on the slowest clock tasks are taken to be
+	// alive. It keeps leases whole while the last reading of a worker's clock is recent.
 	LeaseSlack = 300 * time.Millisecond
+	// lapseTime is the part of LeaseSlack that a worker has to end its tasks when their lease
+	// has ended.
+	lapseTime = 100 * time.Millisecond
 )
 
+// MaxClockAge is the age at which the reading of a worker's clock is renewed, although nothing
+// runs there. The first lease after that is at most clockDrift of this time shorter.
+const MaxClockAge = time.Minute
+
 // fencesPerEpoch is the distance between the first fences of consecutive epochs. Each
 // incarnation of a worker gets a higher fence, so that it refuses orders that were meant
 // for a former one.
@@ -240,11 +248,16 @@
 }
 
 // ExtendLease returns the end of a lease that begins now, in milliseconds of the worker's
-// clock. It also extends the time until which tasks on the worker may be alive.
+// clock, which must have been read. It also extends the time until which tasks on the worker may
+// be alive. The older the reading, the less a slow clock may have advanced since, so the lease is
+// shortened to end by that time on the slowest clock.
 func (p *Pool) ExtendLease(w *Worker) int64 {
 	l := p.Config.Lease
-	w.LeaseEnd = max(w.LeaseEnd, p.Now.Steady+l+time.Duration(clockDrift*float64(l))+LeaseSlack)
-	return w.ClockMS + (p.Now.Steady - w.ClockAt + l).Milliseconds()
+	longest := l + time.Duration(clockDrift*float64(l)) + LeaseSlack
+	w.LeaseEnd = max(w.LeaseEnd, p.Now.Steady+longest)
+	age := p.Now.Steady - w.ClockAt
+	slowest := time.Duration((1 - clockDrift) * float64(age+longest-lapseTime))
+	return w.ClockMS + min(age+l, slowest).Milliseconds()
 }
 
 // NextRun returns the number of the next run after the last known one.
