decide: Renew leases after heartbeats alone

Cause, by reading: writes of a job's partition proved the ownership of the pool for leases too, for 4 s each. They go on until a successor has fenced that partition, after it has acquired the pool. A successor counts its wait from the last heartbeat, so leases could outlast it.

Ruled out: starts. They need a proof younger than 1.1 s, and no order at all may be sent then, so the same bound holds for them now.

Changed: orders and leases need a heartbeat written in the last 4 s. Other proofs count for starts beside that, as before.

Evidence: TestOrdersNeedHeartbeats; on the code before, whose limits knew one proof only, a write of a job within 1 s held no order back (the test is that condition).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -35,9 +35,10 @@
 	// maxStartProofAge is how old the last proof of ownership may be for the decider to start
 	// tasks. Other hosts wait longer, for repo.HeartbeatTimeout, before they acquire the pool.
 	maxStartProofAge = repo.HeartbeatTimeout - 200*time.Millisecond
-	// maxOrderProofAge is how old the last proof of ownership may be for the
-	// decider to send any order, renewals of leases included.
-	maxOrderProofAge = 4 * time.Second
+	// maxHeartbeatAge is how old the last written heartbeat may be for the decider to send any
+	// order, renewals of leases included. Other proofs of ownership don't count, as a successor
+	// knows of heartbeats only.
+	maxHeartbeatAge = 4 * time.Second
 	// maxDecisionAge is how old a decision to start a task may be when the order is sent. If this
 	// host was suspended in between, another host may own the pool by now.
 	maxDecisionAge = time.Second
@@ -133,11 +134,12 @@
 	// proofQueued means that a requested proof of ownership waits for ownershipMu.
 	proofQueued atomic.Bool
 
-	// mu guards provedAt, heartbeatSeq, waitingJobs and c.Bounds.
+	// mu guards provedAt, heartbeatAt, heartbeatSeq, waitingJobs and c.Bounds.
 	mu sync.Mutex
-	// provedAt is the send time of the last call that proved the ownership.
-	provedAt     time.Duration
-	heartbeatSeq int64
+	// provedAt is the send time of the last call that proved the ownership, heartbeatAt that of
+	// the last heartbeat that was written.
+	provedAt, heartbeatAt time.Duration
+	heartbeatSeq          int64
 	// waitingJobs counts waiting jobs by queue, for the heartbeat. It is nil until the
 	// count is known.
 	waitingJobs map[string]int
@@ -155,7 +157,7 @@
 func Start(ctx context.Context, c Config) *Decider {
 	d := &Decider{
 		c: c, log: c.Log.With().Str("pool", c.Pool).Int64("epoch", c.Owner.Epoch).Logger(), events: make(chan event.Event, eventQueueSize),
-		provedAt: timer.SinceBoot(), listed: map[string]bool{}, rejected: map[string]string{},
+		provedAt: timer.SinceBoot(), heartbeatAt: timer.SinceBoot(), listed: map[string]bool{}, rejected: map[string]string{},
 	}
 	d.ctx, d.cancel = context.WithCancel(ctx)
 	d.takeover.began, d.takeover.log = timer.SinceBoot(), d.log
@@ -296,7 +298,7 @@
 	if !d.c.PredecessorStopped {
 		// An unresponsive predecessor renews leases until its last proof of ownership is too old.
 		// repo.HeartbeatTimeout of that time passed before this host acquired the pool.
-		inheritFor += maxOrderProofAge - repo.HeartbeatTimeout
+		inheritFor += maxHeartbeatAge - repo.HeartbeatTimeout
 	}
 	d.state = sched.New(track.Config{
 		Pool: d.c.Pool, Epoch: d.c.Owner.Epoch, Bounds: b, InheritTime: inheritFor, Window: launch.WindowForCores(d.c.Cores),
@@ -357,11 +359,7 @@
 				more = false
 			}
 		}
-		d.mu.Lock()
-		age := timer.SinceBoot() - d.provedAt
-		d.mu.Unlock()
-		stale := d.checkRequestAge()
-		d.state.SetLimits(track.Limits{NoStarts: age > maxStartProofAge || stale, NoOrders: age > maxOrderProofAge})
+		d.state.SetLimits(d.limits())
 		n := d.clock()
 		effects, next := d.state.Flush(n)
 		t.Reset(max(next-n.Steady, time.Millisecond))
@@ -371,6 +369,15 @@
 	}
 }
 
+// limits returns what the decider holds back now.
+func (d *Decider) limits() track.Limits {
+	stale := d.checkRequestAge()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := timer.SinceBoot()
+	return track.Limits{NoStarts: now-d.provedAt > maxStartProofAge || stale, NoOrders: now-d.heartbeatAt > maxHeartbeatAge}
+}
+
 // requestsStale reports whether the operator may have requested an evacuation so long ago that no
 // task may start there any more, and this host may not know of it yet.
 func (d *Decider) requestsStale() bool {
@@ -596,6 +603,9 @@
 		d.ownershipLost()
 		return false
 	}
+	d.mu.Lock()
+	d.heartbeatAt = max(d.heartbeatAt, sent)
+	d.mu.Unlock()
 	d.confirmOwnership(sent)
 	return true
 }
--- a/decide/proof_test.go
+++ b/decide/proof_test.go
@@ -10,6 +10,7 @@
 	"citronbridge/event"
 	"citronbridge/fakes/rows"
 	"citronbridge/repo"
+	"citronbridge/timer"
 )
 
 // gatedStore is a store that answers a change only once the gate lets it.
@@ -65,3 +66,18 @@
 		t.Errorf("the last request is answered by proof %d, want the one in flight and one more", proofs)
 	}
 }
+
+// TestOrdersNeedHeartbeats guards against leases that are renewed for longer than a successor
+// waits: writes of jobs go on for a while after another host has acquired the pool.
+func TestOrdersNeedHeartbeats(t *testing.T) {
+	now := timer.SinceBoot()
+	d := &Decider{log: zerolog.Nop(), provedAt: now - time.Minute, heartbeatAt: now - time.Minute}
+	d.confirmOwnership(now)
+	if l := d.limits(); !l.NoOrders {
+		t.Errorf("%+v a minute after the last heartbeat, want NoOrders", l)
+	}
+	d.heartbeatAt = now
+	if l := d.limits(); l.NoOrders || l.NoStarts {
+		t.Errorf("%+v just after a heartbeat, want no limits", l)
+	}
+}
