decide: Read the time of leases before the age of the proof

Cause, by reading: the loop checked how old the last heartbeat was and read the time from which leases count behind that. A process that froze in between for longer than 4 s renewed leases once more, from the later time, although a successor takes them to have ended.

Changed: the time is read first. Whatever passes in between makes the age greater and the leases shorter.

The tests of decide pass.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -359,8 +359,9 @@
 				more = false
 			}
 		}
-		d.state.SetLimits(d.limits())
+		// Leases count from this time, so it must not be later than that of the ages.
 		n := d.clock()
+		d.state.SetLimits(d.limits())
 		effects, next := d.state.Flush(n)
 		t.Reset(max(next-n.Steady, time.Millisecond))
 		d.perform(append(pending, effects...))
