node, decide, repo: Carry the end of former deciders' orders along

Cause: the wait for workers that can't be asked rested on the last owner alone. If that had surely ended, the decider before it, which was only unresponsive and went on renewing leases, was forgotten. The same held for a restart, and a handover to a larger host counted as 1.3 s of silence that there was not.

Changed: the owner row holds until when, by the store's clock, any former decider may send orders, and each owner passes it on. An acquisition requires the last known heartbeat to be the last one written, so that this time is known. The wait counts from it whoever the last owner was; the pause before orders for machines without fencing covers it too. A decider logs how long it is.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -80,9 +80,9 @@
 	// holds the row versions that prove that it still owns the pool.
 	Owner     repo.Owner
 	Ownership *repo.Ownership
-	// PredecessorStopped reports that the former decider is known to send no more orders.
-	PredecessorStopped bool
-	Store              repo.Store
+	// AcquiredAt is when the call that acquired the pool was sent, as of timer.SinceBoot.
+	AcquiredAt time.Duration
+	Store      repo.Store
 	// Clock estimates the clock of the store.
 	Clock   *watch.Clock
 	Owners  *repo.Owners
@@ -157,7 +157,7 @@
 func Start(ctx context.Context, c Config) *Decider {
 	d := &Decider{
 		c: c, log: c.Log.With().Str("pool", c.Pool).Int64("epoch", c.Owner.Epoch).Logger(), events: make(chan event.Event, eventQueueSize),
-		provedAt: timer.SinceBoot(), heartbeatAt: timer.SinceBoot(), listed: map[string]bool{}, rejected: map[string]string{},
+		provedAt: c.AcquiredAt, heartbeatAt: c.AcquiredAt, listed: map[string]bool{}, rejected: map[string]string{},
 	}
 	d.ctx, d.cancel = context.WithCancel(ctx)
 	d.takeover.began, d.takeover.log = timer.SinceBoot(), d.log
@@ -294,14 +294,10 @@
 		return
 	}
 	b := boundsOf(d.bounds())
-	inheritFor := b.Lease + leaseMargin
-	if !d.c.PredecessorStopped {
-		// An unresponsive predecessor renews leases until its last proof of ownership is too old.
-		// repo.HeartbeatTimeout of that time passed before this host acquired the pool.
-		inheritFor += maxHeartbeatAge - repo.HeartbeatTimeout
-	}
+	formerOrders := formerOrdersEndIn(d.c.Owner, d.c.Clock)
+	d.log.Info().Dur("formerOrders", formerOrders).Msg("takeover: former deciders may still give orders for this time")
 	d.state = sched.New(track.Config{
-		Pool: d.c.Pool, Epoch: d.c.Owner.Epoch, Bounds: b, InheritTime: inheritFor, Window: launch.WindowForCores(d.c.Cores),
+		Pool: d.c.Pool, Epoch: d.c.Owner.Epoch, Bounds: b, FormerOrders: formerOrders, InheritTime: b.Lease + leaseMargin + formerOrders, Window: launch.WindowForCores(d.c.Cores),
 		PartitionOf: func(id string) string { return repo.PartitionOf(repo.TableJobs, id) },
 	}, d.clock(), d.c.Rules())
 	pending := d.state.Handle(d.clock(), event.EvacuationsChanged{DataCentres: d.c.Evacuations()})
--- a/decide/panic_test.go
+++ b/decide/panic_test.go
@@ -50,7 +50,7 @@
 	full, ended := make(chan struct{}), make(chan struct{})
 	m := rows.New()
 	owners, self := repo.NewOwners(m), repo.Owner{Host: "h", Epoch: 1}
-	o, err := owners.Acquire(t.Context(), "p", self, 0)
+	o, err := owners.Acquire(t.Context(), "p", self, 0, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/decide/proof_test.go
+++ b/decide/proof_test.go
@@ -34,7 +34,7 @@
 	owners := repo.NewOwners(m)
 	self := repo.Owner{Host: "h", Epoch: 1}
 	m.gate <- struct{}{}
-	o, err := owners.Acquire(t.Context(), "p", self, 0)
+	o, err := owners.Acquire(t.Context(), "p", self, 0, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/decide/takeover.go
+++ b/decide/takeover.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"math"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -8,8 +9,49 @@
 	"citronbridge/repo"
 	"citronbridge/sched"
 	"citronbridge/timer"
+	"citronbridge/watch"
 )
 
+// Predecessor is what a host knows of the owner of a pool that it is about to take over.
+type Predecessor struct {
+	// Owner is its owner row, the zero value if the pool never had an owner.
+	Owner repo.Owner
+	// Stopped reports that it surely sends no more orders.
+	Stopped bool
+	// HeartbeatAge is the age of its last heartbeat, of which the takeover makes sure that it is
+	// the last. HeartbeatKnown is false if none is known.
+	HeartbeatAge   time.Duration
+	HeartbeatKnown bool
+}
+
+// unknownTime stands for a time of the store's clock that isn't known. It is later than any.
+const unknownTime time.Duration = math.MaxInt64
+
+// OrdersUntil returns the FormerOrdersUntil of the host's own owner row.
+func (p Predecessor) OrdersUntil(c *watch.Clock) time.Duration {
+	if p.Stopped {
+		return p.Owner.FormerOrdersUntil
+	}
+	now, ok := c.AtMost()
+	if !ok || !p.HeartbeatKnown {
+		return unknownTime
+	}
+	return max(p.Owner.FormerOrdersUntil, now+clockSlack+maxHeartbeatAge-p.HeartbeatAge)
+}
+
+// formerOrdersEndIn returns for how long deciders before an owner may still send orders.
+func formerOrdersEndIn(o repo.Owner, c *watch.Clock) time.Duration {
+	if o.FormerOrdersUntil == 0 {
+		return 0
+	}
+	now, ok := c.AtLeast()
+	if !ok {
+		return maxHeartbeatAge
+	}
+	// Each of them had its last heartbeat before this takeover.
+	return min(max(o.FormerOrdersUntil-now, 0), maxHeartbeatAge)
+}
+
 // takeover logs, once each, what a decider waits for after it has acquired the pool. Only the
 // goroutine that uses the state machine uses it.
 type takeover struct {
--- a/node/election.go
+++ b/node/election.go
@@ -59,11 +59,10 @@
 	decider     *decide.Decider // nil unless this host owns the pool
 }
 
-// attempt is an attempt to acquire a pool. The zero value is none.
+// attempt is an attempt to acquire a pool that was sent at a time. The zero value is none.
 type attempt struct {
 	owner repo.Owner
-	// predecessorStopped is for decide.Config.
-	predecessorStopped bool
+	sent  time.Duration
 }
 
 // notifyRules passes a configuration to the pool's decider, if it runs here.
@@ -276,11 +275,15 @@
 		return nil, true
 	}
 	// Read this before Acquire, which replaces the former decider's heartbeat by one of this host.
-	stopped := o.Host == h.current().Host || h.heartbeats.Released(pool, o.Epoch)
+	former := decide.Predecessor{Owner: o, Stopped: version == 0 || o.Host == h.current().Host || h.heartbeats.Released(pool, o.Epoch)}
 	silentFor, _ := h.heartbeats.UnresponsiveFor(pool)
-	me := repo.Owner{Epoch: o.Epoch + 1, Host: h.current().Host, Boot: h.boot}
-	ownership, err := h.owners.Acquire(callCtx, pool, me, version)
-	a := attempt{me, stopped}
+	var heartbeat int64
+	if !former.Stopped {
+		heartbeat, former.HeartbeatAge, former.HeartbeatKnown = h.heartbeats.LastHeartbeat(pool, o.Epoch)
+	}
+	me := repo.Owner{Epoch: o.Epoch + 1, Host: h.current().Host, Boot: h.boot, FormerOrdersUntil: former.OrdersUntil(h.clock)}
+	a := attempt{me, timer.SinceBoot()}
+	ownership, err := h.owners.Acquire(callCtx, pool, me, version, heartbeat)
 	if ownership == nil {
 		if err != nil && !errors.Is(err, repo.ErrNotDone) {
 			h.swapUnconfirmed(c, a)
@@ -288,7 +291,7 @@
 		h.log.Info().AnErr("cause", err).Str("pool", pool).Msg("pool not acquired; another host was first or the store failed")
 		return nil, true
 	}
-	h.log.Info().Str("pool", pool).Int64("epoch", me.Epoch).Str("former", o.Host).Bool("silent", v.unresponsive).Dur("silentFor", silentFor).Bool("weak", v.weaker).Bool("gone", stopped).Msg("pool taken")
+	h.log.Info().Str("pool", pool).Int64("epoch", me.Epoch).Str("former", o.Host).Bool("silent", v.unresponsive).Dur("silentFor", silentFor).Bool("weak", v.weaker).Bool("gone", former.Stopped).Msg("pool taken")
 	return h.startDecider(ctx, pool, a, ownership), true
 }
 
@@ -296,7 +299,7 @@
 func (h *Host) startDecider(ctx context.Context, pool string, a attempt, o *repo.Ownership) *decide.Decider {
 	return decide.Start(ctx, decide.Config{
 		Machines: cloud.New(func() string { return h.current().Cloud.Address }),
-		Pool:     pool, Owner: a.owner, Ownership: o, PredecessorStopped: a.predecessorStopped, Store: h.store, Clock: h.clock, Owners: h.owners, Workers: h.workers, Advisor: advise.New(func() string { return h.current().Advice }), Rules: h.gate.Rules, Evacuations: h.evacuations.sorted, ConfirmationAge: h.gate.Age, Bounds: h.current().Bounds, Cores: h.current().UsableCores(), Capacity: h.current().Capacity(), Stalls: h.stalls,
+		Pool:     pool, Owner: a.owner, Ownership: o, AcquiredAt: a.sent, Store: h.store, Clock: h.clock, Owners: h.owners, Workers: h.workers, Advisor: advise.New(func() string { return h.current().Advice }), Rules: h.gate.Rules, Evacuations: h.evacuations.sorted, ConfirmationAge: h.gate.Age, Bounds: h.current().Bounds, Cores: h.current().UsableCores(), Capacity: h.current().Capacity(), Stalls: h.stalls,
 		Meter: h.meter, Log: h.log, Guard: h.guard, Ended: h.deciderEnded,
 	})
 }
--- a/node/election_test.go
+++ b/node/election_test.go
@@ -20,14 +20,19 @@
 func newHost(t *testing.T) (*Host, *plat.Platform) {
 	p := plat.New("pool", model.Bounds{})
 	t.Cleanup(p.Close)
+	return newHostOn(t, p, "a", zerolog.Nop()), p
+}
+
+// newHostOn returns another host on a fake platform.
+func newHostOn(t *testing.T, p *plat.Platform, name string, log zerolog.Logger) *Host {
 	_, store, err := p.OpenStoreEndpoint(1)
 	if err != nil {
 		t.Fatal(err)
 	}
 	config := p.Configure(1)
-	s := &platform.Settings{Host: "a"}
+	s := &platform.Settings{Host: name}
 	s.Listen.Front, s.Listen.Ready, s.Store.Address = "127.0.0.1:0", "127.0.0.1:0", store
-	h, err := New(Config{Settings: s, Log: zerolog.Nop()})
+	h, err := New(Config{Settings: s, Log: log})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -36,7 +41,7 @@
 		h.ready.Close()
 	})
 	h.applyRules(config)
-	return h, p
+	return h
 }
 
 // TestAcquireDuringPlannedStop guards against a deadlock where a planned stop begins
@@ -144,7 +149,7 @@
 // Once the new owner's own heartbeats are missing the pool may be acquired.
 func TestAcquireFromNewOwner(t *testing.T) {
 	h, _ := newHost(t)
-	if o, err := h.owners.Acquire(t.Context(), "pool", repo.Owner{Epoch: 2, Host: "b", Boot: "x"}, 0); err != nil || o == nil {
+	if o, err := h.owners.Acquire(t.Context(), "pool", repo.Owner{Epoch: 2, Host: "b", Boot: "x"}, 0, 0); err != nil || o == nil {
 		t.Fatal(err)
 	}
 	for _, x := range []struct {
--- a/pulse/pulse.go
+++ b/pulse/pulse.go
@@ -45,6 +45,8 @@
 // heartbeat is the last heartbeat of a pool's decider.
 type heartbeat struct {
 	repo.Heartbeat
+	// version is that of its row.
+	version  int64
 	received time.Duration
 	// firstReceived is when the first heartbeat of the same epoch was received.
 	firstReceived time.Duration
@@ -92,7 +94,7 @@
 		}
 		if o := b.pools[r.Key]; v.Epoch > o.Epoch || (v.Epoch == o.Epoch && v.N != o.N) {
 			now := b.now()
-			l := heartbeat{Heartbeat: v, received: now, firstReceived: now, waiting: v.Waiting, countedAt: now}
+			l := heartbeat{Heartbeat: v, version: r.Version, received: now, firstReceived: now, waiting: v.Waiting, countedAt: now}
 			if v.Epoch == o.Epoch {
 				l.firstReceived = o.firstReceived
 			}
@@ -167,6 +169,18 @@
 	return h.Left && h.Epoch == epoch
 }
 
+// LastHeartbeat returns the version of the row of the last heartbeat, and how long ago it was
+// received, if that is one of the decider of an epoch. It returns false if not.
+func (b *Tracker) LastHeartbeat(pool string, epoch int64) (version int64, age time.Duration, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.pools[pool]
+	if h.Epoch != epoch || h.version == 0 {
+		return 0, 0, false
+	}
+	return h.version, b.now() - h.received, true
+}
+
 // Waiting returns the number of waiting jobs of a queue as last counted by a decider of the
 // pool. It returns false if there is no count, the count is older than maxCountAge, or the
 // decider has released the pool.
--- a/repo/owner.go
+++ b/repo/owner.go
@@ -14,6 +14,10 @@
 	Host  string
 	// Boot identifies the incarnation of the host's process.
 	Boot string
+	// FormerOrdersUntil is when, by the store's clock, the last of all former deciders of the
+	// pool stops sending orders and renewing leases, 0 if all had stopped at the takeover.
+	// Each owner passes it on to the next.
+	FormerOrdersUntil time.Duration `json:",omitempty"`
 }
 
 // Heartbeat is a row of TableHeartbeats, which a decider writes every HeartbeatPeriod.
@@ -66,9 +70,10 @@
 	return o, p.Rows[0].Version, nil
 }
 
-// Acquire makes self the owner of a pool if the version of the owner row is still the
-// given one. It returns nil, without an error, if another host acquired the pool first.
-func (s *Owners) Acquire(ctx context.Context, pool string, self Owner, version int64) (*Ownership, error) {
+// Acquire makes self the owner of a pool if the owner row still has the given version, and the
+// heartbeat row that of a heartbeat, which may be 0 for any. It returns nil, without an error, if
+// another host acquired the pool first or the former owner has written another heartbeat.
+func (s *Owners) Acquire(ctx context.Context, pool string, self Owner, version, heartbeatVersion int64) (*Ownership, error) {
 	b, err := json.Marshal(self)
 	if err != nil {
 		return nil, fmt.Errorf("encode owner: %w", err)
@@ -77,14 +82,18 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode heartbeat: %w", err)
 	}
-	a, err := s.store.Apply(ctx, Change{
+	c := Change{
 		If:  []Condition{hasVersion(TableOwners, pool, version)},
 		Put: []Row{newRow(TableOwners, pool, b), newRow(TableHeartbeats, pool, heartbeat)},
-	})
+	}
+	if heartbeatVersion > 0 {
+		c.If = append(c.If, hasVersion(TableHeartbeats, pool, heartbeatVersion))
+	}
+	a, err := s.store.Apply(ctx, c)
 	if err == nil && !a.Applied {
 		return nil, nil
 	}
-	heartbeatVersion := a.Version
+	heartbeatVersion = a.Version
 	if err != nil {
 		// The outcome is unknown, but the owner row shows it if it can be read. The
 		// heartbeat's version stays unknown: the next heartbeat conflicts once and
--- a/repo/store_test.go
+++ b/repo/store_test.go
@@ -295,14 +295,14 @@
 	m := newMemoryStore()
 	s := NewOwners(m)
 	ctx := context.Background()
-	a, b := Owner{1, "a", "x"}, Owner{1, "b", "y"}
+	a, b := Owner{Epoch: 1, Host: "a", Boot: "x"}, Owner{Epoch: 1, Host: "b", Boot: "y"}
 	m.intercept = func(int, Change) (bool, error) { return true, errAnswerLost }
-	ownership, err := s.Acquire(ctx, "pool", a, 0)
+	ownership, err := s.Acquire(ctx, "pool", a, 0, 0)
 	if err != nil || ownership == nil {
 		t.Fatal("the pool isn't acquired though only the answer was lost:", err)
 	}
 	m.intercept = nil
-	if other, err := s.Acquire(ctx, "pool", b, 0); err != nil || other != nil {
+	if other, err := s.Acquire(ctx, "pool", b, 0, 0); err != nil || other != nil {
 		t.Error("a second host has acquired the pool too:", err)
 	}
 	for n := range 3 {
@@ -320,7 +320,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if successor, err := s.Acquire(ctx, "pool", Owner{2, "b", "y"}, v); successor == nil {
+	if successor, err := s.Acquire(ctx, "pool", Owner{Epoch: 2, Host: "b", Boot: "y"}, v, 0); successor == nil {
 		t.Fatal("a successor can't acquire the pool:", err)
 	}
 	if held, _ := s.Heartbeat(ctx, ownership, Heartbeat{Epoch: 1, Host: "a", N: 10}); held {
@@ -334,7 +334,7 @@
 	m := newMemoryStore()
 	s := NewOwners(m)
 	ctx := t.Context()
-	ownership, err := s.Acquire(ctx, "pool", Owner{1, "a", "x"}, 0)
+	ownership, err := s.Acquire(ctx, "pool", Owner{Epoch: 1, Host: "a", Boot: "x"}, 0, 0)
 	if err != nil || ownership == nil {
 		t.Fatal(err)
 	}
@@ -371,7 +371,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if successor, err := s.Acquire(ctx, "pool", Owner{2, "b", "y"}, v); successor == nil {
+	if successor, err := s.Acquire(ctx, "pool", Owner{Epoch: 2, Host: "b", Boot: "y"}, v, 0); successor == nil {
 		t.Fatal("a successor can't acquire the pool:", err)
 	}
 	if err := s.Release(ctx, &former, Heartbeat{Epoch: 1, Host: "a", N: -1}); err != nil {
--- a/sched/waves.go
+++ b/sched/waves.go
@@ -14,7 +14,7 @@
 // waveRequested handles a request for a maintenance wave.
 func (s *State) waveRequested(w maint.Wave) {
 	if s.waves == nil {
-		s.waves = maint.New(maint.Config{Pool: s.Config.Pool, Epoch: s.Config.Epoch, TakeoverPause: s.Config.TakeoverPause, MaintenanceTime: s.Config.MaintenanceTime}, s.AcquiredAt)
+		s.waves = maint.New(maint.Config{Pool: s.Config.Pool, Epoch: s.Config.Epoch, TakeoverPause: max(s.Config.TakeoverPause, s.Config.FormerOrders), MaintenanceTime: s.Config.MaintenanceTime}, s.AcquiredAt)
 	}
 	s.waves.SetWave(w)
 	s.Log(nil, nil, nil, "maintenance wave "+strconv.FormatInt(w.Number, 10)+" requested")
--- a/track/pool.go
+++ b/track/pool.go
@@ -20,9 +20,9 @@
 	// Epoch rises with each decider of the pool, from 1.
 	Epoch int64
 	event.Bounds
-	// InheritTime is how long after a takeover an unresponsive worker may still run tasks
-	// that the former decider started.
-	InheritTime time.Duration
+	// FormerOrders is how long after a takeover any former decider may still send orders,
+	// InheritTime how long an unresponsive worker may still run tasks that one of them started.
+	FormerOrders, InheritTime time.Duration
 	// Window is the maximum number of orders in flight, as a host can handle only so many
 	// within their timeout. 0 stands for a default.
 	Window int
--- a/waves/waves_test.go
+++ b/waves/waves_test.go
@@ -35,7 +35,7 @@
 // sends, whether it was deposed, and the condition of ownership.
 func newRunner(t *testing.T, m *rows.Store, host string, epoch, version int64) (r *Runner, events *[]event.Event, deposed *bool, cond repo.Condition) {
 	t.Helper()
-	o, err := repo.NewOwners(m).Acquire(t.Context(), "pool", repo.Owner{Epoch: epoch, Host: host, Boot: host}, version)
+	o, err := repo.NewOwners(m).Acquire(t.Context(), "pool", repo.Owner{Epoch: epoch, Host: host, Boot: host}, version, 0)
 	if err != nil || o == nil {
 		t.Fatal("pool not acquired:", err)
 	}
