repo: Count a heartbeat as written only if it is

Cause: a heartbeat that met an earlier one of the same owner, whose answer was lost, was reported as a proof sent now, and nothing was written. A successor counts the owner's silence from the earlier one, so the owner could renew leases for longer than the successor waits.

Changed: the heartbeat is written again at once with the version that the conflict has shown. One more call after a lost answer.

--- a/repo/owner.go
+++ b/repo/owner.go
@@ -118,16 +118,26 @@
 }
 
 // Heartbeat writes a heartbeat and reports whether the pool is still held. Without an
-// error the store's answer proves the result; with an error the result is true, as the
-// loss of the pool isn't proved.
+// error the store's answer proves the result, and the heartbeat is written if the pool is held;
+// with an error the result is true, as the loss of the pool isn't proved.
 func (s *Owners) Heartbeat(ctx context.Context, ownership *Ownership, b Heartbeat) (bool, error) {
 	written, stored, err := s.writeHeartbeat(ctx, ownership, b)
+	if err == nil && !written && stored.Epoch == b.Epoch {
+		// The stored one shows that the pool was held when it was written, not that it is now.
+		if written, stored, err = s.writeHeartbeat(ctx, ownership, b); err == nil && !written && stored.Epoch == b.Epoch {
+			err = errHeartbeatConflict
+		}
+	}
 	if err != nil {
 		return true, err
 	}
-	return written || stored.Epoch == b.Epoch, nil
+	return written, nil
 }
 
+// errHeartbeatConflict is returned if an earlier heartbeat of the same owner was carried out late,
+// between the tries to write this one.
+var errHeartbeatConflict = errors.New("heartbeat row was changed by an earlier heartbeat")
+
 // writeHeartbeat tries once to write a heartbeat. If the version has changed it returns
 // the stored heartbeat and sets the version for the next try. A stored heartbeat of the
 // same epoch is an earlier one of this owner whose answer was lost.
