watch: Widen the bounds of the store's clock with their age

The 0.1 s that covers the drift of both is for the length of a lease. The end of a worker's lease in its row, and that of former deciders' orders, rest on them.

Changed: the bounds widen by a thousandth of the age.

Evidence: TestClockBoundsWiden fails without the widening (0.6 s off after 10 minutes) and passes. While the store answers, the age is below 2 s and the bounds are 4 ms wider.

--- a/watch/clock.go
+++ b/watch/clock.go
@@ -7,7 +7,8 @@
 	"time"
 )
 
-// Clock bounds the current reading of the store's monotonic clock by its answers. Hosts can
+// Clock bounds the current reading of the store's monotonic clock by its answers. The bounds widen
+// with the age of the last answer, as the clocks of hosts and store drift apart. Hosts can
 // thereby exchange times that stay valid after the host that wrote them has ended.
 type Clock struct {
 	now func() time.Duration
@@ -18,6 +19,10 @@
 	storeTime, sent, answered time.Duration
 }
 
+// maxDrift is the fraction by which this host's clock may run slow or fast against the store's. It
+// is twice the greatest correction that an operating system applies to a clock.
+const maxDrift = 0.001
+
 // NewClock returns a Clock without a reading. now returns a monotonic time that includes the
 // time of suspension.
 func NewClock(now func() time.Duration) *Clock { return &Clock{now: now} }
@@ -27,7 +32,8 @@
 func (c *Clock) AtLeast() (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.storeTime + c.now() - c.answered, c.storeTime > 0
+	age := c.now() - c.answered
+	return c.storeTime + age - drift(age), c.storeTime > 0
 }
 
 // AtMost returns an upper bound of the store's clock at this moment, and false if no answer
@@ -35,9 +41,13 @@
 func (c *Clock) AtMost() (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.storeTime + c.now() - c.sent, c.storeTime > 0
+	age := c.now() - c.sent
+	return c.storeTime + age + drift(age), c.storeTime > 0
 }
 
+// drift returns by how much the clocks may differ more after a time.
+func drift(age time.Duration) time.Duration { return time.Duration(maxDrift * float64(age)) }
+
 // observe records the store's clock in an answer to a call sent at the given time. As answers
 // may arrive out of order, one that is older than the last is ignored.
 func (c *Clock) observe(sent, store time.Duration) {
--- a/watch/clock_test.go
+++ b/watch/clock_test.go
@@ -47,3 +47,26 @@
 		}
 	}
 }
+
+// TestClockBoundsWiden guards against bounds that the store's clock leaves while it doesn't answer
+// for long, as it runs slower or faster than the host's.
+func TestClockBoundsWiden(t *testing.T) {
+	for _, rate := range []float64{1 - maxDrift, 1, 1 + maxDrift} {
+		now := time.Minute
+		c := NewClock(func() time.Duration { return now })
+		s := slowStore{rows.New(), &now, 0}
+		if _, err := Observe(s, c, nil).Apply(context.Background(), repo.Change{}); err != nil {
+			t.Fatal(err)
+		}
+		answered := now
+		for range 4 {
+			now += 10 * time.Minute
+			real := answered + clockOffset + time.Duration(rate*float64(now-answered))
+			least, _ := c.AtLeast()
+			most, _ := c.AtMost()
+			if least > real || most < real {
+				t.Errorf("at rate %v, %v after the answer, the store's clock shows %v, with bounds of %v and %v", rate, now-answered, real, least, most)
+			}
+		}
+	}
+}
