work, repo, decide: Let one pool alone run a job

Cause: a decider without that configuration took a pool that it didn't know yet for one that had been removed, and the job for its own. Nothing kept it apart from the new pool's decider: fences are kept for each pool, and a record that had changed was overwritten.

Changed: a job's terms carry the version of their configuration, and an older one decides nothing about them. A record that another pool has claimed is left to it, and the job is dropped.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -181,14 +181,25 @@
 // Running reports whether the decider goes on. It is false before Config.Ended is called.
 func (d *Decider) Running() bool { return d.ctx.Err() == nil }
 
-// newWriter returns a Writer whose transactions are all subject to a condition.
+// newWriter returns a Writer whose transactions are all subject to a condition. It leaves the
+// records of jobs to the pool that was the first to claim them.
 func (d *Decider) newWriter(c repo.Condition) *repo.Writer {
 	return repo.NewWriter(repo.WriterConfig{
+		Foreign: d.foreign, OnForeign: func(id string) { d.enqueue(event.JobForeign{ID: id}) },
 		Store: d.c.Store, Owner: c, OnDeposed: d.ownershipLost, OnConfirmed: d.confirmOwnership, Now: timer.SinceBoot,
 		OnError: func(err error) { d.log.Warn().Err(err).Str("part", c.Partition).Msg("store write failed; retrying") },
 	})
 }
 
+// foreign reports whether a row is the record of a job that belongs to another pool.
+func (d *Decider) foreign(table string, value []byte) bool {
+	if table != repo.TableRecords {
+		return false
+	}
+	rec, err := work.DecodeRecord(value)
+	return err == nil && rec.Pool != "" && rec.Pool != d.c.Pool
+}
+
 // spawn runs f in the background. A panic ends the decider, as its state may be incomplete.
 func (d *Decider) spawn(f func()) {
 	d.wg.Add(1)
--- a/event/event.go
+++ b/event/event.go
@@ -134,6 +134,10 @@
 	Seq int64
 }
 
+// JobForeign reports that a job belongs to another pool by now, whose decider was the first to
+// record it as its own.
+type JobForeign struct{ ID string }
+
 // OrderAnswered is the outcome of a Start or a Stop.
 type OrderAnswered struct {
 	Call    Call
@@ -214,6 +218,7 @@
 func (JobAdded) event()            {}
 func (PartitionLoaded) event()     {}
 func (JobCanceled) event()         {}
+func (JobForeign) event()          {}
 func (WorkerListed) event()        {}
 func (WorkerInherited) event()     {}
 func (SpeedsInherited) event()     {}
--- a/repo/writer.go
+++ b/repo/writer.go
@@ -21,6 +21,8 @@
 	onConfirmed func(time.Duration)
 	now         func() time.Duration
 	onError     func(error)
+	foreign     func(table string, value []byte) bool
+	onForeign   func(key string)
 
 	mu         sync.Mutex
 	queue      map[rowKey]*write
@@ -47,7 +49,7 @@
 	version int64
 }
 
-// WriterConfig configures a Writer. All fields are required.
+// WriterConfig configures a Writer. All fields but Foreign and OnForeign are required.
 type WriterConfig struct {
 	Store Store
 	// Owner is the condition under which the decider may write. All rows are in the
@@ -62,12 +64,16 @@
 	OnError func(error)
 	// Now returns a monotonic time.
 	Now func() time.Duration
+	// Foreign, if set, reports whether a row that others have changed belongs to the decider of
+	// another pool by now. Such a row isn't written: OnForeign is called with its key instead.
+	Foreign   func(table string, value []byte) bool
+	OnForeign func(key string)
 }
 
 // NewWriter returns a Writer, which writes nothing until Run is called.
 func NewWriter(c WriterConfig) *Writer {
 	return &Writer{
-		store: c.Store, owner: c.Owner, onDeposed: c.OnDeposed, onConfirmed: c.OnConfirmed, now: c.Now, onError: c.OnError,
+		store: c.Store, owner: c.Owner, onDeposed: c.OnDeposed, onConfirmed: c.OnConfirmed, now: c.Now, onError: c.OnError, foreign: c.Foreign, onForeign: c.OnForeign,
 		queue: map[rowKey]*write{}, rejected: map[rowKey]*write{}, versions: map[rowKey]int64{}, wake: make(chan struct{}, 1),
 	}
 }
@@ -233,6 +239,7 @@
 				w.complete(keys, batch, func(k rowKey) int64 { return current[k].Version })
 				return true
 			}
+			keys, batch = w.dropForeign(keys, batch, current)
 			if keys, batch = w.adoptVersions(keys, batch, current); len(keys) == 0 {
 				return true
 			}
@@ -241,6 +248,24 @@
 	return false
 }
 
+// dropForeign returns the batch without the rows that belong to another pool by now.
+func (w *Writer) dropForeign(keys []rowKey, batch []*write, current map[rowKey]Row) ([]rowKey, []*write) {
+	if w.foreign == nil {
+		return keys, batch
+	}
+	var restKeys []rowKey
+	var rest []*write
+	for i, k := range keys {
+		if r := current[k]; r.Version > 0 && !r.Deleted && batch[i].unless == nil && w.foreign(k.table, r.Value) {
+			w.RecordVersion(k.table, k.key, r.Version)
+			w.onForeign(k.key)
+			continue
+		}
+		restKeys, rest = append(restKeys, k), append(rest, batch[i])
+	}
+	return restKeys, rest
+}
+
 // adoptVersions takes over the versions of the current rows for the next try, and returns the
 // batch without the deletions that their rows don't allow any more.
 func (w *Writer) adoptVersions(keys []rowKey, batch []*write, current map[rowKey]Row) ([]rowKey, []*write) {
--- a/sched/job.go
+++ b/sched/job.go
@@ -74,6 +74,18 @@
 	}
 }
 
+// drop forgets a job that belongs to another pool. None of its tasks is started here any more.
+func (s *State) drop(j *track.Job) {
+	for _, st := range j.Steps {
+		for _, t := range st.Tasks {
+			if t.Run != nil {
+				s.Stop(t.Run)
+			}
+		}
+	}
+	s.ForgetJob(j)
+}
+
 // markDirty requests that the job's record is saved.
 func (s *State) markDirty(j *track.Job) {
 	j.Seq++
--- a/sched/state.go
+++ b/sched/state.go
@@ -98,6 +98,11 @@
 		s.ownershipProved(e.At)
 	case event.RecordSaved:
 		s.recordSaved(e)
+	case event.JobForeign:
+		if j := s.Jobs[e.ID]; j != nil {
+			s.Log(j, nil, nil, "job belongs to another pool; dropping it")
+			s.drop(j)
+		}
 	case event.OrderAnswered:
 		s.HandleAnswer(e)
 	case event.HoldAnswered:
--- a/sched/state_test.go
+++ b/sched/state_test.go
@@ -272,7 +272,7 @@
 	q := work.Queue{Name: "gone", Pool: "p", Priority: 1, MaxAttempts: 3, Stretch: 2}
 	s := work.Step{Count: 1, Demand: work.Amounts{MilliCPU: 1000}}
 	id := "00000000000000aa"
-	b.step(event.JobAdded{Job: &work.Job{ID: id, Queue: "gone", Steps: []work.Step{s}, Terms: q.Terms()}, Record: &work.Record{State: work.Pending, Queue: "gone"}, Inherited: true})
+	b.step(event.JobAdded{Job: &work.Job{ID: id, Queue: "gone", Steps: []work.Step{s}, Terms: q.Terms(1)}, Record: &work.Record{State: work.Pending, Queue: "gone"}, Inherited: true})
 	for n := range q.MaxAttempts {
 		b.pass(8 * time.Second)
 		if len(b.running["w0"]) != 1 {
--- a/track/pool.go
+++ b/track/pool.go
@@ -162,8 +162,13 @@
 
 // RemoveJob drops an ended job from memory.
 func (p *Pool) RemoveJob(j *Job) {
-	delete(p.Jobs, j.Spec.ID)
+	p.ForgetJob(j)
 	p.EndedAt[j.Spec.ID] = max(p.Now.Steady, 1)
+}
+
+// ForgetJob drops a job from memory that may be added again.
+func (p *Pool) ForgetJob(j *Job) {
+	delete(p.Jobs, j.Spec.ID)
 	p.JobsByArrival = slices.DeleteFunc(p.JobsByArrival, func(o *Job) bool { return o == j })
 }
 
--- a/work/rules.go
+++ b/work/rules.go
@@ -47,7 +47,9 @@
 
 // Terms are the properties of a queue that apply to its jobs.
 type Terms struct {
-	Pool        string
+	Pool string
+	// Version is that of the configuration from which the terms are, 0 if unknown.
+	Version     int64 `json:",omitempty"`
 	Priority    int
 	MaxAttempts int
 	Stretch     float64       `json:",omitempty"`
@@ -55,9 +57,9 @@
 	Advice      bool          `json:",omitempty"`
 }
 
-// Terms returns the queue's terms.
-func (q *Queue) Terms() Terms {
-	return Terms{q.Pool, q.Priority, q.MaxAttempts, q.Stretch, q.Slack, q.Advice}
+// Terms returns the queue's terms in a version of the configuration.
+func (q *Queue) Terms(version int64) Terms {
+	return Terms{q.Pool, version, q.Priority, q.MaxAttempts, q.Stretch, q.Slack, q.Advice}
 }
 
 // Queue returns a queue with these terms and the given name that accepts no calls.
@@ -67,9 +69,10 @@
 
 // PoolOf returns the pool of a job of which no task was started yet. It is the pool
 // of the job's terms, so that all deciders agree even if their configurations
-// differ. If the configuration no longer has that pool, it is the queue's pool.
+// differ. If the configuration no longer has that pool, it is the queue's pool. A
+// configuration that is older than the terms may not have the pool yet.
 func (r *Rules) PoolOf(j *Job) string {
-	if r.Pools[j.Terms.Pool] != nil {
+	if r.Pools[j.Terms.Pool] != nil || r.Version < j.Terms.Version {
 		return j.Terms.Pool
 	}
 	if q := r.Queues[j.Queue]; q != nil {
