track: Follow a job's own terms while the configuration is older

Changed: the job's terms count until the decider has that version.

Evidence: TestTermsOfNewerConfiguration fails before (the job fails after 2 attempts of 3) and passes.

--- a/track/pool.go
+++ b/track/pool.go
@@ -270,10 +270,10 @@
 	return max(last, int(p.Config.Epoch-1)*runsPerEpoch) + 1
 }
 
-// QueueOf returns a job's queue as last configured, or as it was when the job was accepted.
-// It returns nil if neither is known.
+// QueueOf returns a job's queue as last configured, or as it was when the job was accepted if the
+// configuration doesn't have it or is older than that. It returns nil if neither is known.
 func (p *Pool) QueueOf(j *Job) *work.Queue {
-	if p.Rules != nil {
+	if p.Rules != nil && p.Rules.Version >= j.Spec.Terms.Version {
 		if q := p.Rules.Queues[j.Spec.Queue]; q != nil {
 			j.Queue = q
 		}
