sched, decide, node: Hand jobs over to their queue's new pool

Cause: a job stayed in the pool of its terms for good and no decider looked at it again. Only a pool that the configuration had no more passed jobs on, by what each host's configuration said, and after that had no decider once it lost it.

Changed: the decider of a job's pool hands it over once nothing of it runs, in one transaction under its fence; only a configuration newer than the job's terms moves it. Pools are decided for until they are retired. Waiting jobs are summed over pools. A final record keeps its pool, so that a hand-over whose answer was lost doesn't overwrite it.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -104,6 +104,8 @@
 	Cores, Capacity float64
 	Meter           *meter.Host
 	Log             zerolog.Logger
+	// JobElsewhere is called with the pool of each open job that is in another one. It may be nil.
+	JobElsewhere func(pool string)
 	// Guard contains panics. Ended is called when the decider has ended.
 	Guard *guard.Guard
 	Ended func(*Decider)
@@ -128,6 +130,9 @@
 	stale bool
 	// waves carries out the actions of maintenance waves.
 	waves *waves.Runner
+	// retirement tells when the pool is retired, retired that it was.
+	retirement retirement
+	retired    atomic.Bool
 
 	// ownershipMu serializes heartbeats, each of which changes c.Ownership.
 	ownershipMu sync.Mutex
@@ -191,6 +196,13 @@
 	})
 }
 
+// elsewhere reports an open job of another pool.
+func (d *Decider) elsewhere(pool string) {
+	if pool != "" && d.c.JobElsewhere != nil {
+		d.c.JobElsewhere(pool)
+	}
+}
+
 // foreign reports whether a row is the record of a job that belongs to another pool.
 func (d *Decider) foreign(table string, value []byte) bool {
 	if table != repo.TableRecords {
@@ -236,7 +248,7 @@
 		d.wg.Wait()
 		ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
-		err := d.c.Owners.Release(ctx, d.c.Ownership, repo.Heartbeat{Epoch: d.c.Owner.Epoch, Host: d.c.Owner.Host, N: -1})
+		err := d.c.Owners.Release(ctx, d.c.Ownership, repo.Heartbeat{Epoch: d.c.Owner.Epoch, Host: d.c.Owner.Host, N: -1, Retired: d.Retired()})
 		if err != nil {
 			d.log.Warn().Err(err).Msg("pool release not recorded; successor waits for the heartbeat timeout")
 			return
@@ -374,6 +386,9 @@
 		d.perform(append(pending, effects...))
 		d.takeover.logProgress(d.state)
 		d.countWaiting()
+		if d.retireIfUnused() {
+			return
+		}
 	}
 }
 
@@ -437,6 +452,8 @@
 			d.call("advise", decided, func() (event.Event, event.Outcome) { return d.requestAdvice(e.Call) })
 		case event.SaveRecord:
 			d.partitions[repo.PartitionOf(repo.TableRecords, e.ID)].saveRecord(e)
+		case event.HandOver:
+			d.partitions[repo.PartitionOf(repo.TableRecords, e.ID)].handOver(e)
 		case event.RecordWorker:
 			d.writeWorker(e)
 		case event.SaveSpeeds:
--- a/decide/foreign_test.go
+++ b/decide/foreign_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -105,3 +106,88 @@
 		t.Errorf("the job is recorded as that of pool %q (error %v), want the first", rec.Pool, err)
 	}
 }
+
+// lossyStore is a store that loses the answer to a change and carries out no other before it is told
+// to.
+type lossyStore struct {
+	repo.Store
+	lost, resume chan struct{}
+}
+
+// Apply implements repo.Store.
+func (s lossyStore) Apply(ctx context.Context, c repo.Change) (repo.Result, error) {
+	select {
+	case <-s.resume:
+		return s.Store.Apply(ctx, c)
+	default:
+	}
+	if _, err := s.Store.Apply(ctx, c); err != nil {
+		return repo.Result{}, err
+	}
+	close(s.lost)
+	<-s.resume
+	return repo.Result{}, context.DeadlineExceeded
+}
+
+// TestHandOverWithoutAnswer guards against a hand-over that is repeated after its answer was lost,
+// and overwrites what the new pool has recorded since.
+func TestHandOverWithoutAnswer(t *testing.T) {
+	for _, state := range []work.State{work.Running, work.Succeeded} {
+		m := rows.New()
+		j := &work.Job{ID: "00000000000000aa", Queue: "q", Steps: []work.Step{{Count: 1}}, Terms: work.Terms{Pool: "old", Version: 1}}
+		row := submitJob(t, m, j)
+		from := newTestPartition(t, m, "old", j.ID, &work.Rules{})
+		lossy := lossyStore{m, make(chan struct{}), make(chan struct{})}
+		from.d.c.Store = lossy
+		c, _, err := from.d.c.Owners.Fence(t.Context(), "old", from.name, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		from.writer = from.d.newWriter(c)
+		from.writer.RecordVersion(repo.TableRecords, j.ID, row.Version)
+		go from.writer.Run(t.Context())
+		moved := *j
+		moved.Terms, moved.Moves = work.Terms{Pool: "new", Version: 2}, 1
+		job, err := work.EncodeJob(&moved)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rec := (&work.Record{State: work.Running, Queue: "q"}).HandedOver("new", 7)
+		value, err := rec.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		from.handOver(event.HandOver{ID: j.ID, Record: value, Job: job})
+		<-lossy.lost
+
+		to := newTestPartition(t, m, "new", j.ID, &work.Rules{})
+		go to.writer.Run(t.Context())
+		to.jobChanged(storedRow(t, m, repo.TableJobs, j.ID))
+		added, ok := nextEvent(to).(event.JobAdded)
+		if !ok || added.Record.LastRun != 7 || added.Job.Moves != 1 {
+			t.Fatalf("the new pool's decider gets %+v", added)
+		}
+		added.Record.State = state
+		if value, err = added.Record.Encode(); err != nil {
+			t.Fatal(err)
+		}
+		to.saveRecord(event.SaveRecord{ID: j.ID, Seq: 1, Record: value, Final: state.Final()})
+		if e, ok := nextEvent(to).(event.RecordSaved); !ok {
+			t.Fatalf("%+v, want RecordSaved", e)
+		}
+		want := storedRow(t, m, repo.TableRecords, j.ID)
+
+		close(lossy.resume)
+		if e, ok := nextEvent(from).(event.JobForeign); !ok || e.ID != j.ID {
+			t.Errorf("the former pool's decider gets %+v, want JobForeign", e)
+		}
+		if now := storedRow(t, m, repo.TableRecords, j.ID); now.Version != want.Version {
+			t.Errorf("the record of a job that is %s was overwritten: %s", state, now.Value)
+		}
+		// The feed may repeat rows from before the hand-over.
+		from.jobChanged(row)
+		if len(from.d.events) > 0 {
+			t.Error("the former pool's decider takes the job again")
+		}
+	}
+}
--- a/decide/partition.go
+++ b/decide/partition.go
@@ -126,6 +126,11 @@
 	s.setEnded(id, time.Now().UnixMilli())
 }
 
+// handOver makes it durable that a job belongs to another pool.
+func (s *partition) handOver(e event.HandOver) {
+	s.writer.PutBoth(repo.TableRecords, e.ID, e.Record, repo.TableJobs, e.Job, func() { s.d.enqueue(event.JobForeign{ID: e.ID}) })
+}
+
 // setEnded remembers when a job ended, in Unix milliseconds.
 func (s *partition) setEnded(id string, at int64) {
 	s.endedMu.Lock()
@@ -217,13 +222,32 @@
 	s.addNewer(r)
 }
 
-// addNewer adds a job from the feed, unless the list of jobs held its row.
+// addNewer adds a job from the feed, unless the list of jobs held its row or the job has changed
+// since: this decider may have handed it over.
 func (s *partition) addNewer(r repo.Row) {
-	if r.Version > s.listVersion {
+	if r.Version > s.listVersion && r.Version >= s.writer.Version(repo.TableRecords, r.Key) {
 		s.addJob(r, repo.Row{}, false)
 	}
 }
 
+// addMoved adds a job that was handed over, once its record is read.
+func (s *partition) addMoved(r repo.Row, inherited bool) {
+	for s.d.ctx.Err() == nil {
+		p, err := s.d.c.Store.List(s.d.ctx, repo.TableRecords, s.name, r.Key, 1)
+		if err != nil {
+			s.d.log.Warn().Err(err).Str("job", r.Key).Msg("record of a job that was handed over not read; retrying")
+			s.d.waitBeforeRetry()
+			continue
+		}
+		if len(p.Rows) > 0 && p.Rows[0].Key == r.Key && p.Rows[0].Version >= r.Version {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.addJob(r, p.Rows[0], inherited)
+		}
+		return
+	}
+}
+
 // addJob passes a job to the state machine, unless it belongs to another pool. The record is the
 // zero row if it wasn't read. Inherited jobs may have tasks that a former decider started.
 func (s *partition) addJob(r, record repo.Row, inherited bool) {
@@ -232,6 +256,15 @@
 		s.d.log.Error().Err(err).Str("job", r.Key).Msg("job row can't be decoded; skipping this job")
 		return
 	}
+	if j.Moves > 0 && record.Version < r.Version {
+		// The record was read before the job was handed over, or not at all.
+		if j.Terms.Pool == s.d.c.Pool {
+			s.d.spawn(func() { s.addMoved(r, inherited) })
+		} else {
+			s.d.elsewhere(j.Terms.Pool)
+		}
+		return
+	}
 	rec := &work.Record{State: work.Pending, Queue: j.Queue}
 	version := r.Version
 	// A record that is older than the job's row is that of a cancellation by another account
@@ -255,7 +288,9 @@
 	if pool == "" {
 		pool = s.d.c.Rules().PoolOf(j)
 	}
-	if pool == s.d.c.Pool {
-		s.d.enqueue(event.JobAdded{Job: j, Record: rec, Inherited: inherited})
+	if pool != s.d.c.Pool {
+		s.d.elsewhere(pool)
+		return
 	}
+	s.d.enqueue(event.JobAdded{Job: j, Record: rec, Inherited: inherited})
 }
--- a/demand/units.go
+++ b/demand/units.go
@@ -15,7 +15,7 @@
 	var l []*assign.Unit
 	idle := idleForLong(p)
 	for _, j := range p.JobsByArrival {
-		if j.Record.State.Final() || p.QueueOf(j) == nil {
+		if j.Record.State.Final() || j.Leaving || p.QueueOf(j) == nil {
 			continue
 		}
 		for _, st := range j.Steps {
--- a/event/event.go
+++ b/event/event.go
@@ -134,8 +134,8 @@
 	Seq int64
 }
 
-// JobForeign reports that a job belongs to another pool by now, whose decider was the first to
-// record it as its own.
+// JobForeign reports that a job belongs to another pool by now: it is handed over, or the decider
+// of that pool was the first to record it as its own.
 type JobForeign struct{ ID string }
 
 // OrderAnswered is the outcome of a Start or a Stop.
@@ -376,6 +376,12 @@
 	Final bool
 }
 
+// HandOver writes the record of a job that is handed over to another pool, and the job's own row.
+type HandOver struct {
+	ID          string
+	Record, Job []byte
+}
+
 // RecordWorker records for a successor that a worker is used or, if Lapsing is set, that
 // its lease is no longer renewed and expires LapsesIn from now. Seq rises with each write.
 type RecordWorker struct {
@@ -502,6 +508,7 @@
 func (Advise) effect()         {}
 func (Hold) effect()           {}
 func (SaveRecord) effect()     {}
+func (HandOver) effect()       {}
 func (RecordWorker) effect()   {}
 func (ForgetWorker) effect()   {}
 func (SaveSpeeds) effect()     {}
--- a/node/election.go
+++ b/node/election.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -161,7 +162,7 @@
 	delay := capacityDelay(h.current().Capacity(), h.relay.Capacities())
 	h.poolMu.Lock()
 	defer h.poolMu.Unlock()
-	for name := range r.Pools {
+	for name := range h.poolsToDecide(r) {
 		c := h.pools[name]
 		if c == nil {
 			c = &candidate{pool: name}
@@ -193,6 +194,30 @@
 	}
 }
 
+// poolsToDecide returns the pools that need a decider: those configured, and others that still have
+// jobs or had a decider that hasn't retired them. The caller holds h.poolMu.
+func (h *Host) poolsToDecide(r *work.Rules) map[string]bool {
+	m := maps.Clone(h.openPools)
+	for name := range r.Pools {
+		m[name] = true
+	}
+	for _, name := range h.heartbeats.Open() {
+		m[name] = true
+	}
+	return m
+}
+
+// jobElsewhere makes sure that a pool with an open job has a decider. Deciders of other pools on
+// this host call it, as the configuration may not have the pool any more.
+func (h *Host) jobElsewhere(pool string) {
+	if r := h.gate.Rules(); r != nil && r.Pools[pool] != nil {
+		return
+	}
+	h.poolMu.Lock()
+	defer h.poolMu.Unlock()
+	h.openPools[pool] = true
+}
+
 // takeoverReason says why a pool is to be taken over from its owner: the owner is
 // unresponsive, or has less capacity than this host. The zero value is no reason.
 type takeoverReason struct{ unresponsive, weaker bool }
@@ -300,14 +325,21 @@
 	return decide.Start(ctx, decide.Config{
 		Machines: cloud.New(func() string { return h.current().Cloud.Address }),
 		Pool:     pool, Owner: a.owner, Ownership: o, AcquiredAt: a.sent, Store: h.store, Clock: h.clock, Owners: h.owners, Workers: h.workers, Advisor: advise.New(func() string { return h.current().Advice }), Rules: h.gate.Rules, Evacuations: h.evacuations.sorted, ConfirmationAge: h.gate.Age, Bounds: h.current().Bounds, Cores: h.current().UsableCores(), Capacity: h.current().Capacity(), Stalls: h.stalls,
-		Meter: h.meter, Log: h.log, Guard: h.guard, Ended: h.deciderEnded,
+		Meter: h.meter, Log: h.log, JobElsewhere: h.jobElsewhere, Guard: h.guard, Ended: h.deciderEnded,
 	})
 }
 
 // deciderEnded removes an ended decider. The pool may be acquired again after a heartbeat timeout.
 func (h *Host) deciderEnded(d *decide.Decider) {
+	if d.Retired() {
+		// Not here, as Stop waits for the caller.
+		go h.guard.Do("retirement", func() { d.Stop(context.Background()) })
+	}
 	h.poolMu.Lock()
 	defer h.poolMu.Unlock()
+	if d.Retired() {
+		delete(h.openPools, d.Pool())
+	}
 	if c := h.pools[d.Pool()]; c != nil && c.decider == d {
 		c.decider = nil
 		c.retryAt = timer.SinceBoot() + repo.HeartbeatTimeout
--- a/node/node.go
+++ b/node/node.go
@@ -87,8 +87,11 @@
 	waves      waveSet
 	// evacuations are the data centres in which no task may start.
 	evacuations evacuationSet
-	pools       map[string]*candidate
-	poolMu      sync.Mutex
+	// poolMu guards pools, and openPools: pools with open jobs that other pools' deciders on this
+	// host have seen.
+	poolMu    sync.Mutex
+	pools     map[string]*candidate
+	openPools map[string]bool
 
 	// bodies and calls bound the bytes that requests of clients and of other hosts hold.
 	bodies, calls *budget.Pool
@@ -122,7 +125,7 @@
 		settingsFile: c.SettingsFile, log: c.Log.With().Str("host", s.Host).Logger(), boot: xid.New().String(), meter: meter.NewHost(c.DroppedLogLines), timer: timer.New(),
 		workers: platform.NewWorkerClient(s.Limits.Descriptors, stalls), stalls: stalls, drain: make(chan struct{}), clock: watch.NewClock(timer.SinceBoot),
 		health: watch.NewHealth(timer.SinceBoot),
-		gate:   gate.New(gate.Config{Now: timer.SinceBoot}), pools: map[string]*candidate{}, directStore: platform.NewStore(s.Store.Address, stalls),
+		gate:   gate.New(gate.Config{Now: timer.SinceBoot}), pools: map[string]*candidate{}, openPools: map[string]bool{}, directStore: platform.NewStore(s.Store.Address, stalls),
 	}
 	h.guard = guard.New(h.log, func(unit string) { h.meter.Panics.WithLabelValues(unit).Inc() })
 	h.applySettings(s)
--- a/orders/hold.go
+++ b/orders/hold.go
@@ -209,7 +209,7 @@
 		r.Demand = t.Step.Spec.CapacityDemand()
 		t.LastRun = max(t.LastRun, x.Run)
 		t.Step.LastRun = max(t.Step.LastRun, x.Run)
-		wanted = !t.Done && t.Run == nil && !j.Record.State.Final() && t.Step.MatchesGangRun(x.Run)
+		wanted = !t.Done && t.Run == nil && !j.Record.State.Final() && !j.HandingOver && t.Step.MatchesGangRun(x.Run)
 		if t.Run == nil {
 			r.Task, t.Run, t.Inherited = t, r, false
 		}
--- a/pulse/pulse.go
+++ b/pulse/pulse.go
@@ -181,15 +181,39 @@
 	return h.version, b.now() - h.received, true
 }
 
-// Waiting returns the number of waiting jobs of a queue as last counted by a decider of the
-// pool. It returns false if there is no count, the count is older than maxCountAge, or the
-// decider has released the pool.
+// Open returns the pools whose last heartbeat doesn't say that they are retired.
+func (b *Tracker) Open() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var l []string
+	for name, h := range b.pools {
+		if !h.Retired {
+			l = append(l, name)
+		}
+	}
+	return l
+}
+
+// Waiting returns the number of waiting jobs of a queue as last counted by the deciders of its
+// pool and of others that still have jobs of it. It returns false if there is no count of its pool,
+// a count that matters is older than maxCountAge, or the pool's decider has released it.
 func (b *Tracker) Waiting(pool, queue string) (int, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := b.now()
 	h := b.pools[pool]
-	if h.waiting == nil || h.Left || b.now()-h.countedAt > maxCountAge {
+	if h.waiting == nil || h.Left || now-h.countedAt > maxCountAge {
 		return 0, false
 	}
-	return h.waiting[queue], true
+	n := h.waiting[queue]
+	for name, h := range b.pools {
+		switch {
+		case name == pool || h.waiting[queue] == 0:
+		case now-h.countedAt > maxCountAge:
+			return 0, false
+		default:
+			n += h.waiting[queue]
+		}
+	}
+	return n, true
 }
--- a/repo/owner.go
+++ b/repo/owner.go
@@ -29,8 +29,10 @@
 	// Waiting counts, by queue, the jobs of which no task has started. It is nil while the
 	// decider doesn't know all jobs yet.
 	Waiting map[string]int
-	// Left means that the decider has released the pool.
-	Left bool
+	// Left means that the decider has released the pool, Retired that the pool needs no other one,
+	// as it isn't configured any more and has no jobs.
+	Left    bool
+	Retired bool `json:",omitempty"`
 	// Capacity is the processing capacity that the decider's host has for decisions,
 	// in cores, 0 if the host doesn't report it.
 	Capacity float64 `json:",omitempty"`
--- a/repo/writer.go
+++ b/repo/writer.go
@@ -38,8 +38,10 @@
 // write is a row to be written, or deleted if value is nil.
 type write struct {
 	value []byte
-	// alsoDelete names further rows that the same transaction deletes.
+	// alsoDelete names further rows that the same transaction deletes, alsoPut those that it
+	// writes, whatever their versions.
 	alsoDelete []rowKey
+	alsoPut    []Row
 	done       []func()
 	// rejected is set if the store has rejected the row. It is written by itself then.
 	rejected bool
@@ -121,6 +123,16 @@
 	w.signal()
 }
 
+// PutBoth is Put of a row that exists, with another row of the same key that the same transaction
+// writes, whatever its version. No other write of the first row may be queued. If the first row is
+// found deleted, nothing is written, as if it belonged to another pool.
+func (w *Writer) PutBoth(table, key string, value []byte, other string, otherValue []byte, done func()) {
+	w.mu.Lock()
+	w.enqueue(rowKey{table, key}, &write{value: value, alsoPut: []Row{newRow(other, key, otherValue)}, done: []func(){done}})
+	w.mu.Unlock()
+	w.signal()
+}
+
 // DeleteUnless queues the deletion of a row and of the rows of the same key in the tables of
 // alsoDelete. If the row turns out to have changed, unless decides by its present value whether it
 // is kept: others than the decider may have replaced it. DeleteUnless returns false, and queues
@@ -191,6 +203,9 @@
 		keys = append(keys, k)
 		batch = append(batch, w.queue[k])
 		size += len(w.queue[k].value)
+		for _, r := range w.queue[k].alsoPut {
+			size += len(r.Value)
+		}
 		rejected := w.queue[k].rejected
 		delete(w.queue, k)
 		if rejected {
@@ -256,7 +271,9 @@
 	var restKeys []rowKey
 	var rest []*write
 	for i, k := range keys {
-		if r := current[k]; r.Version > 0 && !r.Deleted && batch[i].unless == nil && w.foreign(k.table, r.Value) {
+		r := current[k]
+		gone := r.Version == 0 || r.Deleted
+		if gone && batch[i].alsoPut != nil || !gone && batch[i].unless == nil && w.foreign(k.table, r.Value) {
 			w.RecordVersion(k.table, k.key, r.Version)
 			w.onForeign(k.key)
 			continue
@@ -371,6 +388,7 @@
 		} else {
 			c.Put = append(c.Put, newRow(k.table, k.key, batch[i].value))
 		}
+		c.Put = append(c.Put, batch[i].alsoPut...)
 		for _, f := range batch[i].alsoDelete {
 			if !slices.ContainsFunc(c.Delete, func(r Row) bool { return r.Table == f.table && r.Key == f.key }) {
 				c.Delete = append(c.Delete, newRow(f.table, f.key, nil))
--- a/sched/job.go
+++ b/sched/job.go
@@ -14,7 +14,7 @@
 	if s.Jobs[e.Job.ID] != nil || s.EndedAt[e.Job.ID] > 0 || e.Record.State.Final() {
 		return
 	}
-	j := &track.Job{Spec: e.Job, Record: e.Record, AddedAt: s.Now.Steady, TakenOver: e.Inherited}
+	j := &track.Job{Spec: e.Job, Record: e.Record, AddedAt: s.Now.Steady, TakenOver: e.Inherited || e.Job.Moves > 0}
 	j.Inherited = e.Inherited && e.Record.Pool != ""
 	j.Started = j.Inherited
 	s.Jobs[j.Spec.ID] = j
@@ -26,11 +26,14 @@
 		s.openDue()
 	}
 	s.NeedsPlacement = true
+	s.addLeaving(j)
 	received := event.JobReceived{Job: j.Spec}
 	if s.Rules != nil {
 		received.Guaranteed = s.Guaranteed(j.Spec.Tenant)
 	}
-	s.Emit(received)
+	if j.Spec.Moves == 0 {
+		s.Emit(received)
+	}
 	s.reconcileJob(j)
 	if s.earlyCancels[j.Spec.ID] > 0 {
 		delete(s.earlyCancels, j.Spec.ID)
@@ -50,6 +53,8 @@
 		// The feeds of jobs and of cancellations aren't ordered among each other, so the
 		// cancellation is kept for when the job is added.
 		s.earlyCancels[id] = max(s.Now.Steady, 1)
+	case j.HandingOver:
+		// The decider of its new pool learns of the cancellation too, and may be it already.
 	case !j.Record.State.Final():
 		s.finish(j, work.Canceled)
 	}
@@ -74,18 +79,6 @@
 	}
 }
 
-// drop forgets a job that belongs to another pool. None of its tasks is started here any more.
-func (s *State) drop(j *track.Job) {
-	for _, st := range j.Steps {
-		for _, t := range st.Tasks {
-			if t.Run != nil {
-				s.Stop(t.Run)
-			}
-		}
-	}
-	s.ForgetJob(j)
-}
-
 // markDirty requests that the job's record is saved.
 func (s *State) markDirty(j *track.Job) {
 	j.Seq++
@@ -98,7 +91,7 @@
 	rest := s.dirty[:0]
 	for _, j := range s.dirty {
 		switch {
-		case j.WritingSeq >= j.Seq:
+		case j.WritingSeq >= j.Seq, j.HandingOver, s.Jobs[j.Spec.ID] != j:
 		case j.WritingSeq > j.SavedSeq:
 			rest = append(rest, j)
 		default:
--- a/sched/state.go
+++ b/sched/state.go
@@ -57,6 +57,10 @@
 	nextSpeeds time.Duration
 	// dirty are the jobs whose records must be saved.
 	dirty []*track.Job
+	// leaving are the jobs that the configuration sends to another pool and that aren't handed
+	// over yet, handedOver those that were a short time ago and count as waiting.
+	leaving    []*track.Job
+	handedOver []handedOver
 }
 
 // New returns the state of a decider that has just acquired the pool.
@@ -91,6 +95,7 @@
 		s.HandleWorkerRecorded(e)
 	case event.RulesChanged:
 		s.Rules = e.Rules
+		s.findLeaving()
 		s.NeedsPlacement = true
 	case event.BoundsChanged:
 		s.Config.Bounds = e.Bounds
@@ -99,10 +104,7 @@
 	case event.RecordSaved:
 		s.recordSaved(e)
 	case event.JobForeign:
-		if j := s.Jobs[e.ID]; j != nil {
-			s.Log(j, nil, nil, "job belongs to another pool; dropping it")
-			s.drop(j)
-		}
+		s.jobForeign(e.ID)
 	case event.OrderAnswered:
 		s.HandleAnswer(e)
 	case event.HoldAnswered:
@@ -148,6 +150,7 @@
 		s.Inheriting = false
 		s.NeedsPlacement = true
 	}
+	s.handOver()
 	switch {
 	case s.PlaceAt > now.Steady:
 		next = min(next, s.PlaceAt)
--- a/sched/state_test.go
+++ b/sched/state_test.go
@@ -23,6 +23,8 @@
 	starts  []event.Start
 	stops   []event.Stop
 	paces   []event.Pace
+	// handOvers are the hand-overs that were requested. They aren't answered.
+	handOvers []event.HandOver
 	// losePaces leaves orders to change the pace without an answer.
 	losePaces bool
 	// losesStarts neither carries out starts nor answers them.
@@ -128,6 +130,8 @@
 				continue
 			}
 			b.answer(e)
+		case event.HandOver:
+			b.handOvers = append(b.handOvers, e)
 		case event.SaveRecord:
 			b.step(event.RecordSaved{ID: e.ID, Seq: e.Seq})
 		case event.RecordWorker:
--- a/track/job.go
+++ b/track/job.go
@@ -92,6 +92,10 @@
 	Started bool
 	// Inherited reports whether a former decider may have started tasks of the job.
 	Inherited bool
+	// Leaving reports whether nothing of the job runs here and it is to be handed over to another
+	// pool, so that none of its tasks is started. HandingOver reports whether it is being handed
+	// over, so that its record isn't written here any more.
+	Leaving, HandingOver bool
 	// Seq numbers the changes of the record. WritingSeq is the newest change that is being
 	// written, SavedSeq the newest that is durable.
 	Seq, WritingSeq, SavedSeq int64
@@ -146,6 +150,12 @@
 	return slices.ContainsFunc(s.Tasks, func(t *Task) bool { return t.Run == nil && !t.Done })
 }
 
+// Waiting reports whether the job counts as waiting: none of its tasks has started. Periodic jobs
+// don't count.
+func (j *Job) Waiting() bool {
+	return !j.Started && !j.Record.State.Final() && j.Spec.Times == 0
+}
+
 // Idle reports whether no run of the job is known to have started and not ended.
 func (j *Job) Idle() bool {
 	for _, st := range j.Steps {
--- a/track/occurrence.go
+++ b/track/occurrence.go
@@ -49,13 +49,13 @@
 	left := 0
 	for i := range j.Spec.Steps {
 		st := &Step{Job: j, Spec: &j.Spec.Steps[i], Occurrence: k, Index: i, Key: j.Spec.ID + "." + work.StepKey(k, i), FailedOn: map[string]time.Duration{}}
-		st.Checkpoint = j.Record.Saved[work.StepKey(k, i)]
+		st.LastRun, st.Checkpoint = j.Record.LastRun, j.Record.Saved[work.StepKey(k, i)]
 		count := st.Spec.Count
 		if done {
 			count = 0
 		}
 		for n := range count {
-			t := &Task{Step: st, Index: n, Done: j.Record.IsDone(k, i, n), Inherited: j.Inherited, Checkpoint: j.Record.Saved[work.TaskKey(k, i, n)]}
+			t := &Task{Step: st, Index: n, Done: j.Record.IsDone(k, i, n), Inherited: j.Inherited, LastRun: j.Record.LastRun, Checkpoint: j.Record.Saved[work.TaskKey(k, i, n)]}
 			st.Tasks = append(st.Tasks, t)
 			if !t.Done {
 				st.TasksLeft++
--- a/track/pool.go
+++ b/track/pool.go
@@ -191,6 +191,25 @@
 	return false
 }
 
+// MayRun reports whether any task of a job may be running under a former decider on a worker that
+// hasn't answered yet.
+func (p *Pool) MayRun(j *Job) bool {
+	return slices.ContainsFunc(j.Steps, func(st *Step) bool { return slices.ContainsFunc(st.Tasks, p.MaybeRunning) })
+}
+
+// LastRunOf returns the highest run number that this decider or a former one may have used for a
+// task of a job.
+func (p *Pool) LastRunOf(j *Job) int {
+	last := int(p.Config.Epoch) * runsPerEpoch
+	for _, st := range j.Steps {
+		last = max(last, st.LastRun)
+		for _, t := range st.Tasks {
+			last = max(last, t.LastRun)
+		}
+	}
+	return last
+}
+
 // Closure is a cause for which a worker gets no tasks, empty if there is none.
 type Closure string
 
@@ -301,12 +320,11 @@
 	return 0
 }
 
-// WaitingByQueue returns how many jobs have no started task, by queue. Periodic jobs aren't
-// counted.
+// WaitingByQueue returns how many jobs count as waiting, by queue.
 func (p *Pool) WaitingByQueue() map[string]int {
 	m := map[string]int{}
 	for _, j := range p.JobsByArrival {
-		if !j.Started && !j.Record.State.Final() && j.Spec.Times == 0 {
+		if j.Waiting() {
 			m[j.Spec.Queue]++
 		}
 	}
--- a/work/job.go
+++ b/work/job.go
@@ -109,7 +109,8 @@
 	return d
 }
 
-// Job is a job as submitted by a client. It is immutable.
+// Job is a job as submitted by a client. Only Terms and Moves change, when it is handed over to
+// another pool.
 type Job struct {
 	ID    string
 	Queue string
@@ -125,9 +126,12 @@
 	Interval time.Duration `json:",omitempty"`
 	// Accepted is when a host recorded the job, in Unix milliseconds.
 	Accepted int64
-	// Terms are those of the queue when the job was accepted. They apply if the
-	// configuration no longer has the queue; for Terms.Pool see Rules.PoolOf.
+	// Terms are those of the queue when the job was accepted or handed over. They apply if the
+	// configuration no longer has the queue, or is older. Terms.Pool is the only pool whose
+	// decider may start the job's tasks or hand it over, unless Record.Pool names another one.
 	Terms Terms
+	// Moves is how often the job was handed over.
+	Moves int `json:",omitempty"`
 }
 
 // Submitter identifies who may read and cancel a job: a client account, or, for a job that was
--- a/work/record.go
+++ b/work/record.go
@@ -43,9 +43,11 @@
 	// CanceledFor lists whose submissions an Unsubmitted record stops. Empty, as written by
 	// earlier versions, it stops everyone's.
 	CanceledFor []Submitter `json:",omitempty"`
-	// Pool is the pool in which the job's tasks were first started, empty before
-	// that.
+	// Pool is the pool that the job is in, empty until its decider first writes the record. Only
+	// that decider writes it from then on.
 	Pool string `json:",omitempty"`
+	// LastRun is the highest run number that other pools may have used for the job's tasks.
+	LastRun int `json:",omitempty"`
 	// Placed holds the ID of the worker that was last chosen for a task, by task
 	// key. It is durable before the start order is sent, so that after a takeover
 	// a task that no worker has reported yet can only run on that worker.
@@ -170,17 +172,26 @@
 	r.Saved[key] = checkpoint
 }
 
+// HandedOver returns the record of the job in another pool, which may use run numbers above
+// lastRun. Nothing of the job may be running.
+func (r *Record) HandedOver(pool string, lastRun int) *Record {
+	n := *r
+	n.Pool, n.LastRun = pool, max(r.LastRun, lastRun)
+	n.Placed, n.Unsure = nil, false
+	return &n
+}
+
 // maxRecordBytes limits the size of an encoded record. It is below the store's limit
 // for rows.
 const maxRecordBytes = 48 << 10
 
 // Encode returns the value of the record's row. A final record keeps only State,
-// Queue, Ended, the account, Unsubmitted and CanceledFor. One that exceeds maxRecordBytes loses Placed and Saved, which
+// Queue, Ended, the account, Pool, Unsubmitted and CanceledFor. One that exceeds maxRecordBytes loses Placed and Saved, which
 // the job can do without, and is marked as Unsure.
 func (r *Record) Encode() ([]byte, error) {
 	if r.State.Final() {
 		return json.Marshal(&Record{
-			State: r.State, Queue: r.Queue, Ended: r.Ended, HasAccount: r.HasAccount, Account: r.Account, Unsubmitted: r.Unsubmitted, CanceledFor: r.CanceledFor,
+			State: r.State, Queue: r.Queue, Ended: r.Ended, HasAccount: r.HasAccount, Account: r.Account, Pool: r.Pool, Unsubmitted: r.Unsubmitted, CanceledFor: r.CanceledFor,
 		})
 	}
 	b, err := json.Marshal(r)
--- a/work/rules.go
+++ b/work/rules.go
@@ -67,20 +67,26 @@
 	return &Queue{Name: name, Pool: t.Pool, Priority: t.Priority, MaxAttempts: t.MaxAttempts, Stretch: t.Stretch, Slack: t.Slack, Advice: t.Advice}
 }
 
-// PoolOf returns the pool of a job of which no task was started yet. It is the pool
-// of the job's terms, so that all deciders agree even if their configurations
-// differ. If the configuration no longer has that pool, it is the queue's pool. A
-// configuration that is older than the terms may not have the pool yet.
+// PoolOf returns the pool that a job is in while its record names none. It is that of the job's
+// terms, so that all deciders agree even if their configurations differ. Jobs that were accepted
+// by a host without terms are in their queue's pool.
 func (r *Rules) PoolOf(j *Job) string {
-	if r.Pools[j.Terms.Pool] != nil || r.Version < j.Terms.Version {
-		return j.Terms.Pool
-	}
-	if q := r.Queues[j.Queue]; q != nil {
+	if q := r.Queues[j.Queue]; q != nil && j.Terms.Pool == "" {
 		return q.Pool
 	}
 	return j.Terms.Pool
 }
 
+// NextPool returns the pool that a job is to be handed over to, and false if it is to stay in its
+// own. A configuration that isn't newer than the job's terms decides nothing.
+func (r *Rules) NextPool(j *Job, own string) (string, bool) {
+	q := r.Queues[j.Queue]
+	if q == nil || q.Pool == own || r.Version <= j.Terms.Version {
+		return "", false
+	}
+	return q.Pool, true
+}
+
 // Pool is a set of workers that run the jobs of the same queues.
 type Pool struct {
 	Name string
