sched, track, decide: Count a placed job as started once it has begun

Cause: a record that names a pool passed for one of a job that had started. It names it with the first placement, before the start is sent.

Changed: starts are known from the workers' reports and from what the record holds of runs. A decider gives no count before the workers that answer have reported, at most 0.6 s after a takeover; hosts use the last count meanwhile.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -423,9 +423,9 @@
 }
 
 // countWaiting counts the waiting jobs for the next heartbeat. There is no count before all
-// partitions are loaded.
+// partitions are loaded, and the workers that answer have said what runs.
 func (d *Decider) countWaiting() {
-	if len(d.state.LoadedPartitions) < len(d.partitions) {
+	if len(d.state.LoadedPartitions) < len(d.partitions) || !d.state.Surveyed() {
 		return
 	}
 	w := d.state.WaitingByQueue()
--- a/decide/waiting_test.go
+++ b/decide/waiting_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"citronbridge/event"
 	"citronbridge/sched"
@@ -30,3 +31,18 @@
 		t.Errorf("waiting jobs are counted as %v, want 1", d.waitingJobs)
 	}
 }
+
+// TestNoCountBeforeWorkersAnswer guards against a successor that counts running jobs as waiting, as
+// the workers that it can ask haven't said yet what runs there.
+func TestNoCountBeforeWorkersAnswer(t *testing.T) {
+	d := &Decider{partitions: map[string]*partition{}}
+	d.state = sched.New(track.Config{Pool: "p", PartitionOf: func(string) string { return "j0" }}, event.Clock{}, nil)
+	d.state.Handle(event.Clock{}, event.WorkerListed{Worker: event.Worker{ID: "w", Address: "a"}})
+	if d.countWaiting(); d.waitingJobs != nil {
+		t.Error("waiting jobs are counted before the worker has answered")
+	}
+	d.state.Handle(event.Clock{Steady: time.Second}, event.Tick{})
+	if d.countWaiting(); d.waitingJobs == nil {
+		t.Error("no jobs are counted long after the takeover, as a worker doesn't answer")
+	}
+}
--- a/launch/order.go
+++ b/launch/order.go
@@ -122,8 +122,8 @@
 			o.RoomSince = 0
 		}
 	}
-	if !j.Started {
-		j.Started = true
+	if !j.Record.Started {
+		j.Record.Started = true
 		s.Emit(event.JobStarted{Queue: j.Spec.Queue, Wait: s.Now.Steady - j.AddedAt})
 		s.Log(j, r.Worker, r, "first task of the job has started")
 	}
--- a/loads/simulate_test.go
+++ b/loads/simulate_test.go
@@ -462,8 +462,8 @@
 			}
 			r.Phase = track.Running
 			s.starts[r] = s.now
-			if j := r.Task.Step.Job; !j.Started {
-				j.Started = true
+			if j := r.Task.Step.Job; !j.Record.Started {
+				j.Record.Started = true
 				q := s.jobs[j].Queue
 				s.res.firstStarts[q] = append(s.res.firstStarts[q], s.now-j.AddedAt)
 			}
--- a/orders/hold.go
+++ b/orders/hold.go
@@ -206,6 +206,7 @@
 	j, t := s.FindTask(x.Task)
 	wanted := false
 	if t != nil {
+		j.Record.Started = true
 		r.Demand = t.Step.Spec.CapacityDemand()
 		t.LastRun = max(t.LastRun, x.Run)
 		t.Step.LastRun = max(t.Step.LastRun, x.Run)
--- a/sched/ends.go
+++ b/sched/ends.go
@@ -49,6 +49,7 @@
 	}
 	t.LastRun = max(t.LastRun, x.Run)
 	t.Step.LastRun = max(t.Step.LastRun, x.Run)
+	j.Record.Started = true
 	if j.Record.State.Final() {
 		return j
 	}
--- a/sched/job.go
+++ b/sched/job.go
@@ -16,7 +16,7 @@
 	}
 	j := &track.Job{Spec: e.Job, Record: e.Record, AddedAt: s.Now.Steady, TakenOver: e.Inherited || e.Job.Moves > 0}
 	j.Inherited = e.Inherited && e.Record.Pool != ""
-	j.Started = j.Inherited
+	j.Record.Started = j.Record.HasStarted()
 	s.Jobs[j.Spec.ID] = j
 	s.JobsByArrival = append(s.JobsByArrival, j)
 	if j.Spec.Times == 0 {
--- a/sched/place.go
+++ b/sched/place.go
@@ -28,7 +28,7 @@
 	}
 	workers, runs := demand.Workers(s.Pool)
 	p := assign.Decide(s.Now.Steady, workers, units)
-	if !s.surveyed() {
+	if !s.Surveyed() {
 		// Workers that haven't answered yet may turn out to have room.
 		p.Stops = nil
 		s.PlaceBy(s.AcquiredAt + surveyTime)
@@ -50,9 +50,9 @@
 // runs for more urgent work. It is as long as a worker's answer may take.
 const surveyTime = 600 * time.Millisecond
 
-// surveyed reports whether all workers that can be asked have reported what they run, or
+// Surveyed reports whether all workers that can be asked have reported what they run, or
 // surveyTime has passed.
-func (s *State) surveyed() bool {
+func (s *State) Surveyed() bool {
 	if s.Now.Steady-s.AcquiredAt >= surveyTime {
 		return true
 	}
--- a/track/job.go
+++ b/track/job.go
@@ -87,9 +87,6 @@
 	// TakenOver reports whether the job was open when the decider acquired the pool and nothing
 	// of it has run since. It may have been overdue for long then.
 	TakenOver bool
-	// Started reports whether any task of the job has started, or may have under a former
-	// decider.
-	Started bool
 	// Inherited reports whether a former decider may have started tasks of the job.
 	Inherited bool
 	// Leaving reports whether nothing of the job runs here and it is to be handed over to another
@@ -153,7 +150,7 @@
 // Waiting reports whether the job counts as waiting: none of its tasks has started. Periodic jobs
 // don't count.
 func (j *Job) Waiting() bool {
-	return !j.Started && !j.Record.State.Final() && j.Spec.Times == 0
+	return !j.Record.Started && !j.Record.State.Final() && j.Spec.Times == 0
 }
 
 // Idle reports whether no run of the job is known to have started and not ended.
--- a/work/record.go
+++ b/work/record.go
@@ -46,6 +46,9 @@
 	// Pool is the pool that the job is in, empty until its decider first writes the record. Only
 	// that decider writes it from then on.
 	Pool string `json:",omitempty"`
+	// Started reports whether a task of the job is known to have started. It may be missing until
+	// the change after that.
+	Started bool `json:",omitempty"`
 	// LastRun is the highest run number that other pools may have used for the job's tasks.
 	LastRun int `json:",omitempty"`
 	// Placed holds the ID of the worker that was last chosen for a task, by task
@@ -181,6 +184,12 @@
 	return &n
 }
 
+// HasStarted reports whether the record shows that a task of the job has started. A placement
+// alone doesn't.
+func (r *Record) HasStarted() bool {
+	return r.Started || len(r.Done) > 0 || len(r.DoneOccurrences) > 0 || len(r.FailedRuns) > 0 || len(r.Saved) > 0
+}
+
 // maxRecordBytes limits the size of an encoded record. It is below the store's limit
 // for rows.
 const maxRecordBytes = 48 << 10
