decide: Count a silent decider's leases from its last heartbeat

Cause: the wait for workers that can't be asked began with the takeover, although the time from which no former decider renews leases is known and may be past.

Changed: the wait counts from that time, down to 6 s, by which workers that can be asked have answered.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -320,7 +320,7 @@
 	formerOrders := formerOrdersEndIn(d.c.Owner, d.c.Clock)
 	d.log.Info().Dur("formerOrders", formerOrders).Msg("takeover: former deciders may still give orders for this time")
 	d.state = sched.New(track.Config{
-		Pool: d.c.Pool, Epoch: d.c.Owner.Epoch, Bounds: b, FormerOrders: formerOrders, InheritTime: b.Lease + leaseMargin + formerOrders, Window: launch.WindowForCores(d.c.Cores),
+		Pool: d.c.Pool, Epoch: d.c.Owner.Epoch, Bounds: b, FormerOrders: formerOrders, InheritTime: inheritTime(formerOrders, b.Lease+leaseMargin), Window: launch.WindowForCores(d.c.Cores),
 		PartitionOf: func(id string) string { return repo.PartitionOf(repo.TableJobs, id) },
 	}, d.clock(), d.c.Rules())
 	pending := d.state.Handle(d.clock(), event.EvacuationsChanged{DataCentres: d.c.Evacuations()})
--- a/decide/takeover.go
+++ b/decide/takeover.go
@@ -29,17 +29,21 @@
 
 // OrdersUntil returns the FormerOrdersUntil of the host's own owner row.
 func (p Predecessor) OrdersUntil(c *watch.Clock) time.Duration {
-	if p.Stopped {
-		return p.Owner.FormerOrdersUntil
+	if p.Owner.Epoch == 0 {
+		return 0
 	}
 	now, ok := c.AtMost()
-	if !ok || !p.HeartbeatKnown {
+	switch {
+	case !ok, !p.Stopped && !p.HeartbeatKnown:
 		return unknownTime
+	case p.Stopped:
+		return max(p.Owner.FormerOrdersUntil, now)
 	}
 	return max(p.Owner.FormerOrdersUntil, now+clockSlack+maxHeartbeatAge-p.HeartbeatAge)
 }
 
-// formerOrdersEndIn returns for how long deciders before an owner may still send orders.
+// formerOrdersEndIn returns for how long deciders before an owner may still send orders. It is
+// negative if all of them have stopped doing so that long ago.
 func formerOrdersEndIn(o repo.Owner, c *watch.Clock) time.Duration {
 	if o.FormerOrdersUntil == 0 {
 		return 0
@@ -49,7 +53,17 @@
 		return maxHeartbeatAge
 	}
 	// Each of them had its last heartbeat before this takeover.
-	return min(max(o.FormerOrdersUntil-now, 0), maxHeartbeatAge)
+	return min(o.FormerOrdersUntil-now, maxHeartbeatAge)
+}
+
+// minInheritTime is the least time for which a worker that doesn't answer may run tasks of former
+// deciders. Workers that can be asked have answered by then, also in large pools.
+const minInheritTime = 6 * time.Second
+
+// inheritTime returns how long after a takeover a worker that doesn't answer may run tasks of former
+// deciders, whose orders end in a time and give leases of a length at most.
+func inheritTime(ordersEndIn, lease time.Duration) time.Duration {
+	return max(ordersEndIn+lease, minInheritTime)
 }
 
 // takeover logs, once each, what a decider waits for after it has acquired the pool. Only the
--- a/repo/owner.go
+++ b/repo/owner.go
@@ -15,8 +15,8 @@
 	// Boot identifies the incarnation of the host's process.
 	Boot string
 	// FormerOrdersUntil is when, by the store's clock, the last of all former deciders of the
-	// pool stops sending orders and renewing leases, 0 if all had stopped at the takeover.
-	// Each owner passes it on to the next.
+	// pool stops sending orders and renewing leases, 0 if there were none. Each owner passes it on
+	// to the next.
 	FormerOrdersUntil time.Duration `json:",omitempty"`
 }
 
