decide: Log line of the wait for former deciders

Cause: the line said that former deciders may still give orders, also where the time is zero or past.

Changed: its text alone.

Result: tests of decide and node pass.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -318,7 +318,7 @@
 	}
 	b := boundsOf(d.bounds())
 	formerOrders := formerOrdersEndIn(d.c.Owner, d.c.Clock)
-	d.log.Info().Dur("formerOrders", formerOrders).Msg("takeover: former deciders may still give orders for this time")
+	d.log.Info().Dur("formerOrders", formerOrders).Msg("takeover: time for which former deciders may still give orders")
 	d.state = sched.New(track.Config{
 		Pool: d.c.Pool, Epoch: d.c.Owner.Epoch, Bounds: b, FormerOrders: formerOrders, InheritTime: inheritTime(formerOrders, b.Lease+leaseMargin), Window: launch.WindowForCores(d.c.Cores),
 		PartitionOf: func(id string) string { return repo.PartitionOf(repo.TableJobs, id) },
