decide, sched, docs: Say only what was shown of the shortest wait

Cause: a comment and a page said that all workers that can be asked have answered 6 s after a takeover. That is reckoned, not measured.

--- a/decide/takeover.go
+++ b/decide/takeover.go
@@ -57,7 +57,7 @@
 }
 
 // minInheritTime is the least time for which a worker that doesn't answer may run tasks of former
-// deciders. Workers that can be asked have answered by then, also in large pools.
+// deciders. It leaves workers that can be asked the time to answer, also in large pools.
 const minInheritTime = 6 * time.Second
 
 // inheritTime returns how long after a takeover a worker that doesn't answer may run tasks of former
--- a/sched/handover.go
+++ b/sched/handover.go
@@ -60,7 +60,7 @@
 		if err != nil {
 			panic("encode job record: " + err.Error())
 		}
-		// The record isn't written again here.
+		// From here on the new pool's decider may write the record.
 		j.HandingOver = true
 		s.Log(j, nil, nil, "handing the job over to pool "+pool)
 		s.Emit(event.HandOver{ID: j.Spec.ID, Record: rec, Job: job})
