--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays it without the disruption.
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
-exec target/review-bed3 runs "$folder"
+exec target/review-bed3 wave "$folder"
