--- a/review/bed3/main.go
+++ b/review/bed3/main.go
@@ -15,11 +15,12 @@
 
 // cases play a case, with its disruption or without. They return how the rule was broken, or "".
 var cases = map[string]func(b *bed, trouble bool) (string, error){
-	"ack":  staleAck,
-	"wave": newMachines,
-	"born": earlierBirth,
-	"runs": repeatedRun,
-	"wide": wideFailure,
+	"ack":    staleAck,
+	"wave":   newMachines,
+	"born":   earlierBirth,
+	"runs":   repeatedRun,
+	"memory": manyTasks,
+	"wide":   wideFailure,
 }
 
 func main() { os.Exit(play()) }
